--- /dev/null
+++ b/Libraries/LibCore/Error.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibCore/ErrorKind.h>
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace Core {
+
+/// The one exception type of the system. It carries a kind of the closed list and, truthfully,
+/// what became of the attempt and, for a keyed call, what is known of the key.
+class Error : public std::runtime_error
+{
+public:
+    /// An error whose attempt fate is the table's.
+    explicit Error(ErrorKind kind, const std::string &detail = {});
+    /// An error whose fates the raising place knows.
+    Error(ErrorKind kind, const std::string &detail, Fate attempt, std::optional<Fate> key);
+
+    ErrorKind kind() const { return m_kind; }
+    const std::string &detail() const { return m_detail; }
+    Fate attempt() const { return m_attempt; }
+    /// What is known of the idempotency key over all instances; empty for a call without one.
+    std::optional<Fate> key() const { return m_key; }
+
+private:
+    ErrorKind m_kind;
+    std::string m_detail;
+    Fate m_attempt;
+    std::optional<Fate> m_key;
+};
+
+/// The JSON body callers receive: {"error":{"kind","message","attempt","key"}}.
+std::string errorBody(const Error &error);
+
+} // namespace Core
--- /dev/null
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -0,0 +1,68 @@
+#include <LibCore/EventCatalogue.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Core {
+
+namespace {
+
+// clang-format off
+constexpr std::array Rows {
+    EventRow {EventId::ProcessStarted, EventLevel::Info, "process_started", "The process has started, with its version and identity."},
+    EventRow {EventId::SettingsInvalid, EventLevel::Error, "settings_invalid", "A setting has a fault; one event a fault."},
+    EventRow {EventId::ListeningOn, EventLevel::Info, "listening_on", "A port is open."},
+    EventRow {EventId::DrainStarted, EventLevel::Info, "drain_started", "No new work is taken; running work goes on."},
+    EventRow {EventId::ProcessStopped, EventLevel::Info, "process_stopped", "The process ends."},
+    EventRow {EventId::EmbeddedPlatformLimits, EventLevel::Warning, "embedded_platform_limits", "The embedded platform forgets everything when the process ends."},
+    EventRow {EventId::ReadinessChanged, EventLevel::Info, "readiness_changed", "The instance became ready or stopped being ready."},
+    EventRow {EventId::RequestRefused, EventLevel::Info, "request_refused", "A request was refused before any upstream saw it."},
+    EventRow {EventId::RequestFailed, EventLevel::Warning, "request_failed", "A request failed after an upstream saw it."},
+    EventRow {EventId::CallerWentAway, EventLevel::Info, "caller_went_away", "The caller closed its connection; upstream work is cancelled."},
+    EventRow {EventId::StreamResumed, EventLevel::Warning, "stream_resumed", "A stream broke and goes on at another upstream."},
+    EventRow {EventId::InternalFault, EventLevel::Error, "internal_fault", "An exception that no rule foresaw."},
+    EventRow {EventId::UpstreamAdded, EventLevel::Info, "upstream_added", "A new upstream takes work."},
+    EventRow {EventId::UpstreamLeaving, EventLevel::Info, "upstream_leaving", "An upstream takes no new work any more."},
+    EventRow {EventId::UpstreamSuspected, EventLevel::Warning, "upstream_suspected", "An upstream failed and is passed over for a while."},
+    EventRow {EventId::UpstreamRestarted, EventLevel::Warning, "upstream_restarted", "An upstream came back with another incarnation; beliefs about its cache are dropped."},
+    EventRow {EventId::UpstreamAnswerInvalid, EventLevel::Warning, "upstream_answer_invalid", "An upstream's answer broke its protocol or belongs to another request."},
+    EventRow {EventId::PoisonSuspected, EventLevel::Warning, "poison_suspected", "A request digest is suspected of crashing upstreams."},
+    EventRow {EventId::OrderSent, EventLevel::Info, "order_sent", "An order was sent to an upstream."},
+    EventRow {EventId::OrderRefused, EventLevel::Warning, "order_refused", "An upstream refused an order with an old fencing number."},
+    EventRow {EventId::ConfigurationInForce, EventLevel::Info, "configuration_in_force", "A configuration generation is in force on this instance."},
+    EventRow {EventId::ConfigurationRefused, EventLevel::Warning, "configuration_refused", "A published document lost its race or has faults."},
+    EventRow {EventId::ConfigurationFromSibling, EventLevel::Info, "configuration_from_sibling", "A starting instance took its configuration from a sibling."},
+    EventRow {EventId::ClaimVoided, EventLevel::Info, "claim_voided", "A claim was given up before anything was sent."},
+    EventRow {EventId::ClaimFateUnknown, EventLevel::Warning, "claim_fate_unknown", "The outcome of a non-repeatable call was lost."},
+    EventRow {EventId::ClaimIndexRebuilt, EventLevel::Info, "claim_index_rebuilt", "The claim index was read again from the log."},
+    EventRow {EventId::PeerConnected, EventLevel::Info, "peer_connected", "A sibling passed the handshake."},
+    EventRow {EventId::PeerRejected, EventLevel::Warning, "peer_rejected", "A connection failed the handshake."},
+    EventRow {EventId::PeerFrameInvalid, EventLevel::Warning, "peer_frame_invalid", "A peer's frame was too large or did not verify; the link is closed."},
+    EventRow {EventId::PeerSuspected, EventLevel::Info, "peer_suspected", "A sibling misses its probes."},
+    EventRow {EventId::PeerDropped, EventLevel::Info, "peer_dropped", "A sibling is taken for dead or has left."},
+    EventRow {EventId::PeerIncarnationChanged, EventLevel::Info, "peer_incarnation_changed", "A sibling restarted, or its address or name was reused."},
+    EventRow {EventId::PeerIncompatible, EventLevel::Warning, "peer_incompatible", "A peer speaks no protocol version that this one reads."},
+    EventRow {EventId::SnapshotTaken, EventLevel::Info, "snapshot_taken", "A starting instance took a sibling's snapshot."},
+    EventRow {EventId::SnapshotRefused, EventLevel::Warning, "snapshot_refused", "A snapshot was of another environment, version or weights."},
+    EventRow {EventId::PlatformUnavailable, EventLevel::Warning, "platform_unavailable", "The platform does not answer."},
+    EventRow {EventId::PlatformBack, EventLevel::Info, "platform_back", "The platform answers again."},
+    EventRow {EventId::LogRecordInvalid, EventLevel::Warning, "log_record_invalid", "A record in the platform's log does not decode and is passed over."},
+    EventRow {EventId::UsageAppended, EventLevel::Debug, "usage_appended", "Usage records were appended."},
+    EventRow {EventId::UsageLost, EventLevel::Warning, "usage_lost", "Usage records could not be appended before the process ended."},
+};
+// clang-format on
+
+} // namespace
+
+std::span<const EventRow> eventCatalogue()
+{
+    return Rows;
+}
+
+const EventRow &eventRow(EventId id)
+{
+    return *std::find_if(Rows.begin(), Rows.end(),
+                         [id](const EventRow &row) { return row.id == id; });
+}
+
+} // namespace Core
--- /dev/null
+++ b/Libraries/LibCore/Fate.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string_view>
+
+namespace Core {
+
+/// What became of one attempt, or what is known of one idempotency key.
+enum class Fate {
+    NotRun,
+    Running,
+    Run,
+    Unknown,
+};
+
+/// The name callers see: "not_run", "running", "run" or "unknown".
+std::string_view fateName(Fate fate);
+
+} // namespace Core
--- /dev/null
+++ b/Libraries/LibCore/Forward.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace Core {
+
+class Clock;
+class Error;
+class ManualClock;
+class SystemClock;
+struct EventField;
+enum class ErrorKind : unsigned;
+enum class EventId : unsigned;
+enum class Fate;
+
+} // namespace Core
--- /dev/null
+++ b/Tests/LibCore/TestHash.cpp
@@ -0,0 +1,15 @@
+#include <LibCore/Hash.h>
+
+#include <catch2/catch.hpp>
+
+TEST_CASE("digests agree with published vectors")
+{
+    CHECK(Core::sha256Hex("abc")
+          == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    CHECK(Core::hash64("abc") == Core::hash64("abc"));
+    CHECK(Core::hash64("abc", 1) != Core::hash64("abc", 2));
+    CHECK(Core::equalInConstantTime("same", "same"));
+    CHECK_FALSE(Core::equalInConstantTime("same", "sane"));
+    CHECK_FALSE(Core::equalInConstantTime("same", "longer"));
+    CHECK(Core::hmacSha256("k", "a") != Core::hmacSha256("k", "b"));
+}
