LibHttp: Serve and call HTTP on Beast, one context a thread

Each connection stays on one thread's context, so the path needs no lock. Weighed against one context with strands: kept connections could then be shared by threads, but the timers of a Beast stream run on the stream's executor and would race with a caller on another strand.

A Beast stream's own timeout closes the connection, so a slow caller could not be told why (test 'bad requests' failed first); a timer that cancels the read took its place.

--- a/Libraries/LibCore/Forward.h
+++ b/Libraries/LibCore/Forward.h
@@ -4,6 +4,7 @@
 
 class Clock;
 class Error;
+class IoThreads;
 class ManualClock;
 class SystemClock;
 struct EventField;
--- /dev/null
+++ b/Libraries/LibHttp/Client.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibHttp/ClientExchange.h>
+#include <LibHttp/Endpoint.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <memory>
+
+namespace Http {
+
+/// How long a client waits for a server.
+struct ClientTimeouts
+{
+    std::chrono::milliseconds connect {1'000};
+    /// From the end of the request to the head of the answer.
+    std::chrono::milliseconds head {60'000};
+    /// Between two pieces of the answer's body.
+    std::chrono::milliseconds body {30'000};
+};
+
+/// Whether a connection that served an earlier request may be used. A kept connection may be
+/// closed by the server just as the request is sent, which leaves it open whether the request ran,
+/// so calls that may not be repeated ask for a new one.
+enum class ConnectionUse {
+    KeptOrNew,
+    New,
+};
+
+/// Sends requests, keeping idle connections for each thread and endpoint.
+class Client
+{
+public:
+    Client();
+    ~Client();
+
+    /// Sends the request and returns once the head of the answer is there. Throws
+    /// Error(UpstreamUnreachable) when nothing was sent, UpstreamFailed or UpstreamTimedOut when
+    /// the request was sent and no answer came, and UpstreamGarbage for an answer that is not HTTP.
+    boost::asio::awaitable<std::unique_ptr<ClientExchange>>
+    open(Endpoint endpoint, Request request, ClientTimeouts timeouts,
+         ConnectionUse use = ConnectionUse::KeptOrNew);
+
+    /// open() and the whole body, up to the given size (UpstreamGarbage beyond it).
+    boost::asio::awaitable<Response> fetch(Endpoint endpoint, Request request,
+                                           ClientTimeouts timeouts,
+                                           std::size_t bodyLimit = DefaultBodyLimit,
+                                           ConnectionUse use = ConnectionUse::KeptOrNew);
+
+    static constexpr std::size_t DefaultBodyLimit = 64 * 1024 * 1024;
+
+    struct Shared;
+
+private:
+    std::shared_ptr<Shared> m_shared;
+};
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/Server.cpp
@@ -0,0 +1,124 @@
+#include <LibHttp/Server.h>
+#include <LibHttp/ServerSession.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Http {
+
+namespace asio = boost::asio;
+
+namespace {
+// Time to let descriptors come free when the process has run out of them.
+constexpr std::chrono::milliseconds AcceptPause {50};
+} // namespace
+
+class Server::Acceptor : public std::enable_shared_from_this<Acceptor>
+{
+public:
+    Acceptor(Core::IoThreads &threads, std::shared_ptr<Shared> shared)
+        : m_threads(threads)
+        , m_acceptor(threads.next())
+        , m_shared(std::move(shared))
+    { }
+
+    void open(const Endpoint &endpoint)
+    {
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        m_local = m_acceptor.local_endpoint();
+    }
+
+    void start()
+    {
+        asio::co_spawn(
+            m_acceptor.get_executor(), [self = shared_from_this()] { return self->run(); },
+            asio::detached);
+    }
+
+    void close()
+    {
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            boost::system::error_code ec;
+            self->m_acceptor.close(ec);
+        });
+    }
+
+    Endpoint localEndpoint() const { return m_local; }
+
+private:
+    asio::awaitable<void> run()
+    {
+        while (m_acceptor.is_open()) {
+            auto &context = m_threads.next();
+            boost::system::error_code ec;
+            auto socket = co_await m_acceptor.async_accept(
+                context, asio::redirect_error(asio::use_awaitable, ec));
+            if (ec == asio::error::operation_aborted || m_shared->stopping)
+                co_return;
+            if (ec) {
+                asio::steady_timer timer(m_acceptor.get_executor(), AcceptPause);
+                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+                continue;
+            }
+            asio::co_spawn(context, serveConnection(std::move(socket), m_shared), asio::detached);
+        }
+    }
+
+    Core::IoThreads &m_threads;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<Shared> m_shared;
+    Endpoint m_local;
+};
+
+Core::Result<std::unique_ptr<Server>> Server::create(Core::IoThreads &threads,
+                                                     const Endpoint &endpoint,
+                                                     const ServerLimits &limits, Handler handler)
+{
+    auto shared = std::make_shared<Shared>();
+    shared->limits = limits;
+    shared->handler = std::move(handler);
+    auto acceptor = std::make_shared<Acceptor>(threads, shared);
+    try {
+        acceptor->open(endpoint);
+    } catch (const boost::system::system_error &fault) {
+        return Core::Error(Core::ErrorKind::SettingsInvalid,
+                           "cannot listen on " + formatEndpoint(endpoint) + ": " + fault.what());
+    }
+    acceptor->start();
+    return std::unique_ptr<Server>(new Server(std::move(shared), std::move(acceptor)));
+}
+
+Server::Server(std::shared_ptr<Shared> shared, std::shared_ptr<Acceptor> acceptor)
+    : m_shared(std::move(shared))
+    , m_acceptor(std::move(acceptor))
+{ }
+
+Server::~Server()
+{
+    stopAccepting();
+}
+
+Endpoint Server::localEndpoint() const
+{
+    return m_acceptor->localEndpoint();
+}
+
+void Server::stopAccepting()
+{
+    if (!m_shared->stopping.exchange(true))
+        m_acceptor->close();
+}
+
+std::size_t Server::activeExchanges() const
+{
+    return m_shared->activeExchanges;
+}
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/Server.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibCore/IoThreads.h>
+#include <LibCore/Result.h>
+#include <LibHttp/Endpoint.h>
+#include <LibHttp/ServerExchange.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace Http {
+
+/// What a caller may ask of a server's patience and memory.
+struct ServerLimits
+{
+    std::size_t headerBytes = 16 * 1024;
+    std::size_t bodyBytes = 8 * 1024 * 1024;
+    /// The whole request must have arrived within this time of its first byte.
+    std::chrono::milliseconds requestTime {10'000};
+    /// A connection without a request is closed after this time.
+    std::chrono::milliseconds idleTime {60'000};
+    /// A caller that takes no bytes for this long is given up.
+    std::chrono::milliseconds writeTime {30'000};
+};
+
+/// Serves HTTP/1.1 on one port, with connections spread over the threads.
+class Server
+{
+public:
+    using Handler = std::function<boost::asio::awaitable<void>(ServerExchange &)>;
+
+    /// Opens the port; port 0 takes a free one. Fails with SettingsInvalid.
+    static Core::Result<std::unique_ptr<Server>> create(Core::IoThreads &threads,
+                                                        const Endpoint &endpoint,
+                                                        const ServerLimits &limits,
+                                                        Handler handler);
+    ~Server();
+
+    Endpoint localEndpoint() const;
+    /// Closes the port and tells connections to end after their present exchange.
+    void stopAccepting();
+    /// Exchanges whose handler runs now.
+    std::size_t activeExchanges() const;
+
+    /// What the connections share with the server, and may outlive it with.
+    struct Shared;
+
+private:
+    class Acceptor;
+    Server(std::shared_ptr<Shared> shared, std::shared_ptr<Acceptor> acceptor);
+
+    std::shared_ptr<Shared> m_shared;
+    std::shared_ptr<Acceptor> m_acceptor;
+};
+
+struct Server::Shared
+{
+    ServerLimits limits;
+    Handler handler;
+    std::atomic<std::size_t> activeExchanges {0};
+    std::atomic<bool> stopping {false};
+};
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/ServerExchange.cpp
@@ -0,0 +1,33 @@
+#include <LibHttp/ServerExchange.h>
+
+#include <utility>
+
+namespace Http {
+
+void ServerExchange::noteCallerGone()
+{
+    if (std::exchange(m_callerGone, true))
+        return;
+    if (m_callerGoneHook)
+        m_callerGoneHook();
+}
+
+Response jsonResponse(unsigned status, std::string body)
+{
+    Response response;
+    response.status = status;
+    response.headers.add("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+Response errorResponse(const Core::Error &error)
+{
+    const auto &row = Core::errorKindRow(error.kind());
+    auto response = jsonResponse(row.httpStatus, Core::errorBody(error));
+    if (row.retryAfter)
+        response.headers.add("Retry-After", std::to_string(row.retryAfter->count()));
+    return response;
+}
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -0,0 +1,290 @@
+#include <LibCore/EventLog.h>
+#include <LibHttp/ServerSession.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+namespace Http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+using StringResponse = http::response<http::string_body>;
+
+/// Answers over a connection. Shared with the wait for the caller's close, which may end later
+/// than the exchange does.
+class SessionExchange final : public ServerExchange,
+                              public std::enable_shared_from_this<SessionExchange>
+{
+public:
+    SessionExchange(beast::tcp_stream &stream, const ServerLimits &limits,
+                    http::request<http::string_body> &&message)
+        : m_stream(stream)
+        , m_limits(limits)
+        , m_keepAlive(message.keep_alive())
+        , m_version(message.version())
+    {
+        m_request.method = std::string(message.method_string());
+        m_request.target = std::string(message.target());
+        for (const auto &field : message)
+            m_request.headers.add(field.name_string(), field.value());
+        m_request.body = std::move(message.body());
+    }
+
+    asio::awaitable<void> respond(Response response) override
+    {
+        m_started = true;
+        StringResponse message(http::status(response.status), m_version, std::move(response.body));
+        fillHead(message, response.headers);
+        message.prepare_payload();
+        m_stream.expires_after(m_limits.writeTime);
+        co_await http::async_write(m_stream, message, asio::use_awaitable);
+        m_finished = true;
+    }
+
+    asio::awaitable<void> startStream(unsigned status, Headers headers) override
+    {
+        m_started = true;
+        http::response<http::empty_body> message(http::status(status), m_version);
+        fillHead(message, headers);
+        message.chunked(m_version >= 11);
+        if (m_version < 11)
+            m_keepAlive = false;
+        http::response_serializer<http::empty_body> serializer(message);
+        m_stream.expires_after(m_limits.writeTime);
+        co_await http::async_write_header(m_stream, serializer, asio::use_awaitable);
+    }
+
+    asio::awaitable<void> write(std::string chunk) override
+    {
+        if (chunk.empty())
+            co_return;
+        m_stream.expires_after(m_limits.writeTime);
+        if (m_version < 11)
+            co_await asio::async_write(m_stream, asio::buffer(chunk), asio::use_awaitable);
+        else
+            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)),
+                                       asio::use_awaitable);
+    }
+
+    asio::awaitable<void> finishStream() override
+    {
+        m_stream.expires_after(m_limits.writeTime);
+        if (m_version >= 11)
+            co_await asio::async_write(m_stream, http::make_chunk_last(), asio::use_awaitable);
+        m_finished = true;
+    }
+
+    /// Whether another request may follow on this connection.
+    bool mayContinue() const { return m_finished && m_keepAlive && !m_callerGone; }
+
+    /// Notices a caller that closes its connection while the handler still works.
+    void watchForClose()
+    {
+        m_stream.socket().async_wait(
+            asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto &ec) {
+                if (ec || self->m_done)
+                    return;
+                char byte = 0;
+                const auto n = ::recv(self->m_stream.socket().native_handle(), &byte, 1,
+                                      MSG_PEEK | MSG_DONTWAIT);
+                if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+                    self->noteCallerGone();
+            });
+    }
+
+    /// Ends the wait for the caller's close. The stream may be gone afterwards.
+    void endWatch()
+    {
+        m_done = true;
+        boost::system::error_code ec;
+        m_stream.socket().cancel(ec);
+    }
+
+private:
+    template <typename Message>
+    void fillHead(Message &message, const Headers &headers) const
+    {
+        for (const auto &field : headers)
+            message.insert(field.name, field.value);
+        message.keep_alive(m_keepAlive);
+    }
+
+    beast::tcp_stream &m_stream;
+    const ServerLimits &m_limits;
+    bool m_keepAlive;
+    unsigned m_version;
+    bool m_finished = false;
+    bool m_done = false;
+};
+
+/// Counts a running exchange for as long as it lives.
+class ActiveGuard
+{
+public:
+    explicit ActiveGuard(Server::Shared &shared)
+        : m_shared(shared)
+    {
+        ++m_shared.activeExchanges;
+    }
+    ~ActiveGuard() { --m_shared.activeExchanges; }
+    ActiveGuard(const ActiveGuard &) = delete;
+    ActiveGuard &operator=(const ActiveGuard &) = delete;
+
+private:
+    Server::Shared &m_shared;
+};
+
+/// Cancels a read that takes too long. The stream's own timeout would close the connection, and
+/// the caller could not be told why.
+class ReadDeadline
+{
+public:
+    ReadDeadline(beast::tcp_stream &stream, std::chrono::milliseconds limit)
+        : m_timer(stream.get_executor(), limit)
+        , m_state(std::make_shared<State>())
+    {
+        m_timer.async_wait([&stream, state = m_state](const auto &ec) {
+            if (ec || state->ended)
+                return;
+            state->expired = true;
+            stream.cancel();
+        });
+    }
+    ~ReadDeadline() { m_state->ended = true; }
+    ReadDeadline(const ReadDeadline &) = delete;
+    ReadDeadline &operator=(const ReadDeadline &) = delete;
+
+    bool hasExpired() const { return m_state->expired; }
+
+private:
+    struct State
+    {
+        bool ended = false;
+        bool expired = false;
+    };
+
+    asio::steady_timer m_timer;
+    std::shared_ptr<State> m_state;
+};
+
+Core::Error readError(const boost::system::error_code &ec)
+{
+    if (ec == http::error::header_limit)
+        return Core::Error(Core::ErrorKind::HeadersTooLarge);
+    if (ec == http::error::body_limit)
+        return Core::Error(Core::ErrorKind::BodyTooLarge);
+    return Core::Error(Core::ErrorKind::MalformedRequest, ec.message());
+}
+
+bool isCallerGone(const boost::system::error_code &ec)
+{
+    return ec == http::error::end_of_stream || ec == asio::error::connection_reset
+           || ec == asio::error::operation_aborted;
+}
+
+asio::awaitable<void> refuse(beast::tcp_stream &stream, const ServerLimits &limits,
+                             const Core::Error &error)
+{
+    SessionExchange exchange(stream, limits, {});
+    auto response = errorResponse(error);
+    response.headers.add("Connection", "close");
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> runHandler(SessionExchange &exchange, Server::Shared &shared)
+{
+    std::optional<Core::Error> failure;
+    try {
+        co_await shared.handler(exchange);
+    } catch (const Core::Error &error) {
+        failure = error;
+    } catch (const boost::system::system_error &) {
+        // The caller's connection broke; there is nobody to answer.
+        co_return;
+    } catch (const std::exception &fault) {
+        Core::logEvent(Core::EventId::InternalFault, {{"what", fault.what()}});
+        failure = Core::Error(Core::ErrorKind::Internal);
+    }
+    if (failure && !exchange.hasStarted())
+        co_await exchange.respond(errorResponse(*failure));
+}
+
+/// Waits for the first byte under the idle time, so that a slow request can be told from none.
+asio::awaitable<bool> awaitFirstByte(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                                     const ServerLimits &limits)
+{
+    if (buf.size() > 0)
+        co_return true;
+    stream.expires_after(limits.idleTime);
+    constexpr std::size_t ReadBytes = 16 * 1024;
+    boost::system::error_code ec;
+    const auto n = co_await stream.async_read_some(buf.prepare(ReadBytes),
+                                                   asio::redirect_error(asio::use_awaitable, ec));
+    buf.commit(n);
+    co_return !ec;
+}
+
+asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                               Server::Shared &shared)
+{
+    if (!co_await awaitFirstByte(stream, buf, shared.limits))
+        co_return false;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(shared.limits.headerBytes));
+    parser.body_limit(shared.limits.bodyBytes);
+    stream.expires_never();
+    const ReadDeadline deadline(stream, shared.limits.requestTime);
+    boost::system::error_code ec;
+    co_await http::async_read_header(stream, buf, parser,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> go(http::status::continue_, parser.get().version());
+        co_await http::async_write(stream, go, asio::use_awaitable);
+    }
+    if (!ec)
+        co_await http::async_read(stream, buf, parser,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    if (ec && deadline.hasExpired()) {
+        co_await refuse(stream, shared.limits, Core::Error(Core::ErrorKind::SlowCaller));
+        co_return false;
+    }
+    if (ec) {
+        if (!isCallerGone(ec))
+            co_await refuse(stream, shared.limits, readError(ec));
+        co_return false;
+    }
+    const ActiveGuard guard(shared);
+    auto exchange = std::make_shared<SessionExchange>(stream, shared.limits, parser.release());
+    exchange->watchForClose();
+    stream.expires_never();
+    co_await runHandler(*exchange, shared);
+    exchange->endWatch();
+    co_return exchange->mayContinue() && !shared.stopping;
+}
+
+} // namespace
+
+asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket,
+                                      std::shared_ptr<Server::Shared> shared)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buf;
+    try {
+        stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        while (co_await serveOne(stream, buf, *shared)) { }
+    } catch (const boost::system::system_error &) {
+        // The connection broke; the next lines close what is left of it.
+    }
+    boost::system::error_code ec;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+}
+
+} // namespace Http
--- /dev/null
+++ b/Tests/LibHttp/TestServer.cpp
@@ -0,0 +1,147 @@
+#include <LibHttp/Client.h>
+#include <LibHttp/Server.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <future>
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+asio::awaitable<void> echo(Http::ServerExchange &exchange)
+{
+    if (exchange.request().target == "/throw")
+        throw Core::Error(Core::ErrorKind::UnknownRoute);
+    if (exchange.request().target != "/stream") {
+        co_await exchange.respond({200, {}, exchange.request().body});
+        co_return;
+    }
+    co_await exchange.startStream(200, {});
+    for (int n = 0; n < 100; ++n)
+        co_await exchange.write(std::to_string(n) + ",");
+    co_await exchange.finishStream();
+}
+
+struct Fixture
+{
+    Core::IoThreads threads {2};
+    Http::Client client;
+    std::unique_ptr<Http::Server> server;
+
+    explicit Fixture(Http::Server::Handler handler = echo, Http::ServerLimits limits = {})
+        : server(Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), limits,
+                                      std::move(handler))
+                     .value())
+    { }
+    ~Fixture() { threads.stop(); }
+
+    Http::Response fetch(Http::Request request)
+    {
+        return asio::co_spawn(threads.next(),
+                              client.fetch(server->localEndpoint(), std::move(request), {}),
+                              asio::use_future)
+            .get();
+    }
+
+    /// Sends raw bytes and returns all that comes back before the server closes.
+    std::string sendRaw(const std::string &bytes) const
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect(server->localEndpoint());
+        boost::system::error_code ec;
+        asio::write(socket, asio::buffer(bytes), ec);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        return answer;
+    }
+};
+
+} // namespace
+
+TEST_CASE("whole and streamed answers arrive complete over kept connections")
+{
+    Fixture fixture;
+    for (int n = 0; n < 20; ++n) {
+        const auto body = std::string(100'000, static_cast<char>('a' + n));
+        CHECK(fixture.fetch({"POST", "/", {}, body}).body == body);
+        std::string expected;
+        for (int i = 0; i < 100; ++i)
+            expected += std::to_string(i) + ",";
+        CHECK(fixture.fetch({"GET", "/stream", {}, ""}).body == expected);
+    }
+    const auto refused = fixture.fetch({"GET", "/throw", {}, ""});
+    CHECK(refused.status == 404);
+    CHECK(refused.body.find("unknown_route") != std::string::npos);
+}
+
+TEST_CASE("bad requests get an error of the closed list and the connection is closed")
+{
+    Http::ServerLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 1000;
+    limits.requestTime = 200ms;
+    Fixture fixture(echo, limits);
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+    CHECK(fixture.sendRaw("nonsense\r\n\r\n").find("malformed_request") != std::string::npos);
+    CHECK(fixture.sendRaw(head + "X: " + std::string(2000, 'y') + "\r\n\r\n")
+              .find("headers_too_large")
+          != std::string::npos);
+    CHECK(fixture.sendRaw(head + "Content-Length: 5000\r\n\r\n").find("body_too_large")
+          != std::string::npos);
+    CHECK(fixture.sendRaw(head + "Content-Length: 10\r\n\r\nabc").find("slow_caller")
+          != std::string::npos);
+    CHECK(
+        fixture.sendRaw(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n").find("malformed_request")
+        != std::string::npos);
+}
+
+TEST_CASE("a caller that closes early is noticed while the handler waits")
+{
+    std::promise<void> gone;
+    Fixture fixture([&gone](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
+        exchange.setCallerGoneHook([&] { timer.cancel(); });
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        gone.set_value();
+    });
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect(fixture.server->localEndpoint());
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    }
+    CHECK(gone.get_future().wait_for(30s) == std::future_status::ready);
+}
+
+TEST_CASE("a refused connection says that nothing was sent")
+{
+    Fixture fixture;
+    const auto endpoint = fixture.server->localEndpoint();
+    fixture.server->stopAccepting();
+    auto attempt = [&]() -> Core::ErrorKind {
+        try {
+            asio::co_spawn(fixture.threads.next(), fixture.client.fetch(endpoint, {}, {}),
+                           asio::use_future)
+                .get();
+        } catch (const Core::Error &error) {
+            CHECK(error.attempt() == Core::Fate::NotRun);
+            return error.kind();
+        }
+        return Core::ErrorKind::Internal;
+    };
+    // The port closes on another thread, so the first attempts may still be served.
+    Core::ErrorKind kind {};
+    for (int n = 0; n < 1000 && kind != Core::ErrorKind::UpstreamUnreachable; ++n)
+        kind = attempt();
+    CHECK(kind == Core::ErrorKind::UpstreamUnreachable);
+}
