--- /dev/null
+++ b/Libraries/LibConfiguration/Team.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Configuration {
+
+/// A team that calls with a bearer key.
+struct Team
+{
+    Core::TeamId id;
+    /// Lower-case hexadecimal SHA-256 digests of the bearer keys. Two stand side by side while a
+    /// key is rotated.
+    std::vector<std::string> keyHashes;
+    /// The team's weight against the others in its priority class.
+    std::uint32_t entitlementWeight = 1;
+    /// Limits over the whole environment; 0 means none.
+    std::uint32_t requestsPerSecond = 0;
+    std::uint64_t tokensPerSecond = 0;
+    std::uint32_t concurrentRequests = 0;
+};
+
+} // namespace Configuration
