--- a/Libraries/LibPlatform/Forward.h
+++ b/Libraries/LibPlatform/Forward.h
@@ -2,8 +2,15 @@
 
 namespace Platform {
 
+class EmbeddedLogService;
+class HttpInstanceDirectory;
+class HttpLogService;
 class InMemoryLog;
+class InstanceDirectory;
 class LogService;
+class PlatformClient;
+struct InstanceList;
+struct ListedInstance;
 struct LogPage;
 struct LogRecord;
 
--- a/Tests/LibCore/TestHash.cpp
+++ b/Tests/LibCore/TestHash.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Base64.h>
 #include <LibCore/Hash.h>
 
 #include <catch2/catch.hpp>
@@ -13,3 +14,14 @@
     CHECK_FALSE(Core::equalInConstantTime("same", "longer"));
     CHECK(Core::hmacSha256("k", "a") != Core::hmacSha256("k", "b"));
 }
+
+TEST_CASE("base64 brings back every length and refuses garbage")
+{
+    std::string bytes;
+    for (int n = 0; n < 300; ++n) {
+        CHECK(Core::decodeBase64(Core::encodeBase64(bytes)).value() == bytes);
+        bytes += static_cast<char>(n * 7);
+    }
+    CHECK_FALSE(Core::decodeBase64("abc").has_value());
+    CHECK_FALSE(Core::decodeBase64("!!!!").has_value());
+}
--- /dev/null
+++ b/Tests/StandIns/EngineCache.cpp
@@ -0,0 +1,75 @@
+#include <LibCore/Hash.h>
+
+#include <StandIns/EngineCache.h>
+
+namespace StandIns {
+
+namespace {
+constexpr std::size_t KeptEvents = 10'000;
+constexpr std::uint64_t LostEventPeriod = 10;
+} // namespace
+
+std::vector<std::uint64_t> chainPieces(std::string_view prompt, std::size_t pieceBytes,
+                                       std::string_view salt)
+{
+    std::vector<std::uint64_t> pieces;
+    auto seed = Core::hash64(salt);
+    for (; prompt.size() >= pieceBytes; prompt.remove_prefix(pieceBytes)) {
+        seed = Core::hash64(prompt.substr(0, pieceBytes), seed);
+        pieces.push_back(seed);
+    }
+    return pieces;
+}
+
+EngineCache::EngineCache(std::size_t capacity)
+    : m_capacity(capacity)
+{ }
+
+std::size_t EngineCache::use(const std::vector<std::uint64_t> &pieces)
+{
+    std::size_t hits = 0;
+    while (hits < pieces.size() && m_places.contains(pieces[hits]))
+        ++hits;
+    for (const auto hash : pieces) {
+        if (const auto found = m_places.find(hash); found != m_places.end()) {
+            m_order.splice(m_order.begin(), m_order, found->second);
+            continue;
+        }
+        m_order.push_front(hash);
+        m_places[hash] = m_order.begin();
+        note(true, hash);
+    }
+    while (m_order.size() > m_capacity) {
+        note(false, m_order.back());
+        m_places.erase(m_order.back());
+        m_order.pop_back();
+    }
+    return hits;
+}
+
+void EngineCache::clear()
+{
+    m_order.clear();
+    m_places.clear();
+    m_events.clear();
+}
+
+std::vector<EngineCache::Event> EngineCache::eventsFrom(std::uint64_t sequence) const
+{
+    std::vector<Event> events;
+    for (const auto &event : m_events) {
+        if (event.sequence >= sequence && event.sequence % LostEventPeriod != 0)
+            events.push_back(event);
+    }
+    return events;
+}
+
+void EngineCache::note(bool stored, std::uint64_t hash)
+{
+    const auto sequence = m_events.empty() ? 1 : m_events.back().sequence + 1;
+    m_events.push_back({sequence, stored, hash});
+    if (m_events.size() > KeptEvents)
+        m_events.erase(m_events.begin(), m_events.begin() + KeptEvents / 2);
+}
+
+} // namespace StandIns
