--- /dev/null
+++ b/Libraries/LibMetrics/Counter.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibMetrics/Labels.h>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Metrics {
+
+/// A count that only grows, by labels and one more label whose name is fixed. Safe from any thread.
+class Counter final : public Family
+{
+public:
+    /// Of all series; further ones are counted under the value "other".
+    static constexpr std::size_t MaxSeries = 20'000;
+
+    Counter(std::string name, std::string help, std::string labelName = {});
+
+    void add(std::uint64_t count, const Labels &labels = {}, const std::string &label = {});
+    /// The sum over all series.
+    std::uint64_t total() const;
+    std::string render() const override;
+
+private:
+    struct Key
+    {
+        Labels labels;
+        std::string label;
+        friend auto operator<=>(const Key &, const Key &) = default;
+    };
+
+    std::string m_labelName;
+    mutable std::mutex m_mutex;
+    std::map<Key, std::uint64_t> m_counts;
+};
+
+} // namespace Metrics
--- /dev/null
+++ b/Libraries/LibMetrics/Labels.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Metrics {
+
+/// The labels of one series of a request: the team that called and the priority class of its work.
+struct Labels
+{
+    std::string team;
+    std::string priorityClass;
+
+    friend auto operator<=>(const Labels &, const Labels &) = default;
+};
+
+/// The labels in the Prometheus text format, with an extra pair unless its name is empty:
+/// {team="a",class="b",le="0.1"}.
+std::string formatLabels(const Labels &labels, std::string_view extraName = {},
+                         std::string_view extraValue = {});
+
+/// A family of series under one name, rendered in the Prometheus text format.
+class Family
+{
+public:
+    explicit Family(std::string name, std::string help)
+        : m_name(std::move(name))
+        , m_help(std::move(help))
+    { }
+    virtual ~Family() = default;
+    virtual std::string render() const = 0;
+
+protected:
+    /// The HELP and TYPE lines.
+    std::string head(std::string_view type) const;
+    const std::string &name() const { return m_name; }
+
+private:
+    std::string m_name;
+    std::string m_help;
+};
+
+} // namespace Metrics
--- /dev/null
+++ b/Libraries/LibRouter/Upstream.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Identifier.h>
+#include <LibHttp/Endpoint.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+
+namespace Router {
+
+/// One upstream process as this instance knows it. Identity is fixed; the state is atomic and safe
+/// from any thread.
+class Upstream
+{
+public:
+    Upstream(Core::UpstreamId id, Core::UpstreamGroupId group, Core::DataCentreId dataCentre,
+             Http::Endpoint endpoint, std::uint64_t incarnation);
+
+    const Core::UpstreamId &id() const { return m_id; }
+    const Core::UpstreamGroupId &group() const { return m_group; }
+    const Core::DataCentreId &dataCentre() const { return m_dataCentre; }
+    const Http::Endpoint &endpoint() const { return m_endpoint; }
+
+    std::uint64_t incarnation() const { return m_incarnation; }
+    /// Takes over a newer incarnation; returns whether it was newer.
+    bool noteIncarnation(std::uint64_t incarnation);
+
+    /// Whether the upstream must not get new work because it leaves.
+    bool isLeaving() const { return m_leaving; }
+    /// Returns whether this is news.
+    bool noteLeaving() { return !m_leaving.exchange(true); }
+    void noteLive() { m_leaving = false; }
+
+    /// Whether the upstream is passed over because it failed lately.
+    bool isSuspected(Core::Clock::Monotonic now) const;
+    /// Passes the upstream over for a while that doubles with each failure in a row.
+    void noteFailure(Core::Clock::Monotonic now);
+    void noteSuccess();
+
+    std::uint32_t inFlight() const { return m_inFlight; }
+    void addInFlight() { ++m_inFlight; }
+    void removeInFlight() { --m_inFlight; }
+
+private:
+    Core::UpstreamId m_id;
+    Core::UpstreamGroupId m_group;
+    Core::DataCentreId m_dataCentre;
+    Http::Endpoint m_endpoint;
+    std::atomic<std::uint64_t> m_incarnation;
+    std::atomic<bool> m_leaving {false};
+    std::atomic<std::uint32_t> m_failuresInRow {0};
+    std::atomic<Core::Clock::Monotonic::rep> m_suspectedUntil {0};
+    std::atomic<std::uint32_t> m_inFlight {0};
+};
+
+} // namespace Router
--- /dev/null
+++ b/Libraries/LibRouter/UpstreamDirectory.cpp
@@ -0,0 +1,75 @@
+#include <LibCore/EventLog.h>
+#include <LibRouter/UpstreamDirectory.h>
+
+namespace Router {
+
+UpstreamDirectory::UpstreamDirectory(Hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_groups(std::make_shared<Groups>())
+{
+}
+
+void UpstreamDirectory::apply(const Platform::InstanceList &list)
+{
+    const std::scoped_lock lock(m_writer);
+    auto groups = std::make_shared<Groups>();
+    std::unordered_map<Core::UpstreamId, UpstreamPtr> listedNow;
+    for (const auto &listed : list.instances) {
+        if (listed.role != Platform::InstanceRole::Upstream)
+            continue;
+        auto upstream = reconcile(listed);
+        (*groups)[listed.group].push_back(upstream);
+        listedNow.emplace(upstream->id(), std::move(upstream));
+    }
+    for (const auto &[id, upstream] : m_known) {
+        if (!listedNow.contains(id) && upstream->noteLeaving() && m_hooks.leaving)
+            m_hooks.leaving(upstream);
+    }
+    m_known = std::move(listedNow);
+    m_groups.replace(std::move(groups));
+}
+
+UpstreamPtr UpstreamDirectory::reconcile(const Platform::ListedInstance &listed)
+{
+    const Core::UpstreamId id(listed.id);
+    const auto found = m_known.find(id);
+    UpstreamPtr upstream;
+    if (found != m_known.end() && found->second->endpoint() == listed.address)
+        upstream = found->second;
+    if (!upstream) {
+        upstream = std::make_shared<Upstream>(id, listed.group, listed.dataCentre, listed.address,
+                                              listed.incarnation);
+        Core::logEvent(Core::EventId::UpstreamAdded, {{"upstream", id.value()}});
+        if (m_hooks.added)
+            m_hooks.added(upstream);
+    }
+    const bool restarted = upstream->noteIncarnation(listed.incarnation);
+    if (listed.state == Platform::InstanceState::Leaving) {
+        if (upstream->noteLeaving() && m_hooks.leaving)
+            m_hooks.leaving(upstream);
+    } else if (restarted) {
+        // A leaving upstream takes work again only after a restart: the list lags behind the
+        // upstream's own word.
+        upstream->noteLive();
+    }
+    return upstream;
+}
+
+std::vector<UpstreamPtr> UpstreamDirectory::group(const Core::UpstreamGroupId &id) const
+{
+    return m_groups.read([&id](const Groups &groups) {
+        const auto found = groups.find(id);
+        return found == groups.end() ? std::vector<UpstreamPtr>() : found->second;
+    });
+}
+
+std::vector<UpstreamPtr> UpstreamDirectory::all() const
+{
+    const auto groups = m_groups.share();
+    std::vector<UpstreamPtr> upstreams;
+    for (const auto &[id, members] : *groups)
+        upstreams.insert(upstreams.end(), members.begin(), members.end());
+    return upstreams;
+}
+
+} // namespace Router
--- /dev/null
+++ b/Libraries/LibRouter/UpstreamDirectory.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <LibCore/Snapshot.h>
+#include <LibPlatform/InstanceList.h>
+#include <LibRouter/Upstream.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace Router {
+
+using UpstreamPtr = std::shared_ptr<Upstream>;
+
+/// The upstreams this instance knows, by group. Readers never wait; the list's reader replaces the
+/// whole.
+class UpstreamDirectory
+{
+public:
+    struct Hooks
+    {
+        std::function<void(const UpstreamPtr &)> added;
+        /// Called when the list has an upstream no more, or as leaving.
+        std::function<void(const UpstreamPtr &)> leaving;
+    };
+
+    explicit UpstreamDirectory(Hooks hooks);
+
+    /// Takes over the platform's list. Objects of upstreams that stay are kept.
+    void apply(const Platform::InstanceList &list);
+
+    /// The upstreams of one group; empty for an unknown group.
+    std::vector<UpstreamPtr> group(const Core::UpstreamGroupId &id) const;
+    std::vector<UpstreamPtr> all() const;
+
+private:
+    using Groups = std::unordered_map<Core::UpstreamGroupId, std::vector<UpstreamPtr>>;
+
+    UpstreamPtr reconcile(const Platform::ListedInstance &listed);
+
+    Hooks m_hooks;
+    std::mutex m_writer;
+    std::unordered_map<Core::UpstreamId, UpstreamPtr> m_known;
+    Core::Snapshot<Groups> m_groups;
+};
+
+} // namespace Router
