--- /dev/null
+++ b/Utilities/jujubebench/PlacementScenario.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "ScenarioFamily.h"
+
+namespace Bench {
+
+/// Compares routing policies on the same seeded work: prefix hit rate, recomputed tokens and time
+/// to first token, under the faults of the scenario file.
+ScenarioReport runPlacementScenario(const toml::value &scenario, const RunOptions &options);
+
+} // namespace Bench
