LibPlacement: Choose upstreams by least expected time to first token

The router must find the engine that already holds a prompt's nested prefix, without a cache directory, from late and gappy knowledge. The decision weighs queue wait (last load report, own sends since, less what the engine worked off), prefill of the pieces not believed cached, lateness, and a term of the caller's. Beliefs come from own sends, answers' cached tokens and cache events; each is void once its upstream's epoch changes, which drops a dead incarnation's beliefs in one store. Chains are seeded by team, model and weights version. Homes by weighted rendezvous hashing stand in where nothing is believed, and are narrowed down the nesting by heat.

Ways weighed: a full map of all engines' blocks (750,000 events a second do not fit 12 KB/s a node); hashing alone (the no-beliefs rows below); beliefs and homes together, taken.

--- /dev/null
+++ b/Libraries/LibPlacement/CandidateSet.cpp
@@ -0,0 +1,88 @@
+#include <LibCore/Hash.h>
+#include <LibPlacement/CandidateSet.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace Placement {
+
+namespace {
+
+/// Mixes a key with an upstream's seed (the finaliser of splitmix64).
+std::uint64_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+/// A close lower-cost stand-in for the binary logarithm of a positive float, the same on every
+/// machine. Monotonic, so that equal weights rank as the hash does.
+float fastLog2(float value)
+{
+    const auto bits = std::bit_cast<std::uint32_t>(value);
+    const auto exponent = static_cast<float>(static_cast<int>(bits >> 23) - 127);
+    const auto mantissa = std::bit_cast<float>((bits & 0x7fffffU) | 0x3f800000U);
+    return exponent + (mantissa - 1) * (1.3465557F - 0.3465557F * (mantissa - 1));
+}
+
+} // namespace
+
+CandidateSet CandidateSet::create(const UpstreamTable &table, std::span<const UpstreamSlot> slots)
+{
+    CandidateSet set;
+    set.m_slots.assign(slots.begin(), slots.end());
+    set.m_positions.resize(MaxUpstreams);
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        set.m_positions[slots[i]] = static_cast<std::uint16_t>(i);
+        set.m_members.set(slots[i]);
+        set.m_seeds.push_back(Core::hash64(table.id(slots[i]).value()));
+        set.m_weights.push_back(table.state(slots[i]).weight);
+    }
+    return set;
+}
+
+std::size_t CandidateSet::homes(std::uint64_t key, std::size_t count,
+                                std::span<std::uint16_t, MaxHomes> positions) const
+{
+    count = std::min({count, MaxHomes, m_slots.size()});
+    std::array<float, MaxHomes> scores {};
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < m_slots.size(); ++i) {
+        const auto rank = score(key, i);
+        if (n == count && rank <= scores[n - 1])
+            continue;
+        auto at = n < count ? n++ : n - 1;
+        for (; at > 0 && scores[at - 1] < rank; --at) {
+            scores[at] = scores[at - 1];
+            positions[at] = positions[at - 1];
+        }
+        scores[at] = rank;
+        positions[at] = static_cast<std::uint16_t>(i);
+    }
+    return n;
+}
+
+void CandidateSet::narrow(std::uint64_t key, std::size_t count,
+                          std::span<std::uint16_t> positions) const
+{
+    std::partial_sort(positions.begin(),
+                      positions.begin()
+                          + static_cast<std::ptrdiff_t>(std::min(count, positions.size())),
+                      positions.end(), [&](std::uint16_t left, std::uint16_t right) {
+                          const auto first = score(key, left);
+                          const auto second = score(key, right);
+                          return first != second ? first > second : left < right;
+                      });
+}
+
+float CandidateSet::score(std::uint64_t key, std::size_t position) const
+{
+    // Weighted rendezvous: log(u) / weight, with u even in (0, 1).
+    constexpr float Scale = 1.0F / 16777216.0F; // 2^-24
+    const auto hash = mix(key ^ m_seeds[position]);
+    const auto even = (static_cast<float>(hash >> 40) + 0.5F) * Scale;
+    return fastLog2(even) / m_weights[position];
+}
+
+} // namespace Placement
--- /dev/null
+++ b/Libraries/LibPlacement/CandidateSet.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibPlacement/UpstreamTable.h>
+
+#include <bitset>
+#include <span>
+
+namespace Placement {
+
+/// Homes of a prefix that are looked at; a wider prefix counts every candidate as a home.
+constexpr std::size_t MaxHomes = 16;
+
+/// The upstreams that may serve a group's requests, and the homes of prefixes among them by
+/// weighted rendezvous hashing. Immutable; equal sets give equal homes on every instance. Made
+/// anew when upstreams come, leave or change their weight.
+class CandidateSet
+{
+public:
+    /// Upstreams by name, so that instances that numbered them differently still agree.
+    static CandidateSet create(const UpstreamTable &table, std::span<const UpstreamSlot> slots);
+
+    std::size_t size() const { return m_slots.size(); }
+    std::span<const UpstreamSlot> slots() const { return m_slots; }
+    bool contains(UpstreamSlot slot) const { return m_members.test(slot); }
+    /// Position in slots(). The slot must be a member.
+    std::size_t position(UpstreamSlot slot) const { return m_positions[slot]; }
+    /// Writes the positions of the `count` best homes of the key, best first, and returns how
+    /// many there are. At most MaxHomes.
+    std::size_t homes(std::uint64_t key, std::size_t count,
+                      std::span<std::uint16_t, MaxHomes> positions) const;
+    /// Keeps the `count` best homes of the key among the positions, best first.
+    void narrow(std::uint64_t key, std::size_t count, std::span<std::uint16_t> positions) const;
+
+private:
+    CandidateSet() = default;
+    /// The rank of a position for the key; the highest is the first home.
+    float score(std::uint64_t key, std::size_t position) const;
+
+    std::vector<UpstreamSlot> m_slots;
+    std::vector<std::uint16_t> m_positions;
+    std::vector<std::uint64_t> m_seeds;
+    std::vector<float> m_weights;
+    std::bitset<MaxUpstreams> m_members;
+};
+
+} // namespace Placement
--- /dev/null
+++ b/Libraries/LibPlacement/Placement.cpp
@@ -0,0 +1,235 @@
+#include <LibPlacement/Placement.h>
+#include <LibPlacement/PlacementScratch.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Placement {
+
+namespace {
+
+/// Sets up to this size are weighed whole; of larger ones, a sample besides holders and homes.
+constexpr std::size_t WholeSetSize = 64;
+constexpr std::size_t SampleSize = 16;
+
+} // namespace
+
+Placement::Placement(const Core::Clock &clock, const PlacementSettings &settings)
+    : m_clock(clock)
+    , m_start(clock.now())
+    , m_settings(settings)
+    , m_beliefs(settings.beliefCapacity)
+{ }
+
+void Placement::noteIncarnation(UpstreamSlot slot, std::uint64_t incarnation)
+{
+    m_upstreams.noteIncarnation(slot, incarnation);
+}
+
+CandidateSet Placement::makeCandidateSet(std::span<const UpstreamSlot> slots) const
+{
+    return CandidateSet::create(m_upstreams, slots);
+}
+
+std::optional<Decision> Placement::choose(const PlacementRequest &request,
+                                          const CandidateSet &candidates, std::mt19937_64 &rng,
+                                          Explanation *explanation)
+{
+    thread_local Scratch scratch;
+    scratch.begin(now());
+    gather(scratch, request, candidates, rng);
+
+    const CostTerms *best = nullptr;
+    for (std::size_t i = 0; i < scratch.count; ++i) {
+        auto &terms = scratch.weighed[i].terms;
+        terms.expectedCachedTokens = static_cast<std::uint64_t>(scratch.weighed[i].cachedTokens);
+        reckon(terms, request, candidates, scratch.now);
+        if (!terms.isExcluded && (best == nullptr || terms.total < best->total))
+            best = &terms;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+
+    // Instances with the same stale report must not all pick the same least one.
+    const auto limit = best->total + m_settings.nearEqual
+                       + std::max(best->total, Seconds(0)) * m_settings.nearEqualShare;
+    std::uint64_t equals = 0;
+    const CostTerms *chosen = best;
+    for (std::size_t i = 0; m_settings.randomises && i < scratch.count; ++i) {
+        const auto &terms = scratch.weighed[i].terms;
+        if (!terms.isExcluded && terms.total <= limit && rng() % ++equals == 0)
+            chosen = &terms;
+    }
+
+    if (explanation != nullptr)
+        explain(*explanation, scratch, chosen->slot);
+    const auto &state = m_upstreams.state(chosen->slot);
+    Decision decision;
+    decision.slot = chosen->slot;
+    decision.epoch = chosen->epoch;
+    decision.incarnation = state.incarnation.load(std::memory_order_acquire);
+    decision.expectedCachedTokens = chosen->expectedCachedTokens;
+    decision.terms = *chosen;
+    decision.decidedAt = scratch.now;
+    return decision;
+}
+
+void Placement::explain(Explanation &explanation, const Scratch &scratch, UpstreamSlot chosen) const
+{
+    explanation.rows.clear();
+    for (std::size_t i = 0; i < scratch.count; ++i) {
+        const auto &terms = scratch.weighed[i].terms;
+        explanation.rows.push_back({m_upstreams.id(terms.slot), terms});
+    }
+    std::sort(explanation.rows.begin(), explanation.rows.end(),
+              [chosen](const auto &left, const auto &right) {
+                  const bool isLeftChosen = left.terms.slot == chosen;
+                  const bool isRightChosen = right.terms.slot == chosen;
+                  if (isLeftChosen != isRightChosen)
+                      return isLeftChosen;
+                  return left.terms.total < right.terms.total;
+              });
+}
+
+BeliefTime Placement::now() const
+{
+    // One millisecond at the start, since zero stands for never.
+    const auto elapsed = m_clock.now() - m_start + std::chrono::milliseconds(1);
+    return std::chrono::duration_cast<BeliefTime>(elapsed);
+}
+
+void Placement::gather(Scratch &scratch, const PlacementRequest &request,
+                       const CandidateSet &candidates, std::mt19937_64 &rng) const
+{
+    creditPieces(scratch, request, candidates);
+    const auto slots = candidates.slots();
+    if (slots.size() <= WholeSetSize) {
+        for (const auto slot : slots)
+            scratch.add(slot);
+        return;
+    }
+    for (std::size_t i = 0; i < SampleSize; ++i)
+        scratch.add(slots[rng() % slots.size()]);
+    // A sample may hit nothing but excluded or gone upstreams.
+    const auto isUsable = [&](std::size_t i) {
+        const auto slot = scratch.weighed[i].terms.slot;
+        return m_upstreams.isCurrent(slot, m_upstreams.state(slot).epoch)
+               && std::find(request.excluded.begin(), request.excluded.end(), slot)
+                      == request.excluded.end();
+    };
+    for (std::size_t i = 0; i < scratch.count; ++i) {
+        if (isUsable(i))
+            return;
+    }
+    for (const auto slot : slots)
+        scratch.add(slot);
+}
+
+void Placement::creditPieces(Scratch &scratch, const PlacementRequest &request,
+                             const CandidateSet &candidates) const
+{
+    const auto hashes = request.pieces.hashes();
+    bool isNarrowed = false;
+    for (std::size_t i = 0; i < hashes.size(); ++i) {
+        Belief belief;
+        const bool isKnown = m_beliefs.find(hashes[i], belief);
+        if (m_settings.usesHomes) {
+            const auto count = homeCount(isKnown ? belief.rate(scratch.now) : 0);
+            if (!isNarrowed && count <= MaxHomes && count < candidates.size()) {
+                scratch.homeCount = candidates.homes(hashes[i], count, scratch.homes);
+                isNarrowed = true;
+            } else if (isNarrowed && count < scratch.homeCount) {
+                candidates.narrow(hashes[i], count, {scratch.homes.data(), scratch.homeCount});
+                scratch.homeCount = count;
+            }
+        }
+        if (isKnown && m_settings.usesBeliefs)
+            creditHolders(scratch, belief, i, candidates);
+        for (std::size_t home = 0; home < scratch.homeCount; ++home)
+            scratch.creditHome(candidates.slots()[scratch.homes[home]], i, m_settings.homePrior);
+    }
+}
+
+void Placement::creditHolders(Scratch &scratch, const Belief &belief, std::size_t piece,
+                              const CandidateSet &candidates) const
+{
+    for (const auto &holder : belief.holders) {
+        if (!m_upstreams.isCurrent(holder.slot, holder.epoch) || !candidates.contains(holder.slot))
+            continue;
+        auto chance = survival(holder.slot, holder.lastUse, scratch.now);
+        if (scratch.isHome(candidates.position(holder.slot)))
+            chance = std::max(chance, m_settings.homePrior);
+        scratch.credit(holder.slot, piece, chance);
+    }
+}
+
+std::size_t Placement::homeCount(double rate) const
+{
+    if (!m_settings.usesWidth)
+        return 1;
+    const auto instances = static_cast<double>(m_instances.load(std::memory_order_relaxed));
+    const double utilisation =
+        rate * instances * m_prefillPerRequest.load(std::memory_order_relaxed);
+    const auto count = std::ceil(utilisation / m_settings.homeUtilisation);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(count));
+}
+
+double Placement::survival(UpstreamSlot slot, BeliefTime lastUse, BeliefTime now) const
+{
+    constexpr double Fresh = 0.95;
+    if (now <= lastUse)
+        return Fresh;
+    const auto lifetime = m_upstreams.state(slot).cacheLifetime.load(std::memory_order_relaxed);
+    const auto age = static_cast<float>((now - lastUse).count());
+    if (age <= lifetime)
+        return Fresh;
+    return Fresh * std::exp(1 - age / lifetime);
+}
+
+void Placement::reckon(CostTerms &terms, const PlacementRequest &request,
+                       const CandidateSet &candidates, BeliefTime now) const
+{
+    const auto &state = m_upstreams.state(terms.slot);
+    terms.epoch = state.epoch.load(std::memory_order_acquire);
+    const auto excluded = request.excluded;
+    terms.isExcluded = !m_upstreams.isCurrent(terms.slot, terms.epoch)
+                       || std::find(excluded.begin(), excluded.end(), terms.slot) != excluded.end();
+    const auto missed = request.pieces.promptTokens() - terms.expectedCachedTokens;
+    terms.queueWait = queueWait(state, now);
+    terms.prefill = Seconds(static_cast<double>(missed) / state.prefillTokensPerSecond);
+    if (m_settings.usesSlowness) {
+        terms.slowness = slowness(state, now);
+        terms.stall = stall(state, now);
+    }
+    if (!request.preference.empty())
+        terms.preference = request.preference[candidates.position(terms.slot)];
+    terms.total = (terms.queueWait + terms.prefill * m_settings.missWeight) * terms.slowness
+                  + terms.stall + terms.preference;
+}
+
+Seconds Placement::queueWait(const UpstreamState &state, BeliefTime now) const
+{
+    const BeliefTime reportedAt(state.reportedAt.load(std::memory_order_relaxed));
+    const double rate = state.prefillTokensPerSecond.load(std::memory_order_relaxed);
+    const Seconds age = now - std::min(reportedAt, now);
+    RecentSends::Sum sent;
+    double siblings = 1;
+    if (m_settings.usesOwnSends) {
+        sent = state.sends.since(reportedAt, now);
+        const auto others = m_instances.load(std::memory_order_relaxed) - 1;
+        siblings += m_settings.siblingShare * static_cast<double>(others);
+    }
+    const auto reported =
+        static_cast<double>(state.pendingPrefillTokens.load(std::memory_order_relaxed));
+    const double pending =
+        std::max(0.0, reported + static_cast<double>(sent.tokens) * siblings - age.count() * rate);
+    const double requests = state.running.load(std::memory_order_relaxed)
+                            + state.queued.load(std::memory_order_relaxed)
+                            + sent.requests * siblings;
+    const double slots = state.slots.load(std::memory_order_relaxed);
+    const auto over = std::max(0.0, requests + 1 - slots);
+    const Seconds service(m_secondsPerRequest.load(std::memory_order_relaxed));
+    return Seconds(pending / rate) + service * (over / slots);
+}
+
+} // namespace Placement
--- /dev/null
+++ b/Libraries/LibPlacement/Placement.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <LibPlacement/CandidateSet.h>
+
+#include <algorithm>
+#include <random>
+
+namespace Placement {
+
+/// Parts of the decision, each of which can be switched off to see its worth.
+struct PlacementSettings
+{
+    /// Pieces that beliefs are kept for; one takes about 120 bytes.
+    std::size_t beliefCapacity = 65536;
+    bool usesBeliefs = true;
+    bool usesHomes = true;
+    bool usesWidth = true;
+    bool usesOwnSends = true;
+    bool usesSlowness = true;
+    bool usesCacheEvents = true;
+    bool learnsLifetime = true;
+    bool randomises = true;
+    /// How much a missed token weighs beside a waited one: storing it evicts another's.
+    double missWeight = 2;
+    /// Chance that a home holds a piece that nothing else is known of.
+    double homePrior = 0.5;
+    /// Sends of each sibling, as a share of this instance's own, that a load report may miss.
+    double siblingShare = 0.5;
+    /// Load that one upstream should carry for one prefix before the prefix gets another home.
+    double homeUtilisation = 0.4;
+    /// Candidates whose cost lies this share above the least count as equal.
+    double nearEqualShare = 0.05;
+    /// Candidates whose cost lies this far above the least count as equal.
+    Seconds nearEqual {0.005};
+};
+
+/// One request to place.
+struct PlacementRequest
+{
+    const PromptPieces &pieces;
+    /// Added to each candidate's cost, by position in the set; empty adds nothing. A caller
+    /// expresses own capacity first by it.
+    std::span<const Seconds> preference;
+    /// Upstreams that were tried already.
+    std::span<const UpstreamSlot> excluded;
+};
+
+/// What a candidate's cost is made of.
+struct CostTerms
+{
+    UpstreamSlot slot = 0;
+    std::uint32_t epoch = 0;
+    std::uint64_t expectedCachedTokens = 0;
+    bool isHome = false;
+    bool isExcluded = false;
+    Seconds queueWait {0};
+    Seconds prefill {0};
+    /// Factor on wait and prefill for an upstream that answers late.
+    double slowness = 1;
+    /// Time without progress beyond what was reckoned.
+    Seconds stall {0};
+    Seconds preference {0};
+    Seconds total {0};
+};
+
+/// A chosen upstream, and the ticket by which the caller reports what became of the request.
+struct Decision
+{
+    UpstreamSlot slot = 0;
+    std::uint64_t incarnation = 0;
+    std::uint32_t epoch = 0;
+    std::uint64_t expectedCachedTokens = 0;
+    CostTerms terms;
+    BeliefTime decidedAt {0};
+    Core::Clock::Monotonic sentAt;
+};
+
+/// Every candidate that was weighed, the chosen first.
+struct Explanation
+{
+    struct Row
+    {
+        Core::UpstreamId upstream;
+        CostTerms terms;
+    };
+    std::vector<Row> rows;
+};
+
+/// One belief to hand to a sibling.
+struct HotBelief
+{
+    struct At
+    {
+        Core::UpstreamId upstream;
+        std::uint64_t incarnation = 0;
+        std::chrono::milliseconds age {0};
+    };
+    PieceHash piece = 0;
+    /// Requests, decayed; comparable between instances.
+    float heat = 0;
+    std::vector<At> holders;
+};
+
+/// Chooses upstreams by the least expected time to first token. All functions may be called from
+/// several threads. choose() and the notes about requests take no heap memory.
+class Placement
+{
+public:
+    /// The clock must outlive the object.
+    Placement(const Core::Clock &clock, const PlacementSettings &settings);
+
+    /// Adds or updates an upstream, with its incarnation.
+    UpstreamSlot noteUpstream(const UpstreamView &view) { return m_upstreams.add(view); }
+    /// A newer incarnation voids everything believed of the upstream; an older one is ignored.
+    void noteIncarnation(UpstreamSlot slot, std::uint64_t incarnation);
+    /// Voids everything believed of the upstream until noteUpstream() names it again.
+    void noteGone(UpstreamSlot slot) { m_upstreams.remove(slot); }
+    /// How many instances share the upstreams, this one included.
+    void noteInstanceCount(std::size_t count) { m_instances = std::max<std::size_t>(1, count); }
+    /// The set to pass to choose(), for upstreams that noteUpstream() numbered.
+    CandidateSet makeCandidateSet(std::span<const UpstreamSlot> slots) const;
+
+    /// Chooses a candidate that is neither gone nor excluded; empty if there is none. Explains
+    /// itself into `explanation` if given, which takes heap memory.
+    std::optional<Decision> choose(const PlacementRequest &request, const CandidateSet &candidates,
+                                   std::mt19937_64 &rng, Explanation *explanation = nullptr);
+
+    /// The request was sent as decided.
+    void noteSent(Decision &decision, const PromptPieces &pieces);
+    /// The first token came, with the cached tokens that the upstream reported, if it did.
+    void noteFirstToken(const Decision &decision, const PromptPieces &pieces,
+                        std::optional<std::uint64_t> cachedTokens);
+    /// The answer ended after the time since it was sent.
+    void noteAnswer(const Decision &decision);
+    /// The request was sent but no first token will come (failed or cancelled).
+    void noteFailed(const Decision &decision);
+    /// Reports of another than the present incarnation are ignored or start a new one.
+    void noteLoadReport(UpstreamSlot slot, const LoadReport &report);
+    /// The upstream stored or evicted the piece the given time ago.
+    void noteCacheEvent(UpstreamSlot slot, std::uint64_t incarnation, PieceHash piece,
+                        bool isStored, std::chrono::milliseconds age);
+
+    /// The hottest beliefs, most requests first.
+    std::vector<HotBelief> exportHot(std::size_t limit) const;
+    /// Takes over a sibling's beliefs of upstreams whose incarnation is the present one here.
+    void importHot(std::span<const HotBelief> beliefs);
+
+    const UpstreamTable &upstreams() const { return m_upstreams; }
+
+private:
+    struct Scratch;
+
+    BeliefTime now() const;
+    /// Gathers candidates: believed holders, homes, and all or a sample of the rest.
+    void gather(Scratch &scratch, const PlacementRequest &request, const CandidateSet &candidates,
+                std::mt19937_64 &rng) const;
+    /// Adds what the holders and homes of each piece are expected to have cached.
+    void creditPieces(Scratch &scratch, const PlacementRequest &request,
+                      const CandidateSet &candidates) const;
+    /// Credits the piece at the index to its believed holders.
+    void creditHolders(Scratch &scratch, const Belief &belief, std::size_t piece,
+                       const CandidateSet &candidates) const;
+    /// Homes that a prefix with this many own requests a second should have.
+    std::size_t homeCount(double rate) const;
+    /// The chance that a piece last used then is still cached.
+    double survival(UpstreamSlot slot, BeliefTime lastUse, BeliefTime now) const;
+    /// Fills in every term but the cached tokens, which must stand.
+    void reckon(CostTerms &terms, const PlacementRequest &request, const CandidateSet &candidates,
+                BeliefTime now) const;
+    /// Time until the upstream gets to a request sent now: its last report, what was sent since,
+    /// less what it has worked off.
+    Seconds queueWait(const UpstreamState &state, BeliefTime now) const;
+    /// Adjusts how long pieces are thought to live on the upstream.
+    void learnLifetime(const Decision &decision, const PromptPieces &pieces,
+                       std::uint64_t cachedTokens);
+    /// Adjusts how many times longer than reckoned the upstream takes.
+    void learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now) const;
+    /// The present factor for an upstream that answers late.
+    static double slowness(const UpstreamState &state, BeliefTime now);
+    /// Time without progress on own requests, beyond a grace.
+    static Seconds stall(const UpstreamState &state, BeliefTime now);
+    /// Writes the weighed candidates, the chosen first.
+    void explain(Explanation &explanation, const Scratch &scratch, UpstreamSlot chosen) const;
+
+    const Core::Clock &m_clock;
+    const Core::Clock::Monotonic m_start;
+    const PlacementSettings m_settings;
+    UpstreamTable m_upstreams;
+    BeliefIndex m_beliefs;
+    std::atomic<std::size_t> m_instances {1};
+    /// Upstream time that a request takes, for the width of a prefix.
+    std::atomic<float> m_prefillPerRequest {0.1F};
+    std::atomic<float> m_secondsPerRequest {2};
+};
+
+} // namespace Placement
--- /dev/null
+++ b/Libraries/LibPlacement/PlacementNotes.cpp
@@ -0,0 +1,221 @@
+#include <LibPlacement/Placement.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Placement {
+
+namespace {
+
+/// Share of a new sample in a moving average.
+constexpr float AverageShare = 0.05F;
+/// Slowness halves its distance from one in this time without a new sample.
+constexpr Seconds SlownessHalfLife {5.0};
+constexpr float MostSlowness = 20;
+/// A first token this late is no sign of a stall yet.
+constexpr Seconds StallGrace {1.0};
+/// Bounds of the learnt time that a piece stays cached.
+constexpr float LeastLifetime = 1000;
+constexpr float MostLifetime = 120000;
+
+void average(std::atomic<float> &value, float sample)
+{
+    const auto before = value.load(std::memory_order_relaxed);
+    value.store(before + (sample - before) * AverageShare, std::memory_order_relaxed);
+}
+
+void decrement(std::atomic<std::uint32_t> &value)
+{
+    auto before = value.load(std::memory_order_relaxed);
+    while (before != 0
+           && !value.compare_exchange_weak(before, before - 1, std::memory_order_relaxed)) { }
+}
+
+} // namespace
+
+double Placement::slowness(const UpstreamState &state, BeliefTime now)
+{
+    const BeliefTime at(state.slownessAt.load(std::memory_order_relaxed));
+    const Seconds age = now - std::min(at, now);
+    const double factor = state.slowness.load(std::memory_order_relaxed);
+    return 1 + (factor - 1) * std::exp2(-(age / SlownessHalfLife));
+}
+
+Seconds Placement::stall(const UpstreamState &state, BeliefTime now)
+{
+    if (state.waiting.load(std::memory_order_relaxed) == 0)
+        return Seconds(0);
+    const BeliefTime at(state.progressAt.load(std::memory_order_relaxed));
+    const Seconds age = now - std::min(at, now);
+    return std::max(Seconds(0), age - StallGrace);
+}
+
+void Placement::noteSent(Decision &decision, const PromptPieces &pieces)
+{
+    decision.sentAt = m_clock.now();
+    if (!m_upstreams.isCurrent(decision.slot, decision.epoch))
+        return;
+    const auto time = now();
+    auto &state = m_upstreams.state(decision.slot);
+    const auto missed = pieces.promptTokens() - decision.expectedCachedTokens;
+    state.sends.add(time, missed);
+    if (state.waiting.fetch_add(1, std::memory_order_relaxed) == 0)
+        state.progressAt.store(time.count(), std::memory_order_relaxed);
+    for (const auto hash : pieces.hashes())
+        m_beliefs.recordUse(hash, decision.slot, decision.epoch, time);
+}
+
+void Placement::noteFirstToken(const Decision &decision, const PromptPieces &pieces,
+                               std::optional<std::uint64_t> cachedTokens)
+{
+    if (!m_upstreams.isCurrent(decision.slot, decision.epoch))
+        return;
+    const auto time = now();
+    auto &state = m_upstreams.state(decision.slot);
+    decrement(state.waiting);
+    state.progressAt.store(time.count(), std::memory_order_relaxed);
+    learnSlowness(decision, state, time);
+    if (cachedTokens) {
+        const auto missed = pieces.promptTokens() - std::min(pieces.promptTokens(), *cachedTokens);
+        average(m_prefillPerRequest, static_cast<float>(missed) / state.prefillTokensPerSecond);
+        if (m_settings.learnsLifetime)
+            learnLifetime(decision, pieces, *cachedTokens);
+    }
+    // The prefill just done left every piece in the cache.
+    for (const auto hash : pieces.hashes())
+        m_beliefs.recordHolder(hash, decision.slot, decision.epoch, time);
+}
+
+void Placement::noteAnswer(const Decision &decision)
+{
+    const Seconds taken = m_clock.now() - decision.sentAt;
+    average(m_secondsPerRequest, static_cast<float>(taken.count()));
+}
+
+void Placement::noteFailed(const Decision &decision)
+{
+    if (m_upstreams.isCurrent(decision.slot, decision.epoch))
+        decrement(m_upstreams.state(decision.slot).waiting);
+}
+
+void Placement::noteLoadReport(UpstreamSlot slot, const LoadReport &report)
+{
+    if (!m_upstreams.noteIncarnation(slot, report.incarnation))
+        return;
+    auto &state = m_upstreams.state(slot);
+    const auto sinceStart = std::max(report.measuredAt, m_start) - m_start;
+    const auto at =
+        std::chrono::duration_cast<BeliefTime>(sinceStart + std::chrono::milliseconds(1));
+    if (at.count() < state.reportedAt.load(std::memory_order_relaxed))
+        return;
+    state.running.store(report.running, std::memory_order_relaxed);
+    state.queued.store(report.queued, std::memory_order_relaxed);
+    state.pendingPrefillTokens.store(report.pendingPrefillTokens, std::memory_order_relaxed);
+    state.reportedAt.store(at.count(), std::memory_order_relaxed);
+}
+
+void Placement::noteCacheEvent(UpstreamSlot slot, std::uint64_t incarnation, PieceHash piece,
+                               bool isStored, std::chrono::milliseconds age)
+{
+    if (!m_settings.usesCacheEvents)
+        return;
+    // The epoch is read first: if a new incarnation comes between, the belief is void.
+    const auto epoch = m_upstreams.state(slot).epoch.load(std::memory_order_acquire);
+    if (!m_upstreams.noteIncarnation(slot, incarnation) || !m_upstreams.isCurrent(slot, epoch))
+        return;
+    const auto time = now();
+    const auto lag = std::chrono::duration_cast<BeliefTime>(std::max(age, age.zero()));
+    const auto at = time - std::min(time, lag);
+    if (isStored)
+        m_beliefs.recordHolder(piece, slot, epoch, at);
+    else
+        m_beliefs.removeHolder(piece, slot, at);
+}
+
+std::vector<HotBelief> Placement::exportHot(std::size_t limit) const
+{
+    const auto time = now();
+    std::vector<Belief> hot;
+    m_beliefs.forEach([&](const Belief &belief) { hot.push_back(belief); });
+    const auto count = std::min(limit, hot.size());
+    std::partial_sort(hot.begin(), hot.begin() + static_cast<std::ptrdiff_t>(count), hot.end(),
+                      [time](const Belief &left, const Belief &right) {
+                          const auto first = left.rate(time);
+                          const auto second = right.rate(time);
+                          return first != second ? first > second : left.piece < right.piece;
+                      });
+    hot.resize(count);
+
+    std::vector<HotBelief> exported;
+    exported.reserve(count);
+    for (const auto &belief : hot) {
+        HotBelief out {belief.piece, belief.heatNow(time), {}};
+        for (const auto &holder : belief.holders) {
+            if (!m_upstreams.isCurrent(holder.slot, holder.epoch))
+                continue;
+            const auto age = time - std::min(time, holder.lastUse);
+            out.holders.push_back(
+                {m_upstreams.id(holder.slot), m_upstreams.state(holder.slot).incarnation, age});
+        }
+        exported.push_back(std::move(out));
+    }
+    return exported;
+}
+
+void Placement::importHot(std::span<const HotBelief> beliefs)
+{
+    const auto time = now();
+    for (const auto &belief : beliefs) {
+        m_beliefs.importHeat(belief.piece, belief.heat, time);
+        for (const auto &holder : belief.holders) {
+            const auto slot = m_upstreams.find(holder.upstream);
+            if (!slot)
+                continue;
+            const auto &state = m_upstreams.state(*slot);
+            const auto epoch = state.epoch.load(std::memory_order_acquire);
+            if (state.incarnation != holder.incarnation || !m_upstreams.isCurrent(*slot, epoch))
+                continue;
+            const auto age = std::chrono::duration_cast<BeliefTime>(holder.age);
+            // Zero would stand for never.
+            const auto lastUse = time - std::min(time - BeliefTime(1), age);
+            m_beliefs.recordHolder(belief.piece, *slot, epoch, lastUse);
+        }
+    }
+}
+
+void Placement::learnLifetime(const Decision &decision, const PromptPieces &pieces,
+                              std::uint64_t cachedTokens)
+{
+    // The first piece that was missing, if the chain was believed to reach beyond it, shows how
+    // old a belief the cache no longer bears out.
+    const auto cached = cachedTokens / PieceTokens;
+    auto &lifetime = m_upstreams.state(decision.slot).cacheLifetime;
+    const auto before = lifetime.load(std::memory_order_relaxed);
+    const bool isDisappointed =
+        decision.expectedCachedTokens > cachedTokens + PieceTokens / 2 && !decision.terms.isHome;
+    constexpr float Shrink = 0.9F;
+    constexpr float Grow = 1.02F;
+    const bool isComplete = cached >= pieces.hashes().size();
+    if (!isDisappointed && !isComplete)
+        return;
+    lifetime.store(
+        std::clamp(before * (isDisappointed ? Shrink : Grow), LeastLifetime, MostLifetime),
+        std::memory_order_relaxed);
+}
+
+void Placement::learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now) const
+{
+    // Reckoned time below this is mostly noise.
+    constexpr Seconds LeastReckoned {0.1};
+    constexpr double SampleShare = 0.3;
+    const Seconds taken = m_clock.now() - decision.sentAt;
+    const auto reckoned =
+        std::max(LeastReckoned, decision.terms.queueWait + decision.terms.prefill);
+    const auto sample = std::clamp(taken / reckoned, 1.0, static_cast<double>(MostSlowness));
+    const auto before = slowness(state, now);
+    state.slowness.store(static_cast<float>(before + (sample - before) * SampleShare),
+                         std::memory_order_relaxed);
+    state.slownessAt.store(now.count(), std::memory_order_relaxed);
+}
+
+} // namespace Placement
--- /dev/null
+++ b/Libraries/LibPlacement/PlacementScratch.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibPlacement/Placement.h>
+
+namespace Placement {
+
+/// Candidates weighed in one decision.
+constexpr std::size_t MaxWeighed = 192;
+
+/// A candidate and how far its cached chain is known.
+struct Weighed
+{
+    CostTerms terms;
+    /// Pieces credited so far; a chain ends at the first piece that is not believed cached.
+    std::size_t pieces = 0;
+    /// Chance that the last credited piece is cached.
+    double chance = 1;
+    double cachedTokens = 0;
+};
+
+/// Working memory of one decision, kept for each thread so that a decision takes no heap memory.
+struct Placement::Scratch
+{
+    std::array<Weighed, MaxWeighed> weighed;
+    std::size_t count = 0;
+    /// Index into weighed plus one, valid where the stamp is the present one.
+    std::array<std::uint16_t, MaxUpstreams> index {};
+    std::array<std::uint32_t, MaxUpstreams> stamps {};
+    std::uint32_t stamp = 0;
+    std::array<std::uint16_t, MaxHomes> homes {};
+    std::size_t homeCount = 0;
+    BeliefTime now {0};
+
+    /// Starts a decision.
+    void begin(BeliefTime time);
+    /// The entry of the upstream, added if there is room; null if not.
+    Weighed *add(UpstreamSlot slot);
+    /// Credits the piece at the index to the upstream if its chain reaches up to it.
+    void credit(UpstreamSlot slot, std::size_t piece, double chance);
+    /// Credits every piece up to the index to a home of the piece.
+    void creditHome(UpstreamSlot slot, std::size_t piece, double chance);
+    /// Whether the position is among the present homes.
+    bool isHome(std::size_t position) const;
+};
+
+} // namespace Placement
--- /dev/null
+++ b/Utilities/jujubebench/OurPolicy.cpp
@@ -0,0 +1,187 @@
+#include "OurPolicy.h"
+
+#include <LibPlacement/Placement.h>
+
+#include <algorithm>
+
+namespace Bench {
+
+namespace {
+
+using Placement::PlacementSettings;
+using Placement::PromptPieces;
+using Placement::UpstreamSlot;
+
+/// A name of our policy and how its settings differ.
+struct Variant
+{
+    std::string name;
+    std::function<void(PlacementSettings &)> apply;
+};
+
+const std::vector<Variant> &variants()
+{
+    static const std::vector<Variant> all {
+        {"placement", [](auto &) {}},
+        {"no-beliefs", [](auto &settings) { settings.usesBeliefs = false; }},
+        {"no-homes", [](auto &settings) { settings.usesHomes = false; }},
+        {"no-width", [](auto &settings) { settings.usesWidth = false; }},
+        {"no-own-sends", [](auto &settings) { settings.usesOwnSends = false; }},
+        {"no-slowness", [](auto &settings) { settings.usesSlowness = false; }},
+        {"no-cache-events", [](auto &settings) { settings.usesCacheEvents = false; }},
+        {"no-lifetime", [](auto &settings) { settings.learnsLifetime = false; }},
+        {"no-random", [](auto &settings) { settings.randomises = false; }},
+    };
+    return all;
+}
+
+/// What one instance knows.
+struct Instance
+{
+    std::unique_ptr<Placement::Placement> placement;
+    std::unordered_map<std::uint64_t, Placement::Decision> decisions;
+};
+
+/// LibPlacement as the daemon would call it, one object an instance.
+class OurPolicy final : public Policy
+{
+public:
+    OurPolicy(const PolicyContext &context, PlacementSettings settings)
+        : m_context(context)
+        , m_settings(settings)
+        , m_rng(context.seed)
+        , m_instances(context.instances)
+    {
+        for (auto &instance : m_instances)
+            start(instance);
+    }
+
+    std::size_t choose(std::size_t index, const WorkItem &item,
+                       std::span<const std::size_t> candidates) override
+    {
+        auto &instance = m_instances[index];
+        const std::vector<UpstreamSlot> slots(candidates.begin(), candidates.end());
+        const auto set = instance.placement->makeCandidateSet(slots);
+        const auto pieces = PromptPieces::fromHashes(item.pieces, item.tailTokens);
+        const auto decision = instance.placement->choose({pieces, {}, {}}, set, m_rng);
+        if (!decision)
+            return candidates[m_rng() % candidates.size()];
+        instance.decisions[item.id] = *decision;
+        return decision->slot;
+    }
+    void sent(std::size_t index, const WorkItem &item, std::size_t) override
+    {
+        auto &instance = m_instances[index];
+        const auto it = instance.decisions.find(item.id);
+        if (it != instance.decisions.end())
+            instance.placement->noteSent(it->second, piecesOf(item));
+    }
+    void firstToken(std::size_t index, const WorkItem &item, std::size_t,
+                    std::uint64_t cachedTokens) override
+    {
+        auto &instance = m_instances[index];
+        const auto it = instance.decisions.find(item.id);
+        if (it != instance.decisions.end())
+            instance.placement->noteFirstToken(it->second, piecesOf(item), cachedTokens);
+    }
+    void finished(std::size_t index, const WorkItem &item, std::size_t) override
+    {
+        auto &instance = m_instances[index];
+        const auto it = instance.decisions.find(item.id);
+        if (it == instance.decisions.end())
+            return;
+        instance.placement->noteAnswer(it->second);
+        instance.decisions.erase(it);
+    }
+    void failed(std::size_t index, const WorkItem &item, std::size_t engine) override
+    {
+        auto &instance = m_instances[index];
+        const auto it = instance.decisions.find(item.id);
+        if (it != instance.decisions.end())
+            instance.placement->noteFailed(it->second);
+        instance.decisions.erase(item.id);
+        instance.placement->noteGone(static_cast<UpstreamSlot>(engine));
+    }
+    void loadReport(std::size_t index, std::size_t engine, const EngineLoad &load) override
+    {
+        auto &placement = *m_instances[index].placement;
+        placement.noteUpstream(viewOf(engine, load.incarnation));
+        placement.noteLoadReport(
+            static_cast<UpstreamSlot>(engine),
+            {load.incarnation, load.measuredAt, static_cast<std::uint32_t>(load.running),
+             static_cast<std::uint32_t>(load.queued), load.pendingPrefillTokens});
+    }
+    void cacheEvent(std::size_t index, std::size_t engine, std::uint64_t incarnation,
+                    CacheChange change, std::uint64_t piece, std::chrono::milliseconds age) override
+    {
+        m_instances[index].placement->noteCacheEvent(static_cast<UpstreamSlot>(engine), incarnation,
+                                                     piece, change == CacheChange::Stored, age);
+    }
+    void restarted(std::size_t index, std::optional<std::size_t> sibling) override
+    {
+        constexpr std::size_t HandedBeliefs = 2000;
+        auto &instance = m_instances[index];
+        start(instance);
+        if (sibling) {
+            const auto hot = m_instances[*sibling].placement->exportHot(HandedBeliefs);
+            instance.placement->importHot(hot);
+        }
+    }
+
+private:
+    static PromptPieces piecesOf(const WorkItem &item)
+    {
+        return PromptPieces::fromHashes(item.pieces, item.tailTokens);
+    }
+
+    Placement::UpstreamView viewOf(std::size_t engine, std::uint64_t incarnation) const
+    {
+        const auto &settings = (*m_context.engines)[engine]->settings();
+        return {Core::UpstreamId(settings.name), incarnation, 1, settings.prefillTokensPerSecond,
+                static_cast<std::uint32_t>(settings.slots)};
+    }
+
+    /// Starts the instance with nothing but the list of upstreams.
+    void start(Instance &instance)
+    {
+        instance.decisions.clear();
+        instance.placement =
+            std::make_unique<Placement::Placement>(m_context.queue->clock(), m_settings);
+        instance.placement->noteInstanceCount(m_instances.size());
+        // The platform's list names upstreams, not incarnations; the first report brings those.
+        for (std::size_t i = 0; i < m_context.engines->size(); ++i)
+            instance.placement->noteUpstream(viewOf(i, 0));
+    }
+
+    PolicyContext m_context;
+    PlacementSettings m_settings;
+    std::mt19937_64 m_rng;
+    std::vector<Instance> m_instances;
+};
+
+} // namespace
+
+std::unique_ptr<Policy> makeOurPolicy(const std::string &name, const PolicyContext &context)
+{
+    const auto it = std::find_if(variants().begin(), variants().end(),
+                                 [&](const auto &variant) { return variant.name == name; });
+    if (it == variants().end())
+        return nullptr;
+    PlacementSettings settings;
+    it->apply(settings);
+    return std::make_unique<OurPolicy>(context, settings);
+}
+
+std::span<const std::string> ablationPolicies()
+{
+    static const std::vector<std::string> names = [] {
+        std::vector<std::string> without;
+        for (const auto &variant : variants())
+            without.push_back(variant.name);
+        without.erase(without.begin());
+        return without;
+    }();
+    return names;
+}
+
+} // namespace Bench
--- a/Utilities/jujubebench/PlacementRun.cpp
+++ b/Utilities/jujubebench/PlacementRun.cpp
@@ -162,7 +162,8 @@
                      [this, engine, change, piece, incarnation = m_engines[engine]->incarnation()] {
                          for (std::size_t i = 0; i < m_deployment.instances; ++i) {
                              if (isReachable(i, engine))
-                                 m_policy->cacheEvent(i, engine, incarnation, change, piece);
+                                 m_policy->cacheEvent(i, engine, incarnation, change, piece,
+                                                      m_deployment.views.cacheEventLag);
                          }
                      });
 }
--- a/Utilities/jujubebench/Policy.cpp
+++ b/Utilities/jujubebench/Policy.cpp
@@ -1,6 +1,7 @@
 #include "Policy.h"
 
 #include "BaselinePolicies.h"
+#include "OurPolicy.h"
 
 #include <array>
 
@@ -8,20 +9,17 @@
 
 std::unique_ptr<Policy> makePolicy(const std::string &name, const PolicyContext &context)
 {
+    if (auto ours = makeOurPolicy(name, context))
+        return ours;
     return makeBaselinePolicy(name, context);
 }
 
 std::span<const std::string> comparedPolicies()
 {
-    static const std::array<std::string, 7> names {"random",     "round-robin", "least-loaded",
-                                                   "hash-root",  "hash-prompt", "oracle",
-                                                   "oracle-home"};
+    static const std::array<std::string, 8> names {"random",      "round-robin", "least-loaded",
+                                                   "hash-root",   "hash-prompt", "oracle",
+                                                   "oracle-home", "placement"};
     return names;
 }
 
-std::span<const std::string> ablationPolicies()
-{
-    return {};
-}
-
 } // namespace Bench
--- a/Utilities/jujubebench/Policy.h
+++ b/Utilities/jujubebench/Policy.h
@@ -31,8 +31,10 @@
     virtual void failed(std::size_t, const WorkItem &, std::size_t) { }
     /// A load report arrived.
     virtual void loadReport(std::size_t, std::size_t, const EngineLoad &) { }
-    /// A cache event arrived.
-    virtual void cacheEvent(std::size_t, std::size_t, std::uint64_t, CacheChange, std::uint64_t) { }
+    /// A cache event of an incarnation arrived, the given time after the change.
+    virtual void cacheEvent(std::size_t, std::size_t, std::uint64_t, CacheChange, std::uint64_t,
+                            std::chrono::milliseconds)
+    { }
     /// The instance lost its state. A sibling that kept its own may hand state over.
     virtual void restarted(std::size_t, std::optional<std::size_t>) { }
 };
--- a/Utilities/jujubebench/main.cpp
+++ b/Utilities/jujubebench/main.cpp
@@ -41,6 +41,7 @@
     CLI11_PARSE(app, argc, argv);
     try {
         std::vector<Bench::ScenarioReport> reports;
+        reports.reserve(files.size());
         for (const auto &file : files)
             reports.push_back(runFile(file, options));
         std::cout << (isJson ? Bench::formatJson(reports) : Bench::formatText(reports)) << '\n';
