LibCore: Add the error kind key_closed

A key that was sealed without having run needs an answer of its own: key_outcome_unknown would deny what is known, and key_conflict would blame the caller. With it a caller learns that nothing ran, nothing will, and that the call needs a new key.

Ways weighed: reusing key_expired, whose key fate is unknown and therefore says less.

--- a/Libraries/LibCore/ErrorKind.cpp
+++ b/Libraries/LibCore/ErrorKind.cpp
@@ -28,6 +28,7 @@
     ErrorKindRow {ErrorKind::KeyConflict, "key_conflict", 422, Fate::NotRun, NoRetry, "The key was already used with another request. This attempt did not run."},
     ErrorKindRow {ErrorKind::KeyInProgress, "key_in_progress", 409, Fate::NotRun, 1s, "Another attempt of this key is running. This attempt did not run."},
     ErrorKindRow {ErrorKind::KeyOutcomeUnknown, "key_outcome_unknown", 409, Fate::NotRun, NoRetry, "Another attempt of this key was sent and its outcome was lost. This attempt did not run."},
+    ErrorKindRow {ErrorKind::KeyClosed, "key_closed", 409, Fate::NotRun, NoRetry, "The key was closed without having run, for good. The call needs a new key."},
     ErrorKindRow {ErrorKind::AnswerNotKept, "answer_not_kept", 409, Fate::NotRun, NoRetry, "Another attempt of this key ran to its end, and its answer is no longer kept."},
     ErrorKindRow {ErrorKind::Overloaded, "overloaded", 503, Fate::NotRun, 1s, "The upstreams and the queue before them are full."},
     ErrorKindRow {ErrorKind::TeamLimitReached, "team_limit_reached", 429, Fate::NotRun, 1s, "The team has reached its limit."},
--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -27,6 +27,7 @@
     KeyConflict,
     KeyInProgress,
     KeyOutcomeUnknown,
+    KeyClosed,
     AnswerNotKept,
     Overloaded,
     TeamLimitReached,
