LibClaims: Decide non-repeatable calls by the log's order

A call that may not be repeated needs one arbiter over all instances, also when a claimant is frozen, cut off or replaced. ClaimIndex is a pure fold of one stream: the first live claim at the lowest offset wins, copies of an attempt are one, a void frees a key also when it overtakes its claim, a close seals it as never run. Expiry follows the log's own time, so that readers decide alike and a claim that lands after its key's window counts for nothing. ClaimPartition rebuilds after a gap and calls keys uncertain that lost records may have decided. ClaimWriter groups records into appends within a rate. ClaimAttempt and ClaimEngine turn events into actions, without input or output.

Ways weighed: leases (a holder that is paused between its check and its send runs twice); expiry by each reader's clock (two readers then disagree about the same record); losers queueing behind the holder (a loser whose caller was told that it did not run could run later).

--- /dev/null
+++ b/Libraries/LibClaims/ClaimAttempt.cpp
@@ -0,0 +1,220 @@
+#include <LibClaims/ClaimAttempt.h>
+
+#include <algorithm>
+
+namespace Claims {
+
+namespace {
+
+using Core::ErrorKind;
+using Core::Fate;
+
+Outcome refused(ErrorKind kind, Fate key)
+{
+    return {nullptr, false, kind, Fate::NotRun, key};
+}
+
+Outcome replayedAnswer(const AnswerPointer &answer)
+{
+    return {answer, true, std::nullopt, Fate::NotRun, Fate::Run};
+}
+
+} // namespace
+
+ClaimAttempt::ClaimAttempt(Call call, const ClaimSettings &settings, AttemptHooks hooks)
+    : m_call(std::move(call))
+    , m_settings(settings)
+    , m_hooks(std::move(hooks))
+{ }
+
+ClaimAttempt::Steps ClaimAttempt::start(Core::Clock::Monotonic now)
+{
+    m_startedAt = now;
+    return enter(now);
+}
+
+ClaimAttempt::Steps ClaimAttempt::startClose(ErrorKind refusal, Core::Clock::Monotonic now)
+{
+    m_startedAt = now;
+    m_id = m_hooks.nextId();
+    return closeKey(refusal, now);
+}
+
+ClaimAttempt::Steps ClaimAttempt::enter(Core::Clock::Monotonic now)
+{
+    const auto view = m_hooks.lookUp();
+    const bool decided = view && view->state != KeyState::Free && view->certain;
+    if (!decided) {
+        m_state = State::Claiming;
+        m_id = m_hooks.nextId();
+        m_deadline = now + m_settings.claimTimeout;
+        return {AppendStep {RecordKind::Claim, m_id}};
+    }
+    m_state = State::Asking;
+    if (view->digest != m_call.digest || view->issuedAt != m_call.key.issuedAt)
+        return answer(refused(ErrorKind::KeyConflict, Fate::Unknown));
+    if (view->state == KeyState::Closed)
+        return answer(refused(ErrorKind::KeyClosed, Fate::NotRun));
+    m_knownRun = view->state == KeyState::Finished;
+    return ask(*view->holding);
+}
+
+ClaimAttempt::Steps ClaimAttempt::onVerdict(const Verdict &verdict, Core::Clock::Monotonic now)
+{
+    if (m_state == State::Closing) {
+        const bool closed = verdict.kind == VerdictKind::KeyClosed;
+        return answer(refused(m_refusal, closed ? Fate::NotRun : Fate::Unknown));
+    }
+    if (m_state != State::Claiming)
+        return {};
+    switch (verdict.kind) {
+    case VerdictKind::Won:
+        if (now >= m_deadline)
+            return giveUp(ErrorKind::LogUnavailable);
+        m_state = State::Sending;
+        return {SendStep {m_id}};
+    case VerdictKind::Lost:
+        return ask(*verdict.holding);
+    case VerdictKind::KeyFinished:
+        m_knownRun = true;
+        return ask(*verdict.holding);
+    case VerdictKind::Conflict:
+        return answer(refused(ErrorKind::KeyConflict, Fate::Unknown));
+    case VerdictKind::KeyClosed:
+        return answer(refused(ErrorKind::KeyClosed, Fate::NotRun));
+    case VerdictKind::Expired:
+        return answer(refused(ErrorKind::KeyExpired, Fate::Unknown));
+    case VerdictKind::InFuture:
+        // A repeated append may bring the same claim again when its time has come.
+        return giveUp(ErrorKind::IssueTimeInFuture);
+    case VerdictKind::Dead:
+        return answer(refused(ErrorKind::LogUnavailable, Fate::Unknown));
+    case VerdictKind::Uncertain:
+        return giveUp(ErrorKind::KeyOutcomeUnknown);
+    }
+    return {};
+}
+
+ClaimAttempt::Steps ClaimAttempt::onHolderReply(const HolderReply &reply,
+                                                Core::Clock::Monotonic now)
+{
+    if (m_state != State::Asking)
+        return {};
+    switch (reply.state) {
+    case HolderState::Finished:
+        if (reply.answer)
+            return answer(replayedAnswer(reply.answer));
+        return answer(refused(ErrorKind::AnswerNotKept, Fate::Run));
+    case HolderState::Running:
+        return waitOrAnswer(refused(ErrorKind::KeyInProgress, Fate::Running), now);
+    case HolderState::Deciding:
+    case HolderState::GivenUp:
+        return waitOrAnswer(refused(ErrorKind::KeyInProgress, Fate::Unknown), now);
+    case HolderState::Unreachable:
+        return waitOrAnswer(holderSilent(), now);
+    case HolderState::OutcomeLost:
+    case HolderState::Gone:
+        return answer(holderSilent());
+    }
+    return {};
+}
+
+ClaimAttempt::Steps ClaimAttempt::onSendResult(const SendResult &result, Core::Clock::Monotonic now)
+{
+    if (m_state != State::Sending)
+        return {};
+    if (result.state == SendState::NotSent)
+        return closeKey(result.error, now);
+    if (result.state == SendState::OutcomeLost)
+        return answer({nullptr, false, result.error, Fate::Unknown, Fate::Unknown});
+    Steps steps {AppendStep {RecordKind::Finished, m_id}};
+    const auto last = answer({result.answer, false, std::nullopt, Fate::Run, Fate::Run});
+    steps.insert(steps.end(), last.begin(), last.end());
+    return steps;
+}
+
+ClaimAttempt::Steps ClaimAttempt::onTimer(Core::Clock::Monotonic now)
+{
+    const auto due = deadline();
+    if (!due || now < *due)
+        return {};
+    switch (m_state) {
+    case State::Claiming:
+        return giveUp(ErrorKind::LogUnavailable);
+    case State::Closing:
+        return answer(refused(m_refusal, Fate::Unknown));
+    case State::Waiting:
+        return enter(now);
+    case State::Asking:
+        return answer(holderSilent());
+    case State::Sending:
+    case State::Done:
+        return {};
+    }
+    return {};
+}
+
+std::optional<Core::Clock::Monotonic> ClaimAttempt::deadline() const
+{
+    switch (m_state) {
+    case State::Claiming:
+    case State::Closing:
+        return m_deadline;
+    case State::Waiting:
+        return m_wakeAt;
+    case State::Asking:
+        return m_startedAt + m_settings.holderTimeout;
+    case State::Sending:
+    case State::Done:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+ClaimAttempt::Steps ClaimAttempt::ask(const Holding &holding)
+{
+    m_state = State::Asking;
+    return {AskStep {holding}};
+}
+
+ClaimAttempt::Steps ClaimAttempt::giveUp(ErrorKind refusal)
+{
+    Steps steps {AppendStep {RecordKind::Void, m_id}};
+    const auto last = answer(refused(refusal, Fate::Unknown));
+    steps.insert(steps.end(), last.begin(), last.end());
+    return steps;
+}
+
+// The caller still waits, so the record that frees nobody but promises most is worth its append.
+ClaimAttempt::Steps ClaimAttempt::closeKey(ErrorKind refusal, Core::Clock::Monotonic now)
+{
+    m_state = State::Closing;
+    m_refusal = refusal;
+    m_deadline = now + m_settings.claimTimeout;
+    return {AppendStep {RecordKind::Close, m_id}};
+}
+
+ClaimAttempt::Steps ClaimAttempt::waitOrAnswer(const Outcome &outcome, Core::Clock::Monotonic now)
+{
+    const auto wakeAt = now + m_settings.askInterval;
+    if (wakeAt >= m_startedAt + m_settings.holderTimeout)
+        return answer(outcome);
+    m_state = State::Waiting;
+    m_wakeAt = wakeAt;
+    return {};
+}
+
+ClaimAttempt::Steps ClaimAttempt::answer(Outcome outcome)
+{
+    m_state = State::Done;
+    return {AnswerStep {std::move(outcome)}};
+}
+
+Outcome ClaimAttempt::holderSilent() const
+{
+    if (m_knownRun)
+        return refused(ErrorKind::AnswerNotKept, Fate::Run);
+    return refused(ErrorKind::KeyOutcomeUnknown, Fate::Unknown);
+}
+
+} // namespace Claims
--- /dev/null
+++ b/Libraries/LibClaims/ClaimEngine.cpp
@@ -0,0 +1,325 @@
+#include <LibClaims/ClaimEngine.h>
+#include <LibCore/EventLog.h>
+
+#include <algorithm>
+
+namespace Claims {
+
+namespace {
+
+using Core::ErrorKind;
+using Core::Fate;
+
+constexpr std::chrono::seconds AnswerExpiryInterval {30};
+
+} // namespace
+
+ClaimEngine::ClaimEngine(const ClaimSettings &settings, Holder self, const Core::Clock &clock)
+    : m_settings(settings)
+    , m_self(std::move(self))
+    , m_clock(clock)
+    , m_partitions(settings.partitions, ClaimPartition(settings.window))
+    , m_writer(settings.batch, settings.partitions, m_counters)
+    , m_answers(settings.answerBytes)
+    , m_origin(attemptOrigin(m_self))
+{ }
+
+ClaimActions ClaimEngine::begin(CallId call, const Call &request)
+{
+    ClaimActions actions;
+    const auto &index = m_partitions[partitionOf(request.key)].index();
+    const auto refusal = m_settings.window.check(request.key, m_clock.wallNow());
+    if (refusal) {
+        answer(call, {nullptr, false, refusal, Fate::NotRun, keyFate(request.key)}, actions);
+        return finish(std::move(actions));
+    }
+    if (!index.find(request.key) && !index.isCertain(request.key.issuedAt)) {
+        answer(call, {nullptr, false, ErrorKind::KeyOutcomeUnknown, Fate::NotRun, Fate::Unknown},
+               actions);
+        return finish(std::move(actions));
+    }
+    carryOut(call, addAttempt(call, request).start(m_clock.now()), actions);
+    return finish(std::move(actions));
+}
+
+ClaimActions ClaimEngine::beginClose(CallId call, const Call &request, ErrorKind refusal)
+{
+    ClaimActions actions;
+    carryOut(call, addAttempt(call, request).startClose(refusal, m_clock.now()), actions);
+    return finish(std::move(actions));
+}
+
+ClaimActions ClaimEngine::onAppendResult(std::uint64_t batchId, bool succeeded)
+{
+    m_writer.onResult(batchId, succeeded, m_clock.now());
+    return finish({});
+}
+
+ClaimActions ClaimEngine::onPage(std::size_t partition, const Platform::LogPage &page)
+{
+    ClaimActions actions;
+    auto &reader = m_partitions[partition];
+    const auto rebuilds = reader.rebuildCount();
+    const auto garbage = reader.garbageCount();
+    reader.consume(page, m_clock.wallNow(), [&](const auto &record, const auto &verdict) {
+        onRecord(record, verdict, actions);
+    });
+    m_counters.rebuilds += reader.rebuildCount() - rebuilds;
+    m_counters.garbage += reader.garbageCount() - garbage;
+    return finish(std::move(actions));
+}
+
+ClaimActions ClaimEngine::onHolderReply(CallId call, const HolderReply &reply)
+{
+    ClaimActions actions;
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end())
+        carryOut(call, it->second->onHolderReply(reply, m_clock.now()), actions);
+    return finish(std::move(actions));
+}
+
+ClaimActions ClaimEngine::onSendResult(CallId call, const SendResult &result)
+{
+    ClaimActions actions;
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end())
+        return actions;
+    auto &attempt = *it->second;
+    const auto forgetAt = forgetTime(attempt.call().key);
+    switch (result.state) {
+    case SendState::Answered:
+        m_answers.finish(attempt.id(), result.answer, forgetAt);
+        break;
+    case SendState::OutcomeLost:
+        m_answers.setState(attempt.id(), HolderState::OutcomeLost, forgetAt);
+        Core::logEvent(Core::EventId::ClaimFateUnknown,
+                       {{"team", attempt.call().key.team.value()}});
+        break;
+    case SendState::NotSent:
+        m_answers.setState(attempt.id(), HolderState::GivenUp, forgetAt);
+        break;
+    }
+    carryOut(call, attempt.onSendResult(result, m_clock.now()), actions);
+    return finish(std::move(actions));
+}
+
+ClaimActions ClaimEngine::onLateAnswer(const ClaimKey &key, const AnswerPointer &answer)
+{
+    const auto view = m_partitions[partitionOf(key)].index().find(key);
+    if (!view || view->state != KeyState::Held)
+        return {};
+    const auto reply = m_answers.find(view->holding->attempt);
+    if (!reply || reply->state != HolderState::OutcomeLost)
+        return {};
+    m_answers.finish(view->holding->attempt, answer, forgetTime(key));
+    m_writer.enqueue(partitionOf(key),
+                     makeRecord(RecordKind::Finished, {key, view->digest}, view->holding->attempt),
+                     m_clock.now());
+    return finish({});
+}
+
+ClaimActions ClaimEngine::onTimer()
+{
+    ClaimActions actions;
+    const auto now = m_clock.now();
+    expireAnswers();
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const auto call = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        const auto it = m_calls.find(call);
+        if (it != m_calls.end())
+            carryOut(call, it->second->onTimer(now), actions);
+    }
+    return finish(std::move(actions));
+}
+
+std::optional<Core::Clock::Monotonic> ClaimEngine::nextDeadline() const
+{
+    const auto due = m_writer.nextDeadline(m_clock.now());
+    if (m_deadlines.empty())
+        return due;
+    const auto first = m_deadlines.begin()->first;
+    return due ? std::min(*due, first) : first;
+}
+
+HolderReply ClaimEngine::replyTo(const HolderQuery &query) const
+{
+    if (query.holder != m_self)
+        return {HolderState::Gone, nullptr};
+    if (const auto reply = m_answers.find(query.attempt))
+        return *reply;
+    if (m_callOf.contains(query.attempt))
+        return {HolderState::Deciding, nullptr};
+    return {HolderState::Gone, nullptr};
+}
+
+Fate ClaimEngine::keyFate(const ClaimKey &key) const
+{
+    const auto view = m_partitions[partitionOf(key)].index().find(key);
+    if (!view || !view->certain)
+        return Fate::Unknown;
+    if (view->state == KeyState::Finished)
+        return Fate::Run;
+    if (view->state == KeyState::Closed)
+        return Fate::NotRun;
+    if (view->state == KeyState::Free)
+        return Fate::Unknown;
+    const auto reply = m_answers.find(view->holding->attempt);
+    if (reply && reply->state == HolderState::Finished)
+        return Fate::Run;
+    return reply && reply->state == HolderState::Running ? Fate::Running : Fate::Unknown;
+}
+
+Core::Error ClaimEngine::doorRefusal(ErrorKind kind, const ClaimKey &key) const
+{
+    return {kind, {}, Fate::NotRun, keyFate(key)};
+}
+
+std::size_t ClaimEngine::partitionOf(const ClaimKey &key) const
+{
+    return key.id().high % m_partitions.size();
+}
+
+bool ClaimEngine::isCaughtUp() const
+{
+    return std::ranges::all_of(m_partitions, &ClaimPartition::isCaughtUp);
+}
+
+std::string ClaimEngine::streamName(std::size_t partition, std::size_t count)
+{
+    return "claims-" + std::to_string(count) + "-" + std::to_string(partition);
+}
+
+ClaimAttempt &ClaimEngine::addAttempt(CallId call, const Call &request)
+{
+    AttemptHooks hooks;
+    hooks.nextId = [this, call] {
+        const AttemptId id {m_origin, m_nextSequence++};
+        m_callOf.erase(m_calls.at(call)->id());
+        m_callOf[id] = call;
+        return id;
+    };
+    hooks.lookUp = [this, key = request.key] {
+        return m_partitions[partitionOf(key)].index().find(key);
+    };
+    auto attempt = std::make_unique<ClaimAttempt>(request, m_settings, std::move(hooks));
+    return *(m_calls[call] = std::move(attempt));
+}
+
+void ClaimEngine::carryOut(CallId call, const ClaimAttempt::Steps &steps, ClaimActions &actions)
+{
+    for (const auto &step : steps) {
+        if (const auto *it = std::get_if<AppendStep>(&step))
+            append(call, *it);
+        else if (const auto *it = std::get_if<AskStep>(&step))
+            ask(call, *it, actions);
+        else if (const auto *it = std::get_if<AnswerStep>(&step))
+            answer(call, it->outcome, actions);
+        else if (const auto *it = std::get_if<SendStep>(&step)) {
+            m_answers.setState(it->attempt, HolderState::Running,
+                               forgetTime(m_calls.at(call)->call().key));
+            actions.emplace_back(SendAction {call});
+        }
+    }
+    schedule(call);
+}
+
+void ClaimEngine::append(CallId call, const AppendStep &step)
+{
+    const auto &request = m_calls.at(call)->call();
+    const auto partition = partitionOf(request.key);
+    if (step.kind == RecordKind::Claim)
+        ++m_counters.claims;
+    if (step.kind == RecordKind::Void) {
+        m_answers.setState(step.attempt, HolderState::GivenUp, forgetTime(request.key));
+        if (m_writer.cancelClaim(partition, step.attempt))
+            return;
+        ++m_counters.voids;
+        Core::logEvent(Core::EventId::ClaimVoided, {{"team", request.key.team.value()}});
+    }
+    m_writer.enqueue(partition, makeRecord(step.kind, request, step.attempt), m_clock.now());
+}
+
+void ClaimEngine::ask(CallId call, const AskStep &step, ClaimActions &actions)
+{
+    const HolderQuery query {m_calls.at(call)->call().key, step.holding.attempt,
+                             step.holding.holder};
+    if (query.holder != m_self) {
+        actions.emplace_back(AskAction {call, query});
+        return;
+    }
+    const auto reply = replyTo(query);
+    carryOut(call, m_calls.at(call)->onHolderReply(reply, m_clock.now()), actions);
+}
+
+void ClaimEngine::answer(CallId call, Outcome outcome, ClaimActions &actions)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end()) {
+        // The log may by now say more than the attempt learned.
+        if (outcome.key == Fate::Unknown)
+            outcome.key = keyFate(it->second->call().key);
+        if (outcome.error == ErrorKind::KeyOutcomeUnknown && outcome.key == Fate::Run)
+            outcome.error = ErrorKind::AnswerNotKept;
+        m_callOf.erase(it->second->id());
+        m_calls.erase(it);
+    }
+    ++m_counters.outcomes;
+    m_counters.unknownKeys += outcome.key == Fate::Unknown ? 1 : 0;
+    actions.emplace_back(AnswerAction {call, std::move(outcome)});
+}
+
+void ClaimEngine::onRecord(const ClaimRecord &record, const Verdict &verdict, ClaimActions &actions)
+{
+    if (record.attempt.origin != m_origin)
+        return;
+    m_writer.noteRead(partitionOf(record.key), record.kind, record.attempt);
+    const auto call = m_callOf.find(record.attempt);
+    const bool decides = record.kind == RecordKind::Claim || record.kind == RecordKind::Close;
+    if (!decides || call == m_callOf.end())
+        return;
+    auto &attempt = *m_calls.at(call->second);
+    // A claim read back while the same attempt closes its key decides nothing any more.
+    if (attempt.id() != record.attempt
+        || (record.kind == RecordKind::Claim && !attempt.isClaiming()))
+        return;
+    carryOut(call->second, attempt.onVerdict(verdict, m_clock.now()), actions);
+}
+
+ClaimActions ClaimEngine::finish(ClaimActions actions)
+{
+    for (auto &it : m_writer.poll(m_clock.now()))
+        actions.emplace_back(std::move(it));
+    return actions;
+}
+
+ClaimRecord ClaimEngine::makeRecord(RecordKind kind, const Call &call,
+                                    const AttemptId &attempt) const
+{
+    return {kind, call.key, call.digest, attempt, m_self};
+}
+
+void ClaimEngine::schedule(CallId call)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end())
+        return;
+    if (const auto due = it->second->deadline())
+        m_deadlines.emplace(*due, call);
+}
+
+void ClaimEngine::expireAnswers()
+{
+    const auto now = m_clock.now();
+    if (now < m_nextExpiry)
+        return;
+    m_nextExpiry = now + AnswerExpiryInterval;
+    m_answers.expire(m_clock.wallNow());
+}
+
+IssueTime ClaimEngine::forgetTime(const ClaimKey &key) const
+{
+    return key.issuedAt + m_settings.window.window() + m_settings.window.skew();
+}
+
+} // namespace Claims
--- /dev/null
+++ b/Libraries/LibClaims/ClaimSettings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibClaims/ClaimKey.h>
+
+#include <chrono>
+#include <cstddef>
+
+namespace Claims {
+
+/// How claims are batched into appends.
+struct BatchSettings
+{
+    /// A batch closes when its first record has waited this long.
+    std::chrono::milliseconds age {2};
+    /// A batch closes at this many records.
+    std::size_t records = 512;
+    /// Appends of one partition that may be under way at once. More than one keeps an append whose
+    /// answer hangs from holding up the claims behind it.
+    std::size_t inFlight = 2;
+    /// This instance's share of the appends a second that the log takes from the whole fleet.
+    double appendsPerSecond = 40;
+    /// Appends that may go at once after a quiet time.
+    double appendBurst = 20;
+    /// The first and the longest wait before a failed append is tried again.
+    std::chrono::milliseconds retryDelay {50};
+    std::chrono::milliseconds longestRetryDelay {2000};
+};
+
+/// Everything the claims of one instance are set by.
+struct ClaimSettings
+{
+    KeyWindow window;
+    /// Streams that keys are hashed to. The same on every instance of an environment.
+    std::size_t partitions = 16;
+    BatchSettings batch;
+    /// How long a call waits for the log to decide its claim before it is refused.
+    std::chrono::milliseconds claimTimeout {2000};
+    /// How long a call waits for the holder of its key.
+    std::chrono::milliseconds holderTimeout {5000};
+    /// How often a call asks the holder of its key.
+    std::chrono::milliseconds askInterval {100};
+    /// Memory for stored answers.
+    std::size_t answerBytes = 16U << 20;
+};
+
+} // namespace Claims
--- /dev/null
+++ b/Libraries/LibClaims/ClaimWriter.cpp
@@ -0,0 +1,155 @@
+#include <LibClaims/ClaimCodec.h>
+#include <LibClaims/ClaimWriter.h>
+
+#include <algorithm>
+
+namespace Claims {
+
+ClaimWriter::ClaimWriter(const BatchSettings &settings, std::size_t partitions,
+                         ClaimCounters &counters)
+    : m_settings(settings)
+    , m_counters(counters)
+    , m_partitions(partitions)
+    , m_tokens(settings.appendBurst)
+{ }
+
+void ClaimWriter::enqueue(std::size_t partition, ClaimRecord record, Core::Clock::Monotonic now)
+{
+    m_partitions[partition].queue.push_back({std::move(record), now, false});
+}
+
+bool ClaimWriter::cancelClaim(std::size_t partition, const AttemptId &attempt)
+{
+    const auto isClaim = [&](const Pending &it) {
+        return it.record.kind == RecordKind::Claim && it.record.attempt == attempt;
+    };
+    auto &queue = m_partitions[partition].queue;
+    const auto it = std::find_if(queue.begin(), queue.end(), isClaim);
+    if (it == queue.end()) {
+        for (auto &[id, batch] : m_inFlight)
+            std::erase_if(batch.records, isClaim);
+        return false;
+    }
+    const bool neverLeft = !it->submitted;
+    queue.erase(it);
+    return neverLeft;
+}
+
+void ClaimWriter::noteRead(std::size_t partition, RecordKind kind, const AttemptId &attempt)
+{
+    const auto isSame = [&](const Pending &it) {
+        return it.record.kind == kind && it.record.attempt == attempt;
+    };
+    std::erase_if(m_partitions[partition].queue, isSame);
+    for (auto &[id, batch] : m_inFlight) {
+        if (batch.partition == partition)
+            std::erase_if(batch.records, isSame);
+    }
+}
+
+std::vector<AppendBatch> ClaimWriter::poll(Core::Clock::Monotonic now)
+{
+    refill(now);
+    std::vector<AppendBatch> batches;
+    // Starts at another partition each time, so that a short rate serves all of them in turn.
+    for (std::size_t n = 0; n < m_partitions.size() && m_tokens >= 1; ++n) {
+        const auto partition = (m_firstToPoll + n) % m_partitions.size();
+        const auto due = dueAt(m_partitions[partition]);
+        if (!due || *due > now)
+            continue;
+        batches.push_back(closeBatch(partition));
+        m_tokens -= 1;
+        if (m_tokens < 1)
+            m_firstToPoll = (partition + 1) % m_partitions.size();
+    }
+    return batches;
+}
+
+void ClaimWriter::onResult(std::uint64_t batchId, bool succeeded, Core::Clock::Monotonic now)
+{
+    auto node = m_inFlight.extract(batchId);
+    if (node.empty())
+        return;
+    auto &batch = node.mapped();
+    auto &partition = m_partitions[batch.partition];
+    --partition.inFlight;
+    if (succeeded) {
+        partition.retryDelay = std::chrono::milliseconds(0);
+        partition.retryAt = now;
+        return;
+    }
+    ++m_counters.failedAppends;
+    partition.retryDelay =
+        std::clamp(partition.retryDelay * 2, m_settings.retryDelay, m_settings.longestRetryDelay);
+    partition.retryAt = now + partition.retryDelay;
+    partition.queue.insert(partition.queue.begin(), std::make_move_iterator(batch.records.begin()),
+                           std::make_move_iterator(batch.records.end()));
+}
+
+std::optional<Core::Clock::Monotonic> ClaimWriter::nextDeadline(Core::Clock::Monotonic now) const
+{
+    std::optional<Core::Clock::Monotonic> earliest;
+    for (const auto &it : m_partitions) {
+        const auto due = dueAt(it);
+        if (due && (!earliest || *due < *earliest))
+            earliest = due;
+    }
+    if (!earliest || m_tokens >= 1)
+        return earliest;
+    const std::chrono::duration<double> wait((1 - m_tokens) / m_settings.appendsPerSecond);
+    const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(wait);
+    return std::max(*earliest, std::max(now, m_refilledAt + rounded));
+}
+
+std::size_t ClaimWriter::pendingCount() const
+{
+    std::size_t n = 0;
+    for (const auto &it : m_partitions)
+        n += it.queue.size();
+    for (const auto &[id, batch] : m_inFlight)
+        n += batch.records.size();
+    return n;
+}
+
+std::optional<Core::Clock::Monotonic> ClaimWriter::dueAt(const Partition &partition) const
+{
+    if (partition.queue.empty() || partition.inFlight >= m_settings.inFlight)
+        return std::nullopt;
+    auto due = partition.queue.front().queuedAt;
+    if (partition.queue.size() < m_settings.records)
+        due += m_settings.age;
+    return std::max(due, partition.retryAt);
+}
+
+AppendBatch ClaimWriter::closeBatch(std::size_t partition)
+{
+    auto &queue = m_partitions[partition].queue;
+    const auto count = std::min(queue.size(), m_settings.records);
+    InFlight batch {partition, {}};
+    std::vector<ClaimRecord> records;
+    records.reserve(count);
+    for (std::size_t n = 0; n < count; ++n) {
+        queue.front().submitted = true;
+        records.push_back(queue.front().record);
+        batch.records.push_back(std::move(queue.front()));
+        queue.pop_front();
+    }
+    ++m_partitions[partition].inFlight;
+    const auto id = m_nextBatch++;
+    m_inFlight.emplace(id, std::move(batch));
+    auto data = encodeBatch(records);
+    ++m_counters.appends;
+    m_counters.appendBytes += data.size();
+    m_counters.records += records.size();
+    return {id, partition, std::move(data)};
+}
+
+void ClaimWriter::refill(Core::Clock::Monotonic now)
+{
+    const std::chrono::duration<double> elapsed = now - m_refilledAt;
+    m_tokens =
+        std::min(m_settings.appendBurst, m_tokens + elapsed.count() * m_settings.appendsPerSecond);
+    m_refilledAt = now;
+}
+
+} // namespace Claims
--- /dev/null
+++ b/Tests/LibClaims/TestClaimIndex.cpp
@@ -0,0 +1,190 @@
+#include <LibClaims/ClaimCodec.h>
+#include <LibClaims/ClaimPartition.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace Claims;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr IssueTime Epoch(1'700'000'000'000ms);
+
+KeyWindow testWindow()
+{
+    return KeyWindow::create(60s, 2s, 100s, 10s).value();
+}
+
+ClaimRecord record(RecordKind kind, int attempt, int key = 0, std::uint64_t digest = 7)
+{
+    const ClaimKey claimKey {Core::TeamId("t"), "k" + std::to_string(key), Epoch};
+    return {kind,
+            claimKey,
+            digest,
+            {1, static_cast<std::uint64_t>(attempt)},
+            {Core::InstanceId("i"), 1}};
+}
+
+struct Decision
+{
+    Platform::LogOffset offset = 0;
+    AttemptId attempt;
+    VerdictKind kind = VerdictKind::Dead;
+    friend bool operator==(const Decision &, const Decision &) = default;
+};
+
+/// A random stream: claims with copies, voids before and after their claims, closes, finished
+/// records, garbage, and issue times on both sides of the window.
+std::vector<Platform::LogRecord> randomStream(std::mt19937_64 &rng, std::size_t count)
+{
+    std::vector<Platform::LogRecord> stream;
+    auto time = std::chrono::system_clock::time_point(Epoch);
+    for (std::size_t n = 0; n < count; ++n) {
+        time += std::chrono::milliseconds(rng() % 2000);
+        auto it = record(static_cast<RecordKind>(1 + std::min<std::uint64_t>(3, rng() % 8 / 2)),
+                         static_cast<int>(rng() % 40), 0, rng() % 8 ? 7 : 8);
+        // An attempt belongs to one key, and a key has one issue time.
+        const auto key = it.attempt.sequence % 13;
+        it.key.text = "k" + std::to_string(key);
+        it.key.issuedAt = Epoch + std::chrono::seconds(key * count / 13);
+        auto data = rng() % 10 ? encodeBatch({&it, 1}) : std::string("garbage");
+        stream.push_back({n, time, std::move(data)});
+    }
+    return stream;
+}
+
+std::vector<Decision> readAll(const std::vector<Platform::LogRecord> &stream,
+                              Platform::LogOffset first, Platform::LogOffset next,
+                              std::mt19937_64 &rng, bool onlyCertain = false)
+{
+    ClaimPartition reader(testWindow());
+    std::vector<Decision> decisions;
+    while (reader.next() < next) {
+        Platform::LogPage page {first, next, {}};
+        const auto from = std::max(first, reader.next());
+        const auto until = std::min<Platform::LogOffset>(next, from + 1 + rng() % 7);
+        page.records.assign(stream.begin() + static_cast<std::ptrdiff_t>(from),
+                            stream.begin() + static_cast<std::ptrdiff_t>(until));
+        Platform::LogOffset offset = from;
+        reader.consume(page, {}, [&](const ClaimRecord &it, const Verdict &verdict) {
+            while (decodeBatch(stream[offset].data) != std::vector {it})
+                ++offset;
+            const bool certain = reader.index().isCertain(it.key.issuedAt);
+            if (it.kind == RecordKind::Claim && (certain || !onlyCertain))
+                decisions.push_back({offset, it.attempt, verdict.kind});
+            ++offset;
+        });
+    }
+    return decisions;
+}
+
+} // namespace
+
+TEST_CASE("the first live claim wins and a copy is the same claim")
+{
+    ClaimIndex index(testWindow());
+    CHECK(index.apply(record(RecordKind::Claim, 1), Epoch).kind == VerdictKind::Won);
+    CHECK(index.apply(record(RecordKind::Claim, 2), Epoch).kind == VerdictKind::Lost);
+    CHECK(index.apply(record(RecordKind::Claim, 1), Epoch).kind == VerdictKind::Won);
+    CHECK(index.apply(record(RecordKind::Claim, 3, 0, 8), Epoch).kind == VerdictKind::Conflict);
+    index.apply(record(RecordKind::Void, 1), Epoch);
+    // The claim that lost has answered its caller and must not come back to life.
+    CHECK(index.apply(record(RecordKind::Claim, 2), Epoch).kind == VerdictKind::Dead);
+    CHECK(index.apply(record(RecordKind::Claim, 4), Epoch).kind == VerdictKind::Won);
+}
+
+TEST_CASE("a void that overtakes its claim still voids it")
+{
+    ClaimIndex index(testWindow());
+    index.apply(record(RecordKind::Void, 1), Epoch);
+    CHECK(index.apply(record(RecordKind::Claim, 1), Epoch).kind == VerdictKind::Dead);
+    CHECK(index.apply(record(RecordKind::Claim, 2), Epoch).kind == VerdictKind::Won);
+}
+
+TEST_CASE("a close seals a free key and its own claim, and nobody else's")
+{
+    ClaimIndex index(testWindow());
+    index.apply(record(RecordKind::Claim, 1), Epoch);
+    CHECK(index.apply(record(RecordKind::Close, 2), Epoch).kind == VerdictKind::Lost);
+    CHECK(index.apply(record(RecordKind::Close, 1), Epoch).kind == VerdictKind::KeyClosed);
+    CHECK(index.apply(record(RecordKind::Claim, 3), Epoch).kind == VerdictKind::KeyClosed);
+    CHECK(index.apply(record(RecordKind::Close, 4, 1), Epoch).kind == VerdictKind::KeyClosed);
+    index.apply(record(RecordKind::Finished, 5, 2), Epoch);
+    CHECK(index.apply(record(RecordKind::Close, 6, 2), Epoch).kind == VerdictKind::KeyFinished);
+}
+
+TEST_CASE("a claim outside its key's window counts for nothing")
+{
+    ClaimIndex index(testWindow());
+    CHECK(index.apply(record(RecordKind::Claim, 1), Epoch - 3s).kind == VerdictKind::InFuture);
+    CHECK(index.apply(record(RecordKind::Claim, 2), Epoch).kind == VerdictKind::Won);
+    CHECK(index.apply(record(RecordKind::Claim, 3), Epoch + 61s).kind == VerdictKind::Expired);
+    CHECK_FALSE(index.find(record(RecordKind::Claim, 3).key));
+}
+
+TEST_CASE("no key is held longer than its window")
+{
+    ClaimIndex index(testWindow());
+    for (int n = 0; n < 1000; ++n) {
+        auto it = record(RecordKind::Claim, n, n);
+        it.key.issuedAt = Epoch + n * 1s;
+        index.apply(it, it.key.issuedAt);
+    }
+    // Sixty live keys and what one sweep interval adds.
+    CHECK(index.keyCount() <= 66);
+}
+
+TEST_CASE("after a gap the keys that it may have decided are uncertain")
+{
+    ClaimPartition reader(testWindow());
+    auto it = record(RecordKind::Claim, 1);
+    VerdictKind last {};
+    const auto note = [&](const ClaimRecord &, const Verdict &verdict) { last = verdict.kind; };
+    reader.consume({5, 6, {{5, Epoch + 10s, encodeBatch({&it, 1})}}}, Epoch, note);
+    CHECK(last == VerdictKind::Uncertain);
+    it = record(RecordKind::Claim, 2, 1);
+    it.key.issuedAt = Epoch + 13s;
+    reader.consume({5, 7, {{6, Epoch + 13s, encodeBatch({&it, 1})}}}, Epoch, note);
+    CHECK(last == VerdictKind::Won);
+    CHECK(reader.rebuildCount() == 1);
+}
+
+TEST_CASE("any two readers decide alike, whatever they lost")
+{
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 rng(seed);
+        const auto stream = randomStream(rng, 150);
+        const auto all = readAll(stream, 0, stream.size(), rng);
+        CHECK(all == readAll(stream, 0, stream.size(), rng));
+        // Prefix-closed: what comes later changes no decision.
+        const auto until = rng() % stream.size();
+        const auto prefix = readAll(stream, 0, until, rng);
+        REQUIRE(prefix.size() <= all.size());
+        CHECK(std::equal(prefix.begin(), prefix.end(), all.begin()));
+        // A reader that starts late decides alike on every key that it does not call uncertain.
+        const auto from = rng() % stream.size();
+        for (const auto &it : readAll(stream, from, stream.size(), rng, true))
+            CHECK(std::find(all.begin(), all.end(), it) != all.end());
+    }
+}
+
+TEST_CASE("batches keep every field and damaged bytes are refused, not misread")
+{
+    std::mt19937_64 rng(3);
+    const std::vector records {record(RecordKind::Claim, 1), record(RecordKind::Void, 2, 5)};
+    const auto bytes = encodeBatch(records);
+    CHECK(decodeBatch(bytes) == records);
+    // Only padding may be missing at the end.
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        const auto cut = decodeBatch(std::string_view(bytes).substr(0, n));
+        CHECK((!cut || (cut == records && n + 4 > bytes.size())));
+    }
+    for (int n = 0; n < 2000; ++n) {
+        auto damaged = bytes;
+        damaged[rng() % damaged.size()] = static_cast<char>(rng());
+        CHECK_NOTHROW(decodeBatch(damaged));
+    }
+}
