LibCore: Add the error kind of an unreachable sibling

Requests on the peer link need a kind of their own for a sibling that cannot be reached or gives no answer in time; the platform's kind would blame the wrong party. The fate is unknown, because the sibling may have acted.

--- a/Libraries/LibCore/ErrorKind.cpp
+++ b/Libraries/LibCore/ErrorKind.cpp
@@ -47,6 +47,7 @@
     ErrorKindRow {ErrorKind::ConfigurationNotAccepted, "configuration_not_accepted", 409, Fate::NotRun, NoRetry, "The trial environment has not accepted this document."},
     ErrorKindRow {ErrorKind::PlatformUnavailable, "platform_unavailable", 503, Fate::Unknown, 2s, "The platform does not answer."},
     ErrorKindRow {ErrorKind::PeerRejected, "peer_rejected", 403, Fate::NotRun, NoRetry, "The peer failed the handshake or speaks an incompatible protocol."},
+    ErrorKindRow {ErrorKind::PeerUnavailable, "peer_unavailable", 503, Fate::Unknown, 1s, "A sibling instance cannot be reached or did not answer in time."},
     ErrorKindRow {ErrorKind::FrameInvalid, "frame_invalid", 400, Fate::NotRun, NoRetry, "A peer's frame is too large or does not verify."},
     ErrorKindRow {ErrorKind::SettingsInvalid, "settings_invalid", 500, Fate::NotRun, NoRetry, "The process's settings have faults."},
     ErrorKindRow {ErrorKind::Internal, "internal", 500, Fate::Unknown, NoRetry, "A fault of this program."},
--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -46,6 +46,7 @@
     ConfigurationNotAccepted,
     PlatformUnavailable,
     PeerRejected,
+    PeerUnavailable,
     FrameInvalid,
     SettingsInvalid,
     Internal,
