LibPeer: Add the authenticated link between entry instances

Frames are length-prefixed FlatBuffers that are verified before they are read; a handshake proves the shared key with roles, identity, incarnation, environment and versions bound in, and later frames carry a tag under a key of their own for each direction.

Weighed: UDP for probes (a second authentication scheme for 40 bytes a probe) and heartbeats on each link (339 links a second pass the control budget); both left out, see docs/design/peer-link.md.

--- /dev/null
+++ b/Libraries/LibPeer/PeerServer.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibPeer/PeerLink.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <list>
+#include <memory>
+#include <mutex>
+
+namespace Peer {
+
+/// Accepts the links of siblings. A connection that fails the handshake is closed, counted and
+/// logged. Links go on until they end or stop() is called.
+class PeerServer : public std::enable_shared_from_this<PeerServer>
+{
+public:
+    /// Opens the port. Gives Error(SettingsInvalid) when it cannot be had. Settings and counters
+    /// must outlive the server and its links.
+    static Core::Result<std::shared_ptr<PeerServer>>
+    create(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint,
+           PeerHandlers handlers, const PeerSettings &settings, PeerCounters &counters);
+
+    /// Begins to accept.
+    void start();
+
+    /// Closes the port and every link. Safe from any thread.
+    void stop();
+
+    /// The address in use, with the port that the system chose if none was named.
+    boost::asio::ip::tcp::endpoint endpoint() const { return m_endpoint; }
+
+private:
+    PeerServer(boost::asio::io_context &context, boost::asio::ip::tcp::acceptor acceptor,
+               PeerHandlers handlers, const PeerSettings &settings, PeerCounters &counters);
+
+    boost::asio::awaitable<void> acceptLoop();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    bool admit();
+    void keep(const std::shared_ptr<PeerLink> &link);
+
+    boost::asio::io_context &m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_endpoint;
+    const PeerHandlers m_handlers;
+    const PeerSettings &m_settings;
+    PeerCounters &m_counters;
+    std::mutex m_mutex;
+    bool m_stopped = false;
+    std::size_t m_handshakes = 0;
+    std::list<std::weak_ptr<PeerLink>> m_links;
+};
+
+} // namespace Peer
