--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -47,6 +47,7 @@
     ConfigurationNotAccepted,
     PlatformUnavailable,
     PeerRejected,
+    PeerUnavailable,
     FrameInvalid,
     SettingsInvalid,
     Internal,
