--- a/Libraries/LibCore/Snapshot.h
+++ b/Libraries/LibCore/Snapshot.h
@@ -12,6 +12,20 @@
 
 namespace Core {
 
+#if !defined(JUJUBE_THREAD_SANITIZER)
+/// Registers a thread as a reader of snapshots for as long as the thread lives. A thread may
+/// register only once, whatever the types of the snapshots it reads.
+class SnapshotReaderThread
+{
+public:
+    static void ensureRegistered() { thread_local const SnapshotReaderThread thread; }
+
+private:
+    SnapshotReaderThread() { urcu_memb_register_thread(); }
+    ~SnapshotReaderThread() { urcu_memb_unregister_thread(); }
+};
+#endif
+
 /// A value that many threads read without waiting and that is replaced as a whole
 /// (read-copy-update). A reader must not suspend a coroutine inside read(); to keep the value
 /// longer it copies the shared pointer that share() returns.
@@ -72,17 +86,12 @@
     };
     mutable std::shared_mutex m_readers;
 #else
-    struct Registration
-    {
-        Registration() { urcu_memb_register_thread(); }
-        ~Registration() { urcu_memb_unregister_thread(); }
-    };
     struct ReadSection
     {
         explicit ReadSection(const Snapshot &owner)
             : owner(owner)
         {
-            thread_local Registration registration;
+            SnapshotReaderThread::ensureRegistered();
             urcu_memb_read_lock();
         }
         ~ReadSection() { urcu_memb_read_unlock(); }
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -44,7 +44,7 @@
     Endpoint localEndpoint() const;
     /// Closes the port and tells connections to end after their present exchange.
     void stopAccepting();
-    /// Exchanges whose handler runs now.
+    /// Exchanges under way, from the first byte of the request to the last of the answer.
     std::size_t activeExchanges() const;
 
     /// What the connections share with the server, and may outlive it with.
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -237,6 +237,8 @@
 {
     if (!co_await awaitFirstByte(stream, buf, shared.limits))
         co_return false;
+    // A request counts from its first byte on, so that a graceful shutdown waits for it.
+    const ActiveGuard guard(shared);
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(shared.limits.headerBytes));
     parser.body_limit(shared.limits.bodyBytes);
@@ -261,7 +263,6 @@
             co_await refuse(stream, shared.limits, readError(ec));
         co_return false;
     }
-    const ActiveGuard guard(shared);
     auto exchange = std::make_shared<SessionExchange>(stream, shared.limits, parser.release());
     exchange->watchForClose();
     stream.expires_never();
--- /dev/null
+++ b/Libraries/LibRouter/AdminPort.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibHttp/ServerExchange.h>
+#include <LibRouter/Instance.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/object.hpp>
+
+namespace Router {
+
+/// Answers the operators' port: health, readiness, metrics, status, drain and explain.
+class AdminPort
+{
+public:
+    explicit AdminPort(Instance &instance);
+
+    boost::asio::awaitable<void> handle(Http::ServerExchange &exchange);
+
+private:
+    boost::json::object status() const;
+    /// The placement's reasons for a request {"team","model","prompt"}.
+    boost::json::object explain(const std::string &body) const;
+
+    Instance &m_instance;
+};
+
+} // namespace Router
--- a/Libraries/LibRouter/AnswerSink.cpp
+++ b/Libraries/LibRouter/AnswerSink.cpp
@@ -22,8 +22,7 @@
         : m_exchange(exchange)
         , m_model(std::move(model))
         , m_publicId(std::move(publicId))
-    {
-    }
+    { }
 
     asio::awaitable<void> take(const CompletionChunk &chunk,
                                std::uint64_t completionTokens) override
@@ -75,8 +74,7 @@
         , m_model(call.model())
         , m_isChat(call.kind() == CompletionCall::Kind::Chat)
         , m_publicId(std::move(publicId))
-    {
-    }
+    { }
 
     asio::awaitable<void> take(const CompletionChunk &chunk,
                                std::uint64_t completionTokens) override
--- a/Libraries/LibRouter/AnswerSink.h
+++ b/Libraries/LibRouter/AnswerSink.h
@@ -23,8 +23,7 @@
 
     /// Takes the next chunk of the answer, in order.
     virtual boost::asio::awaitable<void> take(const CompletionChunk &chunk,
-                                              std::uint64_t completionTokens)
-        = 0;
+                                              std::uint64_t completionTokens) = 0;
     /// Ends a complete answer.
     virtual boost::asio::awaitable<void> finish() = 0;
     /// Ends the answer with an explicit error.
--- /dev/null
+++ b/Libraries/LibRouter/CompletionAttempt.cpp
@@ -0,0 +1,116 @@
+#include <LibHttp/EventStreamParser.h>
+#include <LibRouter/CompletionAttempt.h>
+
+namespace Router {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusServiceUnavailable = 503;
+
+/// What an engine's refusal means for the call.
+[[noreturn]] void throwRefusal(const Http::ClientExchange &answer)
+{
+    const auto status = answer.status();
+    if (answer.headers().find("X-Draining"))
+        throw UpstreamDraining {};
+    const auto detail = "the upstream answered " + std::to_string(status);
+    if (status == StatusTooManyRequests || status == StatusServiceUnavailable)
+        throw Core::Error(Core::ErrorKind::Overloaded, detail);
+    if (status >= 400 && status < 500)
+        throw Core::Error(Core::ErrorKind::MalformedRequest, detail);
+    throw Core::Error(Core::ErrorKind::UpstreamFailed, detail);
+}
+
+} // namespace
+
+CompletionAttempt::CompletionAttempt(Instance &instance, const CallContext &context,
+                                     const CompletionCall &call, const Configuration::Model &model,
+                                     std::uint64_t maxTokens)
+    : m_instance(instance)
+    , m_context(context)
+    , m_call(call)
+    , m_model(model)
+    , m_maxTokens(maxTokens)
+{ }
+
+asio::awaitable<void> CompletionAttempt::run(UpstreamPtr upstream, std::string attemptId,
+                                             AnswerSink &sink, AnswerProgress &progress)
+{
+    auto request = engineRequest(attemptId, progress);
+    const auto answer =
+        co_await m_instance.client().open(upstream->endpoint(), std::move(request), timeouts());
+    if (answer->status() != StatusOk)
+        throwRefusal(*answer);
+    co_await relay(*answer, attemptId, sink, progress);
+}
+
+asio::awaitable<void> CompletionAttempt::relay(Http::ClientExchange &answer,
+                                               const std::string &attemptId, AnswerSink &sink,
+                                               AnswerProgress &progress)
+{
+    Http::EventStreamParser events;
+    while (auto piece = co_await answer.readSome()) {
+        events.feed(*piece);
+        while (auto event = events.next()) {
+            if (event->data == "[DONE]")
+                continue;
+            if (!event->kind.empty())
+                throw Core::Error(Core::ErrorKind::UpstreamFailed, "the upstream sent an error");
+            const auto chunk = CompletionChunk::parse(event->data, attemptId).value();
+            co_await take(chunk, sink, progress);
+        }
+    }
+    if (!progress.isComplete)
+        throw Core::Error(Core::ErrorKind::UpstreamFailed, "the stream ended before the answer");
+}
+
+asio::awaitable<void> CompletionAttempt::take(const CompletionChunk &chunk, AnswerSink &sink,
+                                              AnswerProgress &progress) const
+{
+    const bool hasToken = !chunk.text().empty();
+    const auto index = chunk.tokenIndex().value_or(progress.tokens);
+    if (progress.isComplete && hasToken)
+        throw Core::Error(Core::ErrorKind::UpstreamGarbage, "a token after the answer's end");
+    // An engine that resumes from an earlier token than asked repeats what the caller has.
+    if (hasToken && index < progress.tokens)
+        co_return;
+    if (index > progress.tokens)
+        throw Core::Error(Core::ErrorKind::UpstreamGarbage, "a gap in the stream");
+    if (hasToken) {
+        ++progress.tokens;
+        if (!progress.firstTokenAt)
+            progress.firstTokenAt = m_instance.clock().now();
+    }
+    if (chunk.promptTokens())
+        progress.promptTokens = chunk.promptTokens();
+    if (chunk.cachedTokens())
+        progress.cachedTokens = chunk.cachedTokens();
+    co_await sink.take(chunk, progress.tokens);
+    progress.isComplete = progress.isComplete || chunk.isLast();
+}
+
+Http::Request CompletionAttempt::engineRequest(const std::string &attemptId,
+                                               const AnswerProgress &progress) const
+{
+    Http::Request request("POST", std::string(m_call.path()));
+    request.headers.add("Content-Type", "application/json");
+    request.headers.add("X-Request-Id", attemptId);
+    request.headers.add("X-Team", m_context.team->id.value());
+    request.body = m_call.engineBody(m_maxTokens, m_context.priorityClass->rank, progress.tokens);
+    return request;
+}
+
+Http::ClientTimeouts CompletionAttempt::timeouts() const
+{
+    Http::ClientTimeouts timeouts;
+    timeouts.connect = m_instance.settings().connectTimeout;
+    timeouts.head = m_model.firstTokenTimeout;
+    timeouts.body = std::max(m_model.nextTokenTimeout, m_model.firstTokenTimeout);
+    return timeouts;
+}
+
+} // namespace Router
--- /dev/null
+++ b/Libraries/LibRouter/CompletionAttempt.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibRouter/AnswerSink.h>
+#include <LibRouter/CallContext.h>
+#include <LibRouter/Instance.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace Router {
+
+/// How far the answer to one call has come, over all its attempts.
+struct AnswerProgress
+{
+    /// Tokens passed on; the next one wanted has this number.
+    std::uint64_t tokens = 0;
+    std::optional<std::uint64_t> promptTokens;
+    std::optional<std::uint64_t> cachedTokens;
+    bool isComplete = false;
+    std::optional<Core::Clock::Monotonic> firstTokenAt;
+};
+
+/// Thrown for an upstream that refuses work because it leaves. Nothing ran.
+struct UpstreamDraining
+{ };
+
+/// Sends a call to one engine and passes its tokens on, from where the answer stands.
+class CompletionAttempt
+{
+public:
+    CompletionAttempt(Instance &instance, const CallContext &context, const CompletionCall &call,
+                      const Configuration::Model &model, std::uint64_t maxTokens);
+
+    /// Returns with progress.isComplete set, or throws Core::Error for the upstream's failures,
+    /// UpstreamDraining, or boost::system::system_error when the caller is gone.
+    boost::asio::awaitable<void> run(UpstreamPtr upstream, std::string attemptId, AnswerSink &sink,
+                                     AnswerProgress &progress);
+
+private:
+    boost::asio::awaitable<void> relay(Http::ClientExchange &answer, const std::string &attemptId,
+                                       AnswerSink &sink, AnswerProgress &progress);
+    boost::asio::awaitable<void> take(const CompletionChunk &chunk, AnswerSink &sink,
+                                      AnswerProgress &progress) const;
+    Http::Request engineRequest(const std::string &attemptId, const AnswerProgress &progress) const;
+    Http::ClientTimeouts timeouts() const;
+
+    Instance &m_instance;
+    const CallContext &m_context;
+    const CompletionCall &m_call;
+    const Configuration::Model &m_model;
+    std::uint64_t m_maxTokens;
+};
+
+} // namespace Router
--- /dev/null
+++ b/Libraries/LibRouter/CompletionRelay.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibRouter/CompletionAttempt.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Router {
+
+/// Answers one completion call: chooses engines one after the other until the answer is whole, and
+/// resumes a broken stream at the next one.
+class CompletionRelay
+{
+public:
+    /// The exchange and the instance must outlive the relay.
+    CompletionRelay(Instance &instance, Http::ServerExchange &exchange, CallContext context,
+                    CompletionCall call, const Configuration::Model &model);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    /// What one attempt came to.
+    enum class Verdict {
+        Complete,
+        TryNext,
+        GiveUp,
+    };
+
+    boost::asio::awaitable<Verdict> attempt(UpstreamPtr upstream, Placement::Decision decision);
+    std::optional<Placement::Decision> choose(const UpstreamGroupView &group);
+    Verdict noteFailure(Upstream &upstream, const Core::Error &error);
+    void noteSuccess(Upstream &upstream, const Placement::Decision &decision);
+    void record(std::string_view outcome);
+    Core::Error finalError() const;
+
+    Instance &m_instance;
+    Http::ServerExchange &m_exchange;
+    CallContext m_context;
+    CompletionCall m_call;
+    const Configuration::Model &m_model;
+    Placement::PromptPieces m_pieces;
+    std::unique_ptr<AnswerSink> m_sink;
+    AnswerProgress m_progress;
+    std::vector<Placement::UpstreamSlot> m_tried;
+    std::optional<Core::Error> m_lastError;
+};
+
+} // namespace Router
--- /dev/null
+++ b/Libraries/LibRouter/DirectoryWatcher.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibPlatform/InstanceList.h>
+#include <LibRouter/Instance.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+
+namespace Router {
+
+/// Reads the platform's instance list again and again. While the platform does not answer, what
+/// was known stays.
+class DirectoryWatcher
+{
+public:
+    using ListHook = std::function<void(const Platform::InstanceList &)>;
+
+    /// The instance and the platform's directory must outlive the watcher.
+    DirectoryWatcher(Instance &instance, Platform::InstanceDirectory &platform, ListHook listRead);
+
+    /// Runs until its context stops.
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<void> readOnce();
+
+    Instance &m_instance;
+    Platform::InstanceDirectory &m_platform;
+    ListHook m_listRead;
+    bool m_isAnswering = true;
+};
+
+} // namespace Router
--- /dev/null
+++ b/Libraries/LibRouter/Instance.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibConfiguration/Document.h>
+#include <LibCore/Clock.h>
+#include <LibCore/Snapshot.h>
+#include <LibHttp/Client.h>
+#include <LibPlacement/Placement.h>
+#include <LibRouter/RouterMetrics.h>
+#include <LibRouter/RouterSettings.h>
+#include <LibRouter/UpstreamDirectory.h>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Router {
+
+/// A configuration document and the generation under which it was accepted.
+struct ConfigurationInForce
+{
+    std::uint64_t generation = 0;
+    std::shared_ptr<const Configuration::Document> document;
+};
+
+/// One entry instance: what all its requests share. Safe from any thread.
+class Instance
+{
+public:
+    Instance(const Core::Clock &clock, RouterSettings settings);
+
+    const Core::Clock &clock() const { return m_clock; }
+    const RouterSettings &settings() const { return m_settings; }
+    Http::Client &client() { return m_client; }
+    Placement::Placement &placement() { return m_placement; }
+    UpstreamDirectory &directory() { return m_directory; }
+    RouterMetrics &metrics() { return m_metrics; }
+
+    ConfigurationInForce configuration() const;
+    /// Puts a document in force unless it is older than the present one.
+    void setConfiguration(ConfigurationInForce next);
+
+    bool isDraining() const { return m_draining; }
+    /// Refuses new requests from now on. Running ones go on.
+    void drain();
+    bool isReady() const;
+
+    /// A name for one request that no other instance and no other life of this one gives.
+    std::string nextRequestId();
+
+private:
+    const Core::Clock &m_clock;
+    RouterSettings m_settings;
+    Http::Client m_client;
+    Placement::Placement m_placement;
+    UpstreamDirectory m_directory;
+    RouterMetrics m_metrics;
+    std::mutex m_configurationWriter;
+    Core::Snapshot<ConfigurationInForce> m_configuration;
+    std::atomic<bool> m_draining {false};
+    std::atomic<std::uint64_t> m_requests {0};
+};
+
+} // namespace Router
--- /dev/null
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibHttp/ServerExchange.h>
+#include <LibRouter/Instance.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace Router {
+
+/// Answers the callers' port: finds out who calls and what for, and hands the request on.
+class RequestRouter
+{
+public:
+    explicit RequestRouter(Instance &instance);
+
+    boost::asio::awaitable<void> handle(Http::ServerExchange &exchange);
+
+private:
+    boost::asio::awaitable<void> route(Http::ServerExchange &exchange);
+    boost::asio::awaitable<void> complete(Http::ServerExchange &exchange, bool chat);
+    boost::asio::awaitable<void> listModels(Http::ServerExchange &exchange);
+    boost::asio::awaitable<void> callService(Http::ServerExchange &exchange);
+
+    Instance &m_instance;
+};
+
+} // namespace Router
--- a/Libraries/LibRouter/Upstream.cpp
+++ b/Libraries/LibRouter/Upstream.cpp
@@ -16,8 +16,7 @@
     , m_dataCentre(std::move(dataCentre))
     , m_endpoint(std::move(endpoint))
     , m_incarnation(incarnation)
-{
-}
+{ }
 
 bool Upstream::noteIncarnation(std::uint64_t incarnation)
 {
--- a/Libraries/LibRouter/Upstream.h
+++ b/Libraries/LibRouter/Upstream.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Identifier.h>
 #include <LibHttp/Endpoint.h>
+#include <LibPlacement/Placement.h>
 
 #include <atomic>
 #include <chrono>
@@ -23,6 +24,10 @@
     const Core::DataCentreId &dataCentre() const { return m_dataCentre; }
     const Http::Endpoint &endpoint() const { return m_endpoint; }
 
+    /// The upstream's number in the placement's table.
+    Placement::UpstreamSlot slot() const { return m_slot; }
+    void setSlot(Placement::UpstreamSlot slot) { m_slot = slot; }
+
     std::uint64_t incarnation() const { return m_incarnation; }
     /// Takes over a newer incarnation; returns whether it was newer.
     bool noteIncarnation(std::uint64_t incarnation);
@@ -48,6 +53,7 @@
     Core::UpstreamGroupId m_group;
     Core::DataCentreId m_dataCentre;
     Http::Endpoint m_endpoint;
+    Placement::UpstreamSlot m_slot = 0;
     std::atomic<std::uint64_t> m_incarnation;
     std::atomic<bool> m_leaving {false};
     std::atomic<std::uint32_t> m_failuresInRow {0};
--- a/Libraries/LibRouter/UpstreamDirectory.h
+++ b/Libraries/LibRouter/UpstreamDirectory.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <LibCore/Snapshot.h>
+#include <LibPlacement/Placement.h>
 #include <LibPlatform/InstanceList.h>
 #include <LibRouter/Upstream.h>
 
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +15,17 @@
 
 using UpstreamPtr = std::shared_ptr<Upstream>;
 
+/// The upstreams of one group at one moment.
+struct UpstreamGroupView
+{
+    std::vector<UpstreamPtr> upstreams;
+    /// The same upstreams, for the placement.
+    std::shared_ptr<const Placement::CandidateSet> candidates;
+
+    /// The member with that number, or null.
+    UpstreamPtr bySlot(Placement::UpstreamSlot slot) const;
+};
+
 /// The upstreams this instance knows, by group. Readers never wait; the list's reader replaces the
 /// whole.
 class UpstreamDirectory
@@ -27,20 +38,23 @@
         std::function<void(const UpstreamPtr &)> leaving;
     };
 
-    explicit UpstreamDirectory(Hooks hooks);
+    /// The placement must outlive the directory.
+    UpstreamDirectory(Placement::Placement &placement, Hooks hooks);
 
     /// Takes over the platform's list. Objects of upstreams that stay are kept.
     void apply(const Platform::InstanceList &list);
 
     /// The upstreams of one group; empty for an unknown group.
-    std::vector<UpstreamPtr> group(const Core::UpstreamGroupId &id) const;
+    UpstreamGroupView group(const Core::UpstreamGroupId &id) const;
     std::vector<UpstreamPtr> all() const;
 
 private:
-    using Groups = std::unordered_map<Core::UpstreamGroupId, std::vector<UpstreamPtr>>;
+    using Groups = std::unordered_map<Core::UpstreamGroupId, UpstreamGroupView>;
 
     UpstreamPtr reconcile(const Platform::ListedInstance &listed);
+    void addCandidates(Groups &groups) const;
 
+    Placement::Placement &m_placement;
     Hooks m_hooks;
     std::mutex m_writer;
     std::unordered_map<Core::UpstreamId, UpstreamPtr> m_known;
--- /dev/null
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -0,0 +1,143 @@
+#include <LibCore/EventLog.h>
+#include <LibPlatform/HttpInstanceDirectory.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <jujubesaddled/Daemon.h>
+#include <jujubesaddled/StaticDirectory.h>
+
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+namespace Daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds PlatformTimeout {2000};
+constexpr std::chrono::milliseconds DrainPoll {20};
+
+Router::RouterSettings routerSettings(const Settings &settings, const Core::Clock &clock)
+{
+    Router::RouterSettings result;
+    result.instance = settings.instance;
+    result.dataCentre = settings.dataCentre;
+    result.environment = settings.environment;
+    const auto started = clock.wallNow().time_since_epoch();
+    result.incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(started).count());
+    return result;
+}
+
+} // namespace
+
+Core::Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
+{
+    try {
+        std::unique_ptr<Daemon> daemon(new Daemon(settings));
+        daemon->createPlatform();
+        daemon->openPorts();
+        daemon->startControl();
+        return daemon;
+    } catch (const Core::Error &error) {
+        return error;
+    }
+}
+
+Daemon::Daemon(const Settings &settings)
+    : m_settings(settings)
+    , m_instance(m_clock, routerSettings(settings, m_clock))
+    , m_loadProber(m_instance)
+    , m_router(m_instance)
+    , m_adminPort(m_instance)
+    , m_requestThreads(settings.threads)
+{ }
+
+Daemon::~Daemon()
+{
+    m_controlThread.stop();
+    m_requestThreads.stop();
+}
+
+void Daemon::createPlatform()
+{
+    if (m_settings.platform) {
+        m_platformDirectory = std::make_unique<Platform::HttpInstanceDirectory>(
+            *m_settings.platform, PlatformTimeout);
+        return;
+    }
+    Core::logEvent(
+        Core::EventId::EmbeddedPlatformLimits,
+        {{"promises", "claims, usage and configuration live in memory: a restart forgets them, so "
+                      "a non-repeatable call sent again after a restart may run twice"}});
+    m_platformDirectory =
+        std::make_unique<StaticDirectory>(m_settings.upstreams, m_settings.dataCentre);
+    loadEmbeddedConfiguration();
+}
+
+void Daemon::loadEmbeddedConfiguration()
+{
+    std::ifstream file(m_settings.configurationFile);
+    if (!file)
+        throw Core::Error(Core::ErrorKind::SettingsInvalid,
+                          "--config cannot be read: '" + m_settings.configurationFile + "'");
+    const std::string text((std::istreambuf_iterator<char>(file)), {});
+    m_instance.setConfiguration({1, Configuration::Document::parse(text).value()});
+}
+
+void Daemon::openPorts()
+{
+    Http::ServerLimits limits;
+    m_server = Http::Server::create(
+                   m_requestThreads, m_settings.listen, limits,
+                   [this](Http::ServerExchange &exchange) { return m_router.handle(exchange); })
+                   .value();
+    m_adminServer = Http::Server::create(m_controlThread, m_settings.admin, limits,
+                                         [this](Http::ServerExchange &exchange) {
+                                             return m_adminPort.handle(exchange);
+                                         })
+                        .value();
+    Core::logEvent(
+        Core::EventId::ListeningOn,
+        {{"port", "callers"}, {"address", Http::formatEndpoint(m_server->localEndpoint())}});
+    Core::logEvent(
+        Core::EventId::ListeningOn,
+        {{"port", "admin"}, {"address", Http::formatEndpoint(m_adminServer->localEndpoint())}});
+}
+
+void Daemon::startControl()
+{
+    m_directoryWatcher = std::make_unique<Router::DirectoryWatcher>(
+        m_instance, *m_platformDirectory, Router::DirectoryWatcher::ListHook {});
+    auto &control = m_controlThread.at(0);
+    asio::co_spawn(control, m_directoryWatcher->run(), asio::detached);
+    asio::co_spawn(control, m_loadProber.run(), asio::detached);
+}
+
+void Daemon::runUntilSignal()
+{
+    asio::io_context signals;
+    asio::signal_set stop(signals, SIGTERM, SIGINT);
+    stop.async_wait([](const auto &, int) {});
+    signals.run();
+    drain();
+}
+
+void Daemon::drain()
+{
+    m_instance.drain();
+    const auto begun = m_clock.now();
+    const auto elapsed = [&] { return m_clock.now() - begun; };
+    while (elapsed() < m_settings.drainGrace)
+        std::this_thread::sleep_for(DrainPoll);
+    m_server->stopAccepting();
+    while (m_server->activeExchanges() > 0 && elapsed() < m_settings.drainLimit)
+        std::this_thread::sleep_for(DrainPoll);
+    Core::logEvent(Core::EventId::ProcessStopped,
+                   {{"cut_requests", std::to_string(m_server->activeExchanges())}});
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/Services/jujubesaddled/Settings.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <LibCore/EventLog.h>
+#include <LibCore/Identifier.h>
+#include <LibHttp/Endpoint.h>
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+/// An upstream named on the command line, for the embedded platform.
+struct StaticUpstream
+{
+    Core::UpstreamGroupId group;
+    Http::Endpoint endpoint;
+};
+
+/// The daemon's settings, checked.
+struct Settings
+{
+    Http::Endpoint listen;
+    Http::Endpoint admin;
+    std::optional<Http::Endpoint> peer;
+    Core::InstanceId instance;
+    Core::DataCentreId dataCentre;
+    std::string environment;
+    /// Empty for the embedded platform.
+    std::optional<Http::Endpoint> platform;
+    std::string configurationFile;
+    std::vector<StaticUpstream> upstreams;
+    /// The key that sibling instances share.
+    std::string peerKey;
+    std::size_t threads = 1;
+    std::chrono::milliseconds drainGrace {0};
+    std::chrono::milliseconds drainLimit {0};
+    Core::LogFormat logFormat = Core::LogFormat::Json;
+    Core::EventLevel logLevel = Core::EventLevel::Info;
+};
+
+/// One fault of the settings.
+struct SettingFault
+{
+    std::string flag;
+    std::string message;
+};
+
+/// What the command line asks for besides running.
+enum class Action {
+    Run,
+    /// Only check the settings.
+    Check,
+    PrintSettings,
+    /// The command line was answered already (help, version) or could not be read.
+    Exit,
+};
+
+/// The command line, read.
+struct CommandLine
+{
+    Action action = Action::Run;
+    int exitCode = 0;
+    Settings settings;
+    std::vector<SettingFault> faults;
+    /// One line a setting, for --print-settings. Never holds a key.
+    std::string printed;
+};
+
+/// Reads flags and environment variables, and names every fault at once.
+CommandLine readCommandLine(int argc, const char *const *argv);
+
+} // namespace Daemon
--- /dev/null
+++ b/Services/jujubesaddled/main.cpp
@@ -0,0 +1,48 @@
+#include <LibCore/EventLog.h>
+
+#include <jujubesaddled/Daemon.h>
+
+#include <iostream>
+
+namespace {
+
+constexpr int ExitBadSettings = 2;
+
+void reportFaults(const Daemon::CommandLine &line)
+{
+    for (const auto &fault : line.faults) {
+        std::cerr << fault.flag << ": " << fault.message << '\n';
+        Core::logEvent(Core::EventId::SettingsInvalid,
+                       {{"flag", fault.flag}, {"message", fault.message}});
+    }
+}
+
+int run(const Daemon::Settings &settings)
+{
+    Core::logEvent(Core::EventId::ProcessStarted, {{"version", JUJUBE_VERSION},
+                                                   {"instance", settings.instance.value()},
+                                                   {"environment", settings.environment}});
+    auto daemon = Daemon::Daemon::create(settings);
+    if (!daemon.has_value()) {
+        std::cerr << daemon.error().what() << '\n';
+        return ExitBadSettings;
+    }
+    daemon.value()->runUntilSignal();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto line = Daemon::readCommandLine(argc, argv);
+    if (line.action == Daemon::Action::Exit)
+        return line.exitCode;
+    Core::configureEventLog(line.settings.logFormat, line.settings.logLevel);
+    if (line.action == Daemon::Action::PrintSettings)
+        std::cout << line.printed;
+    reportFaults(line);
+    if (!line.faults.empty() || line.action != Daemon::Action::Run)
+        return line.exitCode;
+    return run(line.settings);
+}
--- a/Tests/LibCore/TestSnapshot.cpp
+++ b/Tests/LibCore/TestSnapshot.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -33,3 +34,11 @@
     CHECK(faults == 0);
     CHECK(snapshot.share()->first == Replacements);
 }
+
+TEST_CASE("one thread reads snapshots of several types")
+{
+    const Core::Snapshot<int> number(std::make_shared<int>(1));
+    const Core::Snapshot<std::string> text(std::make_shared<std::string>("a"));
+    CHECK(number.read([&](int n) { return text.read([n](const auto &s) { return s.size() + n; }); })
+          == 2);
+}
