LibCore: Silence a false finding on Identifier's comparison

modernize-use-nullptr reports the defaulted three-way comparison wherever an identifier is sorted or keys an ordered map: it takes a literal zero that the compiler makes itself for a null pointer. The line holds no zero to replace, so the finding is silenced there alone; the check stays on everywhere else. Weighed: writing out the comparison operators by hand, which only adds code. Before: Meta/lint.sh fails on every file that orders identifiers; after: it is clean over Libraries/LibAdmission and Tests/LibAdmission.

--- a/Libraries/LibCore/Identifier.h
+++ b/Libraries/LibCore/Identifier.h
@@ -22,6 +22,8 @@
     const std::string &value() const { return m_value; }
     bool isEmpty() const { return m_value.empty(); }
 
+    // The check takes the defaulted comparison's own literal zero for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Identifier &, const Identifier &) = default;
     friend std::ostream &operator<<(std::ostream &out, const Identifier &id)
     {
