LibAdmission: Decide which requests get a slot, in which order and when not

Purpose: priority classes with floors, fairness between teams, contracts and limits shared between siblings without a coordinator.

- SlotScheduler gives slots in three passes: classes below their floor, teams within their own capacity (urgent first; a team's use counts only classes as urgent or more, so that its urgent work displaces its own other work), then lent capacity.
Within a class start-time fair queueing by tokens and weight.
Weighed: deficit round robin, which needs a quantum as large as the largest request to stay O(1) and then serves teams in bursts of that size; the fair queue's lag is one request.
- LeasedShare divides a quantity by leases that answer a report, so that the parts in use add up to the whole at most.
Weighed: shares in proportion to the last heard demand, which overshoot when views are stale.
- Early refusal by the measured pace of the team's queue; a team may fill at most as much of a queue as it leaves free; preemption picks the youngest request that is beyond its team's own.

--- /dev/null
+++ b/Libraries/LibAdmission/GroupAdmission.cpp
@@ -0,0 +1,274 @@
+#include <LibAdmission/GroupAdmission.h>
+
+#include <algorithm>
+
+namespace Admission {
+
+namespace {
+
+/// Demands of one group that a report carries, the largest first.
+constexpr std::size_t MostReportedDemands = 64;
+/// Part of a demand that is kept from one tick to the next after it has gone.
+constexpr double DemandDecay = 0.7;
+constexpr double LeastDemand = 0.5;
+/// A sibling's demand is forgotten when nothing was heard of it for this long.
+constexpr std::chrono::milliseconds SiblingSilence = LeaseDuration;
+
+} // namespace
+
+GroupAdmission::GroupAdmission(std::uint32_t groupIndex, const GroupPolicy &policy)
+    : m_groupIndex(groupIndex)
+    , m_policy(policy)
+    , m_scheduler(std::make_unique<SlotScheduler>(policy))
+{
+    m_share.setSafeShare(policy.slots, 0, 1);
+}
+
+GroupActions GroupAdmission::configure(const GroupPolicy &policy, Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupActions actions;
+    m_policy = policy;
+    replaceScheduler(actions);
+    dispatch(actions, now);
+    return actions;
+}
+
+GroupActions GroupAdmission::setSlots(std::uint32_t slots, Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupActions actions;
+    if (slots == m_policy.slots)
+        return actions;
+    m_policy.slots = slots;
+    replaceScheduler(actions);
+    dispatch(actions, now);
+    return actions;
+}
+
+GroupActions GroupAdmission::setPosition(std::uint32_t index, std::uint32_t count,
+                                         Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupActions actions;
+    m_siblingIndex = index;
+    m_siblingCount = std::max<std::uint32_t>(count, 1);
+    m_share.setSafeShare(m_policy.slots, m_siblingIndex, m_siblingCount);
+    updatePlan(now);
+    dispatch(actions, now);
+    return actions;
+}
+
+GroupActions GroupAdmission::submit(std::uint64_t number, Ticket ticket, DecisionHook hook,
+                                    Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupActions actions;
+    if (auto refusal = refusalAtDoor(ticket, now)) {
+        refuse(actions, {number, std::move(ticket), std::move(hook), now}, std::move(*refusal));
+        return actions;
+    }
+    m_scheduler->enqueue({number, std::move(ticket), std::move(hook), now});
+    dispatch(actions, now);
+    return actions;
+}
+
+GroupActions GroupAdmission::release(std::uint64_t number, std::uint64_t usedTokens,
+                                     Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupActions actions;
+    auto team = m_scheduler->finish(number, usedTokens, now);
+    if (!team)
+        return actions;
+    actions.left.push_back(std::move(*team));
+    dispatch(actions, now);
+    return actions;
+}
+
+std::optional<Core::TeamId> GroupAdmission::withdraw(std::uint64_t number)
+{
+    std::scoped_lock lock(m_mutex);
+    auto request = m_scheduler->withdraw(number);
+    if (!request)
+        return std::nullopt;
+    return std::move(request->ticket.team);
+}
+
+GroupActions GroupAdmission::tick(Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupActions actions;
+    updateOwnDemand();
+    updatePlan(now);
+    dispatch(actions, now);
+    return actions;
+}
+
+GroupReport GroupAdmission::report(const Core::InstanceId &sibling, std::uint64_t answers,
+                                   Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupReport report {.group = m_policy.id, .demands = m_ownDemand};
+    const auto planned = m_plan.find(sibling);
+    const auto amount = planned == m_plan.end() ? 0 : planned->second;
+    report.slots.lease = m_share.lend(sibling, amount, answers, now);
+    report.slots.acknowledged = m_share.acknowledge(sibling, m_scheduler->running(), now);
+    return report;
+}
+
+GroupActions GroupAdmission::applyReport(const Core::InstanceId &sibling, const GroupReport &report,
+                                         Core::Clock::Monotonic answeredReportSent,
+                                         Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    GroupActions actions;
+    m_siblings[sibling] = {report.demands, now};
+    if (report.slots.lease)
+        m_share.accept(sibling, *report.slots.lease, answeredReportSent);
+    m_share.noteAcknowledged(sibling, report.slots.acknowledged);
+    dispatch(actions, now);
+    return actions;
+}
+
+void GroupAdmission::forgetSibling(const Core::InstanceId &sibling)
+{
+    std::scoped_lock lock(m_mutex);
+    m_siblings.erase(sibling);
+    m_share.forgetBorrowed(sibling);
+}
+
+GroupStatus GroupAdmission::status(Core::Clock::Monotonic now) const
+{
+    std::scoped_lock lock(m_mutex);
+    return {.share = m_share.available(now),
+            .safeShare = m_share.safeShare(),
+            .running = m_scheduler->running(),
+            .waiting = m_scheduler->waiting()};
+}
+
+std::optional<Core::Error> GroupAdmission::refusalAtDoor(const Ticket &ticket,
+                                                         Core::Clock::Monotonic now) const
+{
+    const auto team = m_scheduler->teamIndex(ticket.team);
+    const auto cls = m_scheduler->classIndex(ticket.priorityClass);
+    if (!team || !cls)
+        return Core::Error(Core::ErrorKind::Forbidden, "the team has no contract with the group");
+    const auto &policy = m_policy.teams[*team];
+    if (policy.ownedShare <= 0 && !policy.mayBorrow)
+        return Core::Error(Core::ErrorKind::Forbidden, "the team owns nothing and may not borrow");
+    if (!ticket.resumed && !m_scheduler->hasRoom(*cls, *team))
+        return Core::Error(Core::ErrorKind::Overloaded, "the queue is full");
+    const auto ready = now + m_scheduler->expectedWait(*cls, *team) + ticket.expectedFirstToken;
+    if (ticket.deadline && ready > *ticket.deadline)
+        return Core::Error(Core::ErrorKind::DeadlineUnreachable, "the queue is too long");
+    return std::nullopt;
+}
+
+void GroupAdmission::refuse(GroupActions &actions, WaitingRequest request, Core::Error error)
+{
+    actions.decisions.push_back({std::move(request.hook), std::move(error)});
+    actions.left.push_back(std::move(request.ticket.team));
+}
+
+void GroupAdmission::replaceScheduler(GroupActions &actions)
+{
+    auto next = std::make_unique<SlotScheduler>(m_policy);
+    for (auto &request : m_scheduler->moveTo(*next)) {
+        Core::Error refusal(Core::ErrorKind::Forbidden, "the configuration has changed");
+        refuse(actions, std::move(request), std::move(refusal));
+    }
+    m_scheduler = std::move(next);
+    m_share.setSafeShare(m_policy.slots, m_siblingIndex, m_siblingCount);
+}
+
+void GroupAdmission::dispatch(GroupActions &actions, Core::Clock::Monotonic now)
+{
+    while (auto late = m_scheduler->takeUnreachable(now)) {
+        Core::Error refusal(Core::ErrorKind::DeadlineUnreachable, "the target can not be met");
+        refuse(actions, std::move(*late), std::move(refusal));
+    }
+    const auto share = m_share.available(now);
+    while (auto scheduled = m_scheduler->next(share, now)) {
+        auto &request = scheduled->request;
+        const auto waited =
+            std::chrono::duration_cast<std::chrono::microseconds>(now - request.arrived);
+        Grant grant {{m_groupIndex, request.number}, waited, scheduled->borrowed};
+        actions.decisions.push_back({std::move(request.hook), grant});
+    }
+    while (const auto victim = m_scheduler->preemptionVictim(share))
+        actions.preemptions.push_back({m_groupIndex, *victim});
+}
+
+void GroupAdmission::updateOwnDemand()
+{
+    std::vector<TeamDemand> demands;
+    for (std::size_t cls = 0; cls < m_policy.classes.size(); ++cls) {
+        for (std::size_t team = 0; team < m_policy.teams.size(); ++team) {
+            const auto slots = static_cast<double>(m_scheduler->demand(cls, team));
+            if (slots > 0)
+                demands.push_back({m_policy.teams[team].id, m_policy.classes[cls].id, slots});
+        }
+    }
+    for (const auto &old : m_ownDemand) {
+        const double kept = old.slots * DemandDecay;
+        const auto it = std::find_if(demands.begin(), demands.end(), [&](const auto &demand) {
+            return demand.team == old.team && demand.priorityClass == old.priorityClass;
+        });
+        if (it != demands.end())
+            it->slots = std::max(it->slots, kept);
+        else if (kept >= LeastDemand)
+            demands.push_back({old.team, old.priorityClass, kept});
+    }
+    std::sort(demands.begin(), demands.end(),
+              [](const auto &a, const auto &b) { return a.slots > b.slots; });
+    if (demands.size() > MostReportedDemands)
+        demands.resize(MostReportedDemands);
+    m_ownDemand = std::move(demands);
+}
+
+void GroupAdmission::updatePlan(Core::Clock::Monotonic now)
+{
+    std::erase_if(m_siblings,
+                  [now](const auto &it) { return now - it.second.heard > SiblingSilence; });
+    std::vector<std::vector<TeamDemand>> demandByInstance {m_ownDemand};
+    for (const auto &[sibling, demand] : m_siblings)
+        demandByInstance.push_back(demand.demands);
+    updateLocality(demandByInstance);
+    // Siblings that are not heard keep their safe shares, so only the others' are divided anew.
+    auto policy = m_policy;
+    const auto heard = std::min<std::size_t>(demandByInstance.size(), m_siblingCount);
+    policy.slots = static_cast<std::uint32_t>(policy.slots * heard / m_siblingCount);
+    const auto targets = fairTargets(policy, demandByInstance);
+    const auto amounts = planLending(m_share.safeShare(), targets, 0);
+    m_plan.clear();
+    std::size_t n = 0;
+    for (const auto &[sibling, demand] : m_siblings)
+        m_plan[sibling] = amounts[++n];
+}
+
+void GroupAdmission::updateLocality(const std::vector<std::vector<TeamDemand>> &demandByInstance)
+{
+    std::vector<double> own(m_policy.teams.size(), 0);
+    std::vector<double> all(m_policy.teams.size(), 0);
+    for (std::size_t n = 0; n < demandByInstance.size(); ++n) {
+        for (const auto &demand : demandByInstance[n]) {
+            const auto team = m_scheduler->teamIndex(demand.team);
+            if (!team)
+                continue;
+            all[*team] += demand.slots;
+            if (n == 0)
+                own[*team] += demand.slots;
+        }
+    }
+    const auto count = static_cast<double>(m_siblingCount);
+    const auto heard = static_cast<double>(demandByInstance.size());
+    std::vector<double> locality(m_policy.teams.size(), 1.0 / count);
+    for (std::size_t team = 0; team < locality.size(); ++team) {
+        if (all[team] > 0 && own[team] > 0)
+            locality[team] = std::min(1.0, heard / count) * own[team] / all[team];
+    }
+    m_scheduler->setLocality(std::move(locality));
+}
+
+} // namespace Admission
--- /dev/null
+++ b/Libraries/LibAdmission/SlotScheduler.cpp
@@ -0,0 +1,392 @@
+#include <LibAdmission/SlotScheduler.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Admission {
+
+namespace {
+
+constexpr double PaceGain = 0.2;
+constexpr double LeastWeight = 1e-6;
+constexpr std::chrono::duration<double> LongestDebt {2.0};
+/// Running requests looked at for one preemption.
+constexpr int VictimScanLimit = 32;
+
+} // namespace
+
+SlotScheduler::SlotScheduler(const GroupPolicy &policy)
+    : m_policy(policy)
+    , m_locality(policy.teams.size(), 1.0)
+    , m_queues(policy.teams.size() * policy.classes.size())
+    , m_classes(policy.classes.size())
+{
+    for (std::size_t n = 0; n < m_policy.teams.size(); ++n)
+        m_teams.emplace(m_policy.teams[n].id, n);
+}
+
+std::optional<std::size_t> SlotScheduler::teamIndex(const Core::TeamId &team) const
+{
+    const auto it = m_teams.find(team);
+    return it == m_teams.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::optional<std::size_t>
+SlotScheduler::classIndex(const Core::PriorityClassId &priorityClass) const
+{
+    for (std::size_t n = 0; n < m_policy.classes.size(); ++n) {
+        if (m_policy.classes[n].id == priorityClass)
+            return n;
+    }
+    return std::nullopt;
+}
+
+bool SlotScheduler::hasRoom(std::size_t classIndex, std::size_t teamIndex) const
+{
+    const auto limit = m_policy.classes[classIndex].queueLimit;
+    const auto queued = m_classes[classIndex].queued;
+    return queued < limit && queue(classIndex, teamIndex).waiting.size() < limit - queued;
+}
+
+std::chrono::microseconds SlotScheduler::expectedWait(std::size_t classIndex,
+                                                      std::size_t teamIndex) const
+{
+    const auto &it = queue(classIndex, teamIndex);
+    const auto wait = it.pace * static_cast<double>(it.waiting.size());
+    return std::chrono::duration_cast<std::chrono::microseconds>(wait);
+}
+
+void SlotScheduler::enqueue(WaitingRequest request)
+{
+    const auto team = *teamIndex(request.ticket.team);
+    const auto cls = *classIndex(request.ticket.priorityClass);
+    auto &it = queue(cls, team);
+    auto &state = m_classes[cls];
+    if (it.waiting.empty()) {
+        state.active.push_back(team);
+        it.service = std::max(it.service, state.virtualTime);
+        it.lastGrant.reset();
+    }
+    ++state.queued;
+    m_waitingCells.emplace(request.number, cls * m_policy.teams.size() + team);
+    if (request.ticket.resumed)
+        it.waiting.push_front(std::move(request));
+    else
+        it.waiting.push_back(std::move(request));
+}
+
+std::optional<WaitingRequest> SlotScheduler::withdraw(std::uint64_t number)
+{
+    const auto cell = m_waitingCells.find(number);
+    if (cell == m_waitingCells.end())
+        return std::nullopt;
+    const auto cls = cell->second / m_policy.teams.size();
+    const auto team = cell->second % m_policy.teams.size();
+    auto &waiting = queue(cls, team).waiting;
+    const auto it = std::find_if(waiting.begin(), waiting.end(),
+                                 [number](const auto &entry) { return entry.number == number; });
+    auto request = std::move(*it);
+    waiting.erase(it);
+    noteWaitingRemoved(cls, team, number);
+    return request;
+}
+
+std::optional<ScheduledRequest> SlotScheduler::next(std::uint32_t share, Core::Clock::Monotonic now)
+{
+    updateFloorDebt(now);
+    m_share = share;
+    if (running() >= share)
+        return std::nullopt;
+    for (const auto pass : {Pass::Floor, Pass::Owned, Pass::Borrowed}) {
+        if (const auto choice = choose(pass, share))
+            return start(*choice, now);
+    }
+    return std::nullopt;
+}
+
+std::optional<WaitingRequest> SlotScheduler::takeUnreachable(Core::Clock::Monotonic now)
+{
+    for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
+        for (const auto team : m_classes[cls].active) {
+            const auto &ticket = queue(cls, team).waiting.front().ticket;
+            if (ticket.deadline && now + ticket.expectedFirstToken > *ticket.deadline)
+                return popFront(cls, team);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Core::TeamId> SlotScheduler::finish(std::uint64_t number, std::uint64_t usedTokens,
+                                                  Core::Clock::Monotonic now)
+{
+    const auto it = m_running.find(number);
+    if (it == m_running.end())
+        return std::nullopt;
+    updateFloorDebt(now);
+    const auto &entry = it->second;
+    auto &team = queue(entry.classIndex, entry.teamIndex);
+    const auto expected = static_cast<double>(entry.request.ticket.expectedTokens);
+    team.service += (static_cast<double>(usedTokens) - expected) / weight(entry.teamIndex);
+    --team.running;
+    --m_classes[entry.classIndex].running;
+    if (entry.yieldsTo) {
+        --team.yielding;
+        --m_classes[entry.classIndex].yielding;
+        --m_queues[*entry.yieldsTo].expected;
+    }
+    m_preemptible.erase(entry.startOrder);
+    auto teamId = it->second.request.ticket.team;
+    m_running.erase(it);
+    return teamId;
+}
+
+std::optional<std::uint64_t> SlotScheduler::preemptionVictim(std::uint32_t share)
+{
+    if (m_preemptible.empty() || running() < share)
+        return std::nullopt;
+    for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
+        for (const auto team : m_classes[cls].active) {
+            const auto waiting = preemptor(cls, team);
+            if (!waiting)
+                continue;
+            if (const auto victim = youngestVictim(*waiting, share))
+                return victim;
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t SlotScheduler::waiting() const
+{
+    return m_waitingCells.size();
+}
+
+std::size_t SlotScheduler::demand(std::size_t classIndex, std::size_t teamIndex) const
+{
+    const auto &it = queue(classIndex, teamIndex);
+    return it.waiting.size() + it.running;
+}
+
+std::vector<WaitingRequest> SlotScheduler::moveTo(SlotScheduler &next)
+{
+    std::vector<WaitingRequest> unknown;
+    for (auto &[number, entry] : m_running) {
+        const auto cls = next.classIndex(entry.request.ticket.priorityClass);
+        const auto team = next.teamIndex(entry.request.ticket.team);
+        // A running request whose team or class is gone goes on without being counted.
+        if (cls && team)
+            next.noteRunning(std::move(entry.request), *cls, *team);
+    }
+    for (auto &it : m_queues) {
+        for (auto &request : it.waiting) {
+            const bool known = next.classIndex(request.ticket.priorityClass)
+                               && next.teamIndex(request.ticket.team);
+            request.ticket.resumed = false;
+            if (known)
+                next.enqueue(std::move(request));
+            else
+                unknown.push_back(std::move(request));
+        }
+    }
+    return unknown;
+}
+
+SlotScheduler::Queue &SlotScheduler::queue(std::size_t classIndex, std::size_t teamIndex)
+{
+    return m_queues[classIndex * m_policy.teams.size() + teamIndex];
+}
+
+const SlotScheduler::Queue &SlotScheduler::queue(std::size_t classIndex,
+                                                 std::size_t teamIndex) const
+{
+    return m_queues[classIndex * m_policy.teams.size() + teamIndex];
+}
+
+double SlotScheduler::weight(std::size_t teamIndex) const
+{
+    return std::max(LeastWeight, m_policy.teams[teamIndex].weight * m_locality[teamIndex]);
+}
+
+double SlotScheduler::owned(std::size_t teamIndex) const
+{
+    return m_policy.teams[teamIndex].ownedShare * m_policy.slots * m_locality[teamIndex];
+}
+
+double SlotScheduler::use(std::size_t classIndex, std::size_t teamIndex) const
+{
+    double sum = 0;
+    for (std::size_t cls = 0; cls <= classIndex; ++cls)
+        sum += queue(cls, teamIndex).running;
+    return sum;
+}
+
+bool SlotScheduler::isEntitled(std::size_t classIndex, std::size_t teamIndex) const
+{
+    return use(classIndex, teamIndex) < owned(teamIndex);
+}
+
+bool SlotScheduler::isBelowFloor(std::size_t classIndex, std::uint32_t share) const
+{
+    const double floorSlots = m_policy.classes[classIndex].floorShare * share;
+    const auto &state = m_classes[classIndex];
+    if (state.running < std::floor(floorSlots))
+        return true;
+    return state.running < std::ceil(floorSlots) && state.floorDebt > 0;
+}
+
+bool SlotScheduler::mayTake(std::size_t classIndex, std::size_t teamIndex, Pass pass) const
+{
+    if (isEntitled(classIndex, teamIndex))
+        return true;
+    return pass != Pass::Owned && m_policy.teams[teamIndex].mayBorrow;
+}
+
+std::optional<std::size_t> SlotScheduler::nextTeam(std::size_t classIndex, Pass pass) const
+{
+    std::optional<std::size_t> best;
+    for (const auto team : m_classes[classIndex].active) {
+        if (!mayTake(classIndex, team, pass))
+            continue;
+        if (!best || queue(classIndex, team).service < queue(classIndex, *best).service)
+            best = team;
+    }
+    return best;
+}
+
+std::optional<SlotScheduler::Choice> SlotScheduler::choose(Pass pass, std::uint32_t share) const
+{
+    for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
+        if (m_classes[cls].queued == 0 || (pass == Pass::Floor && !isBelowFloor(cls, share)))
+            continue;
+        if (const auto team = nextTeam(cls, pass))
+            return Choice {cls, *team, !isEntitled(cls, *team)};
+    }
+    return std::nullopt;
+}
+
+ScheduledRequest SlotScheduler::start(const Choice &choice, Core::Clock::Monotonic now)
+{
+    auto &it = queue(choice.classIndex, choice.teamIndex);
+    notePace(it, now);
+    auto request = popFront(choice.classIndex, choice.teamIndex);
+    auto &state = m_classes[choice.classIndex];
+    state.virtualTime = std::max(state.virtualTime, it.service);
+    it.service += static_cast<double>(request.ticket.expectedTokens) / weight(choice.teamIndex);
+    noteRunning(request, choice.classIndex, choice.teamIndex);
+    return {std::move(request), choice.borrowed};
+}
+
+void SlotScheduler::noteRunning(WaitingRequest request, std::size_t classIndex,
+                                std::size_t teamIndex)
+{
+    const auto number = request.number;
+    const auto order = ++m_started;
+    if (request.ticket.preemptible && m_policy.classes[classIndex].preemptible)
+        m_preemptible.emplace(order, number);
+    ++queue(classIndex, teamIndex).running;
+    ++m_classes[classIndex].running;
+    request.hook = nullptr;
+    m_running.emplace(number,
+                      Running {std::move(request), classIndex, teamIndex, order, std::nullopt});
+}
+
+WaitingRequest SlotScheduler::popFront(std::size_t classIndex, std::size_t teamIndex)
+{
+    auto &waiting = queue(classIndex, teamIndex).waiting;
+    auto request = std::move(waiting.front());
+    waiting.pop_front();
+    noteWaitingRemoved(classIndex, teamIndex, request.number);
+    return request;
+}
+
+void SlotScheduler::noteWaitingRemoved(std::size_t classIndex, std::size_t teamIndex,
+                                       std::uint64_t number)
+{
+    auto &state = m_classes[classIndex];
+    --state.queued;
+    m_waitingCells.erase(number);
+    if (queue(classIndex, teamIndex).waiting.empty())
+        std::erase(state.active, teamIndex);
+}
+
+void SlotScheduler::notePace(Queue &queue, Core::Clock::Monotonic now)
+{
+    // The wait of a request that found its queue empty only shows that the pace is at most that.
+    const auto since = queue.lastGrant.value_or(queue.waiting.front().arrived);
+    const std::chrono::duration<double> gap = now - since;
+    if (queue.lastGrant && queue.pace.count() <= 0)
+        queue.pace = gap;
+    else if (queue.lastGrant || gap < queue.pace)
+        queue.pace += PaceGain * (gap - queue.pace);
+    queue.lastGrant = now;
+}
+
+void SlotScheduler::updateFloorDebt(Core::Clock::Monotonic now)
+{
+    const std::chrono::duration<double> elapsed =
+        m_lastUpdate ? now - *m_lastUpdate : std::chrono::nanoseconds(0);
+    m_lastUpdate = now;
+    for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
+        auto &state = m_classes[cls];
+        const double floorSlots = m_policy.classes[cls].floorShare * m_share;
+        const double most = floorSlots * LongestDebt.count();
+        const double behind = (floorSlots - state.running) * elapsed.count();
+        // A class without waiting work is not behind.
+        const double ceiling = state.queued > 0 ? most : 0.0;
+        state.floorDebt = std::clamp(state.floorDebt + behind, -most, ceiling);
+    }
+}
+
+std::optional<SlotScheduler::Choice> SlotScheduler::preemptor(std::size_t classIndex,
+                                                              std::size_t teamIndex) const
+{
+    const auto &it = queue(classIndex, teamIndex);
+    if (it.waiting.size() <= it.expected)
+        return std::nullopt;
+    const bool isEntitled = use(classIndex, teamIndex) + it.expected < owned(teamIndex);
+    if (!isEntitled && !m_policy.teams[teamIndex].mayBorrow)
+        return std::nullopt;
+    return Choice {classIndex, teamIndex, !isEntitled};
+}
+
+bool SlotScheduler::mayYield(const Running &victim, const Choice &waiting,
+                             std::uint32_t share) const
+{
+    if (victim.classIndex < waiting.classIndex)
+        return false;
+    const auto &state = m_classes[victim.classIndex];
+    const double floorSlots = m_policy.classes[victim.classIndex].floorShare * share;
+    if (state.running - state.yielding <= floorSlots)
+        return false;
+    const bool isLessUrgent = victim.classIndex > waiting.classIndex;
+    if (isLessUrgent && victim.teamIndex == waiting.teamIndex)
+        return true;
+    double kept = use(victim.classIndex, victim.teamIndex);
+    for (std::size_t cls = 0; cls <= victim.classIndex; ++cls)
+        kept -= queue(cls, victim.teamIndex).yielding;
+    const bool isOver = kept > std::ceil(owned(victim.teamIndex));
+    return isOver && (isLessUrgent || !waiting.borrowed);
+}
+
+std::optional<std::uint64_t> SlotScheduler::youngestVictim(const Choice &waiting,
+                                                           std::uint32_t share)
+{
+    int looked = 0;
+    for (auto it = m_preemptible.rbegin(); it != m_preemptible.rend(); ++it) {
+        if (++looked > VictimScanLimit)
+            break;
+        auto &entry = m_running.at(it->second);
+        if (!mayYield(entry, waiting, share))
+            continue;
+        const auto number = it->second;
+        entry.yieldsTo = waiting.classIndex * m_policy.teams.size() + waiting.teamIndex;
+        ++queue(waiting.classIndex, waiting.teamIndex).expected;
+        ++queue(entry.classIndex, entry.teamIndex).yielding;
+        ++m_classes[entry.classIndex].yielding;
+        m_preemptible.erase(std::next(it).base());
+        return number;
+    }
+    return std::nullopt;
+}
+
+} // namespace Admission
