LibClaims: Prove claims over seeded histories with faults

At most once and truthful refusals are promises over all instances and the whole future of a key, so they are checked over whole histories: three instances in two data centres before one log and one plain service, on a manual clock. The service counts its runs and each answer is checked at the end of its history.

"Running" was first checked against a request already sent; it means that an attempt won the key and is being carried out, so the check is against the win.

--- a/Libraries/LibClaims/ClaimAttempt.cpp
+++ b/Libraries/LibClaims/ClaimAttempt.cpp
@@ -19,6 +19,13 @@
     return {answer, true, std::nullopt, Fate::NotRun, Fate::Run};
 }
 
+Fate fateOf(HolderState state)
+{
+    if (state == HolderState::Finished)
+        return Fate::Run;
+    return state == HolderState::Running ? Fate::Running : Fate::Unknown;
+}
+
 } // namespace
 
 ClaimAttempt::ClaimAttempt(Call call, const ClaimSettings &settings, AttemptHooks hooks)
@@ -52,7 +59,7 @@
     }
     m_state = State::Asking;
     if (view->digest != m_call.digest || view->issuedAt != m_call.key.issuedAt)
-        return answer(refused(ErrorKind::KeyConflict, Fate::Unknown));
+        return askFate(ErrorKind::KeyConflict, view->holding);
     if (view->state == KeyState::Closed)
         return answer(refused(ErrorKind::KeyClosed, Fate::NotRun));
     m_knownRun = view->state == KeyState::Finished;
@@ -62,8 +69,9 @@
 ClaimAttempt::Steps ClaimAttempt::onVerdict(const Verdict &verdict, Core::Clock::Monotonic now)
 {
     if (m_state == State::Closing) {
-        const bool closed = verdict.kind == VerdictKind::KeyClosed;
-        return answer(refused(m_refusal, closed ? Fate::NotRun : Fate::Unknown));
+        if (verdict.kind == VerdictKind::KeyClosed)
+            return answer(refused(m_refusal, Fate::NotRun));
+        return askFate(m_refusal, verdict.holding);
     }
     if (m_state != State::Claiming)
         return {};
@@ -79,7 +87,7 @@
         m_knownRun = true;
         return ask(*verdict.holding);
     case VerdictKind::Conflict:
-        return answer(refused(ErrorKind::KeyConflict, Fate::Unknown));
+        return askFate(ErrorKind::KeyConflict, verdict.holding);
     case VerdictKind::KeyClosed:
         return answer(refused(ErrorKind::KeyClosed, Fate::NotRun));
     case VerdictKind::Expired:
@@ -100,6 +108,8 @@
 {
     if (m_state != State::Asking)
         return {};
+    if (m_fateOnly)
+        return onFateReply(reply.state, now);
     switch (reply.state) {
     case HolderState::Finished:
         if (reply.answer)
@@ -144,9 +154,9 @@
     case State::Closing:
         return answer(refused(m_refusal, Fate::Unknown));
     case State::Waiting:
-        return enter(now);
+        return m_fateOnly ? askFate(*m_fateOnly, currentHolding()) : enter(now);
     case State::Asking:
-        return answer(holderSilent());
+        return answer(m_fateOnly ? refused(*m_fateOnly, Fate::Unknown) : holderSilent());
     case State::Sending:
     case State::Done:
         return {};
@@ -177,6 +187,28 @@
     return {AskStep {holding}};
 }
 
+// The call is refused whatever the holder says; only the key's fate is asked for.
+ClaimAttempt::Steps ClaimAttempt::askFate(ErrorKind refusal, const std::optional<Holding> &holding)
+{
+    if (!holding)
+        return answer(refused(refusal, Fate::Unknown));
+    m_fateOnly = refusal;
+    return ask(*holding);
+}
+
+ClaimAttempt::Steps ClaimAttempt::onFateReply(HolderState state, Core::Clock::Monotonic now)
+{
+    const auto outcome = refused(*m_fateOnly, fateOf(state));
+    const bool mayTell = state == HolderState::Deciding || state == HolderState::Unreachable;
+    return mayTell ? waitOrAnswer(outcome, now) : answer(outcome);
+}
+
+std::optional<Holding> ClaimAttempt::currentHolding() const
+{
+    const auto view = m_hooks.lookUp();
+    return view ? view->holding : std::nullopt;
+}
+
 ClaimAttempt::Steps ClaimAttempt::giveUp(ErrorKind refusal)
 {
     Steps steps {AppendStep {RecordKind::Void, m_id}};
--- a/Libraries/LibClaims/ClaimAttempt.h
+++ b/Libraries/LibClaims/ClaimAttempt.h
@@ -87,6 +87,9 @@
 
     Steps enter(Core::Clock::Monotonic now);
     Steps ask(const Holding &holding);
+    Steps askFate(Core::ErrorKind refusal, const std::optional<Holding> &holding);
+    Steps onFateReply(HolderState state, Core::Clock::Monotonic now);
+    std::optional<Holding> currentHolding() const;
     Steps giveUp(Core::ErrorKind refusal);
     Steps closeKey(Core::ErrorKind refusal, Core::Clock::Monotonic now);
     Steps waitOrAnswer(const Outcome &outcome, Core::Clock::Monotonic now);
@@ -104,6 +107,8 @@
     /// When a waiting call asks again.
     Core::Clock::Monotonic m_wakeAt {};
     bool m_knownRun = false;
+    /// Set when the holder is asked for the key's fate alone.
+    std::optional<Core::ErrorKind> m_fateOnly;
     Core::ErrorKind m_refusal = Core::ErrorKind::UpstreamUnreachable;
 };
 
--- a/Libraries/LibClaims/ClaimEngine.cpp
+++ b/Libraries/LibClaims/ClaimEngine.cpp
@@ -27,17 +27,8 @@
 ClaimActions ClaimEngine::begin(CallId call, const Call &request)
 {
     ClaimActions actions;
-    const auto &index = m_partitions[partitionOf(request.key)].index();
-    const auto refusal = m_settings.window.check(request.key, m_clock.wallNow());
-    if (refusal) {
-        answer(call, {nullptr, false, refusal, Fate::NotRun, keyFate(request.key)}, actions);
-        return finish(std::move(actions));
-    }
-    if (!index.find(request.key) && !index.isCertain(request.key.issuedAt)) {
-        answer(call, {nullptr, false, ErrorKind::KeyOutcomeUnknown, Fate::NotRun, Fate::Unknown},
-               actions);
+    if (refuseAtDoor(call, request, actions))
         return finish(std::move(actions));
-    }
     carryOut(call, addAttempt(call, request).start(m_clock.now()), actions);
     return finish(std::move(actions));
 }
@@ -45,6 +36,8 @@
 ClaimActions ClaimEngine::beginClose(CallId call, const Call &request, ErrorKind refusal)
 {
     ClaimActions actions;
+    if (refuseAtDoor(call, request, actions))
+        return finish(std::move(actions));
     carryOut(call, addAttempt(call, request).startClose(refusal, m_clock.now()), actions);
     return finish(std::move(actions));
 }
@@ -61,9 +54,14 @@
     auto &reader = m_partitions[partition];
     const auto rebuilds = reader.rebuildCount();
     const auto garbage = reader.garbageCount();
+    // The whole page is read before anything is answered, so that answers say all that it tells.
+    std::vector<std::pair<ClaimRecord, Verdict>> own;
     reader.consume(page, m_clock.wallNow(), [&](const auto &record, const auto &verdict) {
-        onRecord(record, verdict, actions);
+        if (record.attempt.origin == m_origin)
+            own.emplace_back(record, verdict);
     });
+    for (const auto &[record, verdict] : own)
+        onOwnRecord(record, verdict, actions);
     m_counters.rebuilds += reader.rebuildCount() - rebuilds;
     m_counters.garbage += reader.garbageCount() - garbage;
     return finish(std::move(actions));
@@ -190,6 +188,18 @@
     return "claims-" + std::to_string(count) + "-" + std::to_string(partition);
 }
 
+bool ClaimEngine::refuseAtDoor(CallId call, const Call &request, ClaimActions &actions)
+{
+    auto refusal = m_settings.window.check(request.key, m_clock.wallNow());
+    const auto &index = m_partitions[partitionOf(request.key)].index();
+    // A claim on an uncertain key would only have to be voided.
+    if (!refusal && !index.find(request.key) && !index.isCertain(request.key.issuedAt))
+        refusal = ErrorKind::KeyOutcomeUnknown;
+    if (refusal)
+        answer(call, {nullptr, false, refusal, Fate::NotRun, keyFate(request.key)}, actions);
+    return refusal.has_value();
+}
+
 ClaimAttempt &ClaimEngine::addAttempt(CallId call, const Call &request)
 {
     AttemptHooks hooks;
@@ -269,10 +279,9 @@
     actions.emplace_back(AnswerAction {call, std::move(outcome)});
 }
 
-void ClaimEngine::onRecord(const ClaimRecord &record, const Verdict &verdict, ClaimActions &actions)
+void ClaimEngine::onOwnRecord(const ClaimRecord &record, const Verdict &verdict,
+                              ClaimActions &actions)
 {
-    if (record.attempt.origin != m_origin)
-        return;
     m_writer.noteRead(partitionOf(record.key), record.kind, record.attempt);
     const auto call = m_callOf.find(record.attempt);
     const bool decides = record.kind == RecordKind::Claim || record.kind == RecordKind::Close;
--- a/Libraries/LibClaims/ClaimEngine.h
+++ b/Libraries/LibClaims/ClaimEngine.h
@@ -92,12 +92,13 @@
 private:
     using Attempt = std::unique_ptr<ClaimAttempt>;
 
+    bool refuseAtDoor(CallId call, const Call &request, ClaimActions &actions);
     ClaimAttempt &addAttempt(CallId call, const Call &request);
     void carryOut(CallId call, const ClaimAttempt::Steps &steps, ClaimActions &actions);
     void append(CallId call, const AppendStep &step);
     void ask(CallId call, const AskStep &step, ClaimActions &actions);
     void answer(CallId call, Outcome outcome, ClaimActions &actions);
-    void onRecord(const ClaimRecord &record, const Verdict &verdict, ClaimActions &actions);
+    void onOwnRecord(const ClaimRecord &record, const Verdict &verdict, ClaimActions &actions);
     ClaimActions finish(ClaimActions actions);
     ClaimRecord makeRecord(RecordKind kind, const Call &call, const AttemptId &attempt) const;
     void schedule(CallId call);
--- /dev/null
+++ b/Tests/LibClaims/ClaimHistory.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <LibClaims/ClaimEngine.h>
+#include <LibCore/ManualClock.h>
+#include <LibPlatform/InMemoryLog.h>
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+
+/// Switches one mechanism off, to show that its failure is then found.
+enum class Mutation {
+    None,
+    /// Readers see no claims but their own.
+    BlindReaders,
+    /// Readers take a claim for void when it is older than a lease.
+    LeaseTakeover,
+    /// A send whose outcome is lost is tried again.
+    ResendAfterLoss,
+    /// A claimant that learns nothing from the log sends all the same.
+    SendWithoutVerdict,
+    /// A claim that lands after its caller was refused is carried out.
+    SendLateClaim,
+    /// Voids are not read.
+    IgnoreVoids,
+    /// Readers do not notice missing records.
+    HideGaps,
+    /// A refusal at the door says that the key has not run.
+    DoorPromises,
+    /// A refusal of an expired key says that the key has not run.
+    ExpiryPromises,
+    /// A key's request is not compared.
+    IgnoreDigest,
+};
+
+/// What may fail in a history. The seed chooses.
+enum class HistoryKind {
+    EarlyLoss,
+    Calm,
+    FaultsWithoutCrashes,
+    Faults,
+};
+
+HistoryKind historyKind(std::uint64_t seed);
+
+/// What one history came to.
+struct HistoryReport
+{
+    /// Every breach of a promise, in words; empty when all held.
+    std::vector<std::string> breaches;
+    std::size_t answers = 0;
+    std::size_t unknownKeys = 0;
+    std::size_t runs = 0;
+    std::size_t replays = 0;
+    std::size_t crashes = 0;
+    std::size_t rebuilds = 0;
+    std::size_t voids = 0;
+    std::map<std::string, std::size_t> unknownByKind;
+};
+
+/// One seeded history of three instances in two data centres before one log and one plain service,
+/// on a manual clock: calls, resends, refusals at the door, crashes at every step, freezes longer
+/// than every timeout, appends whose answers are lost or that take effect late, outages, cut data
+/// centres, retention. The service counts its runs, and every answer is checked at the end.
+class ClaimHistory
+{
+public:
+    ClaimHistory(std::uint64_t seed, Mutation mutation);
+    HistoryReport run();
+
+private:
+    using Time = std::chrono::milliseconds;
+    using Task = std::function<void()>;
+
+    struct Event
+    {
+        Time time;
+        std::uint64_t order;
+        Task task;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+    struct Instance
+    {
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<Claims::ClaimEngine> engine;
+        Time frozenUntil {0};
+        Time timerAt {-1};
+        bool cut = false;
+        std::vector<bool> reading;
+    };
+    struct Call
+    {
+        std::size_t instance = 0;
+        std::uint64_t incarnation = 0;
+        Claims::Call request;
+        bool sent = false;
+        bool ran = false;
+        bool answered = false;
+        bool lateClaim = false;
+        bool probe = false;
+    };
+    struct Answer
+    {
+        Claims::CallId call = 0;
+        Claims::Outcome outcome;
+        bool keyRanThen = false;
+        bool keyWonThen = false;
+    };
+
+    Time now() const;
+    Time between(int low, int high);
+    bool chance(int percent);
+    void at(Time delay, Task task);
+    void deliver(std::size_t n, Time delay, Task task);
+    void start(std::size_t n);
+    void crash(std::size_t n);
+    bool isCalm() const { return m_quiet || m_kind == HistoryKind::Calm; }
+    bool hasCrashes() const;
+    bool crashesHere(std::size_t n);
+    bool logIsOut(std::size_t n) const;
+    void plan();
+    void planFaults();
+    void callAt(Time time, std::size_t n, const Claims::Call &request, bool atDoor);
+    void perform(std::size_t n, Claims::ClaimActions actions);
+    void append(std::size_t n, const Claims::AppendBatch &batch);
+    void read(std::size_t n, std::size_t partition);
+    void ask(std::size_t n, const Claims::AskAction &action);
+    void send(std::size_t n, Claims::CallId id);
+    void serve(std::size_t n, Claims::CallId id);
+    void answer(std::size_t n, const Claims::AnswerAction &action);
+    void note(Claims::CallId id, const Claims::Outcome &outcome);
+    void mutatePage(std::size_t n, Platform::LogPage &page);
+    void mutateRecords(std::size_t n, Platform::LogRecord &entry);
+    void probe();
+    void check();
+    void breach(Claims::CallId id, const std::string &text);
+
+    std::mt19937_64 m_rng;
+    Mutation m_mutation;
+    Core::ManualClock m_clock;
+    std::chrono::system_clock::time_point m_epoch;
+    HistoryKind m_kind;
+    Platform::InMemoryLog m_log;
+    Claims::ClaimSettings m_settings;
+    std::vector<Instance> m_instances;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_order = 0;
+    std::map<Claims::CallId, Call> m_calls;
+    std::vector<Answer> m_answers;
+    std::map<std::string, std::size_t> m_runs;
+    std::map<std::string, std::size_t> m_wins;
+    std::map<std::string, std::size_t> m_sends;
+    std::map<std::string, std::pair<Claims::ClaimRecord, Time>> m_lastClaims;
+    Time m_outFrom {0};
+    Time m_outUntil {0};
+    bool m_quiet = false;
+    HistoryReport m_report;
+};
