--- a/Utilities/jujubebench/OurPolicy.cpp
+++ b/Utilities/jujubebench/OurPolicy.cpp
@@ -1,8 +1,11 @@
 #include "OurPolicy.h"
 
+#include <LibCore/Error.h>
 #include <LibPlacement/Placement.h>
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 
 namespace Bench {
 
@@ -35,6 +38,33 @@
     return all;
 }
 
+/// A number of the settings by its name.
+struct NamedSetting
+{
+    std::string_view name;
+    double PlacementSettings::*member;
+};
+
+constexpr std::array NamedSettings {
+    NamedSetting {"missWeight", &PlacementSettings::missWeight},
+    NamedSetting {"homePrior", &PlacementSettings::homePrior},
+    NamedSetting {"siblingShare", &PlacementSettings::siblingShare},
+    NamedSetting {"homeUtilisation", &PlacementSettings::homeUtilisation},
+    NamedSetting {"nearEqualShare", &PlacementSettings::nearEqualShare},
+};
+
+/// Sets the number that the text names. Throws Core::Error(SettingsInvalid) if it names none.
+void applyOverride(PlacementSettings &settings, const std::string &text)
+{
+    const auto split = text.find('=');
+    const auto name = std::string_view(text).substr(0, split);
+    const auto it = std::find_if(NamedSettings.begin(), NamedSettings.end(),
+                                 [&](const auto &setting) { return setting.name == name; });
+    if (split == std::string::npos || it == NamedSettings.end())
+        throw Core::Error(Core::ErrorKind::SettingsInvalid, "unknown setting " + text);
+    settings.*(it->member) = std::stod(text.substr(split + 1));
+}
+
 /// What one instance knows.
 struct Instance
 {
@@ -168,6 +198,8 @@
     if (it == variants().end())
         return nullptr;
     PlacementSettings settings;
+    for (const auto &text : context.overrides)
+        applyOverride(settings, text);
     it->apply(settings);
     return std::make_unique<OurPolicy>(context, settings);
 }
--- a/Utilities/jujubebench/PlacementRun.cpp
+++ b/Utilities/jujubebench/PlacementRun.cpp
@@ -21,10 +21,12 @@
     , m_refused(deployment.instances)
 { }
 
-RunStatistics PlacementRun::run(const std::string &policyName)
+RunStatistics PlacementRun::run(const std::string &policyName,
+                                const std::vector<std::string> &overrides)
 {
     makeEngines();
-    m_policy = makePolicy(policyName, {&m_queue, &m_engines, m_deployment.instances, m_seed});
+    m_policy =
+        makePolicy(policyName, {&m_queue, &m_engines, m_deployment.instances, m_seed, overrides});
     if (!m_policy)
         throw Core::Error(Core::ErrorKind::SettingsInvalid, "unknown policy " + policyName);
     for (const auto &fault : m_faults)
--- a/Utilities/jujubebench/PlacementRun.h
+++ b/Utilities/jujubebench/PlacementRun.h
@@ -39,7 +39,8 @@
     PlacementRun &operator=(const PlacementRun &) = delete;
 
     /// Runs all work through the policy. Call once.
-    RunStatistics run(const std::string &policyName);
+    RunStatistics run(const std::string &policyName,
+                      const std::vector<std::string> &overrides = {});
 
 private:
     struct Attempt
--- a/Utilities/jujubebench/PlacementScenario.cpp
+++ b/Utilities/jujubebench/PlacementScenario.cpp
@@ -265,7 +265,7 @@
         Runs runs;
         for (const auto &policy : policiesOf(scenario, options)) {
             PlacementRun run(deployment, scenario.faults, work, options.seed);
-            runs.emplace_back(policy, run.run(policy));
+            runs.emplace_back(policy, run.run(policy, options.overrides));
         }
         const auto title = scenario.name + "/" + name;
         report.tables.push_back(policyTable(title, scenario, deployment, runs));
--- a/Utilities/jujubebench/Policy.h
+++ b/Utilities/jujubebench/Policy.h
@@ -47,6 +47,8 @@
     const std::vector<std::unique_ptr<FakeEngine>> *engines = nullptr;
     std::size_t instances = 1;
     std::uint64_t seed = 1;
+    /// Settings of our placement to try, as name=value.
+    std::vector<std::string> overrides;
 };
 
 /// Makes the policy of a name, or null when the name is unknown.
--- a/Utilities/jujubebench/ScenarioFamily.h
+++ b/Utilities/jujubebench/ScenarioFamily.h
@@ -20,6 +20,8 @@
     bool isQuick = false;
     /// Only these policies, or all when empty.
     std::vector<std::string> policies;
+    /// Settings of our placement to try in place of its own, as name=value.
+    std::vector<std::string> overrides;
 };
 
 /// A kind of scenario. A scenario file names its family by `family = "..."`.
