LibRouter: Put admission, retry budgets and suspect digests on the request path

Suspected engines are probed by the load prober, not by requests. The admission's deadline is the class's queue timeout, not its target: a long prompt whose prefill alone exceeds the target would else never be served.

--- a/Libraries/LibRouter/AdminPort.cpp
+++ b/Libraries/LibRouter/AdminPort.cpp
@@ -22,7 +22,7 @@
     return response;
 }
 
-json::object describe(const Upstream &upstream, Core::Clock::Monotonic now)
+json::object describe(const Upstream &upstream)
 {
     json::object entry;
     entry["id"] = upstream.id().value();
@@ -31,7 +31,7 @@
     entry["address"] = Http::formatEndpoint(upstream.endpoint());
     entry["incarnation"] = upstream.incarnation();
     entry["leaving"] = upstream.isLeaving();
-    entry["suspected"] = upstream.isSuspected(now);
+    entry["suspected"] = upstream.isSuspected();
     entry["in_flight"] = upstream.inFlight();
     return entry;
 }
@@ -97,10 +97,9 @@
 json::object AdminPort::status() const
 {
     const auto configuration = m_instance.configuration();
-    const auto now = m_instance.clock().now();
     json::array upstreams;
     for (const auto &upstream : m_instance.directory().all())
-        upstreams.push_back(describe(*upstream, now));
+        upstreams.push_back(describe(*upstream));
     json::object answer;
     answer["instance"] = m_instance.settings().instance.value();
     answer["data_centre"] = m_instance.settings().dataCentre.value();
--- /dev/null
+++ b/Libraries/LibRouter/AdmissionGate.cpp
@@ -0,0 +1,86 @@
+#include <LibRouter/AdmissionGate.h>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+
+namespace Router {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// What the waiting coroutine and the controller's hook share. Only the coroutine's thread touches
+/// it; the hook posts there.
+struct Wait
+{
+    explicit Wait(const asio::any_io_executor &executor)
+        : timer(executor, asio::steady_timer::time_point::max())
+    { }
+
+    asio::steady_timer timer;
+    std::optional<Core::Result<Admission::Grant>> decision;
+    bool withdrawn = false;
+};
+
+/// Ends the hook of a caller that went away when the wait is over.
+class CallerGoneScope
+{
+public:
+    CallerGoneScope(Http::ServerExchange &exchange, std::function<void()> hook)
+        : m_exchange(exchange)
+    {
+        m_exchange.setCallerGoneHook(std::move(hook));
+    }
+    ~CallerGoneScope() { m_exchange.setCallerGoneHook({}); }
+    CallerGoneScope(const CallerGoneScope &) = delete;
+    CallerGoneScope &operator=(const CallerGoneScope &) = delete;
+
+private:
+    Http::ServerExchange &m_exchange;
+};
+
+} // namespace
+
+AdmissionSlot::~AdmissionSlot()
+{
+    if (m_controller)
+        m_controller->release(m_grant.id, m_usedTokens);
+}
+
+asio::awaitable<AdmissionSlot> awaitAdmission(Admission::Controller &controller,
+                                              Admission::Ticket ticket,
+                                              Http::ServerExchange &exchange)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const auto wait = std::make_shared<Wait>(executor);
+    const auto id = controller.submit(
+        std::move(ticket), [wait, executor](Core::Result<Admission::Grant> decision) {
+            asio::post(executor, [wait, decision = std::move(decision)]() mutable {
+                wait->decision = std::move(decision);
+                wait->timer.cancel();
+            });
+        });
+    const CallerGoneScope scope(exchange, [wait, id, &controller] {
+        wait->withdrawn = controller.withdraw(id);
+        wait->timer.cancel();
+    });
+    // A hook may cancel the timer before the wait begins, so what it left is looked at first.
+    while (!wait->decision && !wait->withdrawn) {
+        boost::system::error_code ec;
+        co_await wait->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (wait->withdrawn)
+        throw boost::system::system_error(asio::error::connection_reset);
+    AdmissionSlot slot(controller, wait->decision->value());
+    if (exchange.isCallerGone())
+        throw boost::system::system_error(asio::error::connection_reset);
+    co_return slot;
+}
+
+} // namespace Router
--- a/Libraries/LibRouter/CompletionRelay.cpp
+++ b/Libraries/LibRouter/CompletionRelay.cpp
@@ -1,7 +1,9 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/Hash.h>
 #include <LibRouter/CompletionRelay.h>
+#include <LibRouter/ThreadRandom.h>
 
-#include <random>
+#include <array>
 
 namespace Router {
 
@@ -9,27 +11,30 @@
 
 namespace {
 
-std::mt19937_64 &threadRandom()
-{
-    thread_local std::mt19937_64 rng(std::random_device {}());
-    return rng;
-}
-
 /// Counts a request as in flight at its upstream for as long as it lives.
 class InFlightGuard
 {
 public:
-    explicit InFlightGuard(Upstream &upstream)
+    InFlightGuard(Upstream &upstream, bool isSuspect)
         : m_upstream(upstream)
+        , m_isSuspect(isSuspect)
     {
         m_upstream.addInFlight();
+        if (m_isSuspect)
+            m_upstream.addSuspectRequest();
+    }
+    ~InFlightGuard()
+    {
+        m_upstream.removeInFlight();
+        if (m_isSuspect)
+            m_upstream.removeSuspectRequest();
     }
-    ~InFlightGuard() { m_upstream.removeInFlight(); }
     InFlightGuard(const InFlightGuard &) = delete;
     InFlightGuard &operator=(const InFlightGuard &) = delete;
 
 private:
     Upstream &m_upstream;
+    bool m_isSuspect;
 };
 
 /// Whether another engine may do better with the same call.
@@ -69,60 +74,103 @@
 { }
 
 asio::awaitable<void> CompletionRelay::run()
+{
+    const auto suspicion = m_instance.suspects().check(m_call.digest());
+    if (suspicion == Admission::SuspectVerdict::Poison)
+        throw Core::Error(Core::ErrorKind::PoisonRequest);
+    m_isSuspect = suspicion == Admission::SuspectVerdict::Suspect;
+    auto slot = co_await admit();
+    const auto verdict = co_await tryEngines();
+    slot.setUsedTokens(m_progress.promptTokens.value_or(0) - m_progress.cachedTokens.value_or(0)
+                       + m_progress.tokens);
+    if (verdict == Verdict::Complete) {
+        co_await m_sink->finish();
+        record("complete");
+        co_return;
+    }
+    const auto error = finalError();
+    m_instance.metrics().refusals.add(1, m_context.labels(),
+                                      std::string(Core::errorKindRow(error.kind()).name));
+    record("failed");
+    co_await m_sink->fail(error);
+}
+
+asio::awaitable<AdmissionSlot> CompletionRelay::admit()
+{
+    Admission::Ticket ticket;
+    ticket.group = m_model.upstreamGroup;
+    ticket.team = m_context.team->id;
+    ticket.priorityClass = m_context.priorityClass->id;
+    ticket.expectedTokens = m_pieces.promptTokens() + tokenLimit(m_call, m_model);
+    ticket.deadline = m_context.arrivedAt + m_context.priorityClass->queueTimeout;
+    auto slot = co_await awaitAdmission(m_instance.admission(), std::move(ticket), m_exchange);
+    m_instance.metrics().queueWait.observe(slot.grant().waited, m_context.labels());
+    co_return slot;
+}
+
+asio::awaitable<CompletionRelay::Verdict> CompletionRelay::tryEngines()
 {
     for (unsigned n = 0; n < m_instance.settings().attempts; ++n) {
+        if (n > 0 && !mayRetry())
+            co_return Verdict::GiveUp;
         const auto group = m_instance.directory().group(m_model.upstreamGroup);
         const auto decision = choose(group);
         if (!decision)
-            break;
+            co_return Verdict::GiveUp;
         const auto upstream = group.bySlot(decision->slot);
-        if (n > 0)
-            m_instance.metrics().retries.add(1, m_context.labels());
         const auto verdict = co_await attempt(upstream, *decision);
-        if (verdict == Verdict::Complete) {
-            co_await m_sink->finish();
-            record("complete");
-            co_return;
-        }
-        if (verdict == Verdict::GiveUp)
-            break;
+        if (verdict != Verdict::TryNext)
+            co_return verdict;
         m_tried.push_back(upstream->slot());
     }
-    const auto error = finalError();
-    m_instance.metrics().refusals.add(1, m_context.labels(),
-                                      std::string(Core::errorKindRow(error.kind()).name));
-    record("failed");
-    co_await m_sink->fail(error);
+    co_return Verdict::GiveUp;
+}
+
+bool CompletionRelay::mayRetry()
+{
+    const auto suspicion = m_instance.suspects().check(m_call.digest());
+    m_isSuspect = suspicion != Admission::SuspectVerdict::Clear;
+    if (suspicion == Admission::SuspectVerdict::Poison) {
+        m_lastError = Core::Error(Core::ErrorKind::PoisonRequest, {}, Core::Fate::Unknown, {});
+        return false;
+    }
+    auto &budget = m_instance.retryBudget(m_model.upstreamGroup);
+    if (!budget.tryRetry(m_instance.clock().now()))
+        return false;
+    m_instance.metrics().retries.add(1, m_context.labels());
+    return true;
+}
+
+bool CompletionRelay::isPassedOver(const Upstream &upstream, bool evenSuspected) const
+{
+    if (upstream.isLeaving() || (m_isSuspect && upstream.suspectRequests() > 0))
+        return true;
+    return upstream.isSuspected() && !evenSuspected;
 }
 
 std::optional<Placement::Decision> CompletionRelay::choose(const UpstreamGroupView &group)
 {
     if (!group.candidates)
         return std::nullopt;
-    const auto now = m_instance.clock().now();
-    auto excluded = m_tried;
-    for (const auto &upstream : group.upstreams) {
-        if (upstream->isLeaving() || upstream->isSuspected(now))
-            excluded.push_back(upstream->slot());
-    }
-    const Placement::PlacementRequest request {m_pieces, {}, excluded};
-    auto &placement = m_instance.placement();
-    if (auto decision = placement.choose(request, *group.candidates, threadRandom()))
-        return decision;
     // With nobody above suspicion, a suspected upstream is better than none.
-    excluded = m_tried;
-    for (const auto &upstream : group.upstreams) {
-        if (upstream->isLeaving())
-            excluded.push_back(upstream->slot());
+    for (const bool evenSuspected : {false, true}) {
+        auto excluded = m_tried;
+        for (const auto &upstream : group.upstreams) {
+            if (isPassedOver(*upstream, evenSuspected))
+                excluded.push_back(upstream->slot());
+        }
+        const Placement::PlacementRequest request {m_pieces, {}, excluded};
+        if (auto decision =
+                m_instance.placement().choose(request, *group.candidates, threadRandom()))
+            return decision;
     }
-    const Placement::PlacementRequest anyLive {m_pieces, {}, excluded};
-    return placement.choose(anyLive, *group.candidates, threadRandom());
+    return std::nullopt;
 }
 
 asio::awaitable<CompletionRelay::Verdict> CompletionRelay::attempt(UpstreamPtr upstream,
                                                                    Placement::Decision decision)
 {
-    const InFlightGuard guard(*upstream);
+    const InFlightGuard guard(*upstream, m_isSuspect);
     auto &placement = m_instance.placement();
     placement.noteSent(decision, m_pieces);
     const auto attemptId = m_context.requestId + '.' + std::to_string(m_tried.size());
@@ -158,9 +206,21 @@
             Core::logEvent(Core::EventId::UpstreamLeaving, {{"upstream", upstream->id().value()}});
         co_return Verdict::TryNext;
     }
+    if (failure->kind() == Core::ErrorKind::UpstreamFailed)
+        noteCrash(*upstream, decision.incarnation);
     co_return noteFailure(*upstream, *failure);
 }
 
+void CompletionRelay::noteCrash(const Upstream &upstream, std::uint64_t incarnation)
+{
+    // Every request that a crash breaks off notes the same crash, each against its own digest.
+    const auto crash = Core::hash64(upstream.id().value(), incarnation);
+    const std::array running {m_call.digest()};
+    m_instance.suspects().noteCrash(crash, running);
+    Core::logEvent(Core::EventId::PoisonSuspected,
+                   {{"request", m_context.requestId}, {"upstream", upstream.id().value()}});
+}
+
 CompletionRelay::Verdict CompletionRelay::noteFailure(Upstream &upstream, const Core::Error &error)
 {
     m_lastError = error;
@@ -170,13 +230,15 @@
     if (!mayTryElsewhere(error.kind()))
         return Verdict::GiveUp;
     if (error.kind() != Core::ErrorKind::Overloaded)
-        upstream.noteFailure(m_instance.clock().now());
+        upstream.circuit().noteFailure(m_instance.clock().now(), threadRandom());
     return Verdict::TryNext;
 }
 
 void CompletionRelay::noteSuccess(Upstream &upstream, const Placement::Decision &decision)
 {
-    upstream.noteSuccess();
+    upstream.circuit().noteSuccess();
+    m_instance.suspects().noteAnswered(m_call.digest());
+    m_instance.retryBudget(m_model.upstreamGroup).noteSuccess();
     auto &placement = m_instance.placement();
     placement.noteFirstToken(decision, m_pieces, m_progress.cachedTokens);
     placement.noteAnswer(decision);
--- a/Libraries/LibRouter/CompletionRelay.h
+++ b/Libraries/LibRouter/CompletionRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibRouter/AdmissionGate.h>
 #include <LibRouter/CompletionAttempt.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -19,6 +20,7 @@
     CompletionRelay(Instance &instance, Http::ServerExchange &exchange, CallContext context,
                     CompletionCall call, const Configuration::Model &model);
 
+    /// Throws Core::Error for a refusal before anything ran.
     boost::asio::awaitable<void> run();
 
 private:
@@ -29,8 +31,13 @@
         GiveUp,
     };
 
+    boost::asio::awaitable<Verdict> tryEngines();
+    boost::asio::awaitable<AdmissionSlot> admit();
+    bool mayRetry();
     boost::asio::awaitable<Verdict> attempt(UpstreamPtr upstream, Placement::Decision decision);
     std::optional<Placement::Decision> choose(const UpstreamGroupView &group);
+    bool isPassedOver(const Upstream &upstream, bool evenSuspected) const;
+    void noteCrash(const Upstream &upstream, std::uint64_t incarnation);
     Verdict noteFailure(Upstream &upstream, const Core::Error &error);
     void noteSuccess(Upstream &upstream, const Placement::Decision &decision);
     void record(std::string_view outcome);
@@ -46,6 +53,7 @@
     AnswerProgress m_progress;
     std::vector<Placement::UpstreamSlot> m_tried;
     std::optional<Core::Error> m_lastError;
+    bool m_isSuspect = false;
 };
 
 } // namespace Router
--- a/Libraries/LibRouter/DirectoryWatcher.cpp
+++ b/Libraries/LibRouter/DirectoryWatcher.cpp
@@ -31,6 +31,7 @@
     try {
         const auto list = co_await m_platform.list();
         m_instance.directory().apply(list);
+        m_instance.refreshSlots();
         if (m_listRead)
             m_listRead(list);
         if (!m_isAnswering)
--- a/Libraries/LibRouter/Instance.cpp
+++ b/Libraries/LibRouter/Instance.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibRouter/Instance.h>
+#include <LibRouter/PolicyBuilder.h>
 
 namespace Router {
 
@@ -12,9 +13,39 @@
                                     Core::logEvent(Core::EventId::UpstreamLeaving,
                                                    {{"upstream", upstream->id().value()}});
                                 }})
+    , m_admission(
+          Admission::Controller::create(clock, {m_settings.instance, m_settings.incarnation}, {})
+              .value())
+    , m_suspects(clock, Admission::SuspectSettings {})
     , m_configuration(std::make_shared<ConfigurationInForce>())
 { }
 
+Admission::RetryBudget &Instance::retryBudget(const Core::UpstreamGroupId &group)
+{
+    const std::scoped_lock lock(m_budgetMutex);
+    auto &budget = m_budgets[group];
+    if (!budget) {
+        // A change of the group's budget takes effect when the instance restarts.
+        Admission::RetryBudgetSettings settings;
+        const auto document = configuration().document;
+        if (const auto *rules = document ? document->upstreamGroup(group.value()) : nullptr) {
+            settings.share = rules->retryBudget.value();
+            settings.leastPerSecond = rules->retriesPerSecond;
+        }
+        budget = std::make_unique<Admission::RetryBudget>(settings);
+    }
+    return *budget;
+}
+
+void Instance::refreshSlots()
+{
+    const auto document = configuration().document;
+    if (!document)
+        return;
+    for (const auto &group : document->upstreamGroups())
+        m_admission->setSlots(group.id, countSlots(group, m_directory));
+}
+
 ConfigurationInForce Instance::configuration() const
 {
     return m_configuration.read([](const auto &current) { return current; });
@@ -28,6 +59,8 @@
         return;
     Core::logEvent(Core::EventId::ConfigurationInForce,
                    {{"generation", std::to_string(next.generation)}});
+    // The validator has checked the shares, so the rules are taken.
+    m_admission->configure(buildAdmissionPolicy(*next.document, m_directory)).value();
     m_configuration.replace(std::make_shared<ConfigurationInForce>(std::move(next)));
 }
 
--- a/Libraries/LibRouter/Instance.h
+++ b/Libraries/LibRouter/Instance.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <LibAdmission/Controller.h>
+#include <LibAdmission/RetryBudget.h>
+#include <LibAdmission/SuspectTable.h>
 #include <LibConfiguration/Document.h>
 #include <LibCore/Clock.h>
 #include <LibCore/Snapshot.h>
@@ -12,7 +15,9 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <unordered_map>
 
 namespace Router {
 
@@ -35,11 +40,18 @@
     Placement::Placement &placement() { return m_placement; }
     UpstreamDirectory &directory() { return m_directory; }
     RouterMetrics &metrics() { return m_metrics; }
+    Admission::Controller &admission() { return *m_admission; }
+    Admission::SuspectTable &suspects() { return m_suspects; }
+    /// The retries that a group allows. Lives as long as the instance.
+    Admission::RetryBudget &retryBudget(const Core::UpstreamGroupId &group);
 
     ConfigurationInForce configuration() const;
     /// Puts a document in force unless it is older than the present one.
     void setConfiguration(ConfigurationInForce next);
 
+    /// Tells the admission how many slots the live upstreams have.
+    void refreshSlots();
+
     bool isDraining() const { return m_draining; }
     /// Refuses new requests from now on. Running ones go on.
     void drain();
@@ -55,6 +67,10 @@
     Placement::Placement m_placement;
     UpstreamDirectory m_directory;
     RouterMetrics m_metrics;
+    std::unique_ptr<Admission::Controller> m_admission;
+    Admission::SuspectTable m_suspects;
+    std::mutex m_budgetMutex;
+    std::unordered_map<Core::UpstreamGroupId, std::unique_ptr<Admission::RetryBudget>> m_budgets;
     std::mutex m_configurationWriter;
     Core::Snapshot<ConfigurationInForce> m_configuration;
     std::atomic<bool> m_draining {false};
--- a/Libraries/LibRouter/LoadProber.cpp
+++ b/Libraries/LibRouter/LoadProber.cpp
@@ -70,6 +70,8 @@
             upstream->endpoint(), Http::Request("GET", "/load"), timeouts);
         const auto parsed = json::parse(response.body);
         const auto &fields = parsed.as_object();
+        if (upstream->isSuspected() && upstream->circuit().mayTry(measuredAt))
+            upstream->circuit().noteSuccess();
         Placement::LoadReport report;
         report.incarnation = numberAt(fields, "incarnation");
         report.measuredAt = measuredAt;
--- a/Libraries/LibRouter/LoadProber.h
+++ b/Libraries/LibRouter/LoadProber.h
@@ -9,7 +9,8 @@
 
 namespace Router {
 
-/// Asks each engine for its load, again and again, one coroutine an engine.
+/// Asks each engine for its load, again and again, one coroutine an engine. A report also shows
+/// that an engine that had failed is back, so that no request has to find out.
 class LoadProber
 {
 public:
--- a/Libraries/LibRouter/ServiceRelay.cpp
+++ b/Libraries/LibRouter/ServiceRelay.cpp
@@ -1,4 +1,5 @@
 #include <LibRouter/ServiceRelay.h>
+#include <LibRouter/ThreadRandom.h>
 
 #include <algorithm>
 #include <array>
@@ -57,12 +58,12 @@
             break;
         try {
             auto response = co_await send(upstream, Http::ConnectionUse::KeptOrNew);
-            upstream->noteSuccess();
+            upstream->circuit().noteSuccess();
             co_await m_exchange.respond(std::move(response));
             co_return;
         } catch (const Core::Error &error) {
             failure = error;
-            upstream->noteFailure(m_instance.clock().now());
+            upstream->circuit().noteFailure(m_instance.clock().now(), threadRandom());
         }
         tried.push_back(upstream);
     }
@@ -71,10 +72,9 @@
 
 UpstreamPtr ServiceRelay::choose(const std::vector<UpstreamPtr> &tried) const
 {
-    const auto now = m_instance.clock().now();
     UpstreamPtr best;
-    const auto cost = [now](const Upstream &upstream) {
-        return std::pair(upstream.isSuspected(now), upstream.inFlight());
+    const auto cost = [](const Upstream &upstream) {
+        return std::pair(upstream.isSuspected(), upstream.inFlight());
     };
     for (const auto &upstream : m_instance.directory().group(m_service.upstreamGroup).upstreams) {
         if (upstream->isLeaving() || std::find(tried.begin(), tried.end(), upstream) != tried.end())
--- a/Libraries/LibRouter/Upstream.h
+++ b/Libraries/LibRouter/Upstream.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include <LibAdmission/UpstreamCircuit.h>
 #include <LibCore/Clock.h>
 #include <LibCore/Identifier.h>
 #include <LibHttp/Endpoint.h>
 #include <LibPlacement/Placement.h>
 
 #include <atomic>
-#include <chrono>
 #include <cstdint>
 
 namespace Router {
@@ -39,10 +39,15 @@
     void noteLive() { m_leaving = false; }
 
     /// Whether the upstream is passed over because it failed lately.
-    bool isSuspected(Core::Clock::Monotonic now) const;
-    /// Passes the upstream over for a while that doubles with each failure in a row.
-    void noteFailure(Core::Clock::Monotonic now);
-    void noteSuccess();
+    bool isSuspected() const { return m_circuit.state() != Admission::CircuitState::Closed; }
+    /// Passes the upstream over after failures in a row, and lets probes find out when it is back.
+    Admission::UpstreamCircuit &circuit() { return m_circuit; }
+
+    /// Requests under way here that are suspected of crashing upstreams. Two of them never share
+    /// an upstream, so that the next crash tells which of them is to blame.
+    std::uint32_t suspectRequests() const { return m_suspectRequests; }
+    void addSuspectRequest() { ++m_suspectRequests; }
+    void removeSuspectRequest() { --m_suspectRequests; }
 
     std::uint32_t inFlight() const { return m_inFlight; }
     void addInFlight() { ++m_inFlight; }
@@ -56,8 +61,8 @@
     Placement::UpstreamSlot m_slot = 0;
     std::atomic<std::uint64_t> m_incarnation;
     std::atomic<bool> m_leaving {false};
-    std::atomic<std::uint32_t> m_failuresInRow {0};
-    std::atomic<Core::Clock::Monotonic::rep> m_suspectedUntil {0};
+    Admission::UpstreamCircuit m_circuit {Admission::CircuitSettings {}};
+    std::atomic<std::uint32_t> m_suspectRequests {0};
     std::atomic<std::uint32_t> m_inFlight {0};
 };
 
