--- /dev/null
+++ b/Libraries/LibAccounting/Forward.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace Accounting {
+
+class UsageLedger;
+class UsageMeter;
+class UsageOutbox;
+struct UsageBatch;
+struct UsageRecord;
+struct UsageReport;
+
+} // namespace Accounting
