--- /dev/null
+++ b/Libraries/LibMembership/SharedItem.cpp
@@ -0,0 +1,150 @@
+#include <LibCore/Hash.h>
+#include <LibMembership/SharedItem.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace Membership {
+
+using Peer::Wire::SharedRecord;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Indices of the variant, which are also the kinds on the wire.
+enum Kind : std::uint8_t {
+    ConfigurationKind,
+    PoisonKind,
+    UpstreamKind,
+    DemandKind,
+    PrefixKind,
+    LoadKind,
+};
+
+constexpr std::array<std::chrono::milliseconds, 6> Lifetimes {24h, 10min, 10s, 5s, 1min, 3s};
+
+struct KeyMaker
+{
+    SharedKey operator()(const ConfigurationMark &) const { return {ConfigurationKind, 0, 0, 0}; }
+    SharedKey operator()(const PoisonCrash &item) const
+    {
+        return {PoisonKind, item.requestDigest, item.crash, 0};
+    }
+    SharedKey operator()(const UpstreamMark &item) const
+    {
+        return {UpstreamKind, item.upstream, item.incarnation, 0};
+    }
+    SharedKey operator()(const TeamDemand &item) const
+    {
+        return {DemandKind, item.team, item.group, item.origin};
+    }
+    SharedKey operator()(const PrefixHome &item) const
+    {
+        return {PrefixKind, item.prefix, item.upstream, 0};
+    }
+    SharedKey operator()(const UpstreamLoad &item) const
+    {
+        return {LoadKind, item.upstream, 0, item.origin};
+    }
+};
+
+/// The two numbers of an item that are not part of its key.
+struct Numbers
+{
+    std::uint32_t first = 0;
+    std::uint32_t second = 0;
+};
+
+struct NumberMaker
+{
+    Numbers operator()(const ConfigurationMark &item) const { return {item.generation, 0}; }
+    Numbers operator()(const PoisonCrash &) const { return {}; }
+    Numbers operator()(const UpstreamMark &item) const
+    {
+        return {static_cast<std::uint32_t>(item.condition), 0};
+    }
+    Numbers operator()(const TeamDemand &item) const { return {item.inUse, item.waiting}; }
+    Numbers operator()(const PrefixHome &item) const { return {item.heat, item.incarnation}; }
+    Numbers operator()(const UpstreamLoad &item) const { return {item.outstanding, 0}; }
+};
+
+// A generation or a suspicion is worth more than any amount of heat or load.
+constexpr double ConfigurationValue = 1e6;
+constexpr double PoisonValue = 1e5;
+constexpr double UpstreamValue = 1e5;
+
+struct ValueMaker
+{
+    double operator()(const ConfigurationMark &) const { return ConfigurationValue; }
+    double operator()(const PoisonCrash &) const { return PoisonValue; }
+    double operator()(const UpstreamMark &) const { return UpstreamValue; }
+    double operator()(const TeamDemand &item) const { return 1.0 + item.inUse + item.waiting; }
+    double operator()(const PrefixHome &item) const { return item.heat; }
+    double operator()(const UpstreamLoad &item) const
+    {
+        return std::sqrt(static_cast<double>(item.outstanding));
+    }
+};
+
+} // namespace
+
+std::chrono::milliseconds lifetime(const SharedItem &item)
+{
+    return Lifetimes.at(item.index());
+}
+
+double defaultValue(const SharedItem &item)
+{
+    return std::visit(ValueMaker {}, item);
+}
+
+std::size_t SharedKeyHash::operator()(const SharedKey &key) const noexcept
+{
+    const std::array<std::uint64_t, 4> words {key.kind, key.subject, key.object, key.origin};
+    return Core::hash64({reinterpret_cast<const char *>(words.data()), sizeof(words)});
+}
+
+SharedKey keyOf(const SharedItem &item)
+{
+    return std::visit(KeyMaker {}, item);
+}
+
+SharedRecord toWire(const SharedItem &item, std::uint32_t version, std::chrono::milliseconds age)
+{
+    const auto key = keyOf(item);
+    const auto numbers = std::visit(NumberMaker {}, item);
+    const auto *mark = std::get_if<ConfigurationMark>(&item);
+    const auto object = mark != nullptr ? mark->digest : key.object;
+    const auto ageCount = static_cast<std::uint32_t>(
+        std::clamp<std::chrono::milliseconds::rep>(age.count(), 0, UINT32_MAX));
+    return SharedRecord(key.subject, object, key.origin, version, numbers.first, numbers.second,
+                        ageCount, static_cast<std::uint8_t>(key.kind));
+}
+
+std::optional<SharedItem> itemFromWire(const SharedRecord &record)
+{
+    switch (record.kind()) {
+    case ConfigurationKind:
+        return ConfigurationMark {record.first(), record.object()};
+    case PoisonKind:
+        return PoisonCrash {record.subject(), record.object()};
+    case UpstreamKind:
+        if (record.first() != static_cast<std::uint32_t>(UpstreamCondition::Leaving)
+            && record.first() != static_cast<std::uint32_t>(UpstreamCondition::Failing))
+            return std::nullopt;
+        return UpstreamMark {record.subject(), record.object(),
+                             static_cast<UpstreamCondition>(record.first())};
+    case DemandKind:
+        return TeamDemand {record.subject(), record.object(), record.origin(), record.first(),
+                           record.second()};
+    case PrefixKind:
+        return PrefixHome {record.subject(), record.object(), record.second(), record.first()};
+    case LoadKind:
+        return UpstreamLoad {record.subject(), record.origin(), record.first()};
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace Membership
