jujubesaddled: Run non-repeatable calls under claims, read configuration from the log, report usage

With a platform the daemon follows the configuration stream, claims keys in the log before it sends, and appends usage records. Tests/Processes starts daemons and stand-ins as processes.

Cause of the one failure on the way: 'upstream_failed: end of stream' was the daemon's crash on a lambda in a co_await expression, which GCC 12 destroys twice; it is a named local now (the test 'a non-repeatable call runs once' failed before). Ruled out: the claims (the crash came before them).

--- a/Libraries/LibRouter/AdmissionGate.cpp
+++ b/Libraries/LibRouter/AdmissionGate.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace Router {
 
@@ -47,18 +48,32 @@
 
 } // namespace
 
+AdmissionSlot::AdmissionSlot(Instance &instance, Core::UpstreamGroupId group, Core::TeamId team,
+                             const Admission::Grant &grant)
+    : m_instance(&instance)
+    , m_group(std::move(group))
+    , m_team(std::move(team))
+    , m_grant(grant)
+{
+    m_instance->usage().noteStarted(m_group, m_team);
+}
+
 AdmissionSlot::~AdmissionSlot()
 {
-    if (m_controller)
-        m_controller->release(m_grant.id, m_usedTokens);
+    if (!m_instance)
+        return;
+    m_instance->usage().noteFinished(m_group, m_team, m_tokens);
+    m_instance->admission().release(m_grant.id, m_tokens.computed + m_tokens.generated);
 }
 
-asio::awaitable<AdmissionSlot> awaitAdmission(Admission::Controller &controller,
-                                              Admission::Ticket ticket,
+asio::awaitable<AdmissionSlot> awaitAdmission(Instance &instance, Admission::Ticket ticket,
                                               Http::ServerExchange &exchange)
 {
     const auto executor = co_await asio::this_coro::executor;
     const auto wait = std::make_shared<Wait>(executor);
+    auto &controller = instance.admission();
+    const auto group = ticket.group;
+    const auto team = ticket.team;
     const auto id = controller.submit(
         std::move(ticket), [wait, executor](Core::Result<Admission::Grant> decision) {
             asio::post(executor, [wait, decision = std::move(decision)]() mutable {
@@ -77,7 +92,7 @@
     }
     if (wait->withdrawn)
         throw boost::system::system_error(asio::error::connection_reset);
-    AdmissionSlot slot(controller, wait->decision->value());
+    AdmissionSlot slot(instance, group, team, wait->decision->value());
     if (exchange.isCallerGone())
         throw boost::system::system_error(asio::error::connection_reset);
     co_return slot;
--- a/Libraries/LibRouter/AdmissionGate.h
+++ b/Libraries/LibRouter/AdmissionGate.h
@@ -1,47 +1,49 @@
 #pragma once
 
+#include <LibAccounting/UsageMeter.h>
 #include <LibAdmission/Controller.h>
 #include <LibHttp/ServerExchange.h>
+#include <LibRouter/Instance.h>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
 #include <utility>
 
 namespace Router {
 
-/// A granted slot. Released when it goes out of scope.
+/// A granted slot. Released, and put on the team's account, when it goes out of scope.
 class AdmissionSlot
 {
 public:
-    AdmissionSlot(Admission::Controller &controller, const Admission::Grant &grant)
-        : m_controller(&controller)
-        , m_grant(grant)
-    { }
+    AdmissionSlot(Instance &instance, Core::UpstreamGroupId group, Core::TeamId team,
+                  const Admission::Grant &grant);
     ~AdmissionSlot();
     AdmissionSlot(AdmissionSlot &&other) noexcept
-        : m_controller(std::exchange(other.m_controller, nullptr))
+        : m_instance(std::exchange(other.m_instance, nullptr))
+        , m_group(std::move(other.m_group))
+        , m_team(std::move(other.m_team))
         , m_grant(other.m_grant)
-        , m_usedTokens(other.m_usedTokens)
+        , m_tokens(other.m_tokens)
     { }
     AdmissionSlot &operator=(AdmissionSlot &&) = delete;
 
     const Admission::Grant &grant() const { return m_grant; }
     /// What the upstream computed and generated, for the team's account at the release.
-    void setUsedTokens(std::uint64_t tokens) { m_usedTokens = tokens; }
+    void setTokens(const Accounting::TokenCounts &tokens) { m_tokens = tokens; }
 
 private:
-    Admission::Controller *m_controller;
+    Instance *m_instance;
+    Core::UpstreamGroupId m_group;
+    Core::TeamId m_team;
     Admission::Grant m_grant;
-    std::uint64_t m_usedTokens = 0;
+    Accounting::TokenCounts m_tokens;
 };
 
-/// Waits for a slot. Throws the controller's refusal, which says that nothing ran, or
+/// Waits for a slot. Throws the admission's refusal, which says that nothing ran, or
 /// boost::system::system_error when the caller goes away first.
-boost::asio::awaitable<AdmissionSlot> awaitAdmission(Admission::Controller &controller,
-                                                     Admission::Ticket ticket,
+boost::asio::awaitable<AdmissionSlot> awaitAdmission(Instance &instance, Admission::Ticket ticket,
                                                      Http::ServerExchange &exchange);
 
 } // namespace Router
--- a/Libraries/LibRouter/CompletionRelay.cpp
+++ b/Libraries/LibRouter/CompletionRelay.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
 #include <LibRouter/CompletionRelay.h>
+#include <LibRouter/InFlightGuard.h>
 #include <LibRouter/ThreadRandom.h>
 
 #include <array>
@@ -11,32 +12,6 @@
 
 namespace {
 
-/// Counts a request as in flight at its upstream for as long as it lives.
-class InFlightGuard
-{
-public:
-    InFlightGuard(Upstream &upstream, bool isSuspect)
-        : m_upstream(upstream)
-        , m_isSuspect(isSuspect)
-    {
-        m_upstream.addInFlight();
-        if (m_isSuspect)
-            m_upstream.addSuspectRequest();
-    }
-    ~InFlightGuard()
-    {
-        m_upstream.removeInFlight();
-        if (m_isSuspect)
-            m_upstream.removeSuspectRequest();
-    }
-    InFlightGuard(const InFlightGuard &) = delete;
-    InFlightGuard &operator=(const InFlightGuard &) = delete;
-
-private:
-    Upstream &m_upstream;
-    bool m_isSuspect;
-};
-
 /// Whether another engine may do better with the same call.
 bool mayTryElsewhere(Core::ErrorKind kind)
 {
@@ -81,8 +56,7 @@
     m_isSuspect = suspicion == Admission::SuspectVerdict::Suspect;
     auto slot = co_await admit();
     const auto verdict = co_await tryEngines();
-    slot.setUsedTokens(m_progress.promptTokens.value_or(0) - m_progress.cachedTokens.value_or(0)
-                       + m_progress.tokens);
+    slot.setTokens(usedTokens());
     if (verdict == Verdict::Complete) {
         co_await m_sink->finish();
         record("complete");
@@ -103,7 +77,7 @@
     ticket.priorityClass = m_context.priorityClass->id;
     ticket.expectedTokens = m_pieces.promptTokens() + tokenLimit(m_call, m_model);
     ticket.deadline = m_context.arrivedAt + m_context.priorityClass->queueTimeout;
-    auto slot = co_await awaitAdmission(m_instance.admission(), std::move(ticket), m_exchange);
+    auto slot = co_await awaitAdmission(m_instance, std::move(ticket), m_exchange);
     m_instance.metrics().queueWait.observe(slot.grant().waited, m_context.labels());
     co_return slot;
 }
@@ -126,6 +100,16 @@
     co_return Verdict::GiveUp;
 }
 
+Accounting::TokenCounts CompletionRelay::usedTokens() const
+{
+    Accounting::TokenCounts tokens;
+    const auto prompt = m_progress.promptTokens.value_or(0);
+    tokens.cached = std::min(prompt, m_progress.cachedTokens.value_or(0));
+    tokens.computed = prompt - tokens.cached;
+    tokens.generated = m_progress.tokens;
+    return tokens;
+}
+
 bool CompletionRelay::mayRetry()
 {
     const auto suspicion = m_instance.suspects().check(m_call.digest());
--- a/Libraries/LibRouter/CompletionRelay.h
+++ b/Libraries/LibRouter/CompletionRelay.h
@@ -33,6 +33,7 @@
 
     boost::asio::awaitable<Verdict> tryEngines();
     boost::asio::awaitable<AdmissionSlot> admit();
+    Accounting::TokenCounts usedTokens() const;
     bool mayRetry();
     boost::asio::awaitable<Verdict> attempt(UpstreamPtr upstream, Placement::Decision decision);
     std::optional<Placement::Decision> choose(const UpstreamGroupView &group);
--- /dev/null
+++ b/Libraries/LibRouter/InFlightGuard.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibRouter/Upstream.h>
+
+namespace Router {
+
+/// Counts a request as under way at its upstream for as long as it lives.
+class InFlightGuard
+{
+public:
+    InFlightGuard(Upstream &upstream, bool isSuspect)
+        : m_upstream(upstream)
+        , m_isSuspect(isSuspect)
+    {
+        m_upstream.addInFlight();
+        if (m_isSuspect)
+            m_upstream.addSuspectRequest();
+    }
+    ~InFlightGuard()
+    {
+        m_upstream.removeInFlight();
+        if (m_isSuspect)
+            m_upstream.removeSuspectRequest();
+    }
+    InFlightGuard(const InFlightGuard &) = delete;
+    InFlightGuard &operator=(const InFlightGuard &) = delete;
+
+private:
+    Upstream &m_upstream;
+    bool m_isSuspect;
+};
+
+} // namespace Router
--- a/Libraries/LibRouter/Instance.cpp
+++ b/Libraries/LibRouter/Instance.cpp
@@ -16,6 +16,7 @@
     , m_admission(
           Admission::Controller::create(clock, {m_settings.instance, m_settings.incarnation}, {})
               .value())
+    , m_usage(clock)
     , m_suspects(clock, Admission::SuspectSettings {})
     , m_configuration(std::make_shared<ConfigurationInForce>())
 { }
@@ -70,6 +71,16 @@
         Core::logEvent(Core::EventId::DrainStarted);
 }
 
+void Instance::tickAdmission()
+{
+    m_admission->tick();
+    const auto document = configuration().document;
+    if (!document)
+        return;
+    for (const auto &group : document->upstreamGroups())
+        m_usage.noteShare(group.id, m_admission->status(group.id).share);
+}
+
 bool Instance::isReady() const
 {
     return !m_draining && configuration().document != nullptr;
--- a/Libraries/LibRouter/Instance.h
+++ b/Libraries/LibRouter/Instance.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <LibAccounting/UsageMeter.h>
 #include <LibAdmission/Controller.h>
 #include <LibAdmission/RetryBudget.h>
 #include <LibAdmission/SuspectTable.h>
+#include <LibClaims/ClaimCoordinator.h>
 #include <LibConfiguration/Document.h>
 #include <LibCore/Clock.h>
 #include <LibCore/Snapshot.h>
@@ -41,7 +43,14 @@
     UpstreamDirectory &directory() { return m_directory; }
     RouterMetrics &metrics() { return m_metrics; }
     Admission::Controller &admission() { return *m_admission; }
+    Accounting::UsageMeter &usage() { return m_usage; }
     Admission::SuspectTable &suspects() { return m_suspects; }
+    /// Null until setClaims(), which comes before the first request.
+    Claims::ClaimCoordinator *claims() { return m_claims.get(); }
+    void setClaims(std::shared_ptr<Claims::ClaimCoordinator> claims)
+    {
+        m_claims = std::move(claims);
+    }
     /// The retries that a group allows. Lives as long as the instance.
     Admission::RetryBudget &retryBudget(const Core::UpstreamGroupId &group);
 
@@ -51,6 +60,8 @@
 
     /// Tells the admission how many slots the live upstreams have.
     void refreshSlots();
+    /// Refuses late work, renews shares and notes them in the account. Call every 50 to 200 ms.
+    void tickAdmission();
 
     bool isDraining() const { return m_draining; }
     /// Refuses new requests from now on. Running ones go on.
@@ -68,7 +79,9 @@
     UpstreamDirectory m_directory;
     RouterMetrics m_metrics;
     std::unique_ptr<Admission::Controller> m_admission;
+    Accounting::UsageMeter m_usage;
     Admission::SuspectTable m_suspects;
+    std::shared_ptr<Claims::ClaimCoordinator> m_claims;
     std::mutex m_budgetMutex;
     std::unordered_map<Core::UpstreamGroupId, std::unique_ptr<Admission::RetryBudget>> m_budgets;
     std::mutex m_configurationWriter;
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -16,6 +16,14 @@
     return target.substr(0, target.find('?'));
 }
 
+/// A refusal of a keyed call that never got as far as the claims can say nothing of the key.
+Core::Error withKeyFate(const Core::Error &error, const Http::Request &request)
+{
+    if (error.key() || !request.headers.find("Idempotency-Key"))
+        return error;
+    return Core::Error(error.kind(), error.detail(), error.attempt(), Core::Fate::Unknown);
+}
+
 } // namespace
 
 RequestRouter::RequestRouter(Instance &instance)
@@ -26,11 +34,9 @@
 {
     std::optional<Core::Error> refusal;
     try {
-        if (m_instance.isDraining())
-            throw Core::Error(Core::ErrorKind::Draining);
         co_await route(exchange);
     } catch (const Core::Error &error) {
-        refusal = error;
+        refusal = withKeyFate(error, exchange.request());
     }
     if (!refusal)
         co_return;
@@ -58,6 +64,7 @@
 
 asio::awaitable<void> RequestRouter::complete(Http::ServerExchange &exchange, bool chat)
 {
+    refuseWhenDraining();
     auto context = authenticate(m_instance, exchange.request());
     const auto kind = chat ? CompletionCall::Kind::Chat : CompletionCall::Kind::Completion;
     auto call = CompletionCall::parse(kind, exchange.request().body).value();
@@ -99,7 +106,16 @@
         throw Core::Error(Core::ErrorKind::UnknownRoute);
     authorise(context, service->upstreamGroup, exchange.request());
     ServiceRelay relay(m_instance, exchange, std::move(context), *service, std::move(target));
+    if (route->repeatability == Configuration::Repeatability::AtMostOnce)
+        co_return co_await relay.runAtMostOnce();
+    refuseWhenDraining();
     co_await relay.runIdempotent();
 }
 
+void RequestRouter::refuseWhenDraining() const
+{
+    if (m_instance.isDraining())
+        throw Core::Error(Core::ErrorKind::Draining);
+}
+
 } // namespace Router
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -20,6 +20,7 @@
     boost::asio::awaitable<void> complete(Http::ServerExchange &exchange, bool chat);
     boost::asio::awaitable<void> listModels(Http::ServerExchange &exchange);
     boost::asio::awaitable<void> callService(Http::ServerExchange &exchange);
+    void refuseWhenDraining() const;
 
     Instance &m_instance;
 };
--- a/Libraries/LibRouter/ServiceRelay.cpp
+++ b/Libraries/LibRouter/ServiceRelay.cpp
@@ -1,5 +1,6 @@
+#include <LibCore/EventLog.h>
+#include <LibCore/Hash.h>
 #include <LibRouter/ServiceRelay.h>
-#include <LibRouter/ThreadRandom.h>
 
 #include <algorithm>
 #include <array>
@@ -22,6 +23,16 @@
     });
 }
 
+Http::Headers forwarded(const Http::Headers &headers)
+{
+    Http::Headers kept;
+    for (const auto &field : headers) {
+        if (mayForward(field.name))
+            kept.add(field.name, field.value);
+    }
+    return kept;
+}
+
 } // namespace
 
 ServiceTarget ServiceTarget::parse(std::string_view target)
@@ -40,91 +51,125 @@
 }
 
 ServiceRelay::ServiceRelay(Instance &instance, Http::ServerExchange &exchange, CallContext context,
-                           const Configuration::PlainService &service, ServiceTarget target)
+                           const Configuration::PlainService &service, const ServiceTarget &target)
     : m_instance(instance)
     , m_exchange(exchange)
     , m_context(std::move(context))
     , m_service(service)
-    , m_target(std::move(target))
+    , m_call(makeCall(target))
 { }
 
+ServiceCall ServiceRelay::makeCall(const ServiceTarget &target) const
+{
+    const auto &incoming = m_exchange.request();
+    ServiceCall call;
+    call.group = m_service.upstreamGroup;
+    call.timeout = m_service.timeout;
+    call.request =
+        Http::Request(incoming.method, target.rest, forwarded(incoming.headers), incoming.body);
+    call.request.headers.remove("X-Team");
+    call.request.headers.remove("X-Request-Id");
+    call.request.headers.add("X-Team", m_context.team->id.value());
+    call.request.headers.add("X-Request-Id", m_context.requestId);
+    return call;
+}
+
+Admission::Ticket ServiceRelay::ticket() const
+{
+    Admission::Ticket ticket;
+    ticket.group = m_service.upstreamGroup;
+    ticket.team = m_context.team->id;
+    ticket.priorityClass = m_context.priorityClass->id;
+    ticket.deadline = m_context.arrivedAt + m_context.priorityClass->queueTimeout;
+    return ticket;
+}
+
 asio::awaitable<void> ServiceRelay::runIdempotent()
 {
+    const auto slot = co_await awaitAdmission(m_instance, ticket(), m_exchange);
+    m_instance.metrics().queueWait.observe(slot.grant().waited, m_context.labels());
+    auto &budget = m_instance.retryBudget(m_service.upstreamGroup);
     std::vector<UpstreamPtr> tried;
     std::optional<Core::Error> failure;
     while (tried.size() < m_instance.settings().attempts) {
-        const auto upstream = choose(tried);
+        if (failure && !budget.tryRetry(m_instance.clock().now()))
+            break;
+        const auto upstream = chooseServiceUpstream(m_instance, m_service.upstreamGroup, tried);
         if (!upstream)
             break;
         try {
-            auto response = co_await send(upstream, Http::ConnectionUse::KeptOrNew);
-            upstream->circuit().noteSuccess();
+            auto response = co_await sendServiceCall(m_instance, m_call, upstream,
+                                                     Http::ConnectionUse::KeptOrNew);
+            budget.noteSuccess();
+            response.headers = forwarded(response.headers);
             co_await m_exchange.respond(std::move(response));
             co_return;
         } catch (const Core::Error &error) {
             failure = error;
-            upstream->circuit().noteFailure(m_instance.clock().now(), threadRandom());
         }
         tried.push_back(upstream);
     }
     throw failure.value_or(Core::Error(Core::ErrorKind::NoUpstream));
 }
 
-UpstreamPtr ServiceRelay::choose(const std::vector<UpstreamPtr> &tried) const
+asio::awaitable<void> ServiceRelay::runAtMostOnce()
 {
-    UpstreamPtr best;
-    const auto cost = [](const Upstream &upstream) {
-        return std::pair(upstream.isSuspected(), upstream.inFlight());
+    const auto &headers = m_exchange.request().headers;
+    const auto key = Claims::parseClaimKey(m_context.team->id, headers.find("Idempotency-Key"),
+                                           headers.find("Idempotency-Issued-At"))
+                         .value();
+    checkDoor(key);
+    const auto slot = co_await admitKeyed(key);
+    Claims::Call call;
+    call.key = key;
+    call.digest = digest();
+    Claims::ClaimCoordinator::SendOnce sendOnce = [instance = &m_instance, request = m_call] {
+        return sendServiceCallOnce(*instance, request);
     };
-    for (const auto &upstream : m_instance.directory().group(m_service.upstreamGroup).upstreams) {
-        if (upstream->isLeaving() || std::find(tried.begin(), tried.end(), upstream) != tried.end())
-            continue;
-        if (!best || cost(*upstream) < cost(*best))
-            best = upstream;
-    }
-    return best;
+    auto outcome = co_await m_instance.claims()->run(std::move(call), std::move(sendOnce));
+    co_await answer(std::move(outcome));
 }
 
-Http::Request ServiceRelay::upstreamRequest() const
+void ServiceRelay::checkDoor(const Claims::ClaimKey &key) const
 {
-    const auto &incoming = m_exchange.request();
-    Http::Request request(incoming.method, m_target.rest, {}, incoming.body);
-    for (const auto &field : incoming.headers) {
-        if (mayForward(field.name))
-            request.headers.add(field.name, field.value);
-    }
-    request.headers.add("X-Team", m_context.team->id.value());
-    request.headers.add("X-Request-Id", m_context.requestId);
-    return request;
+    const auto &claims = *m_instance.claims();
+    if (m_instance.isDraining())
+        throw claims.doorRefusal(Core::ErrorKind::Draining, key);
+    if (m_instance.clock().wallNow() - key.issuedAt > m_service.keyWindow)
+        throw claims.doorRefusal(Core::ErrorKind::KeyExpired, key);
 }
 
-asio::awaitable<Http::Response> ServiceRelay::send(UpstreamPtr upstream, Http::ConnectionUse use)
+asio::awaitable<AdmissionSlot> ServiceRelay::admitKeyed(Claims::ClaimKey key)
 {
-    Http::ClientTimeouts timeouts;
-    timeouts.connect = m_instance.settings().connectTimeout;
-    timeouts.head = m_service.timeout;
-    timeouts.body = m_service.timeout;
-    upstream->addInFlight();
-    std::exception_ptr failure;
-    Http::Response response;
+    std::optional<Core::ErrorKind> refusal;
     try {
-        auto request = upstreamRequest();
-        response =
-            co_await m_instance.client().fetch(upstream->endpoint(), std::move(request), timeouts,
-                                               Http::Client::DefaultBodyLimit, use);
-    } catch (...) {
-        failure = std::current_exception();
+        co_return co_await awaitAdmission(m_instance, ticket(), m_exchange);
+    } catch (const Core::Error &error) {
+        refusal = error.kind();
     }
-    upstream->removeInFlight();
-    if (failure)
-        std::rethrow_exception(failure);
-    Http::Headers headers;
-    for (const auto &field : response.headers) {
-        if (mayForward(field.name))
-            headers.add(field.name, field.value);
+    throw m_instance.claims()->doorRefusal(*refusal, key);
+}
+
+asio::awaitable<void> ServiceRelay::answer(Claims::Outcome outcome)
+{
+    if (!outcome.answer) {
+        throw Core::Error(outcome.error.value_or(Core::ErrorKind::Internal), {}, outcome.attempt,
+                          outcome.key);
     }
-    response.headers = std::move(headers);
-    co_return response;
+    Http::Response response;
+    response.status = outcome.answer->httpStatus;
+    if (!outcome.answer->contentType.empty())
+        response.headers.add("Content-Type", outcome.answer->contentType);
+    if (outcome.replayed)
+        response.headers.add("Idempotency-Replayed", "true");
+    response.body = outcome.answer->body;
+    co_await m_exchange.respond(std::move(response));
+}
+
+std::uint64_t ServiceRelay::digest() const
+{
+    const auto seed = Core::hash64(m_call.request.target, Core::hash64(m_call.request.method));
+    return Core::hash64(m_call.request.body, seed);
 }
 
 } // namespace Router
--- a/Libraries/LibRouter/ServiceRelay.h
+++ b/Libraries/LibRouter/ServiceRelay.h
@@ -1,14 +1,16 @@
 #pragma once
 
+#include <LibClaims/ClaimKey.h>
+#include <LibClaims/Outcome.h>
 #include <LibHttp/ServerExchange.h>
+#include <LibRouter/AdmissionGate.h>
 #include <LibRouter/CallContext.h>
+#include <LibRouter/ServiceCall.h>
 
 #include <boost/asio/awaitable.hpp>
 
-#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace Router {
 
@@ -28,22 +30,29 @@
 class ServiceRelay
 {
 public:
+    /// The instance and the exchange must outlive the relay.
     ServiceRelay(Instance &instance, Http::ServerExchange &exchange, CallContext context,
-                 const Configuration::PlainService &service, ServiceTarget target);
+                 const Configuration::PlainService &service, const ServiceTarget &target);
 
     /// Sends an idempotent call, to another upstream after a failure.
     boost::asio::awaitable<void> runIdempotent();
+    /// Runs a call that may not be repeated, under its idempotency key.
+    boost::asio::awaitable<void> runAtMostOnce();
 
 private:
-    UpstreamPtr choose(const std::vector<UpstreamPtr> &tried) const;
-    Http::Request upstreamRequest() const;
-    boost::asio::awaitable<Http::Response> send(UpstreamPtr upstream, Http::ConnectionUse use);
+    ServiceCall makeCall(const ServiceTarget &target) const;
+    Admission::Ticket ticket() const;
+    std::uint64_t digest() const;
+    /// Throws the refusal with the truth about the key when the call may not go on.
+    void checkDoor(const Claims::ClaimKey &key) const;
+    boost::asio::awaitable<AdmissionSlot> admitKeyed(Claims::ClaimKey key);
+    boost::asio::awaitable<void> answer(Claims::Outcome outcome);
 
     Instance &m_instance;
     Http::ServerExchange &m_exchange;
     CallContext m_context;
     const Configuration::PlainService &m_service;
-    ServiceTarget m_target;
+    ServiceCall m_call;
 };
 
 } // namespace Router
--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -1,9 +1,15 @@
 #include <LibCore/EventLog.h>
+#include <LibPlatform/EmbeddedLogService.h>
 #include <LibPlatform/HttpInstanceDirectory.h>
+#include <LibPlatform/HttpLogService.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <jujubesaddled/Daemon.h>
 #include <jujubesaddled/StaticDirectory.h>
 
@@ -19,6 +25,10 @@
 
 constexpr std::chrono::milliseconds PlatformTimeout {2000};
 constexpr std::chrono::milliseconds DrainPoll {20};
+constexpr std::chrono::milliseconds AdmissionTick {100};
+constexpr std::chrono::milliseconds ClaimMargin {60'000};
+constexpr std::chrono::milliseconds LastAppendLimit {5'000};
+constexpr int RenewalsPerRetention = 8;
 
 Router::RouterSettings routerSettings(const Settings &settings, const Core::Clock &clock)
 {
@@ -64,20 +74,64 @@
 
 void Daemon::createPlatform()
 {
-    if (m_settings.platform) {
-        m_platformDirectory = std::make_unique<Platform::HttpInstanceDirectory>(
-            *m_settings.platform, PlatformTimeout);
-        return;
-    }
+    if (m_settings.platform)
+        createRemotePlatform();
+    else
+        createEmbeddedPlatform();
+    m_usageReporter =
+        std::make_unique<Router::UsageReporter>(m_instance, *m_log, m_settings.usageInterval);
+    createClaims();
+}
+
+void Daemon::createEmbeddedPlatform()
+{
     Core::logEvent(
         Core::EventId::EmbeddedPlatformLimits,
         {{"promises", "claims, usage and configuration live in memory: a restart forgets them, so "
                       "a non-repeatable call sent again after a restart may run twice"}});
+    m_embeddedLog = std::make_unique<Platform::InMemoryLog>(m_clock, m_settings.logRetention);
+    m_log = std::make_unique<Platform::EmbeddedLogService>(*m_embeddedLog);
     m_platformDirectory =
         std::make_unique<StaticDirectory>(m_settings.upstreams, m_settings.dataCentre);
     loadEmbeddedConfiguration();
 }
 
+void Daemon::createRemotePlatform()
+{
+    m_log = std::make_unique<Platform::HttpLogService>(*m_settings.platform, PlatformTimeout);
+    m_platformDirectory =
+        std::make_unique<Platform::HttpInstanceDirectory>(*m_settings.platform, PlatformTimeout);
+    Configuration::ReaderOptions options;
+    options.environment = m_settings.environment;
+    options.instance = m_settings.instance;
+    options.renewalInterval = m_settings.logRetention / RenewalsPerRetention;
+    Configuration::ReaderHooks hooks;
+    hooks.onAccepted = [this](const Configuration::ConfigurationVersion &version) {
+        m_instance.setConfiguration({version.generation, version.document});
+    };
+    m_configurationReader = std::make_unique<Configuration::ConfigurationReader>(
+        options, *m_log, m_clock, m_random, std::move(hooks));
+}
+
+void Daemon::createClaims()
+{
+    Claims::ClaimSettings settings {Claims::KeyWindow::create(m_settings.keyWindow,
+                                                              m_settings.clockSkew,
+                                                              m_settings.logRetention, ClaimMargin)
+                                        .value()};
+    // Nobody else reads an embedded log, so that more streams would only cost reads.
+    if (m_embeddedLog)
+        settings.partitions = 1;
+    const Claims::Holder self {m_settings.instance, m_instance.settings().incarnation};
+    m_claims = Claims::ClaimCoordinator::create(
+                   m_controlThread.at(0).get_executor(), settings, self, *m_log, m_clock,
+                   [](Claims::HolderQuery) -> asio::awaitable<Claims::HolderReply> {
+                       co_return Claims::HolderReply {};
+                   })
+                   .value();
+    m_instance.setClaims(m_claims);
+}
+
 void Daemon::loadEmbeddedConfiguration()
 {
     std::ifstream file(m_settings.configurationFile);
@@ -115,6 +169,21 @@
     auto &control = m_controlThread.at(0);
     asio::co_spawn(control, m_directoryWatcher->run(), asio::detached);
     asio::co_spawn(control, m_loadProber.run(), asio::detached);
+    asio::co_spawn(control, tickAdmission(), asio::detached);
+    asio::co_spawn(control, m_usageReporter->run(), asio::detached);
+    if (m_configurationReader)
+        asio::co_spawn(control, m_configurationReader->run(), asio::detached);
+    m_claims->start();
+}
+
+asio::awaitable<void> Daemon::tickAdmission()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (true) {
+        m_instance.tickAdmission();
+        timer.expires_after(AdmissionTick);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
 }
 
 void Daemon::runUntilSignal()
@@ -129,6 +198,14 @@
 void Daemon::drain()
 {
     m_instance.drain();
+    waitForRequests();
+    appendLastRecords();
+    Core::logEvent(Core::EventId::ProcessStopped,
+                   {{"cut_requests", std::to_string(m_server->activeExchanges())}});
+}
+
+void Daemon::waitForRequests()
+{
     const auto begun = m_clock.now();
     const auto elapsed = [&] { return m_clock.now() - begun; };
     while (elapsed() < m_settings.drainGrace)
@@ -136,8 +213,17 @@
     m_server->stopAccepting();
     while (m_server->activeExchanges() > 0 && elapsed() < m_settings.drainLimit)
         std::this_thread::sleep_for(DrainPoll);
-    Core::logEvent(Core::EventId::ProcessStopped,
-                   {{"cut_requests", std::to_string(m_server->activeExchanges())}});
+}
+
+void Daemon::appendLastRecords()
+{
+    const auto begun = m_clock.now();
+    auto finished =
+        asio::co_spawn(m_controlThread.at(0), m_usageReporter->finish(), asio::use_future);
+    finished.wait_for(LastAppendLimit);
+    while (m_claims->pendingRecords() > 0 && m_clock.now() - begun < LastAppendLimit)
+        std::this_thread::sleep_for(DrainPoll);
+    m_claims->stop();
 }
 
 } // namespace Daemon
--- a/Services/jujubesaddled/Daemon.h
+++ b/Services/jujubesaddled/Daemon.h
@@ -1,19 +1,24 @@
 #pragma once
 
+#include <LibConfiguration/ConfigurationReader.h>
 #include <LibCore/Clock.h>
 #include <LibCore/IoThreads.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Server.h>
+#include <LibPlatform/InMemoryLog.h>
 #include <LibPlatform/InstanceList.h>
+#include <LibPlatform/LogService.h>
 #include <LibRouter/AdminPort.h>
 #include <LibRouter/DirectoryWatcher.h>
 #include <LibRouter/Instance.h>
 #include <LibRouter/LoadProber.h>
 #include <LibRouter/RequestRouter.h>
+#include <LibRouter/UsageReporter.h>
 
 #include <jujubesaddled/Settings.h>
 
 #include <memory>
+#include <random>
 
 namespace Daemon {
 
@@ -32,16 +37,28 @@
 private:
     explicit Daemon(const Settings &settings);
 
-    void loadEmbeddedConfiguration();
     void createPlatform();
+    void createEmbeddedPlatform();
+    void createRemotePlatform();
+    void loadEmbeddedConfiguration();
+    void createClaims();
+    boost::asio::awaitable<void> tickAdmission();
     void startControl();
     void openPorts();
     void drain();
+    void waitForRequests();
+    void appendLastRecords();
 
     Settings m_settings;
     Core::SystemClock m_clock;
     Router::Instance m_instance;
+    std::mt19937_64 m_random {std::random_device {}()};
+    std::unique_ptr<Platform::InMemoryLog> m_embeddedLog;
+    std::unique_ptr<Platform::LogService> m_log;
     std::unique_ptr<Platform::InstanceDirectory> m_platformDirectory;
+    std::unique_ptr<Configuration::ConfigurationReader> m_configurationReader;
+    std::unique_ptr<Router::UsageReporter> m_usageReporter;
+    std::shared_ptr<Claims::ClaimCoordinator> m_claims;
     std::unique_ptr<Router::DirectoryWatcher> m_directoryWatcher;
     Router::LoadProber m_loadProber;
     Router::RequestRouter m_router;
--- a/Services/jujubesaddled/Settings.cpp
+++ b/Services/jujubesaddled/Settings.cpp
@@ -31,6 +31,10 @@
     std::string threads;
     std::string drainGraceMs = "1000";
     std::string drainLimitMs = "120000";
+    std::string keyWindowS = "3600";
+    std::string logRetentionS = "7200";
+    std::string clockSkewMs = "5000";
+    std::string usageIntervalMs = "10000";
     std::string logFormat = "json";
     std::string logLevel = "info";
     bool check = false;
@@ -60,6 +64,14 @@
         "How long a shutdown goes on refusing new requests before it closes the port");
     add("--drain-limit-ms", raw.drainLimitMs, "JUJUBE_DRAIN_LIMIT_MS",
         "How long a shutdown waits for running requests");
+    add("--key-window-s", raw.keyWindowS, "JUJUBE_KEY_WINDOW_S",
+        "Longest time an idempotency key is acceptable after its issue; the same on all instances");
+    add("--log-retention-s", raw.logRetentionS, "JUJUBE_LOG_RETENTION_S",
+        "How long the platform's log keeps a record");
+    add("--clock-skew-ms", raw.clockSkewMs, "JUJUBE_CLOCK_SKEW_MS",
+        "How far clocks of callers, instances and the log may differ");
+    add("--usage-interval-ms", raw.usageIntervalMs, "JUJUBE_USAGE_INTERVAL_MS",
+        "Time between two usage records; what a crash can lose");
     add("--log-format", raw.logFormat, "JUJUBE_LOG_FORMAT", "json or text");
     add("--log-level", raw.logLevel, "JUJUBE_LOG_LEVEL", "debug, info, warning or error");
     app.add_flag("--check", raw.check, "Check the settings and exit");
@@ -144,6 +156,20 @@
         checker.fault("--log-level", "not a level: '" + raw.logLevel + "'");
 }
 
+void checkTimes(const RawSettings &raw, Settings &settings, Checker &checker)
+{
+    constexpr std::size_t LongestSeconds = 366UL * 24 * 3600;
+    constexpr std::size_t LongestMs = 3'600'000;
+    settings.keyWindow =
+        std::chrono::seconds(checker.number("--key-window-s", raw.keyWindowS, 1, LongestSeconds));
+    settings.logRetention = std::chrono::seconds(
+        checker.number("--log-retention-s", raw.logRetentionS, 1, LongestSeconds));
+    settings.clockSkew =
+        std::chrono::milliseconds(checker.number("--clock-skew-ms", raw.clockSkewMs, 0, LongestMs));
+    settings.usageInterval = std::chrono::milliseconds(
+        checker.number("--usage-interval-ms", raw.usageIntervalMs, 10, LongestMs));
+}
+
 void checkUpstreams(const RawSettings &raw, Settings &settings, Checker &checker)
 {
     for (const auto &text : raw.upstreams) {
@@ -202,6 +228,7 @@
         checker.number("--drain-grace-ms", raw.drainGraceMs, 0, LongestDrainMs));
     settings.drainLimit = std::chrono::milliseconds(
         checker.number("--drain-limit-ms", raw.drainLimitMs, 0, LongestDrainMs));
+    checkTimes(raw, settings, checker);
     checkPlatform(raw, settings, checker);
     checkUpstreams(raw, settings, checker);
     checkPeer(raw, settings, checker);
@@ -231,6 +258,10 @@
     line("threads", std::to_string(settings.threads));
     line("drain-grace-ms", raw.drainGraceMs);
     line("drain-limit-ms", raw.drainLimitMs);
+    line("key-window-s", raw.keyWindowS);
+    line("log-retention-s", raw.logRetentionS);
+    line("clock-skew-ms", raw.clockSkewMs);
+    line("usage-interval-ms", raw.usageIntervalMs);
     line("log-format", raw.logFormat);
     line("log-level", raw.logLevel);
     return text;
--- a/Services/jujubesaddled/Settings.h
+++ b/Services/jujubesaddled/Settings.h
@@ -37,6 +37,13 @@
     std::size_t threads = 1;
     std::chrono::milliseconds drainGrace {0};
     std::chrono::milliseconds drainLimit {0};
+    /// How long an idempotency key is acceptable at the most.
+    std::chrono::milliseconds keyWindow {0};
+    /// How long the platform's log keeps a record.
+    std::chrono::milliseconds logRetention {0};
+    /// How far the clocks of callers, instances and the log may differ.
+    std::chrono::milliseconds clockSkew {0};
+    std::chrono::milliseconds usageInterval {0};
     Core::LogFormat logFormat = Core::LogFormat::Json;
     Core::EventLevel logLevel = Core::EventLevel::Info;
 };
--- /dev/null
+++ b/Tests/Processes/Process.cpp
@@ -0,0 +1,117 @@
+#include <Processes/Process.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+namespace Processes {
+
+namespace {
+
+// Far beyond what any step takes, so that only a hang is cut off.
+constexpr int SilenceLimitMs = 60'000;
+
+} // namespace
+
+Process::Process(const std::string &program, const std::vector<std::string> &arguments)
+{
+    std::array<int, 2> ends {};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0)
+        throw std::runtime_error("no pipe");
+    const std::string path = std::string(JUJUBE_BIN) + '/' + program;
+    std::vector<char *> words {const_cast<char *>(path.c_str())};
+    for (const auto &argument : arguments)
+        words.push_back(const_cast<char *>(argument.c_str()));
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+    const int fault = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(ends[1]);
+    m_output = ends[0];
+    if (fault != 0)
+        throw std::runtime_error("cannot start " + path);
+}
+
+Process::Process(Process &&other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1))
+    , m_output(std::exchange(other.m_output, -1))
+    , m_pending(std::move(other.m_pending))
+{ }
+
+Process::~Process()
+{
+    kill();
+    if (m_output >= 0)
+        ::close(m_output);
+}
+
+bool Process::readMore()
+{
+    pollfd waiting {m_output, POLLIN, 0};
+    if (::poll(&waiting, 1, SilenceLimitMs) <= 0)
+        throw std::runtime_error("the program is silent; last output: " + m_pending);
+    std::array<char, 4096> buf {};
+    const auto n = ::read(m_output, buf.data(), buf.size());
+    if (n <= 0)
+        return false;
+    m_pending.append(buf.data(), static_cast<std::size_t>(n));
+    return true;
+}
+
+std::string Process::awaitLine(const std::string &text)
+{
+    while (true) {
+        const auto end = m_pending.find('\n');
+        if (end == std::string::npos) {
+            if (!readMore())
+                throw std::runtime_error("the program ended; last output: " + m_pending);
+            continue;
+        }
+        auto line = m_pending.substr(0, end);
+        m_pending.erase(0, end + 1);
+        if (line.find(text) != std::string::npos)
+            return line;
+    }
+}
+
+Http::Endpoint Process::awaitEndpoint(const std::string &text)
+{
+    const auto line = awaitLine(text);
+    const auto start = line.find("127.0.0.1:");
+    const auto end = line.find_first_not_of("0123456789.:", start);
+    return Http::parseEndpoint(line.substr(start, end - start)).value();
+}
+
+void Process::signal(int number) const
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+void Process::kill()
+{
+    if (m_pid <= 0)
+        return;
+    signal(SIGKILL);
+    signal(SIGCONT);
+    int status = 0;
+    ::waitpid(std::exchange(m_pid, -1), &status, 0);
+}
+
+int Process::wait()
+{
+    while (readMore()) { }
+    int status = 0;
+    ::waitpid(std::exchange(m_pid, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+} // namespace Processes
