jujubebench: Add floods, unequal teams and contracts

Purpose: measure what admission gives to each class and team, at both deployments' sizes, beside the same work sent to the engines directly and with parts of ours switched off. Every instance runs its own Admission::Controller and meter; shares are exchanged every 100 ms with 1 ms lag; the account is folded from the meters' records, each appended twice.

Weighed: placement plays no part (least outstanding work, known exactly), so that the figures are admission's.

--- a/Libraries/LibAdmission/Ticket.h
+++ b/Libraries/LibAdmission/Ticket.h
@@ -5,7 +5,6 @@
 #include <LibCore/Result.h>
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -19,7 +18,11 @@
     std::uint32_t group = 0;
     std::uint64_t number = 0;
 
-    friend auto operator<=>(const TicketId &, const TicketId &) = default;
+    friend bool operator==(const TicketId &, const TicketId &) = default;
+    friend bool operator<(const TicketId &a, const TicketId &b)
+    {
+        return a.group != b.group ? a.group < b.group : a.number < b.number;
+    }
 };
 
 /// What a request asks for.
--- a/Utilities/jujubebench/ScenarioFamily.cpp
+++ b/Utilities/jujubebench/ScenarioFamily.cpp
@@ -1,5 +1,6 @@
 #include "ScenarioFamily.h"
 
+#include "AdmissionScenario.h"
 #include "PlacementScenario.h"
 
 namespace Bench {
@@ -8,6 +9,7 @@
 {
     static const std::vector<ScenarioFamily> families {
         {"placement", runPlacementScenario},
+        {"admission", runAdmissionScenario},
     };
     return families;
 }
