LibAdmission: Learn how much later than expected first tokens come

Change: a class learns mean and spread of the delay beyond the expectation from noteFirstToken(), and early refusal counts on the mean and two spreads. What was learned fades while no first tokens come, so that a class is never refused for good. Weighed: fewer slots for each engine until its queue is short, which would need the engines' load and leaves decode slots idle.

--- a/Libraries/LibAdmission/Controller.cpp
+++ b/Libraries/LibAdmission/Controller.cpp
@@ -124,6 +124,12 @@
     return id;
 }
 
+void Controller::noteFirstToken(TicketId id)
+{
+    if (const auto it = group(id.group))
+        it->noteFirstToken(id.number, m_clock.now());
+}
+
 void Controller::release(TicketId id, std::uint64_t usedTokens)
 {
     if (const auto it = group(id.group))
--- a/Libraries/LibAdmission/Controller.h
+++ b/Libraries/LibAdmission/Controller.h
@@ -48,6 +48,9 @@
 
     /// Submits a request. The hook may be called before this returns.
     TicketId submit(Ticket ticket, DecisionHook hook);
+    /// The first token of a granted request came. What requests take beyond their expectation is
+    /// learned from it, so that early refusal knows the upstreams' own queues.
+    void noteFirstToken(TicketId id);
     /// Ends a granted request, with the tokens that its upstream computed and generated.
     void release(TicketId id, std::uint64_t usedTokens);
     /// Drops a waiting request. When this returns true, its hook is not called any more.
--- a/Libraries/LibAdmission/GroupAdmission.cpp
+++ b/Libraries/LibAdmission/GroupAdmission.cpp
@@ -86,6 +86,12 @@
     return actions;
 }
 
+void GroupAdmission::noteFirstToken(std::uint64_t number, Core::Clock::Monotonic now)
+{
+    std::scoped_lock lock(m_mutex);
+    m_scheduler->noteFirstToken(number, now);
+}
+
 std::optional<Core::TeamId> GroupAdmission::withdraw(std::uint64_t number)
 {
     std::scoped_lock lock(m_mutex);
@@ -99,6 +105,7 @@
 {
     std::scoped_lock lock(m_mutex);
     GroupActions actions;
+    m_scheduler->fadeDelays();
     updateOwnDemand();
     updatePlan(now);
     dispatch(actions, now);
@@ -159,7 +166,8 @@
         return Core::Error(Core::ErrorKind::Forbidden, "the team owns nothing and may not borrow");
     if (!ticket.resumed && !m_scheduler->hasRoom(*cls, *team))
         return Core::Error(Core::ErrorKind::Overloaded, "the queue is full");
-    const auto ready = now + m_scheduler->expectedWait(*cls, *team) + ticket.expectedFirstToken;
+    const auto ready = now + m_scheduler->expectedWait(*cls, *team)
+                       + m_scheduler->expectedFirstToken(*cls, ticket);
     if (ticket.deadline && ready > *ticket.deadline)
         return Core::Error(Core::ErrorKind::DeadlineUnreachable, "the queue is too long");
     return std::nullopt;
--- a/Libraries/LibAdmission/GroupAdmission.h
+++ b/Libraries/LibAdmission/GroupAdmission.h
@@ -53,6 +53,8 @@
 
     GroupActions submit(std::uint64_t number, Ticket ticket, DecisionHook hook,
                         Core::Clock::Monotonic now);
+    /// The first token of a granted request came.
+    void noteFirstToken(std::uint64_t number, Core::Clock::Monotonic now);
     GroupActions release(std::uint64_t number, std::uint64_t usedTokens,
                          Core::Clock::Monotonic now);
     /// Drops a waiting request whose caller went away. Its hook is not called. Returns its
--- a/Libraries/LibAdmission/SlotScheduler.cpp
+++ b/Libraries/LibAdmission/SlotScheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Admission {
 
@@ -10,6 +11,9 @@
 constexpr double PaceGain = 0.2;
 constexpr double LeastWeight = 1e-6;
 constexpr std::chrono::duration<double> LongestDebt {2.0};
+constexpr double DelayGain = 0.05;
+constexpr double DelayKept = 0.95;
+constexpr double SpreadsOfMargin = 2;
 /// Running requests looked at for one preemption.
 constexpr int VictimScanLimit = 32;
 
@@ -56,6 +60,40 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(wait);
 }
 
+std::chrono::microseconds SlotScheduler::expectedFirstToken(std::size_t classIndex,
+                                                            const Ticket &ticket) const
+{
+    const auto &state = m_classes[classIndex];
+    const auto delay = std::max(state.delay + SpreadsOfMargin * state.delaySpread,
+                                std::chrono::duration<double>(0));
+    return ticket.expectedFirstToken + std::chrono::duration_cast<std::chrono::microseconds>(delay);
+}
+
+void SlotScheduler::noteFirstToken(std::uint64_t number, Core::Clock::Monotonic now)
+{
+    const auto it = m_running.find(number);
+    if (it == m_running.end())
+        return;
+    const auto &entry = it->second;
+    auto &state = m_classes[entry.classIndex];
+    const std::chrono::duration<double> delay =
+        now - entry.granted - entry.request.ticket.expectedFirstToken;
+    const auto difference = delay - state.delay;
+    state.delay += DelayGain * difference;
+    state.delaySpread += DelayGain * (std::chrono::abs(difference) - state.delaySpread);
+    state.hasNewDelay = true;
+}
+
+void SlotScheduler::fadeDelays()
+{
+    for (auto &state : m_classes) {
+        if (!std::exchange(state.hasNewDelay, false)) {
+            state.delay *= DelayKept;
+            state.delaySpread *= DelayKept;
+        }
+    }
+}
+
 void SlotScheduler::enqueue(WaitingRequest request)
 {
     const auto team = *teamIndex(request.ticket.team);
@@ -109,7 +147,7 @@
     for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
         for (const auto team : m_classes[cls].active) {
             const auto &ticket = queue(cls, team).waiting.front().ticket;
-            if (ticket.deadline && now + ticket.expectedFirstToken > *ticket.deadline)
+            if (ticket.deadline && now + expectedFirstToken(cls, ticket) > *ticket.deadline)
                 return popFront(cls, team);
         }
     }
@@ -175,7 +213,7 @@
         const auto team = next.teamIndex(entry.request.ticket.team);
         // A running request whose team or class is gone goes on without being counted.
         if (cls && team)
-            next.noteRunning(std::move(entry.request), *cls, *team);
+            next.noteRunning(std::move(entry.request), *cls, *team, entry.granted);
     }
     for (auto &it : m_queues) {
         for (auto &request : it.waiting) {
@@ -272,12 +310,12 @@
     auto &state = m_classes[choice.classIndex];
     state.virtualTime = std::max(state.virtualTime, it.service);
     it.service += static_cast<double>(request.ticket.expectedTokens) / weight(choice.teamIndex);
-    noteRunning(request, choice.classIndex, choice.teamIndex);
+    noteRunning(request, choice.classIndex, choice.teamIndex, now);
     return {std::move(request), choice.borrowed};
 }
 
 void SlotScheduler::noteRunning(WaitingRequest request, std::size_t classIndex,
-                                std::size_t teamIndex)
+                                std::size_t teamIndex, Core::Clock::Monotonic granted)
 {
     const auto number = request.number;
     const auto order = ++m_started;
@@ -286,8 +324,8 @@
     ++queue(classIndex, teamIndex).running;
     ++m_classes[classIndex].running;
     request.hook = nullptr;
-    m_running.emplace(number,
-                      Running {std::move(request), classIndex, teamIndex, order, std::nullopt});
+    m_running.emplace(
+        number, Running {std::move(request), classIndex, teamIndex, order, granted, std::nullopt});
 }
 
 WaitingRequest SlotScheduler::popFront(std::size_t classIndex, std::size_t teamIndex)
--- a/Libraries/LibAdmission/SlotScheduler.h
+++ b/Libraries/LibAdmission/SlotScheduler.h
@@ -52,6 +52,16 @@
     /// Time that a new request of the team would wait, from the recent pace of its queue.
     std::chrono::microseconds expectedWait(std::size_t classIndex, std::size_t teamIndex) const;
 
+    /// Time from a grant to the first token that the ticket should count on: its own expectation
+    /// and what requests of the class lately took beyond theirs, with a margin for their spread.
+    std::chrono::microseconds expectedFirstToken(std::size_t classIndex,
+                                                 const Ticket &ticket) const;
+    /// The first token of a running request came.
+    void noteFirstToken(std::uint64_t number, Core::Clock::Monotonic now);
+    /// Lets what was learned fade while no first tokens come, so that a class that is refused
+    /// altogether is tried again. Call at a steady pace.
+    void fadeDelays();
+
     /// Adds a request whose team and class the policy knows. A resumed one goes to the front.
     void enqueue(WaitingRequest request);
 
@@ -107,6 +117,10 @@
         double virtualTime = 0;
         /// Slot-seconds by which the class is behind its floor.
         double floorDebt = 0;
+        /// How much later than expected first tokens come, and how much that varies.
+        std::chrono::duration<double> delay {0};
+        std::chrono::duration<double> delaySpread {0};
+        bool hasNewDelay = false;
         /// Teams with waiting requests.
         std::vector<std::size_t> active;
     };
@@ -116,6 +130,7 @@
         std::size_t classIndex = 0;
         std::size_t teamIndex = 0;
         std::uint64_t startOrder = 0;
+        Core::Clock::Monotonic granted;
         /// The queue for whose sake the request was asked to yield.
         std::optional<std::size_t> yieldsTo;
     };
@@ -143,7 +158,8 @@
     std::optional<std::size_t> nextTeam(std::size_t classIndex, Pass pass) const;
     std::optional<Choice> choose(Pass pass, std::uint32_t share) const;
     ScheduledRequest start(const Choice &choice, Core::Clock::Monotonic now);
-    void noteRunning(WaitingRequest request, std::size_t classIndex, std::size_t teamIndex);
+    void noteRunning(WaitingRequest request, std::size_t classIndex, std::size_t teamIndex,
+                     Core::Clock::Monotonic granted);
     WaitingRequest popFront(std::size_t classIndex, std::size_t teamIndex);
     void noteWaitingRemoved(std::size_t classIndex, std::size_t teamIndex, std::uint64_t number);
     static void notePace(Queue &queue, Core::Clock::Monotonic now);
--- a/Utilities/jujubebench/AdmissionRun.cpp
+++ b/Utilities/jujubebench/AdmissionRun.cpp
@@ -244,7 +244,11 @@
 
 void AdmissionRun::onFirstToken(std::uint64_t id)
 {
-    m_outcomes[m_attempts.at(id).request].firstToken = m_queue.now();
+    const auto &attempt = m_attempts.at(id);
+    auto &it = m_outcomes[attempt.request];
+    it.firstToken = m_queue.now();
+    if (m_mode != AdmissionMode::Direct)
+        m_instances[it.instance].controller->noteFirstToken(attempt.ticket);
 }
 
 void AdmissionRun::onFinished(std::uint64_t id)
