LibAdmission: Tell engines to take work within a team's own capacity before borrowed work

Cause: a class learned one delay for all, and in the engines' queues a large team's borrowed requests went before a small team's own of the same class, so early refusal hit teams within their share. Change: a grant names the engine priority, own before borrowed within a class, and the two learn their delays apart (DelayEstimate).

--- a/Libraries/LibAdmission/GroupAdmission.cpp
+++ b/Libraries/LibAdmission/GroupAdmission.cpp
@@ -167,7 +167,7 @@
     if (!ticket.resumed && !m_scheduler->hasRoom(*cls, *team))
         return Core::Error(Core::ErrorKind::Overloaded, "the queue is full");
     const auto ready = now + m_scheduler->expectedWait(*cls, *team)
-                       + m_scheduler->expectedFirstToken(*cls, ticket);
+                       + m_scheduler->expectedFirstToken(*cls, *team, ticket);
     if (ticket.deadline && ready > *ticket.deadline)
         return Core::Error(Core::ErrorKind::DeadlineUnreachable, "the queue is too long");
     return std::nullopt;
@@ -201,7 +201,8 @@
         auto &request = scheduled->request;
         const auto waited =
             std::chrono::duration_cast<std::chrono::microseconds>(now - request.arrived);
-        Grant grant {{m_groupIndex, request.number}, waited, scheduled->borrowed};
+        Grant grant {
+            {m_groupIndex, request.number}, waited, scheduled->borrowed, scheduled->enginePriority};
         actions.decisions.push_back({std::move(request.hook), grant});
     }
     while (const auto victim = m_scheduler->preemptionVictim(share))
--- a/Libraries/LibAdmission/SlotScheduler.cpp
+++ b/Libraries/LibAdmission/SlotScheduler.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace Admission {
 
@@ -11,9 +10,6 @@
 constexpr double PaceGain = 0.2;
 constexpr double LeastWeight = 1e-6;
 constexpr std::chrono::duration<double> LongestDebt {2.0};
-constexpr double DelayGain = 0.05;
-constexpr double DelayKept = 0.95;
-constexpr double SpreadsOfMargin = 2;
 /// Running requests looked at for one preemption.
 constexpr int VictimScanLimit = 32;
 
@@ -61,12 +57,13 @@
 }
 
 std::chrono::microseconds SlotScheduler::expectedFirstToken(std::size_t classIndex,
+                                                            std::size_t teamIndex,
                                                             const Ticket &ticket) const
 {
     const auto &state = m_classes[classIndex];
-    const auto delay = std::max(state.delay + SpreadsOfMargin * state.delaySpread,
-                                std::chrono::duration<double>(0));
-    return ticket.expectedFirstToken + std::chrono::duration_cast<std::chrono::microseconds>(delay);
+    const bool isOwn = isEntitled(classIndex, teamIndex);
+    const auto &delay = isOwn ? state.ownDelay : state.borrowedDelay;
+    return ticket.expectedFirstToken + delay.withMargin();
 }
 
 void SlotScheduler::noteFirstToken(std::uint64_t number, Core::Clock::Monotonic now)
@@ -76,21 +73,15 @@
         return;
     const auto &entry = it->second;
     auto &state = m_classes[entry.classIndex];
-    const std::chrono::duration<double> delay =
-        now - entry.granted - entry.request.ticket.expectedFirstToken;
-    const auto difference = delay - state.delay;
-    state.delay += DelayGain * difference;
-    state.delaySpread += DelayGain * (std::chrono::abs(difference) - state.delaySpread);
-    state.hasNewDelay = true;
+    auto &delay = entry.isBorrowed ? state.borrowedDelay : state.ownDelay;
+    delay.note(now - entry.granted - entry.request.ticket.expectedFirstToken);
 }
 
 void SlotScheduler::fadeDelays()
 {
     for (auto &state : m_classes) {
-        if (!std::exchange(state.hasNewDelay, false)) {
-            state.delay *= DelayKept;
-            state.delaySpread *= DelayKept;
-        }
+        state.ownDelay.fade();
+        state.borrowedDelay.fade();
     }
 }
 
@@ -147,7 +138,7 @@
     for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
         for (const auto team : m_classes[cls].active) {
             const auto &ticket = queue(cls, team).waiting.front().ticket;
-            if (ticket.deadline && now + expectedFirstToken(cls, ticket) > *ticket.deadline)
+            if (ticket.deadline && now + expectedFirstToken(cls, team, ticket) > *ticket.deadline)
                 return popFront(cls, team);
         }
     }
@@ -213,7 +204,7 @@
         const auto team = next.teamIndex(entry.request.ticket.team);
         // A running request whose team or class is gone goes on without being counted.
         if (cls && team)
-            next.noteRunning(std::move(entry.request), *cls, *team, entry.granted);
+            next.noteRunning(std::move(entry), *cls, *team);
     }
     for (auto &it : m_queues) {
         for (auto &request : it.waiting) {
@@ -310,22 +301,25 @@
     auto &state = m_classes[choice.classIndex];
     state.virtualTime = std::max(state.virtualTime, it.service);
     it.service += static_cast<double>(request.ticket.expectedTokens) / weight(choice.teamIndex);
-    noteRunning(request, choice.classIndex, choice.teamIndex, now);
-    return {std::move(request), choice.borrowed};
-}
-
-void SlotScheduler::noteRunning(WaitingRequest request, std::size_t classIndex,
-                                std::size_t teamIndex, Core::Clock::Monotonic granted)
-{
-    const auto number = request.number;
-    const auto order = ++m_started;
-    if (request.ticket.preemptible && m_policy.classes[classIndex].preemptible)
-        m_preemptible.emplace(order, number);
+    noteRunning({.request = request, .granted = now, .isBorrowed = choice.borrowed},
+                choice.classIndex, choice.teamIndex);
+    const auto priority = 2 * static_cast<int>(choice.classIndex) + (choice.borrowed ? 1 : 0);
+    return {std::move(request), choice.borrowed, priority};
+}
+
+void SlotScheduler::noteRunning(Running entry, std::size_t classIndex, std::size_t teamIndex)
+{
+    const auto number = entry.request.number;
+    entry.classIndex = classIndex;
+    entry.teamIndex = teamIndex;
+    entry.startOrder = ++m_started;
+    entry.yieldsTo.reset();
+    entry.request.hook = nullptr;
+    if (entry.request.ticket.preemptible && m_policy.classes[classIndex].preemptible)
+        m_preemptible.emplace(entry.startOrder, number);
     ++queue(classIndex, teamIndex).running;
     ++m_classes[classIndex].running;
-    request.hook = nullptr;
-    m_running.emplace(
-        number, Running {std::move(request), classIndex, teamIndex, order, granted, std::nullopt});
+    m_running.emplace(number, std::move(entry));
 }
 
 WaitingRequest SlotScheduler::popFront(std::size_t classIndex, std::size_t teamIndex)
--- a/Libraries/LibAdmission/SlotScheduler.h
+++ b/Libraries/LibAdmission/SlotScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/DelayEstimate.h>
 #include <LibAdmission/Policy.h>
 #include <LibAdmission/Ticket.h>
 
@@ -28,6 +29,7 @@
 {
     WaitingRequest request;
     bool borrowed = false;
+    int enginePriority = 0;
 };
 
 /// The waiting and running requests of one group at one instance, and the order in which slots are
@@ -54,7 +56,7 @@
 
     /// Time from a grant to the first token that the ticket should count on: its own expectation
     /// and what requests of the class lately took beyond theirs, with a margin for their spread.
-    std::chrono::microseconds expectedFirstToken(std::size_t classIndex,
+    std::chrono::microseconds expectedFirstToken(std::size_t classIndex, std::size_t teamIndex,
                                                  const Ticket &ticket) const;
     /// The first token of a running request came.
     void noteFirstToken(std::uint64_t number, Core::Clock::Monotonic now);
@@ -117,10 +119,9 @@
         double virtualTime = 0;
         /// Slot-seconds by which the class is behind its floor.
         double floorDebt = 0;
-        /// How much later than expected first tokens come, and how much that varies.
-        std::chrono::duration<double> delay {0};
-        std::chrono::duration<double> delaySpread {0};
-        bool hasNewDelay = false;
+        /// Delays of work within and beyond its team's own capacity, which engines order apart.
+        DelayEstimate ownDelay;
+        DelayEstimate borrowedDelay;
         /// Teams with waiting requests.
         std::vector<std::size_t> active;
     };
@@ -131,6 +132,7 @@
         std::size_t teamIndex = 0;
         std::uint64_t startOrder = 0;
         Core::Clock::Monotonic granted;
+        bool isBorrowed = false;
         /// The queue for whose sake the request was asked to yield.
         std::optional<std::size_t> yieldsTo;
     };
@@ -158,8 +160,7 @@
     std::optional<std::size_t> nextTeam(std::size_t classIndex, Pass pass) const;
     std::optional<Choice> choose(Pass pass, std::uint32_t share) const;
     ScheduledRequest start(const Choice &choice, Core::Clock::Monotonic now);
-    void noteRunning(WaitingRequest request, std::size_t classIndex, std::size_t teamIndex,
-                     Core::Clock::Monotonic granted);
+    void noteRunning(Running entry, std::size_t classIndex, std::size_t teamIndex);
     WaitingRequest popFront(std::size_t classIndex, std::size_t teamIndex);
     void noteWaitingRemoved(std::size_t classIndex, std::size_t teamIndex, std::uint64_t number);
     static void notePace(Queue &queue, Core::Clock::Monotonic now);
--- a/Libraries/LibAdmission/Ticket.h
+++ b/Libraries/LibAdmission/Ticket.h
@@ -53,6 +53,9 @@
     std::chrono::microseconds waited {0};
     /// Whether the slot is beyond the team's own capacity.
     bool borrowed = false;
+    /// The order in which an engine that honours priorities should take the request; lower is
+    /// sooner. Within a class, work within its team's own capacity comes before borrowed work.
+    int enginePriority = 0;
 };
 
 /// Receives the decision on one ticket exactly once, never under a lock: a grant, or an error of
--- a/Utilities/jujubebench/AdmissionRun.cpp
+++ b/Utilities/jujubebench/AdmissionRun.cpp
@@ -175,7 +175,7 @@
 void AdmissionRun::arrive(std::size_t request)
 {
     if (m_mode == AdmissionMode::Direct)
-        send(request, {});
+        send(request, {.enginePriority = 2 * static_cast<int>(m_outcomes[request].classIndex)});
     else
         submit(request, false);
 }
@@ -198,20 +198,20 @@
         ticket.deadline = it.arrival + load.target;
     m_instances[it.instance].controller->submit(std::move(ticket), [this, request](auto result) {
         if (result)
-            send(request, result.value().id);
+            send(request, result.value());
         else
             m_outcomes[request].isRefused = true;
     });
 }
 
-void AdmissionRun::send(std::size_t request, Admission::TicketId ticket)
+void AdmissionRun::send(std::size_t request, const Admission::Grant &grant)
 {
     const auto least = std::min_element(m_outstanding.begin(), m_outstanding.end());
     const auto engine = static_cast<std::size_t>(least - m_outstanding.begin());
     const auto &it = m_outcomes[request];
     const auto id = ++m_lastAttempt;
-    m_attempts[id] = {request, engine, ticket};
-    m_attemptOfTicket[{it.instance, ticket}] = id;
+    m_attempts[id] = {request, engine, grant.id};
+    m_attemptOfTicket[{it.instance, grant.id}] = id;
     m_slotUseOfAttempt[id] = m_slotUses.size();
     m_slotUses.push_back({it.classIndex, m_queue.now(), std::nullopt});
     ++m_outstanding[engine];
@@ -221,7 +221,7 @@
                                .pieces = {},
                                .tailTokens = it.promptTokens,
                                .outputTokens = it.outputTokens,
-                               .priority = static_cast<int>(it.classIndex)});
+                               .priority = grant.enginePriority});
 }
 
 void AdmissionRun::preempt(std::size_t instance, Admission::TicketId ticket)
--- a/Utilities/jujubebench/AdmissionRun.h
+++ b/Utilities/jujubebench/AdmissionRun.h
@@ -134,7 +134,7 @@
     void makeArrivals(const StreamLoad &stream);
     void arrive(std::size_t request);
     void submit(std::size_t request, bool isResumed);
-    void send(std::size_t request, Admission::TicketId ticket);
+    void send(std::size_t request, const Admission::Grant &grant);
     void preempt(std::size_t instance, Admission::TicketId ticket);
     void onFirstToken(std::uint64_t id);
     void onFinished(std::uint64_t id);
