--- a/Libraries/LibAdmission/SlotScheduler.cpp
+++ b/Libraries/LibAdmission/SlotScheduler.cpp
@@ -56,6 +56,35 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(wait);
 }
 
+std::chrono::microseconds SlotScheduler::expectedFirstToken(std::size_t classIndex,
+                                                            std::size_t teamIndex,
+                                                            const Ticket &ticket) const
+{
+    const auto &state = m_classes[classIndex];
+    const bool isOwn = isEntitled(classIndex, teamIndex);
+    const auto &delay = isOwn ? state.ownDelay : state.borrowedDelay;
+    return ticket.expectedFirstToken + delay.withMargin();
+}
+
+void SlotScheduler::noteFirstToken(std::uint64_t number, Core::Clock::Monotonic now)
+{
+    const auto it = m_running.find(number);
+    if (it == m_running.end())
+        return;
+    const auto &entry = it->second;
+    auto &state = m_classes[entry.classIndex];
+    auto &delay = entry.isBorrowed ? state.borrowedDelay : state.ownDelay;
+    delay.note(now - entry.granted - entry.request.ticket.expectedFirstToken);
+}
+
+void SlotScheduler::fadeDelays()
+{
+    for (auto &state : m_classes) {
+        state.ownDelay.fade();
+        state.borrowedDelay.fade();
+    }
+}
+
 void SlotScheduler::enqueue(WaitingRequest request)
 {
     const auto team = *teamIndex(request.ticket.team);
@@ -109,7 +138,7 @@
     for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
         for (const auto team : m_classes[cls].active) {
             const auto &ticket = queue(cls, team).waiting.front().ticket;
-            if (ticket.deadline && now + ticket.expectedFirstToken > *ticket.deadline)
+            if (ticket.deadline && now + expectedFirstToken(cls, team, ticket) > *ticket.deadline)
                 return popFront(cls, team);
         }
     }
@@ -175,7 +204,7 @@
         const auto team = next.teamIndex(entry.request.ticket.team);
         // A running request whose team or class is gone goes on without being counted.
         if (cls && team)
-            next.noteRunning(std::move(entry.request), *cls, *team);
+            next.noteRunning(std::move(entry), *cls, *team);
     }
     for (auto &it : m_queues) {
         for (auto &request : it.waiting) {
@@ -272,22 +301,25 @@
     auto &state = m_classes[choice.classIndex];
     state.virtualTime = std::max(state.virtualTime, it.service);
     it.service += static_cast<double>(request.ticket.expectedTokens) / weight(choice.teamIndex);
-    noteRunning(request, choice.classIndex, choice.teamIndex);
-    return {std::move(request), choice.borrowed};
-}
-
-void SlotScheduler::noteRunning(WaitingRequest request, std::size_t classIndex,
-                                std::size_t teamIndex)
-{
-    const auto number = request.number;
-    const auto order = ++m_started;
-    if (request.ticket.preemptible && m_policy.classes[classIndex].preemptible)
-        m_preemptible.emplace(order, number);
+    noteRunning({.request = request, .granted = now, .isBorrowed = choice.borrowed},
+                choice.classIndex, choice.teamIndex);
+    const auto priority = 2 * static_cast<int>(choice.classIndex) + (choice.borrowed ? 1 : 0);
+    return {std::move(request), choice.borrowed, priority};
+}
+
+void SlotScheduler::noteRunning(Running entry, std::size_t classIndex, std::size_t teamIndex)
+{
+    const auto number = entry.request.number;
+    entry.classIndex = classIndex;
+    entry.teamIndex = teamIndex;
+    entry.startOrder = ++m_started;
+    entry.yieldsTo.reset();
+    entry.request.hook = nullptr;
+    if (entry.request.ticket.preemptible && m_policy.classes[classIndex].preemptible)
+        m_preemptible.emplace(entry.startOrder, number);
     ++queue(classIndex, teamIndex).running;
     ++m_classes[classIndex].running;
-    request.hook = nullptr;
-    m_running.emplace(number,
-                      Running {std::move(request), classIndex, teamIndex, order, std::nullopt});
+    m_running.emplace(number, std::move(entry));
 }
 
 WaitingRequest SlotScheduler::popFront(std::size_t classIndex, std::size_t teamIndex)
--- a/Libraries/LibAdmission/Ticket.h
+++ b/Libraries/LibAdmission/Ticket.h
@@ -5,7 +5,6 @@
 #include <LibCore/Result.h>
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -19,7 +18,11 @@
     std::uint32_t group = 0;
     std::uint64_t number = 0;
 
-    friend auto operator<=>(const TicketId &, const TicketId &) = default;
+    friend bool operator==(const TicketId &, const TicketId &) = default;
+    friend bool operator<(const TicketId &a, const TicketId &b)
+    {
+        return a.group != b.group ? a.group < b.group : a.number < b.number;
+    }
 };
 
 /// What a request asks for.
@@ -50,6 +53,9 @@
     std::chrono::microseconds waited {0};
     /// Whether the slot is beyond the team's own capacity.
     bool borrowed = false;
+    /// The order in which an engine that honours priorities should take the request; lower is
+    /// sooner. Within a class, work within its team's own capacity comes before borrowed work.
+    int enginePriority = 0;
 };
 
 /// Receives the decision on one ticket exactly once, never under a lock: a grant, or an error of
