LibMembership: Tell siblings only what is news

Every change of a heat count made a new version of its item, and two instances with different counts outbid each other for ever, so that a few hot prefixes took the whole budget. An item is now told again before its renewal only when it says enough more (a prefix twice as hot, a count moved by more than a quarter, leaving over failing), and another content of a version passed on already is no news.

--- a/Libraries/LibMembership/SharedItem.cpp
+++ b/Libraries/LibMembership/SharedItem.cpp
@@ -87,6 +87,46 @@
     }
 };
 
+// A prefix is told again when it is seen this many times as hot as is known.
+constexpr std::uint32_t HeatFactor = 2;
+
+/// Whether a count moved by more than a quarter, and by more than one.
+bool movedMuch(std::uint32_t before, std::uint32_t after)
+{
+    const auto distance = std::max(before, after) - std::min(before, after);
+    return distance > std::max<std::uint32_t>(1, before / 4);
+}
+
+/// Compares two items of one key.
+struct NewsJudge
+{
+    const SharedItem &observed;
+
+    bool operator()(const ConfigurationMark &known) const
+    {
+        return std::get<ConfigurationMark>(observed).generation > known.generation;
+    }
+    bool operator()(const PoisonCrash &) const { return false; }
+    bool operator()(const UpstreamMark &known) const
+    {
+        return std::get<UpstreamMark>(observed).condition < known.condition;
+    }
+    bool operator()(const TeamDemand &known) const
+    {
+        const auto &now = std::get<TeamDemand>(observed);
+        return movedMuch(known.inUse, now.inUse) || movedMuch(known.waiting, now.waiting);
+    }
+    bool operator()(const PrefixHome &known) const
+    {
+        const auto &now = std::get<PrefixHome>(observed);
+        return now.incarnation != known.incarnation || now.heat / HeatFactor >= known.heat;
+    }
+    bool operator()(const UpstreamLoad &known) const
+    {
+        return movedMuch(known.outstanding, std::get<UpstreamLoad>(observed).outstanding);
+    }
+};
+
 } // namespace
 
 std::chrono::milliseconds lifetime(const SharedItem &item)
@@ -99,6 +139,11 @@
     return std::visit(ValueMaker {}, item);
 }
 
+bool isNews(const SharedItem &known, const SharedItem &observed)
+{
+    return std::visit(NewsJudge {observed}, known);
+}
+
 std::size_t SharedKeyHash::operator()(const SharedKey &key) const noexcept
 {
     const std::array<std::uint64_t, 4> words {key.kind, key.subject, key.object, key.origin};
--- a/Libraries/LibMembership/SharedState.cpp
+++ b/Libraries/LibMembership/SharedState.cpp
@@ -49,7 +49,7 @@
     if (it != m_entries.end()) {
         known = it->second.version;
         const bool young = ageOf(it->second) < lifetime(item) / 2;
-        if (young && contentOf(it->second.item) == contentOf(item))
+        if (young && !isNews(it->second.item, item))
             return;
     }
     const auto version = nextVersion(item, known);
@@ -87,7 +87,10 @@
 {
     if (!m_entries.contains(key))
         makeRoom();
-    m_entries[key] = {item, version, 0, m_value(item), m_clock.now() - age};
+    auto &entry = m_entries[key];
+    // Another content of a version that was passed on already is no news.
+    const auto transmissions = entry.version == version ? entry.transmissions : 0;
+    entry = {item, version, transmissions, m_value(item), m_clock.now() - age};
 }
 
 void SharedState::makeRoom()
--- a/Libraries/LibMembership/SharedState.h
+++ b/Libraries/LibMembership/SharedState.h
@@ -34,8 +34,8 @@
     SharedState(const Core::Clock &clock, const SharedStateSettings &settings, Receiver receiver,
                 ValueFunction value = defaultValue);
 
-    /// Takes in an observation of this instance's own. Saying the same again changes nothing until
-    /// half of the item's lifetime has passed; then it is renewed at the siblings.
+    /// Takes in an observation of this instance's own. What is no news (see isNews()) changes
+    /// nothing until half of the item's lifetime has passed; then it is renewed at the siblings.
     void publish(const SharedItem &item);
 
     /// Merges what a sibling sent.
--- a/Tests/LibMembership/TestSharedState.cpp
+++ b/Tests/LibMembership/TestSharedState.cpp
@@ -170,6 +170,29 @@
     CHECK(sent == 2 * settings.maxTransmissions);
 }
 
+TEST_CASE("two instances that see one thing differently do not outbid each other for ever")
+{
+    const Core::ManualClock clock;
+    const SharedStateSettings settings;
+    SharedState left(clock, settings, {});
+    SharedState right(clock, settings, {});
+    std::size_t sent = 0;
+    for (std::uint32_t n = 0; n < 200; ++n) {
+        left.publish(PrefixHome {1, 1, 1, 100 + n % 3});
+        left.publish(UpstreamMark {1, 1, UpstreamCondition::Leaving});
+        right.publish(PrefixHome {1, 1, 1, 10 + n % 3});
+        right.publish(UpstreamMark {1, 1, UpstreamCondition::Failing});
+        const auto one = left.pack(1'000);
+        right.receive(one);
+        const auto other = right.pack(1'000);
+        left.receive(other);
+        sent += one.size() + other.size();
+    }
+    // Two items at two instances, and one version more of each.
+    CHECK(sent <= 8 * settings.maxTransmissions);
+    CHECK(allOf(left) == allOf(right));
+}
+
 TEST_CASE("a publisher sends no more than its budget, whatever there is to say")
 {
     Core::ManualClock clock;
