--- a/Libraries/LibConfiguration/ConfigurationReader.cpp
+++ b/Libraries/LibConfiguration/ConfigurationReader.cpp
@@ -102,9 +102,9 @@
     if (m_lastRenewal && now - *m_lastRenewal < m_options.renewalInterval / 2)
         co_return;
     m_lastRenewal = now;
-    co_await m_log.append(
-        m_history.stream(),
-        encodeRecord(m_options.environment, m_history.renewal(m_options.instance.value())));
+    // GCC 12 destroys aggregate temporaries of a co_await expression twice.
+    const ConfigurationRecord record = m_history.renewal(m_options.instance.value());
+    co_await m_log.append(m_history.stream(), encodeRecord(m_options.environment, record));
     ++m_counters.renewals;
 }
 
