--- a/Libraries/LibPeer/PeerMessage_generated.h
+++ b/Libraries/LibPeer/PeerMessage_generated.h
@@ -84,6 +84,28 @@
 struct AppendReplyBuilder;
 struct AppendReplyT;
 
+struct ShareLease;
+
+struct ShareReport;
+struct ShareReportBuilder;
+struct ShareReportT;
+
+struct SlotDemand;
+struct SlotDemandBuilder;
+struct SlotDemandT;
+
+struct GroupShares;
+struct GroupSharesBuilder;
+struct GroupSharesT;
+
+struct TeamLimitShares;
+struct TeamLimitSharesBuilder;
+struct TeamLimitSharesT;
+
+struct AdmissionReport;
+struct AdmissionReportBuilder;
+struct AdmissionReportT;
+
 struct Refusal;
 struct RefusalBuilder;
 struct RefusalT;
@@ -133,33 +155,39 @@
   Running = 1,
   Finished = 2,
   GivenUp = 3,
+  Deciding = 4,
+  OutcomeLost = 5,
   MIN = Gone,
-  MAX = GivenUp
+  MAX = OutcomeLost
 };
 
-inline const ClaimStatus (&EnumValuesClaimStatus())[4] {
+inline const ClaimStatus (&EnumValuesClaimStatus())[6] {
   static const ClaimStatus values[] = {
     ClaimStatus::Gone,
     ClaimStatus::Running,
     ClaimStatus::Finished,
-    ClaimStatus::GivenUp
+    ClaimStatus::GivenUp,
+    ClaimStatus::Deciding,
+    ClaimStatus::OutcomeLost
   };
   return values;
 }
 
 inline const char * const *EnumNamesClaimStatus() {
-  static const char * const names[5] = {
+  static const char * const names[7] = {
     "Gone",
     "Running",
     "Finished",
     "GivenUp",
+    "Deciding",
+    "OutcomeLost",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameClaimStatus(ClaimStatus e) {
-  if (flatbuffers::IsOutRange(e, ClaimStatus::Gone, ClaimStatus::GivenUp)) return "";
+  if (flatbuffers::IsOutRange(e, ClaimStatus::Gone, ClaimStatus::OutcomeLost)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesClaimStatus()[index];
 }
@@ -179,11 +207,12 @@
   AppendRequest = 11,
   AppendReply = 12,
   Refusal = 13,
+  AdmissionReport = 14,
   MIN = NONE,
-  MAX = Refusal
+  MAX = AdmissionReport
 };
 
-inline const Body (&EnumValuesBody())[14] {
+inline const Body (&EnumValuesBody())[15] {
   static const Body values[] = {
     Body::NONE,
     Body::Probe,
@@ -198,13 +227,14 @@
     Body::ClaimReply,
     Body::AppendRequest,
     Body::AppendReply,
-    Body::Refusal
+    Body::Refusal,
+    Body::AdmissionReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[15] = {
+  static const char * const names[16] = {
     "NONE",
     "Probe",
     "Ack",
@@ -219,13 +249,14 @@
     "AppendRequest",
     "AppendReply",
     "Refusal",
+    "AdmissionReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Refusal)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AdmissionReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -286,6 +317,10 @@
   static const Body enum_value = Body::Refusal;
 };
 
+template<> struct BodyTraits<Peer::Wire::AdmissionReport> {
+  static const Body enum_value = Body::AdmissionReport;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -342,6 +377,10 @@
   static const Body enum_value = Body::Refusal;
 };
 
+template<> struct BodyUnionTraits<Peer::Wire::AdmissionReportT> {
+  static const Body enum_value = Body::AdmissionReport;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -476,6 +515,14 @@
     return type == Body::Refusal ?
       reinterpret_cast<const Peer::Wire::RefusalT *>(value) : nullptr;
   }
+  Peer::Wire::AdmissionReportT *AsAdmissionReport() {
+    return type == Body::AdmissionReport ?
+      reinterpret_cast<Peer::Wire::AdmissionReportT *>(value) : nullptr;
+  }
+  const Peer::Wire::AdmissionReportT *AsAdmissionReport() const {
+    return type == Body::AdmissionReport ?
+      reinterpret_cast<const Peer::Wire::AdmissionReportT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -615,6 +662,45 @@
   using type = ModelWeights;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ShareLease FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t answers_;
+  uint32_t amount_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  ShareLease()
+      : number_(0),
+        answers_(0),
+        amount_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ShareLease(uint64_t _number, uint64_t _answers, uint32_t _amount)
+      : number_(flatbuffers::EndianScalar(_number)),
+        answers_(flatbuffers::EndianScalar(_answers)),
+        amount_(flatbuffers::EndianScalar(_amount)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t answers() const {
+    return flatbuffers::EndianScalar(answers_);
+  }
+  uint32_t amount() const {
+    return flatbuffers::EndianScalar(amount_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ShareLease, 24);
+
+struct ShareLease::Traits {
+  using type = ShareLease;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t version = 0;
@@ -1746,6 +1832,11 @@
   typedef ClaimQuery TableType;
   std::string team{};
   std::string key{};
+  int64_t issued_at_ms = 0;
+  uint64_t origin = 0;
+  uint64_t sequence = 0;
+  std::string holder{};
+  uint64_t holder_incarnation = 0;
 };
 
 struct ClaimQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1754,7 +1845,12 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TEAM = 4,
-    VT_KEY = 6
+    VT_KEY = 6,
+    VT_ISSUED_AT_MS = 8,
+    VT_ORIGIN = 10,
+    VT_SEQUENCE = 12,
+    VT_HOLDER = 14,
+    VT_HOLDER_INCARNATION = 16
   };
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
@@ -1762,12 +1858,33 @@
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
+  int64_t issued_at_ms() const {
+    return GetField<int64_t>(VT_ISSUED_AT_MS, 0);
+  }
+  uint64_t origin() const {
+    return GetField<uint64_t>(VT_ORIGIN, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  uint64_t holder_incarnation() const {
+    return GetField<uint64_t>(VT_HOLDER_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TEAM) &&
            verifier.VerifyString(team()) &&
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
+           VerifyField<int64_t>(verifier, VT_ISSUED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORIGIN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyField<uint64_t>(verifier, VT_HOLDER_INCARNATION, 8) &&
            verifier.EndTable();
   }
   ClaimQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1785,6 +1902,21 @@
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
     fbb_.AddOffset(ClaimQuery::VT_KEY, key);
   }
+  void add_issued_at_ms(int64_t issued_at_ms) {
+    fbb_.AddElement<int64_t>(ClaimQuery::VT_ISSUED_AT_MS, issued_at_ms, 0);
+  }
+  void add_origin(uint64_t origin) {
+    fbb_.AddElement<uint64_t>(ClaimQuery::VT_ORIGIN, origin, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(ClaimQuery::VT_SEQUENCE, sequence, 0);
+  }
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(ClaimQuery::VT_HOLDER, holder);
+  }
+  void add_holder_incarnation(uint64_t holder_incarnation) {
+    fbb_.AddElement<uint64_t>(ClaimQuery::VT_HOLDER_INCARNATION, holder_incarnation, 0);
+  }
   explicit ClaimQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1799,8 +1931,18 @@
 inline flatbuffers::Offset<ClaimQuery> CreateClaimQuery(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> team = 0,
-    flatbuffers::Offset<flatbuffers::String> key = 0) {
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    int64_t issued_at_ms = 0,
+    uint64_t origin = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    uint64_t holder_incarnation = 0) {
   ClaimQueryBuilder builder_(_fbb);
+  builder_.add_holder_incarnation(holder_incarnation);
+  builder_.add_sequence(sequence);
+  builder_.add_origin(origin);
+  builder_.add_issued_at_ms(issued_at_ms);
+  builder_.add_holder(holder);
   builder_.add_key(key);
   builder_.add_team(team);
   return builder_.Finish();
@@ -1814,13 +1956,24 @@
 inline flatbuffers::Offset<ClaimQuery> CreateClaimQueryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *team = nullptr,
-    const char *key = nullptr) {
+    const char *key = nullptr,
+    int64_t issued_at_ms = 0,
+    uint64_t origin = 0,
+    uint64_t sequence = 0,
+    const char *holder = nullptr,
+    uint64_t holder_incarnation = 0) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   return Peer::Wire::CreateClaimQuery(
       _fbb,
       team__,
-      key__);
+      key__,
+      issued_at_ms,
+      origin,
+      sequence,
+      holder__,
+      holder_incarnation);
 }
 
 flatbuffers::Offset<ClaimQuery> CreateClaimQuery(flatbuffers::FlatBufferBuilder &_fbb, const ClaimQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1831,6 +1984,7 @@
   uint16_t http_status = 0;
   std::string content_type{};
   std::vector<uint8_t> answer{};
+  bool has_answer = false;
 };
 
 struct ClaimReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1841,7 +1995,8 @@
     VT_STATUS = 4,
     VT_HTTP_STATUS = 6,
     VT_CONTENT_TYPE = 8,
-    VT_ANSWER = 10
+    VT_ANSWER = 10,
+    VT_HAS_ANSWER = 12
   };
   Peer::Wire::ClaimStatus status() const {
     return static_cast<Peer::Wire::ClaimStatus>(GetField<uint8_t>(VT_STATUS, 0));
@@ -1855,6 +2010,9 @@
   const flatbuffers::Vector<uint8_t> *answer() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ANSWER);
   }
+  bool has_answer() const {
+    return GetField<uint8_t>(VT_HAS_ANSWER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
@@ -1863,6 +2021,7 @@
            verifier.VerifyString(content_type()) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyVector(answer()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_ANSWER, 1) &&
            verifier.EndTable();
   }
   ClaimReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1886,6 +2045,9 @@
   void add_answer(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answer) {
     fbb_.AddOffset(ClaimReply::VT_ANSWER, answer);
   }
+  void add_has_answer(bool has_answer) {
+    fbb_.AddElement<uint8_t>(ClaimReply::VT_HAS_ANSWER, static_cast<uint8_t>(has_answer), 0);
+  }
   explicit ClaimReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1902,11 +2064,13 @@
     Peer::Wire::ClaimStatus status = Peer::Wire::ClaimStatus::Gone,
     uint16_t http_status = 0,
     flatbuffers::Offset<flatbuffers::String> content_type = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answer = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answer = 0,
+    bool has_answer = false) {
   ClaimReplyBuilder builder_(_fbb);
   builder_.add_answer(answer);
   builder_.add_content_type(content_type);
   builder_.add_http_status(http_status);
+  builder_.add_has_answer(has_answer);
   builder_.add_status(status);
   return builder_.Finish();
 }
@@ -1921,7 +2085,8 @@
     Peer::Wire::ClaimStatus status = Peer::Wire::ClaimStatus::Gone,
     uint16_t http_status = 0,
     const char *content_type = nullptr,
-    const std::vector<uint8_t> *answer = nullptr) {
+    const std::vector<uint8_t> *answer = nullptr,
+    bool has_answer = false) {
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   auto answer__ = answer ? _fbb.CreateVector<uint8_t>(*answer) : 0;
   return Peer::Wire::CreateClaimReply(
@@ -1929,7 +2094,8 @@
       status,
       http_status,
       content_type__,
-      answer__);
+      answer__,
+      has_answer);
 }
 
 flatbuffers::Offset<ClaimReply> CreateClaimReply(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2159,6 +2325,518 @@
 
 flatbuffers::Offset<AppendReply> CreateAppendReply(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ShareReportT : public flatbuffers::NativeTable {
+  typedef ShareReport TableType;
+  std::unique_ptr<Peer::Wire::ShareLease> lease{};
+  uint64_t acknowledged = 0;
+  ShareReportT() = default;
+  ShareReportT(const ShareReportT &o);
+  ShareReportT(ShareReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  ShareReportT &operator=(ShareReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ShareReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ShareReportT NativeTableType;
+  typedef ShareReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LEASE = 4,
+    VT_ACKNOWLEDGED = 6
+  };
+  const Peer::Wire::ShareLease *lease() const {
+    return GetStruct<const Peer::Wire::ShareLease *>(VT_LEASE);
+  }
+  uint64_t acknowledged() const {
+    return GetField<uint64_t>(VT_ACKNOWLEDGED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<Peer::Wire::ShareLease>(verifier, VT_LEASE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACKNOWLEDGED, 8) &&
+           verifier.EndTable();
+  }
+  ShareReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ShareReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ShareReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ShareReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ShareReportBuilder {
+  typedef ShareReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_lease(const Peer::Wire::ShareLease *lease) {
+    fbb_.AddStruct(ShareReport::VT_LEASE, lease);
+  }
+  void add_acknowledged(uint64_t acknowledged) {
+    fbb_.AddElement<uint64_t>(ShareReport::VT_ACKNOWLEDGED, acknowledged, 0);
+  }
+  explicit ShareReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ShareReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ShareReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ShareReport> CreateShareReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const Peer::Wire::ShareLease *lease = nullptr,
+    uint64_t acknowledged = 0) {
+  ShareReportBuilder builder_(_fbb);
+  builder_.add_acknowledged(acknowledged);
+  builder_.add_lease(lease);
+  return builder_.Finish();
+}
+
+struct ShareReport::Traits {
+  using type = ShareReport;
+  static auto constexpr Create = CreateShareReport;
+};
+
+flatbuffers::Offset<ShareReport> CreateShareReport(flatbuffers::FlatBufferBuilder &_fbb, const ShareReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SlotDemandT : public flatbuffers::NativeTable {
+  typedef SlotDemand TableType;
+  std::string team{};
+  std::string priority_class{};
+  double slots = 0.0;
+};
+
+struct SlotDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SlotDemandT NativeTableType;
+  typedef SlotDemandBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TEAM = 4,
+    VT_PRIORITY_CLASS = 6,
+    VT_SLOTS = 8
+  };
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
+  const flatbuffers::String *priority_class() const {
+    return GetPointer<const flatbuffers::String *>(VT_PRIORITY_CLASS);
+  }
+  double slots() const {
+    return GetField<double>(VT_SLOTS, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyOffset(verifier, VT_PRIORITY_CLASS) &&
+           verifier.VerifyString(priority_class()) &&
+           VerifyField<double>(verifier, VT_SLOTS, 8) &&
+           verifier.EndTable();
+  }
+  SlotDemandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SlotDemandT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SlotDemand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlotDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SlotDemandBuilder {
+  typedef SlotDemand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(SlotDemand::VT_TEAM, team);
+  }
+  void add_priority_class(flatbuffers::Offset<flatbuffers::String> priority_class) {
+    fbb_.AddOffset(SlotDemand::VT_PRIORITY_CLASS, priority_class);
+  }
+  void add_slots(double slots) {
+    fbb_.AddElement<double>(SlotDemand::VT_SLOTS, slots, 0.0);
+  }
+  explicit SlotDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SlotDemand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SlotDemand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SlotDemand> CreateSlotDemand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    flatbuffers::Offset<flatbuffers::String> priority_class = 0,
+    double slots = 0.0) {
+  SlotDemandBuilder builder_(_fbb);
+  builder_.add_slots(slots);
+  builder_.add_priority_class(priority_class);
+  builder_.add_team(team);
+  return builder_.Finish();
+}
+
+struct SlotDemand::Traits {
+  using type = SlotDemand;
+  static auto constexpr Create = CreateSlotDemand;
+};
+
+inline flatbuffers::Offset<SlotDemand> CreateSlotDemandDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *team = nullptr,
+    const char *priority_class = nullptr,
+    double slots = 0.0) {
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  auto priority_class__ = priority_class ? _fbb.CreateString(priority_class) : 0;
+  return Peer::Wire::CreateSlotDemand(
+      _fbb,
+      team__,
+      priority_class__,
+      slots);
+}
+
+flatbuffers::Offset<SlotDemand> CreateSlotDemand(flatbuffers::FlatBufferBuilder &_fbb, const SlotDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct GroupSharesT : public flatbuffers::NativeTable {
+  typedef GroupShares TableType;
+  std::string group{};
+  std::vector<std::unique_ptr<Peer::Wire::SlotDemandT>> demands{};
+  std::unique_ptr<Peer::Wire::ShareReportT> slots{};
+  GroupSharesT() = default;
+  GroupSharesT(const GroupSharesT &o);
+  GroupSharesT(GroupSharesT&&) FLATBUFFERS_NOEXCEPT = default;
+  GroupSharesT &operator=(GroupSharesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct GroupShares FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GroupSharesT NativeTableType;
+  typedef GroupSharesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_DEMANDS = 6,
+    VT_SLOTS = 8
+  };
+  const flatbuffers::String *group() const {
+    return GetPointer<const flatbuffers::String *>(VT_GROUP);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::SlotDemand>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::SlotDemand>> *>(VT_DEMANDS);
+  }
+  const Peer::Wire::ShareReport *slots() const {
+    return GetPointer<const Peer::Wire::ShareReport *>(VT_SLOTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyString(group()) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           VerifyOffset(verifier, VT_SLOTS) &&
+           verifier.VerifyTable(slots()) &&
+           verifier.EndTable();
+  }
+  GroupSharesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GroupSharesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GroupShares> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupSharesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GroupSharesBuilder {
+  typedef GroupShares Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(flatbuffers::Offset<flatbuffers::String> group) {
+    fbb_.AddOffset(GroupShares::VT_GROUP, group);
+  }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::SlotDemand>>> demands) {
+    fbb_.AddOffset(GroupShares::VT_DEMANDS, demands);
+  }
+  void add_slots(flatbuffers::Offset<Peer::Wire::ShareReport> slots) {
+    fbb_.AddOffset(GroupShares::VT_SLOTS, slots);
+  }
+  explicit GroupSharesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GroupShares> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GroupShares>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GroupShares> CreateGroupShares(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> group = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::SlotDemand>>> demands = 0,
+    flatbuffers::Offset<Peer::Wire::ShareReport> slots = 0) {
+  GroupSharesBuilder builder_(_fbb);
+  builder_.add_slots(slots);
+  builder_.add_demands(demands);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct GroupShares::Traits {
+  using type = GroupShares;
+  static auto constexpr Create = CreateGroupShares;
+};
+
+inline flatbuffers::Offset<GroupShares> CreateGroupSharesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *group = nullptr,
+    const std::vector<flatbuffers::Offset<Peer::Wire::SlotDemand>> *demands = nullptr,
+    flatbuffers::Offset<Peer::Wire::ShareReport> slots = 0) {
+  auto group__ = group ? _fbb.CreateString(group) : 0;
+  auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<Peer::Wire::SlotDemand>>(*demands) : 0;
+  return Peer::Wire::CreateGroupShares(
+      _fbb,
+      group__,
+      demands__,
+      slots);
+}
+
+flatbuffers::Offset<GroupShares> CreateGroupShares(flatbuffers::FlatBufferBuilder &_fbb, const GroupSharesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TeamLimitSharesT : public flatbuffers::NativeTable {
+  typedef TeamLimitShares TableType;
+  std::string team{};
+  double rate_demand = 0.0;
+  double concurrency_demand = 0.0;
+  std::unique_ptr<Peer::Wire::ShareReportT> rate{};
+  std::unique_ptr<Peer::Wire::ShareReportT> concurrency{};
+  TeamLimitSharesT() = default;
+  TeamLimitSharesT(const TeamLimitSharesT &o);
+  TeamLimitSharesT(TeamLimitSharesT&&) FLATBUFFERS_NOEXCEPT = default;
+  TeamLimitSharesT &operator=(TeamLimitSharesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct TeamLimitShares FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TeamLimitSharesT NativeTableType;
+  typedef TeamLimitSharesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TEAM = 4,
+    VT_RATE_DEMAND = 6,
+    VT_CONCURRENCY_DEMAND = 8,
+    VT_RATE = 10,
+    VT_CONCURRENCY = 12
+  };
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
+  double rate_demand() const {
+    return GetField<double>(VT_RATE_DEMAND, 0.0);
+  }
+  double concurrency_demand() const {
+    return GetField<double>(VT_CONCURRENCY_DEMAND, 0.0);
+  }
+  const Peer::Wire::ShareReport *rate() const {
+    return GetPointer<const Peer::Wire::ShareReport *>(VT_RATE);
+  }
+  const Peer::Wire::ShareReport *concurrency() const {
+    return GetPointer<const Peer::Wire::ShareReport *>(VT_CONCURRENCY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyField<double>(verifier, VT_RATE_DEMAND, 8) &&
+           VerifyField<double>(verifier, VT_CONCURRENCY_DEMAND, 8) &&
+           VerifyOffset(verifier, VT_RATE) &&
+           verifier.VerifyTable(rate()) &&
+           VerifyOffset(verifier, VT_CONCURRENCY) &&
+           verifier.VerifyTable(concurrency()) &&
+           verifier.EndTable();
+  }
+  TeamLimitSharesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TeamLimitSharesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TeamLimitShares> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamLimitSharesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TeamLimitSharesBuilder {
+  typedef TeamLimitShares Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(TeamLimitShares::VT_TEAM, team);
+  }
+  void add_rate_demand(double rate_demand) {
+    fbb_.AddElement<double>(TeamLimitShares::VT_RATE_DEMAND, rate_demand, 0.0);
+  }
+  void add_concurrency_demand(double concurrency_demand) {
+    fbb_.AddElement<double>(TeamLimitShares::VT_CONCURRENCY_DEMAND, concurrency_demand, 0.0);
+  }
+  void add_rate(flatbuffers::Offset<Peer::Wire::ShareReport> rate) {
+    fbb_.AddOffset(TeamLimitShares::VT_RATE, rate);
+  }
+  void add_concurrency(flatbuffers::Offset<Peer::Wire::ShareReport> concurrency) {
+    fbb_.AddOffset(TeamLimitShares::VT_CONCURRENCY, concurrency);
+  }
+  explicit TeamLimitSharesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TeamLimitShares> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TeamLimitShares>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TeamLimitShares> CreateTeamLimitShares(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    double rate_demand = 0.0,
+    double concurrency_demand = 0.0,
+    flatbuffers::Offset<Peer::Wire::ShareReport> rate = 0,
+    flatbuffers::Offset<Peer::Wire::ShareReport> concurrency = 0) {
+  TeamLimitSharesBuilder builder_(_fbb);
+  builder_.add_concurrency_demand(concurrency_demand);
+  builder_.add_rate_demand(rate_demand);
+  builder_.add_concurrency(concurrency);
+  builder_.add_rate(rate);
+  builder_.add_team(team);
+  return builder_.Finish();
+}
+
+struct TeamLimitShares::Traits {
+  using type = TeamLimitShares;
+  static auto constexpr Create = CreateTeamLimitShares;
+};
+
+inline flatbuffers::Offset<TeamLimitShares> CreateTeamLimitSharesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *team = nullptr,
+    double rate_demand = 0.0,
+    double concurrency_demand = 0.0,
+    flatbuffers::Offset<Peer::Wire::ShareReport> rate = 0,
+    flatbuffers::Offset<Peer::Wire::ShareReport> concurrency = 0) {
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  return Peer::Wire::CreateTeamLimitShares(
+      _fbb,
+      team__,
+      rate_demand,
+      concurrency_demand,
+      rate,
+      concurrency);
+}
+
+flatbuffers::Offset<TeamLimitShares> CreateTeamLimitShares(flatbuffers::FlatBufferBuilder &_fbb, const TeamLimitSharesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AdmissionReportT : public flatbuffers::NativeTable {
+  typedef AdmissionReport TableType;
+  uint64_t receiver_incarnation = 0;
+  uint64_t sequence = 0;
+  std::vector<std::unique_ptr<Peer::Wire::GroupSharesT>> groups{};
+  std::vector<std::unique_ptr<Peer::Wire::TeamLimitSharesT>> limits{};
+  AdmissionReportT() = default;
+  AdmissionReportT(const AdmissionReportT &o);
+  AdmissionReportT(AdmissionReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  AdmissionReportT &operator=(AdmissionReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct AdmissionReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdmissionReportT NativeTableType;
+  typedef AdmissionReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECEIVER_INCARNATION = 4,
+    VT_SEQUENCE = 6,
+    VT_GROUPS = 8,
+    VT_LIMITS = 10
+  };
+  uint64_t receiver_incarnation() const {
+    return GetField<uint64_t>(VT_RECEIVER_INCARNATION, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::GroupShares>> *groups() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::GroupShares>> *>(VT_GROUPS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::TeamLimitShares>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::TeamLimitShares>> *>(VT_LIMITS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_RECEIVER_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_GROUPS) &&
+           verifier.VerifyVector(groups()) &&
+           verifier.VerifyVectorOfTables(groups()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
+           verifier.EndTable();
+  }
+  AdmissionReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AdmissionReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AdmissionReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdmissionReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AdmissionReportBuilder {
+  typedef AdmissionReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_receiver_incarnation(uint64_t receiver_incarnation) {
+    fbb_.AddElement<uint64_t>(AdmissionReport::VT_RECEIVER_INCARNATION, receiver_incarnation, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(AdmissionReport::VT_SEQUENCE, sequence, 0);
+  }
+  void add_groups(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::GroupShares>>> groups) {
+    fbb_.AddOffset(AdmissionReport::VT_GROUPS, groups);
+  }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::TeamLimitShares>>> limits) {
+    fbb_.AddOffset(AdmissionReport::VT_LIMITS, limits);
+  }
+  explicit AdmissionReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AdmissionReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AdmissionReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AdmissionReport> CreateAdmissionReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t receiver_incarnation = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::GroupShares>>> groups = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Peer::Wire::TeamLimitShares>>> limits = 0) {
+  AdmissionReportBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_receiver_incarnation(receiver_incarnation);
+  builder_.add_limits(limits);
+  builder_.add_groups(groups);
+  return builder_.Finish();
+}
+
+struct AdmissionReport::Traits {
+  using type = AdmissionReport;
+  static auto constexpr Create = CreateAdmissionReport;
+};
+
+inline flatbuffers::Offset<AdmissionReport> CreateAdmissionReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t receiver_incarnation = 0,
+    uint64_t sequence = 0,
+    const std::vector<flatbuffers::Offset<Peer::Wire::GroupShares>> *groups = nullptr,
+    const std::vector<flatbuffers::Offset<Peer::Wire::TeamLimitShares>> *limits = nullptr) {
+  auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<Peer::Wire::GroupShares>>(*groups) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<Peer::Wire::TeamLimitShares>>(*limits) : 0;
+  return Peer::Wire::CreateAdmissionReport(
+      _fbb,
+      receiver_incarnation,
+      sequence,
+      groups__,
+      limits__);
+}
+
+flatbuffers::Offset<AdmissionReport> CreateAdmissionReport(flatbuffers::FlatBufferBuilder &_fbb, const AdmissionReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RefusalT : public flatbuffers::NativeTable {
   typedef Refusal TableType;
   std::string kind{};
@@ -2311,6 +2989,9 @@
   const Peer::Wire::Refusal *body_as_Refusal() const {
     return body_type() == Peer::Wire::Body::Refusal ? static_cast<const Peer::Wire::Refusal *>(body()) : nullptr;
   }
+  const Peer::Wire::AdmissionReport *body_as_AdmissionReport() const {
+    return body_type() == Peer::Wire::Body::AdmissionReport ? static_cast<const Peer::Wire::AdmissionReport *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PURPOSE, 1) &&
@@ -2377,6 +3058,10 @@
   return body_as_Refusal();
 }
 
+template<> inline const Peer::Wire::AdmissionReport *Envelope::body_as<Peer::Wire::AdmissionReport>() const {
+  return body_as_AdmissionReport();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2873,6 +3558,11 @@
   (void)_resolver;
   { auto _e = team(); if (_e) _o->team = _e->str(); }
   { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = issued_at_ms(); _o->issued_at_ms = _e; }
+  { auto _e = origin(); _o->origin = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = holder(); if (_e) _o->holder = _e->str(); }
+  { auto _e = holder_incarnation(); _o->holder_incarnation = _e; }
 }
 
 inline flatbuffers::Offset<ClaimQuery> ClaimQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2885,10 +3575,20 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _issued_at_ms = _o->issued_at_ms;
+  auto _origin = _o->origin;
+  auto _sequence = _o->sequence;
+  auto _holder = _o->holder.empty() ? 0 : _fbb.CreateString(_o->holder);
+  auto _holder_incarnation = _o->holder_incarnation;
   return Peer::Wire::CreateClaimQuery(
       _fbb,
       _team,
-      _key);
+      _key,
+      _issued_at_ms,
+      _origin,
+      _sequence,
+      _holder,
+      _holder_incarnation);
 }
 
 inline ClaimReplyT *ClaimReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2904,6 +3604,7 @@
   { auto _e = http_status(); _o->http_status = _e; }
   { auto _e = content_type(); if (_e) _o->content_type = _e->str(); }
   { auto _e = answer(); if (_e) { _o->answer.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->answer.begin()); } }
+  { auto _e = has_answer(); _o->has_answer = _e; }
 }
 
 inline flatbuffers::Offset<ClaimReply> ClaimReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2918,12 +3619,14 @@
   auto _http_status = _o->http_status;
   auto _content_type = _o->content_type.empty() ? 0 : _fbb.CreateString(_o->content_type);
   auto _answer = _o->answer.size() ? _fbb.CreateVector(_o->answer) : 0;
+  auto _has_answer = _o->has_answer;
   return Peer::Wire::CreateClaimReply(
       _fbb,
       _status,
       _http_status,
       _content_type,
-      _answer);
+      _answer,
+      _has_answer);
 }
 
 inline AppendRequestT::AppendRequestT(const AppendRequestT &o)
@@ -3022,6 +3725,231 @@
       _count);
 }
 
+inline ShareReportT::ShareReportT(const ShareReportT &o)
+      : lease((o.lease) ? new Peer::Wire::ShareLease(*o.lease) : nullptr),
+        acknowledged(o.acknowledged) {
+}
+
+inline ShareReportT &ShareReportT::operator=(ShareReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(lease, o.lease);
+  std::swap(acknowledged, o.acknowledged);
+  return *this;
+}
+
+inline ShareReportT *ShareReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ShareReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ShareReport::UnPackTo(ShareReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = lease(); if (_e) _o->lease = std::unique_ptr<Peer::Wire::ShareLease>(new Peer::Wire::ShareLease(*_e)); }
+  { auto _e = acknowledged(); _o->acknowledged = _e; }
+}
+
+inline flatbuffers::Offset<ShareReport> ShareReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ShareReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateShareReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ShareReport> CreateShareReport(flatbuffers::FlatBufferBuilder &_fbb, const ShareReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ShareReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _lease = _o->lease ? _o->lease.get() : nullptr;
+  auto _acknowledged = _o->acknowledged;
+  return Peer::Wire::CreateShareReport(
+      _fbb,
+      _lease,
+      _acknowledged);
+}
+
+inline SlotDemandT *SlotDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SlotDemandT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SlotDemand::UnPackTo(SlotDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = priority_class(); if (_e) _o->priority_class = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+}
+
+inline flatbuffers::Offset<SlotDemand> SlotDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlotDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSlotDemand(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SlotDemand> CreateSlotDemand(flatbuffers::FlatBufferBuilder &_fbb, const SlotDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SlotDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _priority_class = _o->priority_class.empty() ? 0 : _fbb.CreateString(_o->priority_class);
+  auto _slots = _o->slots;
+  return Peer::Wire::CreateSlotDemand(
+      _fbb,
+      _team,
+      _priority_class,
+      _slots);
+}
+
+inline GroupSharesT::GroupSharesT(const GroupSharesT &o)
+      : group(o.group),
+        slots((o.slots) ? new Peer::Wire::ShareReportT(*o.slots) : nullptr) {
+  demands.reserve(o.demands.size());
+  for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new Peer::Wire::SlotDemandT(*demands_) : nullptr); }
+}
+
+inline GroupSharesT &GroupSharesT::operator=(GroupSharesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(group, o.group);
+  std::swap(demands, o.demands);
+  std::swap(slots, o.slots);
+  return *this;
+}
+
+inline GroupSharesT *GroupShares::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GroupSharesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GroupShares::UnPackTo(GroupSharesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<Peer::Wire::SlotDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = slots(); if (_e) _o->slots = std::unique_ptr<Peer::Wire::ShareReportT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<GroupShares> GroupShares::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupSharesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGroupShares(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GroupShares> CreateGroupShares(flatbuffers::FlatBufferBuilder &_fbb, const GroupSharesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupSharesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
+  auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<Peer::Wire::SlotDemand>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateSlotDemand(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _slots = _o->slots ? CreateShareReport(_fbb, _o->slots.get(), _rehasher) : 0;
+  return Peer::Wire::CreateGroupShares(
+      _fbb,
+      _group,
+      _demands,
+      _slots);
+}
+
+inline TeamLimitSharesT::TeamLimitSharesT(const TeamLimitSharesT &o)
+      : team(o.team),
+        rate_demand(o.rate_demand),
+        concurrency_demand(o.concurrency_demand),
+        rate((o.rate) ? new Peer::Wire::ShareReportT(*o.rate) : nullptr),
+        concurrency((o.concurrency) ? new Peer::Wire::ShareReportT(*o.concurrency) : nullptr) {
+}
+
+inline TeamLimitSharesT &TeamLimitSharesT::operator=(TeamLimitSharesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(team, o.team);
+  std::swap(rate_demand, o.rate_demand);
+  std::swap(concurrency_demand, o.concurrency_demand);
+  std::swap(rate, o.rate);
+  std::swap(concurrency, o.concurrency);
+  return *this;
+}
+
+inline TeamLimitSharesT *TeamLimitShares::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TeamLimitSharesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TeamLimitShares::UnPackTo(TeamLimitSharesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = rate_demand(); _o->rate_demand = _e; }
+  { auto _e = concurrency_demand(); _o->concurrency_demand = _e; }
+  { auto _e = rate(); if (_e) _o->rate = std::unique_ptr<Peer::Wire::ShareReportT>(_e->UnPack(_resolver)); }
+  { auto _e = concurrency(); if (_e) _o->concurrency = std::unique_ptr<Peer::Wire::ShareReportT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<TeamLimitShares> TeamLimitShares::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamLimitSharesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTeamLimitShares(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TeamLimitShares> CreateTeamLimitShares(flatbuffers::FlatBufferBuilder &_fbb, const TeamLimitSharesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TeamLimitSharesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _rate_demand = _o->rate_demand;
+  auto _concurrency_demand = _o->concurrency_demand;
+  auto _rate = _o->rate ? CreateShareReport(_fbb, _o->rate.get(), _rehasher) : 0;
+  auto _concurrency = _o->concurrency ? CreateShareReport(_fbb, _o->concurrency.get(), _rehasher) : 0;
+  return Peer::Wire::CreateTeamLimitShares(
+      _fbb,
+      _team,
+      _rate_demand,
+      _concurrency_demand,
+      _rate,
+      _concurrency);
+}
+
+inline AdmissionReportT::AdmissionReportT(const AdmissionReportT &o)
+      : receiver_incarnation(o.receiver_incarnation),
+        sequence(o.sequence) {
+  groups.reserve(o.groups.size());
+  for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new Peer::Wire::GroupSharesT(*groups_) : nullptr); }
+  limits.reserve(o.limits.size());
+  for (const auto &limits_ : o.limits) { limits.emplace_back((limits_) ? new Peer::Wire::TeamLimitSharesT(*limits_) : nullptr); }
+}
+
+inline AdmissionReportT &AdmissionReportT::operator=(AdmissionReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(receiver_incarnation, o.receiver_incarnation);
+  std::swap(sequence, o.sequence);
+  std::swap(groups, o.groups);
+  std::swap(limits, o.limits);
+  return *this;
+}
+
+inline AdmissionReportT *AdmissionReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdmissionReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdmissionReport::UnPackTo(AdmissionReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = receiver_incarnation(); _o->receiver_incarnation = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = groups(); if (_e) { _o->groups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->groups[_i] = std::unique_ptr<Peer::Wire::GroupSharesT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<Peer::Wire::TeamLimitSharesT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<AdmissionReport> AdmissionReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdmissionReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdmissionReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdmissionReport> CreateAdmissionReport(flatbuffers::FlatBufferBuilder &_fbb, const AdmissionReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdmissionReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _receiver_incarnation = _o->receiver_incarnation;
+  auto _sequence = _o->sequence;
+  auto _groups = _o->groups.size() ? _fbb.CreateVector<flatbuffers::Offset<Peer::Wire::GroupShares>> (_o->groups.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupShares(*__va->__fbb, __va->__o->groups[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<Peer::Wire::TeamLimitShares>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamLimitShares(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return Peer::Wire::CreateAdmissionReport(
+      _fbb,
+      _receiver_incarnation,
+      _sequence,
+      _groups,
+      _limits);
+}
+
 inline RefusalT *Refusal::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<RefusalT>();
   UnPackTo(_o.get(), _resolver);
@@ -3143,6 +4071,10 @@
       auto ptr = reinterpret_cast<const Peer::Wire::Refusal *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::AdmissionReport: {
+      auto ptr = reinterpret_cast<const Peer::Wire::AdmissionReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3214,6 +4146,10 @@
       auto ptr = reinterpret_cast<const Peer::Wire::Refusal *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::AdmissionReport: {
+      auto ptr = reinterpret_cast<const Peer::Wire::AdmissionReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3273,6 +4209,10 @@
       auto ptr = reinterpret_cast<const Peer::Wire::RefusalT *>(value);
       return CreateRefusal(_fbb, ptr, _rehasher).Union();
     }
+    case Body::AdmissionReport: {
+      auto ptr = reinterpret_cast<const Peer::Wire::AdmissionReportT *>(value);
+      return CreateAdmissionReport(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3331,6 +4271,10 @@
       value = new Peer::Wire::RefusalT(*reinterpret_cast<Peer::Wire::RefusalT *>(u.value));
       break;
     }
+    case Body::AdmissionReport: {
+      value = new Peer::Wire::AdmissionReportT(*reinterpret_cast<Peer::Wire::AdmissionReportT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3403,6 +4347,11 @@
       delete ptr;
       break;
     }
+    case Body::AdmissionReport: {
+      auto ptr = reinterpret_cast<Peer::Wire::AdmissionReportT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/Libraries/LibSiblings/ClaimQueryCodec.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <LibClaims/Outcome.h>
+#include <LibPeer/PeerMessage.h>
+
+namespace Siblings {
+
+Peer::Wire::ClaimQueryT encodeClaimQuery(const Claims::HolderQuery &query);
+Claims::HolderQuery decodeClaimQuery(const Peer::Wire::ClaimQueryT &message);
+
+Peer::Wire::ClaimReplyT encodeClaimReply(const Claims::HolderReply &reply);
+/// A status that this program does not know counts as unreachable, which promises nothing.
+Claims::HolderReply decodeClaimReply(const Peer::Wire::ClaimReplyT &message);
+
+} // namespace Siblings
--- /dev/null
+++ b/Libraries/LibSiblings/Forward.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace Siblings {
+
+class SharedStateBridge;
+class SiblingService;
+class WarmStart;
+
+} // namespace Siblings
--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -81,6 +81,25 @@
     m_usageReporter =
         std::make_unique<Router::UsageReporter>(m_instance, *m_log, m_settings.usageInterval);
     createClaims();
+    createSiblings();
+}
+
+void Daemon::createSiblings()
+{
+    if (!m_settings.peer)
+        return;
+    m_siblings = std::make_unique<Siblings::SiblingService>(
+        m_controlThread.at(0), Siblings::SiblingSettings {*m_settings.peer, m_settings.peerKey},
+        m_instance, m_configurationReader.get());
+    Core::logEvent(Core::EventId::ListeningOn,
+                   {{"port", "peer"}, {"address", Http::formatEndpoint(m_siblings->endpoint())}});
+}
+
+asio::awaitable<Claims::HolderReply> Daemon::askHolder(Claims::HolderQuery query)
+{
+    if (!m_siblings)
+        co_return Claims::HolderReply {};
+    co_return co_await m_siblings->askHolder(std::move(query));
 }
 
 void Daemon::createEmbeddedPlatform()
@@ -125,9 +144,7 @@
     const Claims::Holder self {m_settings.instance, m_instance.settings().incarnation};
     m_claims = Claims::ClaimCoordinator::create(
                    m_controlThread.at(0).get_executor(), settings, self, *m_log, m_clock,
-                   [](Claims::HolderQuery) -> asio::awaitable<Claims::HolderReply> {
-                       co_return Claims::HolderReply {};
-                   })
+                   [this](Claims::HolderQuery query) { return askHolder(std::move(query)); })
                    .value();
     m_instance.setClaims(m_claims);
 }
@@ -165,7 +182,12 @@
 void Daemon::startControl()
 {
     m_directoryWatcher = std::make_unique<Router::DirectoryWatcher>(
-        m_instance, *m_platformDirectory, Router::DirectoryWatcher::ListHook {});
+        m_instance, *m_platformDirectory, [this](const Platform::InstanceList &list) {
+            if (m_siblings)
+                m_siblings->noteList(list);
+        });
+    if (m_siblings)
+        m_siblings->start();
     auto &control = m_controlThread.at(0);
     asio::co_spawn(control, m_directoryWatcher->run(), asio::detached);
     asio::co_spawn(control, m_loadProber.run(), asio::detached);
@@ -198,6 +220,8 @@
 void Daemon::drain()
 {
     m_instance.drain();
+    if (m_siblings)
+        m_siblings->leave();
     waitForRequests();
     appendLastRecords();
     Core::logEvent(Core::EventId::ProcessStopped,
--- a/Services/jujubesaddled/Daemon.h
+++ b/Services/jujubesaddled/Daemon.h
@@ -14,6 +14,7 @@
 #include <LibRouter/LoadProber.h>
 #include <LibRouter/RequestRouter.h>
 #include <LibRouter/UsageReporter.h>
+#include <LibSiblings/SiblingService.h>
 
 #include <jujubesaddled/Settings.h>
 
@@ -42,6 +43,8 @@
     void createRemotePlatform();
     void loadEmbeddedConfiguration();
     void createClaims();
+    void createSiblings();
+    boost::asio::awaitable<Claims::HolderReply> askHolder(Claims::HolderQuery query);
     boost::asio::awaitable<void> tickAdmission();
     void startControl();
     void openPorts();
@@ -66,6 +69,8 @@
     /// Background work stays off the threads that serve requests.
     Core::IoThreads m_controlThread {1};
     Core::IoThreads m_requestThreads;
+    /// Null without a peer port.
+    std::unique_ptr<Siblings::SiblingService> m_siblings;
     std::unique_ptr<Http::Server> m_server;
     std::unique_ptr<Http::Server> m_adminServer;
 };
--- a/Tests/Processes/Fleet.cpp
+++ b/Tests/Processes/Fleet.cpp
@@ -68,14 +68,24 @@
         "--instance",       name,
         "--data-centre",    dataCentre,
         "--platform",       Http::formatEndpoint(m_platform.address),
+        "--peer",           "127.0.0.1:0",
         "--threads",        "2",
         "--drain-grace-ms", "200",
     };
     words.insert(words.end(), arguments.begin(), arguments.end());
     Node node;
     node.process = std::make_unique<Process>("jujubesaddled", words);
+    node.peer = node.process->awaitEndpoint("\"port\":\"peer\"");
     node.address = node.process->awaitEndpoint("\"port\":\"callers\"");
     node.admin = node.process->awaitEndpoint("\"port\":\"admin\"");
+    json::object entry;
+    entry["id"] = name;
+    entry["role"] = "entry";
+    entry["data_centre"] = dataCentre;
+    entry["address"] = Http::formatEndpoint(node.peer);
+    entry["admin"] = Http::formatEndpoint(node.admin);
+    entry["state"] = "live";
+    json(m_platform.address, "/control/instances", json::serialize(entry));
     return add(name, std::move(node));
 }
 
--- a/Tests/StandIns/EngineStandIn.cpp
+++ b/Tests/StandIns/EngineStandIn.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <random>
-
 namespace StandIns {
 
 namespace asio = boost::asio;
@@ -46,7 +44,8 @@
 EngineStandIn::EngineStandIn(EngineSettings settings)
     : m_settings(std::move(settings))
     , m_cache(m_settings.cachePieces)
-    , m_incarnation(std::random_device {}())
+    , m_incarnation(
+          static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
 { }
 
 asio::awaitable<void> EngineStandIn::handle(Http::ServerExchange &exchange)
