LibAdmission: Place a team's own capacity where its allocation is, a quarter of it evenly

Cause: the local part of a team's own capacity followed its raw demand. Overnight queues swing it, and urgent bursts then counted as borrowed. Change: the part follows the slots that fairTargets() allocates, which urgent work dominates, and a quarter is spread evenly for bursts at instances that have seen little.

--- a/Libraries/LibAdmission/FairShare.cpp
+++ b/Libraries/LibAdmission/FairShare.cpp
@@ -129,22 +129,34 @@
     return shares;
 }
 
-std::vector<double> fairTargets(const GroupPolicy &policy,
-                                std::span<const std::vector<TeamDemand>> demandByInstance)
+FairTargets fairTargets(const GroupPolicy &policy,
+                        std::span<const std::vector<TeamDemand>> demandByInstance)
 {
     Allocation allocation(policy, demandByInstance);
     allocation.giveFloors();
     allocation.giveOwned();
     allocation.giveBorrowed();
+    const auto teams = policy.teams.size();
     const double even = allocation.left() / static_cast<double>(demandByInstance.size());
-    std::vector<double> targets(demandByInstance.size(), even);
-    const auto cells = policy.classes.size() * policy.teams.size();
+    FairTargets targets {std::vector<double>(demandByInstance.size(), even),
+                         std::vector<std::optional<double>>(teams)};
+    std::vector<double> first(teams, 0);
+    std::vector<double> all(teams, 0);
     for (std::size_t n = 0; n < demandByInstance.size(); ++n) {
         for (const auto &demand : demandByInstance[n]) {
-            if (const auto cell = allocation.cellOf(demand); cell < cells)
-                targets[n] += demand.slots * allocation.satisfaction(cell);
+            const auto cell = allocation.cellOf(demand);
+            if (cell >= teams * policy.classes.size())
+                continue;
+            const double given = demand.slots * allocation.satisfaction(cell);
+            targets.slots[n] += given;
+            all[cell % teams] += given;
+            first[cell % teams] += n == 0 ? given : 0;
         }
     }
+    for (std::size_t team = 0; team < teams; ++team) {
+        if (all[team] > 0)
+            targets.firstInstancePart[team] = first[team] / all[team];
+    }
     return targets;
 }
 
--- a/Libraries/LibAdmission/FairShare.h
+++ b/Libraries/LibAdmission/FairShare.h
@@ -2,6 +2,7 @@
 
 #include <LibAdmission/Policy.h>
 
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -27,10 +28,20 @@
     double slots = 0;
 };
 
-/// Slots each instance should hold for the demand that all of them see, by the rules that admit
-/// requests: class floors first, then each team's own capacity with urgent classes first, then lent
-/// capacity by class and weight. Capacity that nobody asks for is spread evenly.
-std::vector<double> fairTargets(const GroupPolicy &policy,
-                                std::span<const std::vector<TeamDemand>> demandByInstance);
+/// How a group's slots should be divided among instances.
+struct FairTargets
+{
+    /// Slots each instance should hold.
+    std::vector<double> slots;
+    /// Of the slots that each team should get, the part at the first instance, by team position;
+    /// empty for a team without demand.
+    std::vector<std::optional<double>> firstInstancePart;
+};
+
+/// Divides a group's slots for the demand that all instances see, by the rules that admit requests:
+/// class floors first, then each team's own capacity with urgent classes first, then lent capacity
+/// by class and weight. Capacity that nobody asks for is spread evenly.
+FairTargets fairTargets(const GroupPolicy &policy,
+                        std::span<const std::vector<TeamDemand>> demandByInstance);
 
 } // namespace Admission
--- a/Libraries/LibAdmission/GroupAdmission.cpp
+++ b/Libraries/LibAdmission/GroupAdmission.cpp
@@ -10,6 +10,9 @@
 constexpr std::size_t MostReportedDemands = 64;
 /// Part of a demand that is kept from one tick to the next after it has gone.
 constexpr double DemandDecay = 0.7;
+/// Part of a team's own capacity that is spread evenly over the instances, wherever its demand was
+/// seen, so that a burst at another instance finds some.
+constexpr double EvenPart = 0.25;
 constexpr double LeastDemand = 0.5;
 /// A sibling's demand is forgotten when nothing was heard of it for this long.
 constexpr std::chrono::milliseconds SiblingSilence = LeaseDuration;
@@ -243,39 +246,27 @@
     std::vector<std::vector<TeamDemand>> demandByInstance {m_ownDemand};
     for (const auto &[sibling, demand] : m_siblings)
         demandByInstance.push_back(demand.demands);
-    updateLocality(demandByInstance);
     // Siblings that are not heard keep their safe shares, so only the others' are divided anew.
     auto policy = m_policy;
     const auto heard = std::min<std::size_t>(demandByInstance.size(), m_siblingCount);
     policy.slots = static_cast<std::uint32_t>(policy.slots * heard / m_siblingCount);
     const auto targets = fairTargets(policy, demandByInstance);
-    const auto amounts = planLending(m_share.safeShare(), targets, 0);
+    const auto amounts = planLending(m_share.safeShare(), targets.slots, 0);
     m_plan.clear();
     std::size_t n = 0;
     for (const auto &[sibling, demand] : m_siblings)
         m_plan[sibling] = amounts[++n];
+    updateLocality(targets, heard);
 }
 
-void GroupAdmission::updateLocality(const std::vector<std::vector<TeamDemand>> &demandByInstance)
+void GroupAdmission::updateLocality(const FairTargets &targets, std::size_t heard)
 {
-    std::vector<double> own(m_policy.teams.size(), 0);
-    std::vector<double> all(m_policy.teams.size(), 0);
-    for (std::size_t n = 0; n < demandByInstance.size(); ++n) {
-        for (const auto &demand : demandByInstance[n]) {
-            const auto team = m_scheduler->teamIndex(demand.team);
-            if (!team)
-                continue;
-            all[*team] += demand.slots;
-            if (n == 0)
-                own[*team] += demand.slots;
-        }
-    }
     const auto count = static_cast<double>(m_siblingCount);
-    const auto heard = static_cast<double>(demandByInstance.size());
+    const double known = static_cast<double>(heard) / count;
     std::vector<double> locality(m_policy.teams.size(), 1.0 / count);
     for (std::size_t team = 0; team < locality.size(); ++team) {
-        if (all[team] > 0 && own[team] > 0)
-            locality[team] = std::min(1.0, heard / count) * own[team] / all[team];
+        if (const auto part = targets.firstInstancePart[team])
+            locality[team] = EvenPart / count + (1 - EvenPart) * known * *part;
     }
     m_scheduler->setLocality(std::move(locality));
 }
--- a/Libraries/LibAdmission/GroupAdmission.h
+++ b/Libraries/LibAdmission/GroupAdmission.h
@@ -86,7 +86,7 @@
     void dispatch(GroupActions &actions, Core::Clock::Monotonic now);
     void updateOwnDemand();
     void updatePlan(Core::Clock::Monotonic now);
-    void updateLocality(const std::vector<std::vector<TeamDemand>> &demandByInstance);
+    void updateLocality(const FairTargets &targets, std::size_t heard);
 
     const std::uint32_t m_groupIndex;
     mutable std::mutex m_mutex;
--- a/Tests/LibAdmission/TestFairShare.cpp
+++ b/Tests/LibAdmission/TestFairShare.cpp
@@ -37,6 +37,6 @@
     const std::vector<std::vector<TeamDemand>> demands {{{small, urgent, 20}},
                                                         {{large, urgent, 1000}}};
     const auto targets = fairTargets(policy, demands);
-    CHECK(targets[0] == Approx(20));
-    CHECK(targets[1] == Approx(20));
+    CHECK(targets.slots[0] == Approx(20));
+    CHECK(targets.slots[1] == Approx(20));
 }
