LibAdmission: Divide a flood's slots evenly among the instances that see it

Cause: slots followed demand, and an instance that held more slots ran more of a flood, asked for more and drew ever more of them: in the small-team scenario, with seven instances of 55 slots, shares swung between 8 and 160 and the small team's instance sank below its safe share. Change: what a class and team is allocated is divided among the instances by max-min with equal weights, so that satisfied demand keeps its place and a flood is spread. Shown failing first: "a flood does not draw slots" fails on the commit before (26.7 for 20).

--- a/Libraries/LibAdmission/FairShare.cpp
+++ b/Libraries/LibAdmission/FairShare.cpp
@@ -60,11 +60,9 @@
             give(n, m_left, true);
     }
 
-    /// Part of the demand at one position that is met, 0 to 1.
-    double satisfaction(std::size_t cell) const
-    {
-        return m_demand[cell] > 0 ? m_given[cell] / m_demand[cell] : 0;
-    }
+    /// Slots given at one position.
+    double given(std::size_t cell) const { return m_given[cell]; }
+    std::size_t cells() const { return m_given.size(); }
 
     double left() const { return m_left; }
 
@@ -136,22 +134,29 @@
     allocation.giveFloors();
     allocation.giveOwned();
     allocation.giveBorrowed();
+    const auto instances = demandByInstance.size();
     const auto teams = policy.teams.size();
-    const double even = allocation.left() / static_cast<double>(demandByInstance.size());
-    FairTargets targets {std::vector<double>(demandByInstance.size(), even),
+    // What each instance asks for of each class and team.
+    std::vector<std::vector<Claimant>> claims(allocation.cells(), std::vector<Claimant>(instances));
+    for (std::size_t n = 0; n < instances; ++n) {
+        for (const auto &demand : demandByInstance[n]) {
+            if (const auto cell = allocation.cellOf(demand); cell < claims.size())
+                claims[cell][n].demand += demand.slots;
+        }
+    }
+    const double even = allocation.left() / static_cast<double>(instances);
+    FairTargets targets {std::vector<double>(instances, even),
                          std::vector<std::optional<double>>(teams)};
     std::vector<double> first(teams, 0);
     std::vector<double> all(teams, 0);
-    for (std::size_t n = 0; n < demandByInstance.size(); ++n) {
-        for (const auto &demand : demandByInstance[n]) {
-            const auto cell = allocation.cellOf(demand);
-            if (cell >= teams * policy.classes.size())
-                continue;
-            const double given = demand.slots * allocation.satisfaction(cell);
-            targets.slots[n] += given;
-            all[cell % teams] += given;
-            first[cell % teams] += n == 0 ? given : 0;
-        }
+    for (std::size_t cell = 0; cell < claims.size(); ++cell) {
+        // Equal weights: in proportion to the demand, an instance that holds more slots would run
+        // more, ask for more and draw ever more of them.
+        const auto parts = weightedMaxMin(allocation.given(cell), claims[cell]);
+        for (std::size_t n = 0; n < instances; ++n)
+            targets.slots[n] += parts[n];
+        first[cell % teams] += parts[0];
+        all[cell % teams] += allocation.given(cell);
     }
     for (std::size_t team = 0; team < teams; ++team) {
         if (all[team] > 0)
--- a/Tests/LibAdmission/TestFairShare.cpp
+++ b/Tests/LibAdmission/TestFairShare.cpp
@@ -40,3 +40,18 @@
     CHECK(targets.slots[0] == Approx(20));
     CHECK(targets.slots[1] == Approx(20));
 }
+
+TEST_CASE("a flood does not draw slots to the instance that already runs more of it")
+{
+    const Core::PriorityClassId urgent("urgent");
+    const Core::TeamId large("large");
+    const GroupPolicy policy {.id = Core::UpstreamGroupId("g"),
+                              .classes = {{.id = urgent}},
+                              .teams = {{.id = large, .ownedShare = 1}},
+                              .slots = 40};
+    const std::vector<std::vector<TeamDemand>> demands {{{large, urgent, 60}},
+                                                        {{large, urgent, 30}}};
+    const auto targets = fairTargets(policy, demands);
+    CHECK(targets.slots[0] == Approx(20));
+    CHECK(targets.slots[1] == Approx(20));
+}
