LibMembership: Save up small budgets, and evict shared items in batches

A round's share of a small budget went into frames around one or two records, and under 496 bytes a second nothing was sent at all. A message now waits until eight records fit (or a second's budget, if that is less). A full table looked through all items for each new one; it now drops a sixteenth.

--- a/Libraries/LibMembership/SharedState.cpp
+++ b/Libraries/LibMembership/SharedState.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// One in so many items goes when there is no room.
+constexpr std::size_t EvictedPart = 16;
+
 using Content = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
 
 /// What a record says, its key, version and age left out.
@@ -100,10 +103,20 @@
     expire();
     if (m_entries.size() < m_settings.maxItems)
         return;
-    m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(),
-                                     [](const auto &left, const auto &right) {
-                                         return left.second.value < right.second.value;
-                                     }));
+    // Many go at once, because finding the least valuable means looking at all.
+    std::vector<double> values;
+    values.reserve(m_entries.size());
+    for (const auto &[key, entry] : m_entries)
+        values.push_back(entry.value);
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / EvictedPart);
+    std::nth_element(values.begin(), middle, values.end());
+    const auto least = *middle;
+    std::size_t left = values.size() / EvictedPart + 1;
+    std::erase_if(m_entries, [&](const auto &item) {
+        const bool goes = left > 0 && item.second.value <= least;
+        left -= goes ? 1 : 0;
+        return goes;
+    });
 }
 
 void SharedState::expire()
--- a/Libraries/LibMembership/SharedState.h
+++ b/Libraries/LibMembership/SharedState.h
@@ -12,7 +12,7 @@
 
 struct SharedStateSettings
 {
-    /// Items kept; beyond it the least valuable goes.
+    /// Items kept; beyond it the least valuable go.
     std::size_t maxItems = 20'000;
     /// How often an item is passed on by one instance, unless it is renewed.
     unsigned maxTransmissions = 8;
--- a/Libraries/LibMembership/SharedStatePublisher.cpp
+++ b/Libraries/LibMembership/SharedStatePublisher.cpp
@@ -6,6 +6,7 @@
 
 // Envelope, vector, frame length and authentication tag around the records.
 constexpr std::size_t MessageBytes = 84;
+constexpr std::size_t LeastMessageBytes = MessageBytes + 8 * SharedRecordBytes;
 
 } // namespace
 
@@ -45,10 +46,11 @@
     const auto *sibling = choose(siblings);
     if (sibling == nullptr)
         return;
-    const auto share = m_settings.bytesPerSecond * m_settings.round / std::chrono::seconds(1);
-    const auto bytes =
-        std::min<std::size_t>(m_budget.available(now), static_cast<std::size_t>(share));
-    if (bytes < MessageBytes + SharedRecordBytes)
+    // A small budget is saved up for some rounds rather than spent on frames around few records.
+    const auto share = static_cast<std::size_t>(m_settings.bytesPerSecond * m_settings.round
+                                                / std::chrono::seconds(1));
+    const auto bytes = std::max(share, std::min(LeastMessageBytes, m_settings.bytesPerSecond));
+    if (m_budget.available(now) < bytes)
         return;
     Peer::Wire::SharedDeltaT delta;
     delta.records = m_state.pack(bytes - MessageBytes);
--- a/Tests/LibMembership/TestProbeService.cpp
+++ b/Tests/LibMembership/TestProbeService.cpp
@@ -222,3 +222,28 @@
     fleet.run(30 * Period);
     CHECK(fleet.seenLiveBy(dead) == 0);
 }
+
+TEST_CASE("a node's bytes keep to their share and do not grow with the fleet")
+{
+    // What the control budget of 12 KB a second leaves beside shared state, sent and received.
+    constexpr double ShareOfControl = 6'144;
+    std::vector<double> rates;
+    for (const std::size_t count : {20, 80}) {
+        FakeFleet fleet(count);
+        settle(fleet, count, 4);
+        for (auto &node : fleet.nodes)
+            node.bytesSent = node.bytesReceived = 0;
+        fleet.run(30 * Period);
+        double most = 0;
+        double sum = 0;
+        for (const auto &node : fleet.nodes) {
+            const auto rate = static_cast<double>(node.bytesSent + node.bytesReceived) / 30;
+            most = std::max(most, rate);
+            sum += rate;
+        }
+        CHECK(most <= ShareOfControl);
+        rates.push_back(sum / static_cast<double>(count));
+    }
+    // Names and addresses get a digit longer; that is all that may grow.
+    CHECK(rates[1] <= rates[0] * 1.1);
+}
--- a/Tests/LibMembership/TestSharedState.cpp
+++ b/Tests/LibMembership/TestSharedState.cpp
@@ -170,6 +170,23 @@
     CHECK(sent == 2 * settings.maxTransmissions);
 }
 
+TEST_CASE("the number of items is bounded, and the most valuable stay")
+{
+    const Core::ManualClock clock;
+    SharedStateSettings settings;
+    settings.maxItems = 100;
+    SharedState state(clock, settings, {});
+    state.publish(ConfigurationMark {3, 7});
+    for (std::uint32_t n = 1; n <= 1'000; ++n) {
+        state.publish(PrefixHome {n, 1, 1, n});
+        CHECK(state.size() <= settings.maxItems);
+    }
+    CHECK(state.knows(keyOf(ConfigurationMark {})));
+    CHECK(state.knows(keyOf(PrefixHome {1'000, 1, 1, 1})));
+    CHECK_FALSE(state.knows(keyOf(PrefixHome {1, 1, 1, 1})));
+    CHECK(state.size() >= settings.maxItems / 2);
+}
+
 TEST_CASE("two instances that see one thing differently do not outbid each other for ever")
 {
     const Core::ManualClock clock;
