--- a/Utilities/jujubecapacity/main.cpp
+++ b/Utilities/jujubecapacity/main.cpp
@@ -19,6 +19,8 @@
         {"cache-index", measureCacheIndex},
         {"configuration", measureConfiguration},
         {"peer-link", measurePeerLink},
+        {"appends", measureAppends},
+        {"usage", measureUsage},
     };
     CLI::App app("Measures what each role of an entry instance costs as the fleet grows");
     std::vector<std::string> chosen;
