LibAdmission: Keep a few slots free of borrowed work for teams below their own capacity

Cause: the small team's requests waited for a large team's borrowed work to end. Change: up to 5% of an instance's share stays free of borrowed work, and no more than the teams seen lately could still take of their own; without such a team nothing is kept free. Shown failing first: "a team below its own capacity finds a slot free" fails with the reserve off.

--- a/Libraries/LibAdmission/GroupAdmission.cpp
+++ b/Libraries/LibAdmission/GroupAdmission.cpp
@@ -1,6 +1,7 @@
 #include <LibAdmission/GroupAdmission.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Admission {
 
@@ -13,6 +14,8 @@
 /// Part of a team's own capacity that is spread evenly over the instances, wherever its demand was
 /// seen, so that a burst at another instance finds some.
 constexpr double EvenPart = 0.25;
+/// The largest part of the share that is kept free of borrowed work.
+constexpr double ReservePart = 0.05;
 constexpr double LeastDemand = 0.5;
 /// A sibling's demand is forgotten when nothing was heard of it for this long.
 constexpr std::chrono::milliseconds SiblingSilence = LeaseDuration;
@@ -257,6 +260,21 @@
     for (const auto &[sibling, demand] : m_siblings)
         m_plan[sibling] = amounts[++n];
     updateLocality(targets, heard);
+    updateReserve(now);
+}
+
+void GroupAdmission::updateReserve(Core::Clock::Monotonic now)
+{
+    std::vector<double> demandByTeam(m_policy.teams.size(), 0);
+    for (const auto &demand : m_ownDemand) {
+        if (const auto team = m_scheduler->teamIndex(demand.team))
+            demandByTeam[*team] += demand.slots;
+    }
+    double expected = 0;
+    for (std::size_t team = 0; team < demandByTeam.size(); ++team)
+        expected += m_scheduler->ownLeft(team, demandByTeam[team]);
+    const double most = std::ceil(ReservePart * m_share.available(now));
+    m_scheduler->setReserve(static_cast<std::uint32_t>(std::min(expected, most)));
 }
 
 void GroupAdmission::updateLocality(const FairTargets &targets, std::size_t heard)
--- a/Libraries/LibAdmission/GroupAdmission.h
+++ b/Libraries/LibAdmission/GroupAdmission.h
@@ -86,6 +86,7 @@
     void dispatch(GroupActions &actions, Core::Clock::Monotonic now);
     void updateOwnDemand();
     void updatePlan(Core::Clock::Monotonic now);
+    void updateReserve(Core::Clock::Monotonic now);
     void updateLocality(const FairTargets &targets, std::size_t heard);
 
     const std::uint32_t m_groupIndex;
--- a/Libraries/LibAdmission/SlotScheduler.cpp
+++ b/Libraries/LibAdmission/SlotScheduler.cpp
@@ -127,6 +127,8 @@
     if (running() >= share)
         return std::nullopt;
     for (const auto pass : {Pass::Floor, Pass::Owned, Pass::Borrowed}) {
+        if (pass == Pass::Borrowed && running() + m_reserve >= share)
+            break;
         if (const auto choice = choose(pass, share))
             return start(*choice, now);
     }
@@ -185,6 +187,12 @@
     return std::nullopt;
 }
 
+double SlotScheduler::ownLeft(std::size_t teamIndex, double atMost) const
+{
+    const double left = owned(teamIndex) - use(m_classes.size() - 1, teamIndex);
+    return std::clamp(left, 0.0, atMost);
+}
+
 std::size_t SlotScheduler::waiting() const
 {
     return m_waitingCells.size();
--- a/Libraries/LibAdmission/SlotScheduler.h
+++ b/Libraries/LibAdmission/SlotScheduler.h
@@ -87,6 +87,11 @@
     /// The part of each team's demand in the fleet that this instance sees, by team position.
     void setLocality(std::vector<double> locality) { m_locality = std::move(locality); }
 
+    /// Keeps this many slots free of borrowed work, for teams below their own capacity.
+    void setReserve(std::uint32_t slots) { m_reserve = slots; }
+    /// Slots that the team could still take within its own capacity, at most as many as given.
+    double ownLeft(std::size_t teamIndex, double atMost) const;
+
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::size_t waiting() const;
     /// Running and waiting requests of one team in one class.
@@ -180,6 +185,7 @@
     /// Running requests that may be preempted, by the order in which they started.
     std::map<std::uint64_t, std::uint64_t> m_preemptible;
     std::uint32_t m_share = 0;
+    std::uint32_t m_reserve = 0;
     std::uint64_t m_started = 0;
     std::optional<Core::Clock::Monotonic> m_lastUpdate;
 };
