jujubebench: Send admitted requests to the engine with the least prefill before them

Change: a free slot first, then the fewest prompt tokens before a request of its priority, then the fewest requests, all known exactly.

--- a/Utilities/jujubebench/AdmissionRun.cpp
+++ b/Utilities/jujubebench/AdmissionRun.cpp
@@ -1,6 +1,7 @@
 #include "AdmissionRun.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Bench {
 
@@ -204,10 +205,27 @@
     });
 }
 
+std::size_t AdmissionRun::chooseEngine(int priority) const
+{
+    // Looking into the endless queues of direct runs would take most of their time.
+    const bool looksAtPrefill = m_mode != AdmissionMode::Direct;
+    std::size_t best = 0;
+    std::tuple<bool, std::uint64_t, std::size_t> bestCost;
+    for (std::size_t n = 0; n < m_engines.size(); ++n) {
+        const bool isFull = m_outstanding[n] >= m_engines[n]->settings().slots;
+        const auto prefill = looksAtPrefill ? m_engines[n]->prefillTokensBefore(priority) : 0;
+        const std::tuple cost(isFull, prefill, m_outstanding[n]);
+        if (n == 0 || cost < bestCost) {
+            best = n;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
 void AdmissionRun::send(std::size_t request, const Admission::Grant &grant)
 {
-    const auto least = std::min_element(m_outstanding.begin(), m_outstanding.end());
-    const auto engine = static_cast<std::size_t>(least - m_outstanding.begin());
+    const auto engine = chooseEngine(grant.enginePriority);
     const auto &it = m_outcomes[request];
     const auto id = ++m_lastAttempt;
     m_attempts[id] = {request, engine, grant.id};
--- a/Utilities/jujubebench/AdmissionRun.h
+++ b/Utilities/jujubebench/AdmissionRun.h
@@ -87,8 +87,9 @@
 };
 
 /// One run of seeded work through admission at several instances, each with its own share of the
-/// slots. Granted requests go to the engine with the least outstanding work, known exactly, so that
-/// placement plays no part.
+/// slots. Granted requests go to the engine with a free slot and the least prompt tokens left to
+/// prefill, known exactly, so that placement plays no part; direct ones to the engine with the
+/// fewest requests.
 class AdmissionRun
 {
 public:
@@ -134,6 +135,8 @@
     void makeArrivals(const StreamLoad &stream);
     void arrive(std::size_t request);
     void submit(std::size_t request, bool isResumed);
+    /// The engine that the next request goes to.
+    std::size_t chooseEngine(int priority) const;
     void send(std::size_t request, const Admission::Grant &grant);
     void preempt(std::size_t instance, Admission::TicketId ticket);
     void onFirstToken(std::uint64_t id);
--- a/Utilities/jujubebench/FakeEngine.cpp
+++ b/Utilities/jujubebench/FakeEngine.cpp
@@ -73,14 +73,29 @@
     EngineLoad load {m_queue.now(), m_incarnation, m_running.size(), m_waiting.size(), 0};
     for (const auto &[key, request] : m_waiting)
         load.pendingPrefillTokens += missedTokens(request);
-    if (m_prefilling != 0 && m_prefillEnd > m_queue.now()) {
-        const std::chrono::duration<double> left = m_prefillEnd - m_queue.now();
-        load.pendingPrefillTokens +=
-            static_cast<std::uint64_t>(left.count() * m_settings.prefillTokensPerSecond * m_speed);
-    }
+    load.pendingPrefillTokens += prefillTokensLeft();
     return load;
 }
 
+std::uint64_t FakeEngine::prefillTokensBefore(int priority) const
+{
+    auto tokens = prefillTokensLeft();
+    for (const auto &[key, request] : m_waiting) {
+        if (key.first > priority)
+            break;
+        tokens += missedTokens(request);
+    }
+    return tokens;
+}
+
+std::uint64_t FakeEngine::prefillTokensLeft() const
+{
+    if (m_prefilling == 0 || m_prefillEnd <= m_queue.now())
+        return 0;
+    const std::chrono::duration<double> left = m_prefillEnd - m_queue.now();
+    return static_cast<std::uint64_t>(left.count() * m_settings.prefillTokensPerSecond * m_speed);
+}
+
 void FakeEngine::startNext()
 {
     if (m_prefilling != 0 || m_waiting.empty() || m_running.size() >= m_settings.slots)
--- a/Utilities/jujubebench/FakeEngine.h
+++ b/Utilities/jujubebench/FakeEngine.h
@@ -86,6 +86,8 @@
     void crash(EventQueue::Duration downtime);
     /// Runs at this share of its speed from now on (work already started keeps its end).
     void setSpeed(double share) { m_speed = share; }
+    /// Prompt tokens that would be prefilled before a new request of the priority.
+    std::uint64_t prefillTokensBefore(int priority) const;
     /// The exact present load.
     EngineLoad load() const;
 
@@ -105,6 +107,8 @@
     void finishDecode(std::uint64_t id);
     /// Runs the callback after the delay unless the engine crashes before.
     void scheduleGuarded(EventQueue::Duration delay, std::function<void()> callback);
+    /// Prompt tokens left of the prefill under way.
+    std::uint64_t prefillTokensLeft() const;
     /// Prompt tokens of the request that the cache does not hold.
     std::uint64_t missedTokens(const EngineRequest &request) const;
 
