LibAdmission: Keep a few slots free for more urgent classes

Cause: with every slot taken by overnight work, an urgent request waits for one to end and must then take the engine where that slot is, whatever prefill is before it there. Floors are served all the same. Shown failing first: "urgent work finds a slot free" fails with the class reserve off.

--- a/Libraries/LibAdmission/GroupAdmission.cpp
+++ b/Libraries/LibAdmission/GroupAdmission.cpp
@@ -275,6 +275,14 @@
         expected += m_scheduler->ownLeft(team, demandByTeam[team]);
     const double most = std::ceil(ReservePart * m_share.available(now));
     m_scheduler->setReserve(static_cast<std::uint32_t>(std::min(expected, most)));
+    std::vector<std::uint32_t> classReserves;
+    double moreUrgent = 0;
+    for (const auto &it : m_policy.classes) {
+        classReserves.push_back(static_cast<std::uint32_t>(std::min(moreUrgent, most)));
+        for (const auto &demand : m_ownDemand)
+            moreUrgent += demand.priorityClass == it.id ? demand.slots : 0;
+    }
+    m_scheduler->setClassReserves(std::move(classReserves));
 }
 
 void GroupAdmission::updateLocality(const FairTargets &targets, std::size_t heard)
--- a/Libraries/LibAdmission/SlotScheduler.cpp
+++ b/Libraries/LibAdmission/SlotScheduler.cpp
@@ -20,6 +20,7 @@
     , m_locality(policy.teams.size(), 1.0)
     , m_queues(policy.teams.size() * policy.classes.size())
     , m_classes(policy.classes.size())
+    , m_classReserves(policy.classes.size(), 0)
 {
     for (std::size_t n = 0; n < m_policy.teams.size(); ++n)
         m_teams.emplace(m_policy.teams[n].id, n);
@@ -127,8 +128,6 @@
     if (running() >= share)
         return std::nullopt;
     for (const auto pass : {Pass::Floor, Pass::Owned, Pass::Borrowed}) {
-        if (pass == Pass::Borrowed && running() + m_reserve >= share)
-            break;
         if (const auto choice = choose(pass, share))
             return start(*choice, now);
     }
@@ -271,6 +270,14 @@
     return state.running < std::ceil(floorSlots) && state.floorDebt > 0;
 }
 
+bool SlotScheduler::isReserved(std::size_t classIndex, Pass pass, std::uint32_t share) const
+{
+    if (pass == Pass::Floor)
+        return false;
+    const auto forTeams = pass == Pass::Borrowed ? m_reserve : 0;
+    return running() + std::max(forTeams, m_classReserves[classIndex]) >= share;
+}
+
 bool SlotScheduler::mayTake(std::size_t classIndex, std::size_t teamIndex, Pass pass) const
 {
     if (isEntitled(classIndex, teamIndex))
@@ -293,7 +300,9 @@
 std::optional<SlotScheduler::Choice> SlotScheduler::choose(Pass pass, std::uint32_t share) const
 {
     for (std::size_t cls = 0; cls < m_classes.size(); ++cls) {
-        if (m_classes[cls].queued == 0 || (pass == Pass::Floor && !isBelowFloor(cls, share)))
+        if (m_classes[cls].queued == 0 || isReserved(cls, pass, share))
+            continue;
+        if (pass == Pass::Floor && !isBelowFloor(cls, share))
             continue;
         if (const auto team = nextTeam(cls, pass))
             return Choice {cls, *team, !isEntitled(cls, *team)};
--- a/Libraries/LibAdmission/SlotScheduler.h
+++ b/Libraries/LibAdmission/SlotScheduler.h
@@ -89,6 +89,8 @@
 
     /// Keeps this many slots free of borrowed work, for teams below their own capacity.
     void setReserve(std::uint32_t slots) { m_reserve = slots; }
+    /// Keeps slots free of each class's work, by class position, for more urgent classes.
+    void setClassReserves(std::vector<std::uint32_t> slots) { m_classReserves = std::move(slots); }
     /// Slots that the team could still take within its own capacity, at most as many as given.
     double ownLeft(std::size_t teamIndex, double atMost) const;
 
@@ -161,6 +163,7 @@
     double use(std::size_t classIndex, std::size_t teamIndex) const;
     bool isEntitled(std::size_t classIndex, std::size_t teamIndex) const;
     bool isBelowFloor(std::size_t classIndex, std::uint32_t share) const;
+    bool isReserved(std::size_t classIndex, Pass pass, std::uint32_t share) const;
     bool mayTake(std::size_t classIndex, std::size_t teamIndex, Pass pass) const;
     std::optional<std::size_t> nextTeam(std::size_t classIndex, Pass pass) const;
     std::optional<Choice> choose(Pass pass, std::uint32_t share) const;
@@ -186,6 +189,7 @@
     std::map<std::uint64_t, std::uint64_t> m_preemptible;
     std::uint32_t m_share = 0;
     std::uint32_t m_reserve = 0;
+    std::vector<std::uint32_t> m_classReserves;
     std::uint64_t m_started = 0;
     std::optional<Core::Clock::Monotonic> m_lastUpdate;
 };
--- a/Tests/LibAdmission/TestController.cpp
+++ b/Tests/LibAdmission/TestController.cpp
@@ -160,6 +160,21 @@
     CHECK(f.granted.back().team == owner);
 }
 
+TEST_CASE("urgent work finds a slot free beside a flood of overnight work")
+{
+    Fixture f(40);
+    for (int n = 0; n < 4; ++n)
+        f.submit(owner, urgent);
+    for (int n = 0; n < 100; ++n)
+        f.submit(n % 2 == 0 ? owner : other, overnight);
+    f.controller->tick();
+    for (int n = 0; n < 8; ++n)
+        f.releaseOldest();
+    CHECK(f.controller->status(engines).running == 38);
+    f.submit(other, urgent);
+    CHECK(f.granted.back().priorityClass == urgent);
+}
+
 TEST_CASE("a team without the right to borrow stays within its own capacity")
 {
     Fixture f(8, 0.25);
