--- a/Libraries/LibClaims/ClaimAttempt.cpp
+++ b/Libraries/LibClaims/ClaimAttempt.cpp
@@ -71,6 +71,8 @@
     if (m_state == State::Closing) {
         if (verdict.kind == VerdictKind::KeyClosed)
             return answer(refused(m_refusal, Fate::NotRun));
+        if (verdict.kind == VerdictKind::Expired)
+            return answer(refused(ErrorKind::KeyExpired, Fate::Unknown));
         return askFate(m_refusal, verdict.holding);
     }
     if (m_state != State::Claiming)
--- a/Tests/LibClaims/ClaimHistory.h
+++ b/Tests/LibClaims/ClaimHistory.h
@@ -103,6 +103,8 @@
         bool answered = false;
         bool lateClaim = false;
         bool probe = false;
+
+        const std::string &key() const { return request.key.text; }
     };
     struct Answer
     {
@@ -112,6 +114,11 @@
         bool keyWonThen = false;
     };
 
+    /// What the service answers to a request; it names key and body.
+    static std::string bodyOf(const Claims::Call &request)
+    {
+        return request.key.text + "/" + std::to_string(request.digest);
+    }
     Time now() const;
     Time between(int low, int high);
     bool chance(int percent);
@@ -159,5 +166,6 @@
     Time m_outFrom {0};
     Time m_outUntil {0};
     bool m_quiet = false;
+    bool m_hasLongSleep = false;
     HistoryReport m_report;
 };
--- /dev/null
+++ b/Tests/LibClaims/ClaimHistoryCheck.cpp
@@ -0,0 +1,86 @@
+#include <LibClaims/ClaimHistory.h>
+
+using namespace Claims;
+using namespace std::chrono_literals;
+
+void ClaimHistory::note(CallId id, const Outcome &outcome)
+{
+    auto &call = m_calls.at(id);
+    if (call.answered)
+        breach(id, "answered twice");
+    call.answered = true;
+    const auto key = call.key();
+    m_answers.push_back({id, outcome, m_runs[key] > 0, m_wins[key] > 0});
+    ++m_report.answers;
+    m_report.replays += outcome.replayed ? 1 : 0;
+    if (outcome.key != Core::Fate::Unknown)
+        return;
+    ++m_report.unknownKeys;
+    const auto kind = outcome.error ? Core::errorKindRow(*outcome.error).name : "answer";
+    ++m_report.unknownByKind[std::string(kind)];
+    const auto &engine = *m_instances[call.instance].engine;
+    const auto view =
+        engine.partition(engine.partitionOf(call.request.key)).index().find(call.request.key);
+    if (view && view->certain
+        && (view->state == KeyState::Finished || view->state == KeyState::Closed))
+        breach(id, "unknown, though the log that was read tells");
+}
+
+// When all is well again (but for an instance that still sleeps), one more attempt of each key at
+// an instance that never failed must learn the truth: nothing may hold a key that was never sent.
+void ClaimHistory::probe()
+{
+    m_quiet = true;
+    m_outUntil = now();
+    std::map<std::string, Claims::Call> keys;
+    for (const auto &[id, call] : m_calls)
+        keys.insert_or_assign(call.key(), call.request);
+    for (auto &[name, request] : keys) {
+        request.digest = 1;
+        callAt(20s, 0, request, false);
+    }
+}
+
+void ClaimHistory::check()
+{
+    for (const auto &[key, count] : m_runs) {
+        m_report.runs += count;
+        if (count > 1)
+            breach(0, key + " ran " + std::to_string(count) + " times");
+    }
+    for (const auto &it : m_answers) {
+        const auto &call = m_calls.at(it.call);
+        const auto &outcome = it.outcome;
+        const auto key = call.key();
+        if (outcome.attempt == Core::Fate::NotRun && call.ran)
+            breach(it.call, "the attempt was said not to run and ran");
+        if (outcome.attempt == Core::Fate::Run && !call.ran)
+            breach(it.call, "the attempt was said to have run and did not");
+        if (outcome.key == Core::Fate::NotRun && m_runs[key] > 0)
+            breach(it.call, "the key was said not to run and ran");
+        if (outcome.key == Core::Fate::Run && !it.keyRanThen)
+            breach(it.call, "the key was said to have run and had not");
+        if (outcome.key == Core::Fate::Running && !it.keyWonThen)
+            breach(it.call, "the key was said to be running and nobody had won it");
+        if (outcome.answer && outcome.answer->body != bodyOf(call.request))
+            breach(it.call, "the answer is another request's");
+        const bool inDoubt = outcome.error == Core::ErrorKind::KeyOutcomeUnknown
+                             || outcome.error == Core::ErrorKind::KeyInProgress;
+        if (call.probe && inDoubt && m_report.crashes == 0 && !m_hasLongSleep
+            && m_kind != HistoryKind::EarlyLoss && m_sends[key] == 0)
+            breach(it.call, "a key that was never sent is held for good");
+    }
+    for (const auto &[id, call] : m_calls) {
+        if (!call.answered && call.incarnation == m_instances[call.instance].incarnation)
+            breach(id, "never answered");
+    }
+    for (const auto &it : m_instances) {
+        m_report.voids += it.engine->counters().voids;
+        m_report.rebuilds += it.engine->counters().rebuilds;
+    }
+}
+
+void ClaimHistory::breach(CallId id, const std::string &text)
+{
+    m_report.breaches.push_back("call " + std::to_string(id) + ": " + text);
+}
--- a/Tests/LibClaims/TestClaimHistories.cpp
+++ b/Tests/LibClaims/TestClaimHistories.cpp
@@ -62,6 +62,7 @@
     print("faults and early loss of records", totals[HistoryKind::EarlyLoss]);
     // The histories have to cause what they are meant for.
     CHECK(totals[HistoryKind::Faults].crashes > HistoryCount / 4);
+    CHECK(totals[HistoryKind::Faults].rebuilds > HistoryCount / 100);
     CHECK(totals[HistoryKind::EarlyLoss].rebuilds > HistoryCount / 8);
     CHECK(totals[HistoryKind::FaultsWithoutCrashes].voids > HistoryCount / 16);
     CHECK(totals[HistoryKind::Calm].replays > HistoryCount / 4);
