Tests: Give the later program's body kind a number far ahead

'a body kind that a newer peer added is known to be unknown' failed since PeerMessage.fbs gained the admission report: that body kind took the number that the test's later schema used. The check was right about the decoder and wrong about the number; the later kind now has number 200, and the check itself is unchanged.

Run: ctest -R TestLibPeer, failing before, all pass after.

--- a/Tests/LibPeer/NextPeerMessage_generated.h
+++ b/Tests/LibPeer/NextPeerMessage_generated.h
@@ -44,7 +44,7 @@
   P12 = 12,
   P13 = 13,
   P14 = 14,
-  Later = 15,
+  Later = 200,
   MIN = NONE,
   MAX = Later
 };
@@ -71,33 +71,26 @@
   return values;
 }
 
-inline const char * const *EnumNamesBody() {
-  static const char * const names[17] = {
-    "NONE",
-    "P1",
-    "P2",
-    "P3",
-    "P4",
-    "P5",
-    "P6",
-    "P7",
-    "P8",
-    "ClaimQuery",
-    "P10",
-    "P11",
-    "P12",
-    "P13",
-    "P14",
-    "Later",
-    nullptr
-  };
-  return names;
-}
-
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Later)) return "";
-  const size_t index = static_cast<size_t>(e);
-  return EnumNamesBody()[index];
+  switch (e) {
+    case Body::NONE: return "NONE";
+    case Body::P1: return "P1";
+    case Body::P2: return "P2";
+    case Body::P3: return "P3";
+    case Body::P4: return "P4";
+    case Body::P5: return "P5";
+    case Body::P6: return "P6";
+    case Body::P7: return "P7";
+    case Body::P8: return "P8";
+    case Body::ClaimQuery: return "ClaimQuery";
+    case Body::P10: return "P10";
+    case Body::P11: return "P11";
+    case Body::P12: return "P12";
+    case Body::P13: return "P13";
+    case Body::P14: return "P14";
+    case Body::Later: return "Later";
+    default: return "";
+  }
 }
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
