LibMembership: Send nothing when a budget holds no record

With fewer than 84 bytes a second the room for records went below zero and everything was sent. Found by the capacity program's row for a budget of 0, which showed the highest value of all.

Run: the publisher's test now runs with 0, 100, 300 and 3,072 bytes a second; it failed before the change and passes after it.

--- a/Libraries/LibMembership/SharedStatePublisher.cpp
+++ b/Libraries/LibMembership/SharedStatePublisher.cpp
@@ -50,7 +50,7 @@
     const auto share = static_cast<std::size_t>(m_settings.bytesPerSecond * m_settings.round
                                                 / std::chrono::seconds(1));
     const auto bytes = std::max(share, std::min(LeastMessageBytes, m_settings.bytesPerSecond));
-    if (m_budget.available(now) < bytes)
+    if (bytes < MessageBytes + SharedRecordBytes || m_budget.available(now) < bytes)
         return;
     Peer::Wire::SharedDeltaT delta;
     delta.records = m_state.pack(bytes - MessageBytes);
