TestLibConfiguration: Keep the clock alive longer than its reader

The case of an instance whose calendar runs ahead destroyed its clock before the fixture that drives the reader to its end. Found by the sanitize preset: "member call on address ... which does not point to an object of type 'Clock'".

--- a/Tests/LibConfiguration/TestConfigurationReader.cpp
+++ b/Tests/LibConfiguration/TestConfigurationReader.cpp
@@ -160,8 +160,8 @@
 
 TEST_CASE("an instance whose calendar runs ahead does not flood the log with renewals")
 {
-    Fixture fixture;
     Core::ManualClock ahead;
+    Fixture fixture;
     ahead.advance(24h);
     fixture.publish(0, sampleDocument(1));
     auto &reader = fixture.start(ahead);
--- /dev/null
+++ b/Utilities/jujubectl/AdminClient.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibHttp/Endpoint.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
+
+#include <string>
+
+namespace Jujubectl {
+
+/// Calls the admin ports of instances. Every call throws Core::Error when no answer came or the
+/// instance refused; the detail says why.
+class AdminClient
+{
+public:
+    virtual ~AdminClient() = default;
+    virtual boost::asio::awaitable<boost::json::value> get(Http::Endpoint admin,
+                                                           std::string path) = 0;
+    virtual boost::asio::awaitable<boost::json::value> post(Http::Endpoint admin, std::string path,
+                                                            std::string body) = 0;
+};
+
+} // namespace Jujubectl
--- /dev/null
+++ b/Utilities/jujubectl/CommandLine.cpp
@@ -0,0 +1,176 @@
+#include <CLI/CLI.hpp>
+#include <jujubectl/CommandLine.h>
+#include <jujubectl/ExitCode.h>
+
+#include <iostream>
+
+namespace Jujubectl {
+
+namespace {
+
+constexpr unsigned DefaultTimeoutMs = 30'000;
+constexpr const char *ProductionEnvironment = "production";
+
+/// The settings as they were written, before the check.
+struct RawSettings
+{
+    Settings settings;
+    std::string platform;
+    std::string admin;
+    unsigned timeoutMs = DefaultTimeoutMs;
+};
+
+void declareGlobal(CLI::App &app, RawSettings &raw)
+{
+    app.set_version_flag("--version", std::string("jujubectl ") + JUJUBE_VERSION);
+    app.require_subcommand(1);
+    app.fallthrough();
+    app.add_option("--platform", raw.platform, "The platform's ADDRESS:PORT")
+        ->envname("JUJUBECTL_PLATFORM");
+    app.add_option("--admin", raw.admin,
+                   "One instance's admin ADDRESS:PORT, in place of the platform's list")
+        ->envname("JUJUBECTL_ADMIN");
+    app.add_option("--environment", raw.settings.environment, "trial, production, ...")
+        ->envname("JUJUBECTL_ENVIRONMENT")
+        ->default_val("trial");
+    app.add_option("--timeout-ms", raw.timeoutMs, "How long to try or wait, in milliseconds")
+        ->envname("JUJUBECTL_TIMEOUT_MS")
+        ->default_val(DefaultTimeoutMs);
+    app.add_flag("--json", raw.settings.json, "Print JSON for scripts")->envname("JUJUBECTL_JSON");
+}
+
+CLI::App *declareCommand(CLI::App &parent, RawSettings &raw, const char *name, const char *help,
+                         CommandKind kind)
+{
+    auto *command = parent.add_subcommand(name, help);
+    command->callback([&raw, kind] { raw.settings.command = kind; });
+    return command;
+}
+
+void declarePublisher(CLI::App &command, Settings &settings)
+{
+    command.add_option("--publisher", settings.publisher, "Who publishes, for the record")
+        ->envname("JUJUBECTL_PUBLISHER");
+}
+
+void declareConfig(CLI::App &app, RawSettings &raw)
+{
+    auto &settings = raw.settings;
+    auto *config = app.add_subcommand("config", "The configuration document");
+    config->require_subcommand(1);
+    config->fallthrough();
+
+    auto *check = declareCommand(*config, raw, "check", "Names every fault of a document",
+                                 CommandKind::ConfigCheck);
+    check->add_option("FILE", settings.file, "The document; - for standard input")->required();
+
+    auto *publish = declareCommand(*config, raw, "publish", "Offers a document to the environment",
+                                   CommandKind::ConfigPublish);
+    publish->add_option("FILE", settings.file, "The document; - for standard input")->required();
+    publish
+        ->add_option("--replaces", settings.generation,
+                     "The generation that was edited; refused when another one is in force")
+        ->envname("JUJUBECTL_REPLACES");
+    publish
+        ->add_flag("--untried", settings.untried,
+                   "Publish to production what trial has not accepted")
+        ->envname("JUJUBECTL_UNTRIED");
+    declarePublisher(*publish, settings);
+
+    auto *show = declareCommand(*config, raw, "show", "Shows what the log has accepted",
+                                CommandKind::ConfigShow);
+    show->add_flag("--document", settings.showDocument, "Print the document's bytes")
+        ->envname("JUJUBECTL_DOCUMENT");
+
+    auto *promote = declareCommand(*config, raw, "promote",
+                                   "Publishes in one environment the bytes that another accepted",
+                                   CommandKind::ConfigPromote);
+    promote->add_option("--from", settings.promoteFrom, "The environment that accepted them")
+        ->envname("JUJUBECTL_FROM")
+        ->default_val("trial");
+    promote->add_option("--to", settings.promoteTo, "The environment to publish in")
+        ->envname("JUJUBECTL_TO")
+        ->default_val(ProductionEnvironment);
+    promote->add_option("--digest", settings.digest, "The document; the one in force if left out")
+        ->envname("JUJUBECTL_DIGEST");
+    declarePublisher(*promote, settings);
+
+    auto *watch = declareCommand(*config, raw, "watch",
+                                 "Waits until a generation is in force on every live instance",
+                                 CommandKind::ConfigWatch);
+    watch
+        ->add_option("--generation", settings.generation,
+                     "The generation; the newest one accepted if left out")
+        ->envname("JUJUBECTL_GENERATION");
+}
+
+void declareOthers(CLI::App &app, RawSettings &raw)
+{
+    auto &settings = raw.settings;
+    declareCommand(app, raw, "status", "Shows instances and upstreams", CommandKind::Status);
+    declareCommand(app, raw, "usage", "Shows whose capacity served whom, and whose stood idle",
+                   CommandKind::Usage);
+    auto *drain =
+        declareCommand(app, raw, "drain", "Lets an instance take no new work", CommandKind::Drain);
+    drain->add_option("INSTANCE", settings.instance, "The instance; not needed with --admin");
+    auto *explain =
+        declareCommand(app, raw, "explain", "Shows which upstream a request would go to, and why",
+                       CommandKind::Explain);
+    explain->add_option("REQUEST-FILE", settings.file, "The request; - for standard input")
+        ->required();
+    explain->add_option("--instance", settings.instance, "The instance to ask; any if left out")
+        ->envname("JUJUBECTL_INSTANCE");
+}
+
+std::optional<Http::Endpoint> endpoint(const char *flag, const std::string &text)
+{
+    if (text.empty())
+        return std::nullopt;
+    const auto parsed = Http::parseEndpoint(text);
+    if (!parsed)
+        throw CLI::ValidationError(flag, parsed.assume_error().detail());
+    return parsed.assume_value();
+}
+
+Settings checked(RawSettings &raw)
+{
+    auto settings = std::move(raw.settings);
+    settings.timeout = std::chrono::milliseconds(raw.timeoutMs);
+    settings.platform = endpoint("--platform", raw.platform);
+    settings.admin = endpoint("--admin", raw.admin);
+    const auto command = settings.command;
+    const bool usesLog = command == CommandKind::ConfigPublish || command == CommandKind::ConfigShow
+                         || command == CommandKind::ConfigPromote
+                         || command == CommandKind::ConfigWatch;
+    if (usesLog && !settings.platform)
+        throw CLI::ValidationError("--platform", "is needed for this command");
+    if (!settings.platform && !settings.admin && command != CommandKind::ConfigCheck)
+        throw CLI::ValidationError("--platform", "is needed, or --admin");
+    if (command == CommandKind::Drain && settings.instance.empty() && !settings.admin)
+        throw CLI::ValidationError("INSTANCE", "is needed, or --admin");
+    const bool isProduction = settings.environment == ProductionEnvironment;
+    if (command == CommandKind::ConfigPublish && isProduction && !settings.untried)
+        throw CLI::ValidationError("--environment",
+                                   "use config promote for production, or say --untried");
+    return settings;
+}
+
+} // namespace
+
+CommandLine parseCommandLine(int argc, const char *const *argv)
+{
+    RawSettings raw;
+    CLI::App app("Operates jujubesaddle: configuration, status, usage.", "jujubectl");
+    declareGlobal(app, raw);
+    declareConfig(app, raw);
+    declareOthers(app, raw);
+    try {
+        app.parse(argc, argv);
+        return {.settings = checked(raw)};
+    } catch (const CLI::ParseError &error) {
+        const bool isFault = app.exit(error) != 0;
+        return {.exitCode = isFault ? static_cast<int>(ExitCode::Usage) : 0};
+    }
+}
+
+} // namespace Jujubectl
--- /dev/null
+++ b/Utilities/jujubectl/Settings.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationRecord.h>
+#include <LibHttp/Endpoint.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace Jujubectl {
+
+enum class CommandKind {
+    ConfigCheck,
+    ConfigPublish,
+    ConfigShow,
+    ConfigPromote,
+    ConfigWatch,
+    Status,
+    Usage,
+    Drain,
+    Explain,
+};
+
+/// The command line, checked.
+struct Settings
+{
+    CommandKind command = CommandKind::Status;
+    /// Unset for commands that need no platform.
+    std::optional<Http::Endpoint> platform;
+    /// One instance's admin port, to use in place of the platform's list.
+    std::optional<Http::Endpoint> admin;
+    std::string environment;
+    bool json = false;
+    std::chrono::milliseconds timeout {0};
+    /// The document or the request; "-" for standard input.
+    std::string file;
+    std::string publisher;
+    std::optional<Configuration::Generation> generation;
+    bool untried = false;
+    bool showDocument = false;
+    std::string promoteFrom;
+    std::string promoteTo;
+    std::string digest;
+    std::string instance;
+};
+
+} // namespace Jujubectl
