--- a/Tests/jujubectl/TestCommands.cpp
+++ b/Tests/jujubectl/TestCommands.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <jujubectl/Commands.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
@@ -93,7 +94,8 @@
     }
     ExitCode publish(const std::string &document)
     {
-        const std::string path = "jujubectl-test-document.toml";
+        // Cases run side by side as processes in one folder.
+        const auto path = "jujubectl-test-" + std::to_string(::getpid()) + ".toml";
         std::ofstream(path, std::ios::binary) << document;
         settings.file = path;
         const auto code = run(CommandKind::ConfigPublish);
--- a/Utilities/jujubectl/Explain.cpp
+++ b/Utilities/jujubectl/Explain.cpp
@@ -21,6 +21,7 @@
     Table table(names);
     for (const auto &candidate : candidates) {
         std::vector<std::string> row;
+        row.reserve(names.size());
         for (const auto &name : names)
             row.push_back(jsonCell(candidate, name));
         table.add(std::move(row));
