jujubectl: Start a stream over that leads to no document any more

If no copy is renewed for longer than the log's retention (an outage in which every instance was replaced), instances may have a document from each other, but nothing can be published in its place. `config restart` writes a renewal at a generation above every reachable instance's; the fold's rule for readers after a gap takes it without a new kind of record. Ruled out: instances that start over by themselves, since one with an older generation could write it first.

Without the refusal while the log leads to a document, "a stream that leads to no document any more is started over once" fails.

--- a/Libraries/LibConfiguration/Publisher.cpp
+++ b/Libraries/LibConfiguration/Publisher.cpp
@@ -102,6 +102,45 @@
         outcome.result = resultOf(entry, publication);
         outcome.publisher = entry.publisher;
     };
+    co_await appendUntil(decided, history, record, look);
+    outcome.generation = history.current()->generation;
+    outcome.digest = history.current()->digest;
+    co_return outcome;
+}
+
+asio::awaitable<PublishOutcome> Publisher::restart(PublishRequest request, Generation generation)
+{
+    if (auto parsed = Document::parse(request.bytes); !parsed)
+        throw parsed.assume_error();
+    ConfigurationHistory history(request.environment);
+    co_await readHistory(history, [](const auto &) {});
+    if (history.isAnchored() || history.isHalted())
+        throw Core::Error(Core::ErrorKind::ConfigurationConflict,
+                          "the log still leads to a document; publish in place of it");
+    const ConfigurationRecord renewal = Renewal {
+        .generation = generation,
+        .digest = Core::sha256Hex(request.bytes),
+        .foldedTo = history.wanted(),
+        .renewer = request.publisher,
+        .document = request.bytes,
+    };
+    bool decided = false;
+    const auto look = [&](const HistoryEntry &entry) {
+        decided |= entry.verdict == Verdict::Anchored;
+    };
+    co_await appendUntil(decided, history, encodeRecord(history.environment(), renewal), look);
+    PublishOutcome outcome;
+    outcome.generation = history.current()->generation;
+    outcome.digest = history.current()->digest;
+    const bool isOurs = outcome.digest == std::get<Renewal>(renewal).digest;
+    if (decided)
+        outcome.result = isOurs ? PublishResult::Accepted : PublishResult::LostRace;
+    co_return outcome;
+}
+
+asio::awaitable<void> Publisher::appendUntil(const bool &decided, ConfigurationHistory &history,
+                                             std::string record, const Visitor &look)
+{
     const auto deadline = m_clock.now() + m_options.patience;
     RetryDelay delay(m_options.firstRetry, m_options.longestRetry);
     while (!decided) {
@@ -118,16 +157,13 @@
             failed = true;
         }
         if (decided || !failed)
-            break;
+            co_return;
         try {
             co_await waitForRetry(delay, deadline);
         } catch (const Core::Error &) {
-            break;
+            co_return;
         }
     }
-    outcome.generation = history.current()->generation;
-    outcome.digest = history.current()->digest;
-    co_return outcome;
 }
 
 asio::awaitable<void> Publisher::readToEnd(ConfigurationHistory &history, const Visitor &visitor)
--- a/Libraries/LibConfiguration/Publisher.h
+++ b/Libraries/LibConfiguration/Publisher.h
@@ -66,6 +66,11 @@
     /// when the log could not be read before anything was appended.
     boost::asio::awaitable<PublishOutcome> publish(PublishRequest request);
 
+    /// Starts a stream over whose records no longer lead to a state, by a renewal of the document
+    /// at a generation above all that any instance has in force. Throws as publish() does, and
+    /// ConfigurationConflict while the log still leads to a state.
+    boost::asio::awaitable<PublishOutcome> restart(PublishRequest request, Generation generation);
+
     using Visitor = std::function<void(const HistoryEntry &)>;
     /// Reads a history on to its present end, calling the visitor for each record. Throws
     /// PlatformUnavailable after the patience has run out.
@@ -73,6 +78,10 @@
 
 private:
     boost::asio::awaitable<void> readToEnd(ConfigurationHistory &history, const Visitor &visitor);
+    /// Appends the record and reads the log on, again and again until the visitor's work is done or
+    /// the patience has run out.
+    boost::asio::awaitable<void> appendUntil(const bool &decided, ConfigurationHistory &history,
+                                             std::string record, const Visitor &look);
     /// Waits before a retry; throws PlatformUnavailable when the deadline would pass.
     boost::asio::awaitable<void> waitForRetry(RetryDelay &delay, Core::Clock::Monotonic deadline);
 
--- a/Tests/LibConfiguration/TestPublisher.cpp
+++ b/Tests/LibConfiguration/TestPublisher.cpp
@@ -98,6 +98,57 @@
     CHECK(fixture.log.read("configuration.trial", 0, 9).next == 1);
 }
 
+TEST_CASE("a stream that leads to no document any more is started over once")
+{
+    Fixture fixture;
+    const PublishRequest request {.environment = Environment, .bytes = sampleDocument(2)};
+    fixture.publish(sampleDocument(1));
+    CHECK_THROWS_AS(fixture.await(fixture.publisher.restart(request, 9)), Core::Error);
+    fixture.clock.advance(2h);
+    CHECK_THROWS_AS(fixture.publish(sampleDocument(2)), Core::Error);
+    fixture.service.lostAnswers = 100;
+    const auto outcome = fixture.await(fixture.publisher.restart(request, 9));
+    CHECK(outcome.result == PublishResult::Accepted);
+    CHECK(outcome.generation == 9);
+    CHECK_THROWS_AS(fixture.await(fixture.publisher.restart(request, 10)), Core::Error);
+    CHECK(fixture.publish(sampleDocument(3)).generation == 10);
+}
+
+TEST_CASE("of two racing restarts one wins, for every reader")
+{
+    std::size_t lost = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        Fixture fixture(seed);
+        fixture.publish(sampleDocument(0));
+        fixture.clock.advance(2h);
+        std::vector<PublishOutcome> outcomes(2);
+        for (std::size_t n = 0; n < outcomes.size(); ++n)
+            boost::asio::co_spawn(
+                fixture.context,
+                fixture.publisher.restart(
+                    {.environment = Environment, .bytes = sampleDocument(static_cast<unsigned>(n))},
+                    9),
+                [&outcomes, n](const std::exception_ptr &error, const PublishOutcome &outcome) {
+                    // The later one may find the stream started over already.
+                    outcomes[n] =
+                        error ? PublishOutcome {.result = PublishResult::LostRace} : outcome;
+                });
+        fixture.context.restart();
+        fixture.context.run();
+        const auto winners = std::count_if(outcomes.begin(), outcomes.end(), [](const auto &it) {
+            return it.result == PublishResult::Accepted;
+        });
+        CHECK(winners == 1);
+        const auto accepted = fixture.accepted();
+        REQUIRE(accepted.size() == 1);
+        const auto winner = outcomes[0].result == PublishResult::Accepted ? 0U : 1U;
+        CHECK(accepted.front() == Core::sha256Hex(sampleDocument(winner)));
+        lost += outcomes[1 - winner].digest.empty() ? 0 : 1;
+    }
+    CHECK(lost > 0);
+}
+
 TEST_CASE("an outage ends as unavailable before anything was appended")
 {
     Fixture fixture;
--- a/Tests/jujubectl/TestCommandLine.cpp
+++ b/Tests/jujubectl/TestCommandLine.cpp
@@ -44,6 +44,7 @@
     CHECK(parse({"--platform", "127.0.0.1:1", "drain"}).exitCode == 2);
     CHECK(parse({"config", "nonsense"}).exitCode == 2);
     CHECK(parse({"--admin", "127.0.0.1:1", "config", "show"}).exitCode == 2);
+    CHECK(parse({"--platform", "127.0.0.1:1", "config", "restart", "F"}).exitCode == 2);
     CHECK(parse({"--help"}).exitCode == 0);
 }
 
--- a/Tests/jujubectl/TestCommands.cpp
+++ b/Tests/jujubectl/TestCommands.cpp
@@ -166,6 +166,24 @@
     CHECK(fixture.printed("trial generation 2"));
 }
 
+TEST_CASE(
+    "a restart is refused while the log leads to a document, and below an instance's generation")
+{
+    Fixture fixture;
+    fixture.publish(sampleDocument(1));
+    fixture.settings.file = std::string(JUJUBE_SOURCE_DIRECTORY) + "/Examples/small-site.toml";
+    fixture.settings.generation = 5;
+    CHECK(fixture.run(CommandKind::ConfigRestart) == ExitCode::LostRace);
+    fixture.clock.advance(2h);
+    fixture.directory.add("a", 1);
+    fixture.admin.answers["1/status"] = {R"({"generation":5})"};
+    CHECK(fixture.run(CommandKind::ConfigRestart) == ExitCode::LostRace);
+    CHECK(fixture.printed("a has generation 5 in force"));
+    fixture.settings.generation = 6;
+    CHECK(fixture.run(CommandKind::ConfigRestart) == ExitCode::Success);
+    CHECK(fixture.printed("accepted as generation 6"));
+}
+
 TEST_CASE("watch waits for every live instance and times out on a silent one")
 {
     Fixture fixture;
--- a/Utilities/jujubectl/CommandLine.cpp
+++ b/Utilities/jujubectl/CommandLine.cpp
@@ -102,6 +102,17 @@
         ->add_option("--generation", settings.generation,
                      "The generation; the newest one accepted if left out")
         ->envname("JUJUBECTL_GENERATION");
+
+    auto *restart = declareCommand(*config, raw, "restart",
+                                   "Starts over when the log no longer leads to a document",
+                                   CommandKind::ConfigRestart);
+    restart->add_option("FILE", settings.file, "The document; - for standard input")->required();
+    restart
+        ->add_option("--generation", settings.generation,
+                     "A generation above all that any instance has in force")
+        ->envname("JUJUBECTL_GENERATION")
+        ->required();
+    declarePublisher(*restart, settings);
 }
 
 void declareOthers(CLI::App &app, RawSettings &raw)
@@ -141,6 +152,7 @@
     const auto command = settings.command;
     const bool usesLog = command == CommandKind::ConfigPublish || command == CommandKind::ConfigShow
                          || command == CommandKind::ConfigPromote
+                         || command == CommandKind::ConfigRestart
                          || command == CommandKind::ConfigWatch;
     if (usesLog && !settings.platform)
         throw CLI::ValidationError("--platform", "is needed for this command");
--- a/Utilities/jujubectl/Commands.cpp
+++ b/Utilities/jujubectl/Commands.cpp
@@ -2,6 +2,7 @@
 #include <jujubectl/ConfigCheck.h>
 #include <jujubectl/ConfigPromote.h>
 #include <jujubectl/ConfigPublish.h>
+#include <jujubectl/ConfigRestart.h>
 #include <jujubectl/ConfigShow.h>
 #include <jujubectl/ConfigWatch.h>
 #include <jujubectl/Drain.h>
@@ -28,6 +29,8 @@
         return configPromote(context);
     case CommandKind::ConfigWatch:
         return configWatch(context);
+    case CommandKind::ConfigRestart:
+        return configRestart(context);
     case CommandKind::Status:
         return status(context);
     case CommandKind::Usage:
--- a/Utilities/jujubectl/Settings.h
+++ b/Utilities/jujubectl/Settings.h
@@ -15,6 +15,7 @@
     ConfigShow,
     ConfigPromote,
     ConfigWatch,
+    ConfigRestart,
     Status,
     Usage,
     Drain,
