--- a/Libraries/LibPlacement/BeliefIndex.cpp
+++ b/Libraries/LibPlacement/BeliefIndex.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Heat falls to 1/e in this time. Short, so that a shift of the hot prefixes shows in seconds.
-constexpr std::chrono::duration<double> HeatDecay {5.0};
+constexpr std::chrono::duration<double> HeatDecay {10.0};
 
 double decayedHeat(const Belief &belief, BeliefTime now)
 {
@@ -77,6 +77,7 @@
     auto &belief = findOrReplace(bucketOf(shard, piece), piece, now);
     belief.heat = static_cast<float>(decayedHeat(belief, now) + 1);
     belief.heatAt = now;
+    belief.usedAt = now;
     setHolder(belief, slot, epoch, now);
 }
 
--- a/Libraries/LibPlacement/BeliefIndex.h
+++ b/Libraries/LibPlacement/BeliefIndex.h
@@ -37,6 +37,8 @@
     /// Requests for the piece, decaying with HeatDecay.
     float heat = 0;
     BeliefTime heatAt {0};
+    /// When this instance itself last sent a request for the piece.
+    BeliefTime usedAt {0};
     std::array<Holder, MaxHolders> holders {};
 
     /// The heat, decayed up to now.
--- a/Libraries/LibPlacement/Placement.cpp
+++ b/Libraries/LibPlacement/Placement.cpp
@@ -159,7 +159,8 @@
         auto chance = survival(holder.slot, holder.lastUse, scratch.now);
         if (scratch.isHome(candidates.position(holder.slot)))
             chance = std::max(chance, m_settings.homePrior);
-        scratch.credit(holder.slot, piece, chance);
+        const auto age = scratch.now - std::min(scratch.now, holder.lastUse);
+        scratch.credit(holder.slot, piece, chance, age);
     }
 }
 
--- a/Libraries/LibPlacement/Placement.h
+++ b/Libraries/LibPlacement/Placement.h
@@ -21,11 +21,11 @@
     bool learnsLifetime = true;
     bool randomises = true;
     /// How much a missed token weighs beside a waited one: storing it evicts another's.
-    double missWeight = 2;
+    double missWeight = 4;
     /// Chance that a home holds a piece that nothing else is known of.
-    double homePrior = 0.5;
+    double homePrior = 0.2;
     /// Sends of each sibling, as a share of this instance's own, that a load report may miss.
-    double siblingShare = 0.5;
+    double siblingShare = 0.1;
     /// Load that one upstream should carry for one prefix before the prefix gets another home.
     double homeUtilisation = 0.4;
     /// Candidates whose cost lies this share above the least count as equal.
@@ -51,6 +51,9 @@
     UpstreamSlot slot = 0;
     std::uint32_t epoch = 0;
     std::uint64_t expectedCachedTokens = 0;
+    /// Time since the least recently used of the pieces that beliefs speak of was last used;
+    /// zero without any.
+    BeliefTime oldestBelief {0};
     bool isHome = false;
     bool isExcluded = false;
     Seconds queueWait {0};
@@ -140,8 +143,11 @@
     void noteCacheEvent(UpstreamSlot slot, std::uint64_t incarnation, PieceHash piece,
                         bool isStored, std::chrono::milliseconds age);
 
-    /// The hottest beliefs, most requests first.
-    std::vector<HotBelief> exportHot(std::size_t limit) const;
+    /// The hottest beliefs that this instance's own sends met within the time, most requests
+    /// first. A short time gives a sibling that is up what is new, a long one a sibling that
+    /// starts what there is.
+    std::vector<HotBelief>
+    exportHot(std::size_t limit, std::chrono::milliseconds within = std::chrono::hours(1)) const;
     /// Takes over a sibling's beliefs of upstreams whose incarnation is the present one here.
     void importHot(std::span<const HotBelief> beliefs);
 
@@ -171,10 +177,9 @@
     /// less what it has worked off.
     Seconds queueWait(const UpstreamState &state, BeliefTime now) const;
     /// Adjusts how long pieces are thought to live on the upstream.
-    void learnLifetime(const Decision &decision, const PromptPieces &pieces,
-                       std::uint64_t cachedTokens);
+    void learnLifetime(const Decision &decision, std::uint64_t cachedTokens);
     /// Adjusts how many times longer than reckoned the upstream takes.
-    void learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now) const;
+    void learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now);
     /// The present factor for an upstream that answers late.
     static double slowness(const UpstreamState &state, BeliefTime now);
     /// Time without progress on own requests, beyond a grace.
@@ -191,6 +196,8 @@
     /// Upstream time that a request takes, for the width of a prefix.
     std::atomic<float> m_prefillPerRequest {0.1F};
     std::atomic<float> m_secondsPerRequest {2};
+    /// How many times longer than reckoned first tokens take over all upstreams.
+    std::atomic<float> m_usualLateness {1};
 };
 
 } // namespace Placement
--- a/Libraries/LibPlacement/PlacementNotes.cpp
+++ b/Libraries/LibPlacement/PlacementNotes.cpp
@@ -79,7 +79,7 @@
         const auto missed = pieces.promptTokens() - std::min(pieces.promptTokens(), *cachedTokens);
         average(m_prefillPerRequest, static_cast<float>(missed) / state.prefillTokensPerSecond);
         if (m_settings.learnsLifetime)
-            learnLifetime(decision, pieces, *cachedTokens);
+            learnLifetime(decision, *cachedTokens);
     }
     // The prefill just done left every piece in the cache.
     for (const auto hash : pieces.hashes())
@@ -132,11 +132,16 @@
         m_beliefs.removeHolder(piece, slot, at);
 }
 
-std::vector<HotBelief> Placement::exportHot(std::size_t limit) const
+std::vector<HotBelief> Placement::exportHot(std::size_t limit,
+                                            std::chrono::milliseconds within) const
 {
     const auto time = now();
     std::vector<Belief> hot;
-    m_beliefs.forEach([&](const Belief &belief) { hot.push_back(belief); });
+    const auto isRecent = [&](BeliefTime use) { return time - std::min(time, use) <= within; };
+    m_beliefs.forEach([&](const Belief &belief) {
+        if (isRecent(belief.usedAt))
+            hot.push_back(belief);
+    });
     const auto count = std::min(limit, hot.size());
     std::partial_sort(hot.begin(), hot.begin() + static_cast<std::ptrdiff_t>(count), hot.end(),
                       [time](const Belief &left, const Belief &right) {
@@ -151,7 +156,7 @@
     for (const auto &belief : hot) {
         HotBelief out {belief.piece, belief.heatNow(time), {}};
         for (const auto &holder : belief.holders) {
-            if (!m_upstreams.isCurrent(holder.slot, holder.epoch))
+            if (!m_upstreams.isCurrent(holder.slot, holder.epoch) || !isRecent(holder.lastUse))
                 continue;
             const auto age = time - std::min(time, holder.lastUse);
             out.holders.push_back(
@@ -183,35 +188,38 @@
     }
 }
 
-void Placement::learnLifetime(const Decision &decision, const PromptPieces &pieces,
-                              std::uint64_t cachedTokens)
+void Placement::learnLifetime(const Decision &decision, std::uint64_t cachedTokens)
 {
-    // The first piece that was missing, if the chain was believed to reach beyond it, shows how
-    // old a belief the cache no longer bears out.
-    const auto cached = cachedTokens / PieceTokens;
+    // A belief near the end of its life that was borne out lengthens lives, one that was not
+    // shortens them. Much younger ones were lost to something else than age.
+    constexpr float Shrink = 0.9F;
+    constexpr float Grow = 1.1F;
+    const auto age = static_cast<float>(decision.terms.oldestBelief.count());
     auto &lifetime = m_upstreams.state(decision.slot).cacheLifetime;
     const auto before = lifetime.load(std::memory_order_relaxed);
-    const bool isDisappointed =
-        decision.expectedCachedTokens > cachedTokens + PieceTokens / 2 && !decision.terms.isHome;
-    constexpr float Shrink = 0.9F;
-    constexpr float Grow = 1.02F;
-    const bool isComplete = cached >= pieces.hashes().size();
-    if (!isDisappointed && !isComplete)
+    if (age < before / 4)
         return;
-    lifetime.store(
-        std::clamp(before * (isDisappointed ? Shrink : Grow), LeastLifetime, MostLifetime),
-        std::memory_order_relaxed);
+    const bool isBorneOut = cachedTokens + PieceTokens / 2 >= decision.expectedCachedTokens;
+    const auto after = before * (isBorneOut ? Grow : Shrink);
+    lifetime.store(std::clamp(after, LeastLifetime, MostLifetime), std::memory_order_relaxed);
 }
 
-void Placement::learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now) const
+void Placement::learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now)
 {
     // Reckoned time below this is mostly noise.
     constexpr Seconds LeastReckoned {0.1};
     constexpr double SampleShare = 0.3;
+    /// Lateness up to this many times the usual is noise.
+    constexpr double Tolerance = 2;
     const Seconds taken = m_clock.now() - decision.sentAt;
     const auto reckoned =
         std::max(LeastReckoned, decision.terms.queueWait + decision.terms.prefill);
-    const auto sample = std::clamp(taken / reckoned, 1.0, static_cast<double>(MostSlowness));
+    const auto lateness =
+        std::clamp(taken / reckoned, 1.0 / MostSlowness, static_cast<double>(MostSlowness));
+    average(m_usualLateness, static_cast<float>(lateness));
+    // Only an upstream that is late beside the others is slow; when all are late, load is.
+    const double usual = std::max(1.0F, m_usualLateness.load(std::memory_order_relaxed));
+    const auto sample = std::max(1.0, lateness / (usual * Tolerance));
     const auto before = slowness(state, now);
     state.slowness.store(static_cast<float>(before + (sample - before) * SampleShare),
                          std::memory_order_relaxed);
--- a/Libraries/LibPlacement/UpstreamTable.cpp
+++ b/Libraries/LibPlacement/UpstreamTable.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t NumberMask = (1ULL << 24) - 1;
 
 /// First guess of how long a piece stays cached after its last use.
-constexpr std::chrono::milliseconds FirstCacheLifetime {10000};
+constexpr std::chrono::milliseconds FirstCacheLifetime {40000};
 
 std::uint64_t bucketNumber(std::uint64_t word)
 {
--- /dev/null
+++ b/Tests/LibPlacement/TestBeliefIsolation.cpp
@@ -0,0 +1,136 @@
+#include <LibCore/ManualClock.h>
+#include <LibPlacement/Placement.h>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace Placement;
+
+namespace {
+
+constexpr std::size_t Engines = 5;
+
+/// A cache event on its way.
+struct LateEvent
+{
+    UpstreamSlot slot;
+    std::uint64_t incarnation;
+    PieceHash piece;
+    bool isStored;
+};
+
+/// Engines that crash, and one instance's knowledge of them, told late, out of order and in part.
+class History
+{
+public:
+    explicit History(std::uint64_t seed)
+        : m_rng(seed)
+    {
+        PlacementSettings settings;
+        // Without homes, whatever is expected cached comes from beliefs alone.
+        settings.usesHomes = false;
+        m_placement = std::make_unique<::Placement::Placement>(m_clock, settings);
+        for (std::size_t i = 0; i < Engines; ++i)
+            m_slots.push_back(m_placement->noteUpstream({Core::UpstreamId(std::to_string(i)), 1}));
+        m_ever.resize(Engines);
+        m_incarnations.assign(Engines, 1);
+    }
+
+    void step()
+    {
+        m_clock.advance(std::chrono::milliseconds(m_rng() % 400));
+        switch (m_rng() % 6) {
+        case 0:
+            crash(m_rng() % Engines);
+            break;
+        case 1:
+        case 2:
+            deliverEvents();
+            break;
+        default:
+            request();
+        }
+    }
+
+private:
+    void crash(std::size_t engine)
+    {
+        ++m_incarnations[engine];
+        m_ever[engine].clear();
+        m_placement->noteIncarnation(m_slots[engine], m_incarnations[engine]);
+        if (m_rng() % 4 == 0) {
+            m_placement->noteGone(m_slots[engine]);
+            m_placement->noteUpstream(
+                {Core::UpstreamId(std::to_string(engine)), m_incarnations[engine]});
+        }
+    }
+
+    void deliverEvents()
+    {
+        for (std::size_t n = m_rng() % 8; n > 0 && !m_events.empty(); --n) {
+            const auto at =
+                m_events.begin() + static_cast<std::ptrdiff_t>(m_rng() % m_events.size());
+            const auto event = *at;
+            m_events.erase(at);
+            if (m_rng() % 3 != 0)
+                m_placement->noteCacheEvent(event.slot, event.incarnation, event.piece,
+                                            event.isStored,
+                                            std::chrono::milliseconds(m_rng() % 2000));
+        }
+    }
+
+    void request()
+    {
+        const CacheScope scope {Core::TeamId(std::to_string(m_rng() % 3)), Core::ModelId("m"),
+                                std::to_string(m_rng() % 2)};
+        const std::string text(PieceTokens * BytesPerToken, static_cast<char>('a' + m_rng() % 3));
+        const auto pieces = PromptPieces::create(scope, text + text);
+        const auto set = m_placement->makeCandidateSet(m_slots);
+        auto decision = m_placement->choose({pieces, {}, {}}, set, m_rng);
+        REQUIRE(decision);
+        const auto engine = decision->slot;
+        REQUIRE(decision->incarnation == m_incarnations[engine]);
+        // What was stored is kept by scope and text, so that a hash shared by two scopes shows.
+        const auto name = scope.team.value() + "/" + scope.weightsVersion + "/" + text[0];
+        const auto possible = m_ever[engine].contains(name) ? 2 * PieceTokens : 0;
+        // What this incarnation ever stored bounds what may be counted on.
+        REQUIRE(decision->expectedCachedTokens <= possible);
+
+        m_placement->noteSent(*decision, pieces);
+        m_ever[engine].insert(name);
+        for (const auto piece : pieces.hashes())
+            m_events.push_back({engine, m_incarnations[engine], piece, m_rng() % 4 != 0});
+        if (m_rng() % 3 == 0)
+            m_late.emplace_back(*decision, pieces);
+        else
+            m_placement->noteFirstToken(*decision, pieces, 0);
+        // Answers of dead incarnations come too.
+        if (!m_late.empty() && m_rng() % 2 == 0) {
+            const auto [old, oldPieces] = m_late.back();
+            m_late.pop_back();
+            m_placement->noteFirstToken(old, oldPieces, oldPieces.promptTokens());
+        }
+    }
+
+    Core::ManualClock m_clock;
+    std::mt19937_64 m_rng;
+    std::unique_ptr<::Placement::Placement> m_placement;
+    std::vector<UpstreamSlot> m_slots;
+    std::vector<std::uint64_t> m_incarnations;
+    std::vector<std::set<std::string>> m_ever;
+    std::vector<LateEvent> m_events;
+    std::vector<std::pair<Decision, PromptPieces>> m_late;
+};
+
+} // namespace
+
+TEST_CASE("a decision never counts on a dead incarnation, another team or older weights")
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        INFO("seed " << seed);
+        History history(seed);
+        for (int i = 0; i < 300; ++i)
+            history.step();
+    }
+}
--- /dev/null
+++ b/Tests/LibPlacement/TestCandidateSet.cpp
@@ -0,0 +1,70 @@
+#include <LibPlacement/CandidateSet.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace Placement;
+
+namespace {
+
+/// A table of upstreams numbered in the order of the names, and the set of all of them.
+CandidateSet makeSet(UpstreamTable &table, const std::vector<std::string> &names)
+{
+    std::vector<UpstreamSlot> slots;
+    slots.reserve(names.size());
+    for (const auto &name : names)
+        slots.push_back(table.add({Core::UpstreamId(name), 1, name == "big" ? 3.0 : 1.0}));
+    return CandidateSet::create(table, slots);
+}
+
+std::string homeOf(const CandidateSet &set, const UpstreamTable &table, std::uint64_t key)
+{
+    std::array<std::uint16_t, MaxHomes> homes {};
+    set.homes(key, 1, homes);
+    return table.id(set.slots()[homes[0]]).value();
+}
+
+} // namespace
+
+TEST_CASE("instances that numbered the upstreams differently agree on homes")
+{
+    UpstreamTable first;
+    UpstreamTable second;
+    const auto here = makeSet(first, {"a", "b", "c", "d"});
+    const auto there = makeSet(second, {"d", "b", "a", "c"});
+    std::mt19937_64 rng(5);
+    for (int i = 0; i < 1000; ++i) {
+        const auto key = rng();
+        REQUIRE(homeOf(here, first, key) == homeOf(there, second, key));
+    }
+}
+
+TEST_CASE("a leaving upstream moves only its own prefixes")
+{
+    UpstreamTable first;
+    UpstreamTable second;
+    const auto before = makeSet(first, {"a", "b", "c", "d"});
+    const auto after = makeSet(second, {"a", "b", "d"});
+    std::mt19937_64 rng(6);
+    for (int i = 0; i < 1000; ++i) {
+        const auto key = rng();
+        const auto home = homeOf(before, first, key);
+        if (home != "c")
+            REQUIRE(homeOf(after, second, key) == home);
+    }
+}
+
+TEST_CASE("homes follow the weights")
+{
+    UpstreamTable table;
+    const auto set = makeSet(table, {"big", "b", "c", "d"});
+    std::mt19937_64 rng(7);
+    int big = 0;
+    constexpr int Draws = 6000;
+    for (int i = 0; i < Draws; ++i)
+        big += homeOf(set, table, rng()) == "big" ? 1 : 0;
+    // Weight 3 of 6.
+    CHECK(big > Draws * 45 / 100);
+    CHECK(big < Draws * 55 / 100);
+}
--- a/Utilities/jujubebench/Deployment.h
+++ b/Utilities/jujubebench/Deployment.h
@@ -13,6 +13,8 @@
     std::chrono::milliseconds loadReportInterval {200};
     std::chrono::milliseconds loadReportLag {100};
     std::chrono::milliseconds cacheEventLag {500};
+    /// How often an instance tells its siblings what is new; zero is never.
+    std::chrono::milliseconds exchangeInterval {1000};
     /// Share of cache events that never arrive.
     double cacheEventLoss = 0.05;
 };
--- a/Utilities/jujubebench/OurPolicy.cpp
+++ b/Utilities/jujubebench/OurPolicy.cpp
@@ -15,11 +15,19 @@
 using Placement::PromptPieces;
 using Placement::UpstreamSlot;
 
+/// Settings of the library and of what its caller does.
+struct OurSettings : PlacementSettings
+{
+    // Several times the pieces that all engines hold, and quick to search at each exchange.
+    OurSettings() { beliefCapacity = 8192; }
+    bool exchanges = true;
+};
+
 /// A name of our policy and how its settings differ.
 struct Variant
 {
     std::string name;
-    std::function<void(PlacementSettings &)> apply;
+    std::function<void(OurSettings &)> apply;
 };
 
 const std::vector<Variant> &variants()
@@ -33,6 +41,7 @@
         {"no-slowness", [](auto &settings) { settings.usesSlowness = false; }},
         {"no-cache-events", [](auto &settings) { settings.usesCacheEvents = false; }},
         {"no-lifetime", [](auto &settings) { settings.learnsLifetime = false; }},
+        {"no-exchange", [](auto &settings) { settings.exchanges = false; }},
         {"no-random", [](auto &settings) { settings.randomises = false; }},
     };
     return all;
@@ -72,11 +81,15 @@
     std::unordered_map<std::uint64_t, Placement::Decision> decisions;
 };
 
+/// Beliefs handed to a sibling that starts, and to one that is up at each exchange.
+constexpr std::size_t HandedBeliefs = 2000;
+constexpr std::size_t ExchangedBeliefs = 64;
+
 /// LibPlacement as the daemon would call it, one object an instance.
 class OurPolicy final : public Policy
 {
 public:
-    OurPolicy(const PolicyContext &context, PlacementSettings settings)
+    OurPolicy(const PolicyContext &context, const OurSettings &settings)
         : m_context(context)
         , m_settings(settings)
         , m_rng(context.seed)
@@ -147,9 +160,17 @@
         m_instances[index].placement->noteCacheEvent(static_cast<UpstreamSlot>(engine), incarnation,
                                                      piece, change == CacheChange::Stored, age);
     }
+    void exchange(std::size_t index, std::span<const std::size_t> siblings,
+                  std::chrono::milliseconds within) override
+    {
+        if (!m_settings.exchanges)
+            return;
+        const auto hot = m_instances[index].placement->exportHot(ExchangedBeliefs, within);
+        for (const auto sibling : siblings)
+            m_instances[sibling].placement->importHot(hot);
+    }
     void restarted(std::size_t index, std::optional<std::size_t> sibling) override
     {
-        constexpr std::size_t HandedBeliefs = 2000;
         auto &instance = m_instances[index];
         start(instance);
         if (sibling) {
@@ -178,13 +199,13 @@
         instance.placement =
             std::make_unique<Placement::Placement>(m_context.queue->clock(), m_settings);
         instance.placement->noteInstanceCount(m_instances.size());
-        // The platform's list names upstreams, not incarnations; the first report brings those.
+        // Connecting to an upstream, which comes before any send, tells its incarnation.
         for (std::size_t i = 0; i < m_context.engines->size(); ++i)
-            instance.placement->noteUpstream(viewOf(i, 0));
+            instance.placement->noteUpstream(viewOf(i, (*m_context.engines)[i]->incarnation()));
     }
 
     PolicyContext m_context;
-    PlacementSettings m_settings;
+    OurSettings m_settings;
     std::mt19937_64 m_rng;
     std::vector<Instance> m_instances;
 };
@@ -197,7 +218,7 @@
                                  [&](const auto &variant) { return variant.name == name; });
     if (it == variants().end())
         return nullptr;
-    PlacementSettings settings;
+    OurSettings settings;
     for (const auto &text : context.overrides)
         applyOverride(settings, text);
     it->apply(settings);
--- a/Utilities/jujubebench/PlacementRun.cpp
+++ b/Utilities/jujubebench/PlacementRun.cpp
@@ -33,6 +33,9 @@
         scheduleFault(fault);
     for (std::size_t i = 0; i < m_engines.size(); ++i)
         reportLoad(i);
+    const auto interval = m_deployment.views.exchangeInterval;
+    for (std::size_t i = 0; i < m_deployment.instances && interval.count() > 0; ++i)
+        m_queue.schedule(interval * (i + 1) / m_deployment.instances, [this, i] { exchange(i); });
     for (const auto &item : m_work) {
         RequestOutcome outcome;
         outcome.arrival = item.arrival;
@@ -154,6 +157,21 @@
     m_queue.schedule(m_deployment.views.loadReportInterval, [this, engine] { reportLoad(engine); });
 }
 
+void PlacementRun::exchange(std::size_t instance)
+{
+    const auto interval = m_deployment.views.exchangeInterval;
+    const auto isCut = [this](std::size_t i) {
+        return m_cutDataCentres.contains(i % m_deployment.dataCentres);
+    };
+    std::vector<std::size_t> siblings;
+    for (std::size_t i = 0; i < m_deployment.instances; ++i) {
+        if (i != instance && isCut(i) == isCut(instance))
+            siblings.push_back(i);
+    }
+    m_policy->exchange(instance, siblings, interval);
+    m_queue.schedule(interval, [this, instance] { exchange(instance); });
+}
+
 void PlacementRun::reportCacheChange(std::size_t engine, CacheChange change, std::uint64_t piece)
 {
     constexpr std::uint64_t Scale = 1'000'000;
--- a/Utilities/jujubebench/PlacementRun.h
+++ b/Utilities/jujubebench/PlacementRun.h
@@ -63,6 +63,8 @@
     bool isReachable(std::size_t instance, std::size_t engine) const;
     /// Sends every instance the engine's load, and again after the interval.
     void reportLoad(std::size_t engine);
+    /// Lets the instance tell its siblings, and again after the interval.
+    void exchange(std::size_t instance);
     /// Passes on a cache change late, or loses it.
     void reportCacheChange(std::size_t engine, CacheChange change, std::uint64_t piece);
     void onFirstToken(std::size_t engine, std::uint64_t id, std::uint64_t cachedTokens);
--- a/Utilities/jujubebench/PlacementScenario.cpp
+++ b/Utilities/jujubebench/PlacementScenario.cpp
@@ -103,6 +103,8 @@
         parsed.loadReportInterval =
             millisecondsOr(views, "loadReportIntervalMs", parsed.loadReportInterval);
         parsed.loadReportLag = millisecondsOr(views, "loadReportLagMs", parsed.loadReportLag);
+        parsed.exchangeInterval =
+            millisecondsOr(views, "exchangeIntervalMs", parsed.exchangeInterval);
         parsed.cacheEventLag = millisecondsOr(views, "cacheEventLagMs", parsed.cacheEventLag);
         parsed.cacheEventLoss = toml::find_or(views, "cacheEventLoss", parsed.cacheEventLoss);
     }
--- a/Utilities/jujubebench/Policy.h
+++ b/Utilities/jujubebench/Policy.h
@@ -35,6 +35,8 @@
     virtual void cacheEvent(std::size_t, std::size_t, std::uint64_t, CacheChange, std::uint64_t,
                             std::chrono::milliseconds)
     { }
+    /// The time to tell the siblings what is new since the last time.
+    virtual void exchange(std::size_t, std::span<const std::size_t>, std::chrono::milliseconds) { }
     /// The instance lost its state. A sibling that kept its own may hand state over.
     virtual void restarted(std::size_t, std::optional<std::size_t>) { }
 };
--- a/Utilities/jujubebench/main.cpp
+++ b/Utilities/jujubebench/main.cpp
@@ -35,8 +35,10 @@
         ->required()
         ->check(CLI::ExistingFile);
     app.add_option("--seed", options.seed, "Seed of the work and of every random choice");
-    app.add_option("--policy", options.policies, "Run only these policies");
-    app.add_option("--set", options.overrides, "Try a placement setting: name=value");
+    app.add_option("--policy", options.policies, "Run only these policies")
+        ->allow_extra_args(false);
+    app.add_option("--set", options.overrides, "Try a placement setting: name=value")
+        ->allow_extra_args(false);
     app.add_flag("--json", isJson, "Print JSON in place of tables");
     app.add_flag("--quick", options.isQuick, "Shorter runs of the same scenarios");
     CLI11_PARSE(app, argc, argv);
