LibSiblings: Tell every sibling of a crash at once, and prove streams under failure

Seen failing first: 3 of 12 streams ended after an engine's crash, because a crash makes all its requests suspect and suspects were refused an upstream that already ran one; they are now kept apart only where there are upstreams enough. A poison request resent at two routers crashed 6 engines instead of 3 while crashes travelled with the soft state's rounds.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -166,6 +166,8 @@
         co_return std::nullopt;
     }
 
+    void setBodyTimeout(std::chrono::milliseconds limit) override { m_timeouts.body = limit; }
+
     void abort() override
     {
         if (m_connection)
--- a/Libraries/LibHttp/ClientExchange.h
+++ b/Libraries/LibHttp/ClientExchange.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,8 @@
     /// Error(UpstreamFailed) when the connection breaks before it, UpstreamTimedOut when nothing
     /// comes in time, UpstreamGarbage for broken chunking.
     virtual boost::asio::awaitable<std::optional<std::string>> readSome() = 0;
+    /// Changes how long readSome() waits for the next piece.
+    virtual void setBodyTimeout(std::chrono::milliseconds limit) = 0;
     /// Closes the connection; a pending readSome() fails. For the thread that reads.
     virtual void abort() = 0;
 };
--- a/Libraries/LibRouter/AdminPort.cpp
+++ b/Libraries/LibRouter/AdminPort.cpp
@@ -67,6 +67,11 @@
     : m_instance(instance)
 { }
 
+void AdminPort::setStatusHook(std::function<void(json::object &)> hook)
+{
+    m_statusHook = std::move(hook);
+}
+
 asio::awaitable<void> AdminPort::handle(Http::ServerExchange &exchange)
 {
     const auto &request = exchange.request();
@@ -110,6 +115,8 @@
     answer["draining"] = m_instance.isDraining();
     answer["generation"] = configuration.generation;
     answer["upstreams"] = std::move(upstreams);
+    if (m_statusHook)
+        m_statusHook(answer);
     return answer;
 }
 
--- a/Libraries/LibRouter/AdminPort.h
+++ b/Libraries/LibRouter/AdminPort.h
@@ -6,6 +6,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/object.hpp>
 
+#include <functional>
+
 namespace Router {
 
 /// Answers the operators' port: health, readiness, metrics, status, drain and explain.
@@ -14,6 +16,9 @@
 public:
     explicit AdminPort(Instance &instance);
 
+    /// Sets what adds further fields to the status. Called on the admin port's thread.
+    void setStatusHook(std::function<void(boost::json::object &)> hook);
+
     boost::asio::awaitable<void> handle(Http::ServerExchange &exchange);
 
 private:
@@ -22,6 +27,7 @@
     boost::json::object explain(const std::string &body) const;
 
     Instance &m_instance;
+    std::function<void(boost::json::object &)> m_statusHook;
 };
 
 } // namespace Router
--- a/Libraries/LibRouter/CompletionAttempt.cpp
+++ b/Libraries/LibRouter/CompletionAttempt.cpp
@@ -62,6 +62,7 @@
                 throw Core::Error(Core::ErrorKind::UpstreamFailed, "the upstream sent an error");
             const auto chunk = CompletionChunk::parse(event->data, attemptId).value();
             co_await take(chunk, sink, progress);
+            answer.setBodyTimeout(m_model.nextTokenTimeout);
         }
     }
     if (!progress.isComplete)
@@ -109,7 +110,8 @@
     Http::ClientTimeouts timeouts;
     timeouts.connect = m_instance.settings().connectTimeout;
     timeouts.head = m_model.firstTokenTimeout;
-    timeouts.body = std::max(m_model.nextTokenTimeout, m_model.firstTokenTimeout);
+    // Until the first token has come; engines may send the head of the answer before.
+    timeouts.body = m_model.firstTokenTimeout;
     return timeouts;
 }
 
--- a/Libraries/LibRouter/CompletionRelay.cpp
+++ b/Libraries/LibRouter/CompletionRelay.cpp
@@ -4,8 +4,6 @@
 #include <LibRouter/InFlightGuard.h>
 #include <LibRouter/ThreadRandom.h>
 
-#include <array>
-
 namespace Router {
 
 namespace asio = boost::asio;
@@ -125,22 +123,26 @@
     return true;
 }
 
-bool CompletionRelay::isPassedOver(const Upstream &upstream, bool evenSuspected) const
+bool CompletionRelay::isPassedOver(const Upstream &upstream, Strictness strictness) const
 {
-    if (upstream.isLeaving() || (m_isSuspect && upstream.suspectRequests() > 0))
+    if (upstream.isLeaving())
         return true;
-    return upstream.isSuspected() && !evenSuspected;
+    if (strictness == Strictness::AnyLive)
+        return false;
+    const bool isApart = !m_isSuspect || upstream.suspectRequests() == 0;
+    return upstream.isSuspected() || (strictness == Strictness::Apart && !isApart);
 }
 
 std::optional<Placement::Decision> CompletionRelay::choose(const UpstreamGroupView &group)
 {
     if (!group.candidates)
         return std::nullopt;
-    // With nobody above suspicion, a suspected upstream is better than none.
-    for (const bool evenSuspected : {false, true}) {
+    // A crash makes every request that ran there suspect, most of them without reason. They are
+    // kept apart where there are upstreams enough, but none is refused for want of one.
+    for (const auto strictness : {Strictness::Apart, Strictness::Healthy, Strictness::AnyLive}) {
         auto excluded = m_tried;
         for (const auto &upstream : group.upstreams) {
-            if (isPassedOver(*upstream, evenSuspected))
+            if (isPassedOver(*upstream, strictness))
                 excluded.push_back(upstream->slot());
         }
         const Placement::PlacementRequest request {m_pieces, {}, excluded};
@@ -199,8 +201,7 @@
 {
     // Every request that a crash breaks off notes the same crash, each against its own digest.
     const auto crash = Core::hash64(upstream.id().value(), incarnation);
-    const std::array running {m_call.digest()};
-    m_instance.suspects().noteCrash(crash, running);
+    m_instance.noteCrash(crash, m_call.digest());
     Core::logEvent(Core::EventId::PoisonSuspected,
                    {{"request", m_context.requestId}, {"upstream", upstream.id().value()}});
 }
--- a/Libraries/LibRouter/CompletionRelay.h
+++ b/Libraries/LibRouter/CompletionRelay.h
@@ -31,13 +31,22 @@
         GiveUp,
     };
 
+    /// Which upstreams a request may go to.
+    enum class Strictness {
+        /// Without failures of late, and a suspect request with no other suspect.
+        Apart,
+        /// Without failures of late.
+        Healthy,
+        AnyLive,
+    };
+
     boost::asio::awaitable<Verdict> tryEngines();
     boost::asio::awaitable<AdmissionSlot> admit();
     Accounting::TokenCounts usedTokens() const;
     bool mayRetry();
     boost::asio::awaitable<Verdict> attempt(UpstreamPtr upstream, Placement::Decision decision);
     std::optional<Placement::Decision> choose(const UpstreamGroupView &group);
-    bool isPassedOver(const Upstream &upstream, bool evenSuspected) const;
+    bool isPassedOver(const Upstream &upstream, Strictness strictness) const;
     void noteCrash(const Upstream &upstream, std::uint64_t incarnation);
     Verdict noteFailure(Upstream &upstream, const Core::Error &error);
     void noteSuccess(Upstream &upstream, const Placement::Decision &decision);
--- a/Libraries/LibRouter/Instance.cpp
+++ b/Libraries/LibRouter/Instance.cpp
@@ -2,6 +2,8 @@
 #include <LibRouter/Instance.h>
 #include <LibRouter/PolicyBuilder.h>
 
+#include <array>
+
 namespace Router {
 
 Instance::Instance(const Core::Clock &clock, RouterSettings settings)
@@ -38,6 +40,14 @@
     return *budget;
 }
 
+void Instance::noteCrash(std::uint64_t crash, Admission::RequestDigest digest)
+{
+    const std::array running {digest};
+    m_suspects.noteCrash(crash, running);
+    if (m_crashHook)
+        m_crashHook();
+}
+
 void Instance::refreshSlots()
 {
     const auto document = configuration().document;
--- a/Libraries/LibRouter/Instance.h
+++ b/Libraries/LibRouter/Instance.h
@@ -16,6 +16,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -45,6 +46,11 @@
     Admission::Controller &admission() { return *m_admission; }
     Accounting::UsageMeter &usage() { return m_usage; }
     Admission::SuspectTable &suspects() { return m_suspects; }
+    /// Notes that an upstream broke off under the request, and has siblings told at once: the
+    /// caller may send the request again to any of them.
+    void noteCrash(std::uint64_t crash, Admission::RequestDigest digest);
+    /// Sets what tells siblings of a crash. Comes before the first request; called from any thread.
+    void setCrashHook(std::function<void()> hook) { m_crashHook = std::move(hook); }
     /// Null until setClaims(), which comes before the first request.
     Claims::ClaimCoordinator *claims() { return m_claims.get(); }
     void setClaims(std::shared_ptr<Claims::ClaimCoordinator> claims)
@@ -81,6 +87,7 @@
     std::unique_ptr<Admission::Controller> m_admission;
     Accounting::UsageMeter m_usage;
     Admission::SuspectTable m_suspects;
+    std::function<void()> m_crashHook;
     std::shared_ptr<Claims::ClaimCoordinator> m_claims;
     std::mutex m_budgetMutex;
     std::unordered_map<Core::UpstreamGroupId, std::unique_ptr<Admission::RetryBudget>> m_budgets;
--- a/Libraries/LibSiblings/SiblingService.cpp
+++ b/Libraries/LibSiblings/SiblingService.cpp
@@ -25,6 +25,7 @@
 constexpr unsigned TicksPerReport = 4;
 constexpr std::chrono::milliseconds ClaimTimeout {500};
 constexpr std::chrono::milliseconds DocumentTimeout {2'000};
+constexpr std::size_t AnnouncementBytes = 512;
 constexpr std::size_t SnapshotLimitBytes = 256 * 1024;
 
 Peer::PeerAddress peerAddress(const std::string &address)
@@ -112,6 +113,7 @@
 void SiblingService::start()
 {
     m_server->start();
+    m_instance.setCrashHook([this] { asio::post(m_context, [this] { announce(); }); });
     asio::co_spawn(m_context, keepTime(), asio::detached);
     asio::co_spawn(m_context, warmUp(), asio::detached);
 }
@@ -182,6 +184,19 @@
     }
 }
 
+void SiblingService::announce()
+{
+    m_bridge.publish();
+    const auto records = m_bridge.state().pack(AnnouncementBytes);
+    if (records.empty())
+        return;
+    for (const auto &member : otherMembers()) {
+        Peer::Wire::SharedDeltaT delta;
+        delta.records = records;
+        m_client->send(peerAddress(member.address), Peer::makeBody(std::move(delta)));
+    }
+}
+
 std::vector<Membership::Member> SiblingService::otherMembers() const
 {
     auto members = m_probes->live();
--- a/Libraries/LibSiblings/SiblingService.h
+++ b/Libraries/LibSiblings/SiblingService.h
@@ -60,6 +60,8 @@
     boost::asio::awaitable<void> keepTime();
     boost::asio::awaitable<void> warmUp();
     void sendAdmissionReports();
+    /// Sends what is most urgent to every sibling at once.
+    void announce();
     void receive(const Peer::PeerIdentity &peer, Peer::Body message);
     boost::asio::awaitable<Peer::Body> answer(Peer::Body request);
     Peer::Body answerDocument() const;
--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/json.hpp>
 #include <jujubesaddled/Daemon.h>
 #include <jujubesaddled/StaticDirectory.h>
 
@@ -91,10 +92,25 @@
     m_siblings = std::make_unique<Siblings::SiblingService>(
         m_controlThread.at(0), Siblings::SiblingSettings {*m_settings.peer, m_settings.peerKey},
         m_instance, m_configurationReader.get());
+    m_adminPort.setStatusHook([this](boost::json::object &status) { addStatus(status); });
     Core::logEvent(Core::EventId::ListeningOn,
                    {{"port", "peer"}, {"address", Http::formatEndpoint(m_siblings->endpoint())}});
 }
 
+void Daemon::addStatus(boost::json::object &status) const
+{
+    boost::json::array siblings;
+    for (const auto &member : m_siblings->live()) {
+        boost::json::object entry;
+        entry["instance"] = member.id.instance.value();
+        entry["incarnation"] = member.id.incarnation;
+        entry["data_centre"] = member.dataCentre.value();
+        entry["suspected"] = member.state == Membership::MemberState::Suspect;
+        siblings.push_back(std::move(entry));
+    }
+    status["siblings"] = std::move(siblings);
+}
+
 asio::awaitable<Claims::HolderReply> Daemon::askHolder(Claims::HolderQuery query)
 {
     if (!m_siblings)
--- a/Services/jujubesaddled/Daemon.h
+++ b/Services/jujubesaddled/Daemon.h
@@ -44,6 +44,7 @@
     void loadEmbeddedConfiguration();
     void createClaims();
     void createSiblings();
+    void addStatus(boost::json::object &status) const;
     boost::asio::awaitable<Claims::HolderReply> askHolder(Claims::HolderQuery query);
     boost::asio::awaitable<void> tickAdmission();
     void startControl();
--- a/Tests/Processes/Fleet.cpp
+++ b/Tests/Processes/Fleet.cpp
@@ -141,6 +141,15 @@
     }
 }
 
+void Fleet::awaitSiblings(const std::vector<std::string> &daemons, std::size_t count)
+{
+    for (const auto &name : daemons) {
+        await(name + " knows its siblings", [&] {
+            return json(node(name).admin, "/status").at("siblings").as_array().size() == count;
+        });
+    }
+}
+
 Http::Response Fleet::send(const Http::Endpoint &endpoint, Http::Request request)
 {
     Http::ClientTimeouts timeouts;
--- a/Tests/Processes/Fleet.h
+++ b/Tests/Processes/Fleet.h
@@ -49,6 +49,9 @@
     /// Waits until each named daemon knows the count of upstreams.
     void awaitUpstreams(const std::vector<std::string> &daemons, std::size_t count);
 
+    /// Waits until each named daemon knows the count of siblings.
+    void awaitSiblings(const std::vector<std::string> &daemons, std::size_t count);
+
     /// Sends a request and returns the whole answer. Throws Core::Error as Http::Client does.
     Http::Response send(const Http::Endpoint &endpoint, Http::Request request);
     /// The JSON of a GET, or of a POST when there is a body.
--- /dev/null
+++ b/Tests/Processes/TestStreams.cpp
@@ -0,0 +1,181 @@
+#include <Processes/Documents.h>
+#include <Processes/Fleet.h>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+using namespace Processes;
+
+namespace {
+
+constexpr std::size_t Streams = 12;
+constexpr std::size_t Tokens = 60;
+
+/// A router before engines that take about half a second for an answer.
+struct StreamFleet : Fleet
+{
+    explicit StreamFleet(std::size_t engines)
+    {
+        std::vector<std::string> names;
+        for (std::size_t n = 1; n <= engines; ++n)
+            startEngine("engine-" + std::to_string(n), "engines", {"--decode-us", "8000"});
+        startDaemon("router", "a");
+        publish(testDocument(), {"router"});
+        awaitUpstreams({"router"}, engines);
+    }
+
+    /// What an engine answers to the prompt when nothing fails.
+    std::string expected(const std::string &prompt)
+    {
+        auto request = completionRequest("", "model", prompt, Tokens, false);
+        return boost::json::parse(send(node("engine-2").address, request).body)
+            .at("choices")
+            .at(0)
+            .at("text")
+            .as_string()
+            .c_str();
+    }
+
+    std::vector<std::future<std::string>> startStreams()
+    {
+        std::vector<std::future<std::string>> bodies;
+        for (std::size_t n = 0; n < Streams; ++n) {
+            bodies.push_back(std::async(std::launch::async, [this, n] {
+                const auto prompt = "spread " + std::to_string(n);
+                return send(node("router").address,
+                            completionRequest("example-key", "model", prompt, Tokens, true))
+                    .body;
+            }));
+        }
+        return bodies;
+    }
+
+    std::size_t running(const std::string &engine)
+    {
+        const auto report = json(node(engine).address, "/load");
+        return report.at("running").to_number<std::size_t>();
+    }
+
+    void awaitRunning(const std::string &engine)
+    {
+        await(engine + " runs streams", [&] { return running(engine) > 0; });
+    }
+
+    void checkAllWhole(std::vector<std::future<std::string>> &bodies)
+    {
+        for (std::size_t n = 0; n < Streams; ++n) {
+            const auto body = bodies[n].get();
+            INFO(body);
+            CHECK(streamedText(body) == expected("spread " + std::to_string(n)));
+        }
+    }
+
+    std::uint64_t resumed()
+    {
+        const auto text = send(node("router").admin, Http::Request("GET", "/metrics")).body;
+        const std::string name = "jujube_streams_resumed_total{team=\"site\",class=\"urgent\"} ";
+        const auto at = text.find(name);
+        return at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size()));
+    }
+};
+
+} // namespace
+
+TEST_CASE("streams of an engine that crashes go on elsewhere without a gap or a repeat")
+{
+    StreamFleet fleet(2);
+    auto bodies = fleet.startStreams();
+    fleet.awaitRunning("engine-1");
+    fleet.json(fleet.node("engine-1").address, "/control", R"({"crash":true})");
+    fleet.checkAllWhole(bodies);
+    CHECK(fleet.resumed() > 0);
+}
+
+TEST_CASE("streams of an engine that freezes go on elsewhere without a gap or a repeat")
+{
+    StreamFleet fleet(2);
+    auto bodies = fleet.startStreams();
+    fleet.awaitRunning("engine-1");
+    fleet.node("engine-1").process->signal(SIGSTOP);
+    fleet.checkAllWhole(bodies);
+    CHECK(fleet.resumed() > 0);
+}
+
+TEST_CASE("a token that answers another request never reaches the caller")
+{
+    StreamFleet fleet(2);
+    fleet.json(fleet.node("engine-1").address, "/control", R"({"cross_answers":true})");
+    auto bodies = fleet.startStreams();
+    fleet.checkAllWhole(bodies);
+}
+
+TEST_CASE("a stream that cannot go on ends with an explicit error event")
+{
+    StreamFleet fleet(1);
+    fleet.json(fleet.node("engine-1").address, "/control", R"({"cut_after_tokens":5})");
+    const auto answer =
+        fleet.send(fleet.node("router").address,
+                   completionRequest("example-key", "model", "spread", Tokens, true));
+    CHECK(answer.body.find("event: error") != std::string::npos);
+    CHECK(answer.body.find("stream_interrupted") != std::string::npos);
+    CHECK(answer.body.find("[DONE]") == std::string::npos);
+}
+
+TEST_CASE("work of a caller that goes away is cancelled at the engine")
+{
+    StreamFleet fleet(1);
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect(fleet.node("router").address);
+        const std::string body =
+            R"({"model":"model","prompt":"p","max_tokens":4000,"stream":true})";
+        const std::string request =
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer example-key\r\n"
+            "Content-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        boost::asio::write(socket, boost::asio::buffer(request));
+        fleet.awaitRunning("engine-1");
+    }
+    Fleet::await("the engine is free again", [&] { return fleet.running("engine-1") == 0; });
+    const auto report = fleet.json(fleet.node("engine-1").address, "/load");
+    CHECK(report.at("cancelled").to_number<int>() == 1);
+}
+
+TEST_CASE("a shutdown under load cuts no request, and the refusals say that nothing ran")
+{
+    StreamFleet fleet(2);
+    auto bodies = fleet.startStreams();
+    fleet.awaitRunning("engine-1");
+    fleet.node("router").process->signal(SIGTERM);
+    Fleet::await("new requests are refused", [&] {
+        const auto answer = fleet.send(fleet.node("router").address,
+                                       completionRequest("example-key", "model", "late", 1, false));
+        return answer.status == 503 && answer.body.find(R"("kind":"draining")") != std::string::npos
+               && answer.body.find(R"("attempt":"not_run")") != std::string::npos;
+    });
+    fleet.checkAllWhole(bodies);
+    const auto line = fleet.node("router").process->awaitLine("process_stopped");
+    CHECK(line.find("\"cut_requests\":\"0\"") != std::string::npos);
+    CHECK(fleet.node("router").process->wait() == 0);
+}
+
+TEST_CASE("a leaving upstream gets no new work, though the list is frozen")
+{
+    StreamFleet fleet(2);
+    fleet.json(fleet.platform().address, "/control/faults", R"({"list_frozen":true})");
+    fleet.json(fleet.node("engine-1").address, "/control", R"({"draining":true})");
+    const auto served = [&] {
+        return fleet.json(fleet.node("engine-1").address, "/load").at("served").to_number<int>();
+    };
+    const auto before = served();
+    for (std::size_t n = 0; n < Streams; ++n) {
+        const auto answer = fleet.send(
+            fleet.node("router").address,
+            completionRequest("example-key", "model", "spread " + std::to_string(n), 2, false));
+        CHECK(answer.status == 200);
+    }
+    CHECK(served() == before);
+}
--- a/Tests/StandIns/EngineStandIn.cpp
+++ b/Tests/StandIns/EngineStandIn.cpp
@@ -122,6 +122,11 @@
     headers.add("Content-Type", "text/event-stream");
     if (job.stream)
         co_await exchange.startStream(200, std::move(headers));
+    // A faulty engine that mixes its answers up sends another request's.
+    if (m_crossAnswers) {
+        job.id = "another";
+        job.text = "another prompt";
+    }
     for (auto index = job.resumeFrom; index < job.maxTokens; ++index) {
         co_await pause(m_settings.decodePerToken, job);
         if (m_cutAfterTokens > 0 && index + 1 > m_cutAfterTokens)
--- a/Tests/StandIns/PlatformStandIn.cpp
+++ b/Tests/StandIns/PlatformStandIn.cpp
@@ -45,6 +45,8 @@
 
 boost::asio::awaitable<void> PlatformStandIn::handleLog(Http::ServerExchange &exchange)
 {
+    if (m_logOutage)
+        throw Core::Error(Core::ErrorKind::PlatformUnavailable, "outage");
     const auto path = pathOf(exchange.request().target);
     constexpr std::string_view Prefix = "/log/";
     const auto slash = path.rfind('/');
@@ -82,7 +84,7 @@
     const auto limit = static_cast<std::size_t>(queryNumber(target, "limit", 100));
     const milliseconds wait(queryNumber(target, "wait_ms", 0));
     const auto page = co_await m_service.read(std::move(stream), from, limit, wait);
-    if (m_outage)
+    if (m_outage || m_logOutage)
         throw Core::Error(Core::ErrorKind::PlatformUnavailable, "outage");
     json::array records;
     for (const auto &record : page.records) {
@@ -140,6 +142,8 @@
 {
     if (const auto *outage = faults.if_contains("outage"))
         m_outage = outage->as_bool();
+    if (const auto *outage = faults.if_contains("log_outage"))
+        m_logOutage = outage->as_bool();
     m_appendDelay = numberOf(faults, "append_delay_ms", m_appendDelay);
     m_readDelay = numberOf(faults, "read_delay_ms", m_readDelay);
     m_loseAppendAnswers = numberOf(faults, "lose_append_answers", m_loseAppendAnswers);
--- a/Tests/StandIns/PlatformStandIn.h
+++ b/Tests/StandIns/PlatformStandIn.h
@@ -42,6 +42,7 @@
     Platform::InMemoryLog m_log;
     Platform::EmbeddedLogService m_service {m_log};
     std::atomic<bool> m_outage {false};
+    std::atomic<bool> m_logOutage {false};
     std::atomic<long long> m_appendDelay {0};
     std::atomic<long long> m_readDelay {0};
     std::atomic<long long> m_loseAppendAnswers {0};
