LibAdmission: Keep a tenth of the share free of borrowed work while owners are below their own

Cause: with three of an instance's 55 slots kept free, a small team's request still had to take the engine where a slot happened to be free. Change: a tenth in place of a twentieth for borrowed work; still no more than the teams seen lately could take of their own.

--- a/Libraries/LibAdmission/GroupAdmission.cpp
+++ b/Libraries/LibAdmission/GroupAdmission.cpp
@@ -15,7 +15,9 @@
 /// seen, so that a burst at another instance finds some.
 constexpr double EvenPart = 0.25;
 /// The largest part of the share that is kept free of borrowed work.
-constexpr double ReservePart = 0.05;
+constexpr double BorrowerReserve = 0.1;
+/// The largest part of the share that is kept free for more urgent classes.
+constexpr double ClassReserve = 0.05;
 constexpr double LeastDemand = 0.5;
 /// A sibling's demand is forgotten when nothing was heard of it for this long.
 constexpr std::chrono::milliseconds SiblingSilence = LeaseDuration;
@@ -273,8 +275,10 @@
     double expected = 0;
     for (std::size_t team = 0; team < demandByTeam.size(); ++team)
         expected += m_scheduler->ownLeft(team, demandByTeam[team]);
-    const double most = std::ceil(ReservePart * m_share.available(now));
-    m_scheduler->setReserve(static_cast<std::uint32_t>(std::min(expected, most)));
+    const auto share = m_share.available(now);
+    const double mostForTeams = std::ceil(BorrowerReserve * share);
+    m_scheduler->setReserve(static_cast<std::uint32_t>(std::min(expected, mostForTeams)));
+    const double most = std::ceil(ClassReserve * share);
     std::vector<std::uint32_t> classReserves;
     double moreUrgent = 0;
     for (const auto &it : m_policy.classes) {
