LibClaims: Give each trap of a refusal a test of its own

The histories show that refusals hold over whole lives of keys; these five cases show one mechanism each, small enough to read: the door, the expired key, the claim that lands after its caller was refused, the claimant that wakes after its timeout, the winner that reads its claim twice.

Each was seen failing with its mechanism taken out on a scratch copy: doorRefusal saying not_run (4 checks failed), the expired key's fate not_run (1), no void on giving up (1), the deadline not checked on a verdict (2), and both guards against a second verdict removed (1; with only one of the two removed it passes, because the other holds).

--- /dev/null
+++ b/Tests/LibClaims/TestClaimEngine.cpp
@@ -0,0 +1,132 @@
+#include <LibClaims/ClaimCodec.h>
+#include <LibClaims/ClaimEngine.h>
+#include <LibCore/EventLog.h>
+#include <LibCore/ManualClock.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Claims;
+using namespace std::chrono_literals;
+using Core::ErrorKind;
+using Core::Fate;
+
+namespace {
+
+/// One engine before a log of one partition that the test writes by hand.
+struct Scene
+{
+    Scene() { Core::configureEventLog(Core::LogFormat::Text, Core::EventLevel::Error); }
+
+    static ClaimSettings settings()
+    {
+        ClaimSettings it {KeyWindow::create(60s, 1s, 100s, 10s).value()};
+        it.partitions = 1;
+        return it;
+    }
+    ClaimActions read(const std::string &data)
+    {
+        const Platform::LogOffset offset = next++;
+        return engine.onPage(0, {0, next, {{offset, clock.wallNow(), data}}});
+    }
+    ClaimActions readFromOther(RecordKind kind)
+    {
+        const ClaimRecord record {kind, call.key, call.digest, {9, 1}, {Core::InstanceId("b"), 1}};
+        return read(encodeBatch({&record, 1}));
+    }
+    template <typename Action>
+    static std::optional<Action> find(const ClaimActions &actions)
+    {
+        for (const auto &it : actions) {
+            if (const auto *action = std::get_if<Action>(&it))
+                return *action;
+        }
+        return std::nullopt;
+    }
+    Fate fateAtDoor() const { return *engine.doorRefusal(ErrorKind::Overloaded, call.key).key(); }
+
+    Core::ManualClock clock;
+    Call call {
+        {Core::TeamId("t"), "k", std::chrono::floor<std::chrono::milliseconds>(clock.wallNow())},
+        1};
+    ClaimEngine engine {settings(), {Core::InstanceId("a"), 1}, clock};
+    Platform::LogOffset next = 0;
+};
+
+} // namespace
+
+TEST_CASE("a refusal at the door says of the key only what the log shows")
+{
+    Scene scene;
+    CHECK(scene.engine.doorRefusal(ErrorKind::Draining, scene.call.key).attempt() == Fate::NotRun);
+    CHECK(scene.fateAtDoor() == Fate::Unknown);
+    scene.readFromOther(RecordKind::Claim);
+    CHECK(scene.fateAtDoor() == Fate::Unknown);
+    scene.readFromOther(RecordKind::Finished);
+    CHECK(scene.fateAtDoor() == Fate::Run);
+    Scene closed;
+    closed.readFromOther(RecordKind::Close);
+    CHECK(closed.fateAtDoor() == Fate::NotRun);
+}
+
+TEST_CASE("an expired key is refused without a word about its past")
+{
+    Scene scene;
+    scene.clock.advance(61s);
+    const auto answer = Scene::find<AnswerAction>(scene.engine.begin(1, scene.call));
+    REQUIRE(answer);
+    CHECK(answer->outcome.error == ErrorKind::KeyExpired);
+    CHECK(answer->outcome.attempt == Fate::NotRun);
+    CHECK(answer->outcome.key == Fate::Unknown);
+}
+
+TEST_CASE("a claim that lands after its caller was refused is voided and never sent")
+{
+    Scene scene;
+    scene.engine.begin(1, scene.call);
+    scene.clock.advance(2ms);
+    const auto claim = Scene::find<AppendBatch>(scene.engine.onTimer());
+    REQUIRE(claim);
+    scene.clock.advance(3s);
+    const auto refused = Scene::find<AnswerAction>(scene.engine.onTimer());
+    REQUIRE(refused);
+    CHECK(refused->outcome.error == ErrorKind::LogUnavailable);
+    CHECK(refused->outcome.attempt == Fate::NotRun);
+    CHECK(refused->outcome.key == Fate::Unknown);
+    CHECK_FALSE(Scene::find<SendAction>(scene.read(claim->data)));
+    scene.clock.advance(2ms);
+    const auto voided = Scene::find<AppendBatch>(scene.engine.onTimer());
+    REQUIRE(voided);
+    CHECK(decodeBatch(voided->data).value().front().kind == RecordKind::Void);
+    // The void is repeated until it is read back, and then the key is free.
+    scene.engine.onAppendResult(voided->id, false);
+    CHECK(scene.engine.pendingRecords() == 1);
+    scene.read(voided->data);
+    CHECK(scene.engine.pendingRecords() == 0);
+    CHECK(scene.engine.partition(0).index().find(scene.call.key)->state == KeyState::Free);
+}
+
+TEST_CASE("a claimant that wakes after its timeout does not send")
+{
+    Scene scene;
+    scene.engine.begin(1, scene.call);
+    scene.clock.advance(2ms);
+    const auto claim = Scene::find<AppendBatch>(scene.engine.onTimer());
+    REQUIRE(claim);
+    // The page comes before any timer, as after a long stop of the process.
+    scene.clock.advance(10s);
+    const auto actions = scene.read(claim->data);
+    CHECK_FALSE(Scene::find<SendAction>(actions));
+    CHECK(Scene::find<AnswerAction>(actions)->outcome.attempt == Fate::NotRun);
+}
+
+TEST_CASE("a winner sends once, however often its claim is read")
+{
+    Scene scene;
+    scene.engine.begin(1, scene.call);
+    scene.clock.advance(2ms);
+    const auto claim = Scene::find<AppendBatch>(scene.engine.onTimer());
+    REQUIRE(claim);
+    CHECK(Scene::find<SendAction>(scene.read(claim->data)));
+    CHECK_FALSE(Scene::find<SendAction>(scene.read(claim->data)));
+    CHECK(scene.fateAtDoor() == Fate::Running);
+}
