LibClaims: Log rebuilt indexes and garbage in a claims stream

Both were only counted. Whoever is on call sees an instance refuse keys as uncertain and needs to find why: claim_index_rebuilt and log_record_invalid now name the stream, once a page.

--- a/Libraries/LibClaims/ClaimEngine.cpp
+++ b/Libraries/LibClaims/ClaimEngine.cpp
@@ -62,11 +62,21 @@
     });
     for (const auto &[record, verdict] : own)
         onOwnRecord(record, verdict, actions);
-    m_counters.rebuilds += reader.rebuildCount() - rebuilds;
-    m_counters.garbage += reader.garbageCount() - garbage;
+    noteFaults(partition, reader.rebuildCount() - rebuilds, reader.garbageCount() - garbage);
     return finish(std::move(actions));
 }
 
+void ClaimEngine::noteFaults(std::size_t partition, std::uint64_t rebuilds, std::uint64_t garbage)
+{
+    m_counters.rebuilds += rebuilds;
+    m_counters.garbage += garbage;
+    const auto stream = streamName(partition, m_partitions.size());
+    if (rebuilds > 0)
+        Core::logEvent(Core::EventId::ClaimIndexRebuilt, {{"stream", stream}});
+    if (garbage > 0)
+        Core::logEvent(Core::EventId::LogRecordInvalid, {{"stream", stream}});
+}
+
 ClaimActions ClaimEngine::onHolderReply(CallId call, const HolderReply &reply)
 {
     ClaimActions actions;
--- a/Libraries/LibClaims/ClaimEngine.h
+++ b/Libraries/LibClaims/ClaimEngine.h
@@ -98,6 +98,7 @@
     void append(CallId call, const AppendStep &step);
     void ask(CallId call, const AskStep &step, ClaimActions &actions);
     void answer(CallId call, Outcome outcome, ClaimActions &actions);
+    void noteFaults(std::size_t partition, std::uint64_t rebuilds, std::uint64_t garbage);
     void onOwnRecord(const ClaimRecord &record, const Verdict &verdict, ClaimActions &actions);
     ClaimActions finish(ClaimActions actions);
     ClaimRecord makeRecord(RecordKind kind, const Call &call, const AttemptId &attempt) const;
