--- a/Utilities/jujubecapacity/Roles.h
+++ b/Utilities/jujubecapacity/Roles.h
@@ -16,6 +16,7 @@
 std::vector<Table> measurePeerLink(Extent extent);
 std::vector<Table> measureAppends(Extent extent);
 std::vector<Table> measureUsage(Extent extent);
+std::vector<Table> measureAdmissionReports(Extent extent);
 std::vector<Table> measureClaims(Extent extent);
 std::vector<Table> measureCacheIndex(Extent extent);
 std::vector<Table> measureConfiguration(Extent extent);
--- a/Utilities/jujubecapacity/main.cpp
+++ b/Utilities/jujubecapacity/main.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -21,6 +22,7 @@
         {"peer-link", measurePeerLink},
         {"appends", measureAppends},
         {"usage", measureUsage},
+        {"admission-report", measureAdmissionReports},
     };
     CLI::App app("Measures what each role of an entry instance costs as the fleet grows");
     std::vector<std::string> chosen;
