jujubesaddled: Give the account of the environment on the admin port

/usage folds the usage stream of the log: served, idle and overrun slot time by owner and user, and tokens by team. Weighed: letting jujubectl read the log itself would need the contracts of every generation in the tool.

--- a/Libraries/LibRouter/AdminPort.cpp
+++ b/Libraries/LibRouter/AdminPort.cpp
@@ -67,6 +67,11 @@
     : m_instance(instance)
 { }
 
+void AdminPort::setUsageHook(std::function<asio::awaitable<json::object>()> hook)
+{
+    m_usageHook = std::move(hook);
+}
+
 void AdminPort::setStatusHook(std::function<void(json::object &)> hook)
 {
     m_statusHook = std::move(hook);
@@ -92,6 +97,10 @@
     if (path == "/explain" && request.method == "POST")
         co_return co_await exchange.respond(
             Http::jsonResponse(StatusOk, json::serialize(explain(request.body))));
+    if (path == "/usage" && m_usageHook) {
+        const auto usage = co_await m_usageHook();
+        co_return co_await exchange.respond(Http::jsonResponse(StatusOk, json::serialize(usage)));
+    }
     if (path == "/drain" && request.method == "POST") {
         m_instance.drain();
         co_return co_await exchange.respond(Http::jsonResponse(StatusOk, "{}"));
--- a/Libraries/LibRouter/AdminPort.h
+++ b/Libraries/LibRouter/AdminPort.h
@@ -16,6 +16,8 @@
 public:
     explicit AdminPort(Instance &instance);
 
+    /// Sets what gives the account of the environment.
+    void setUsageHook(std::function<boost::asio::awaitable<boost::json::object>()> hook);
     /// Sets what adds further fields to the status. Called on the admin port's thread.
     void setStatusHook(std::function<void(boost::json::object &)> hook);
 
@@ -27,6 +29,7 @@
     boost::json::object explain(const std::string &body) const;
 
     Instance &m_instance;
+    std::function<boost::asio::awaitable<boost::json::object>()> m_usageHook;
     std::function<void(boost::json::object &)> m_statusHook;
 };
 
--- a/Libraries/LibRouter/Instance.cpp
+++ b/Libraries/LibRouter/Instance.cpp
@@ -6,6 +6,10 @@
 
 namespace Router {
 
+namespace {
+constexpr std::size_t KeptDocuments = 64;
+}
+
 Instance::Instance(const Core::Clock &clock, RouterSettings settings)
     : m_clock(clock)
     , m_settings(std::move(settings))
@@ -72,9 +76,19 @@
                    {{"generation", std::to_string(next.generation)}});
     // The validator has checked the shares, so the rules are taken.
     m_admission->configure(buildAdmissionPolicy(*next.document, m_directory)).value();
+    m_documents[next.generation] = next.document;
+    if (m_documents.size() > KeptDocuments)
+        m_documents.erase(m_documents.begin());
     m_configuration.replace(std::make_shared<ConfigurationInForce>(std::move(next)));
 }
 
+std::shared_ptr<const Configuration::Document> Instance::documentOf(std::uint64_t generation) const
+{
+    const std::scoped_lock lock(m_configurationWriter);
+    const auto found = m_documents.find(generation);
+    return found == m_documents.end() ? configuration().document : found->second;
+}
+
 void Instance::drain()
 {
     if (!m_draining.exchange(true))
--- a/Libraries/LibRouter/Instance.h
+++ b/Libraries/LibRouter/Instance.h
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -61,6 +62,11 @@
     Admission::RetryBudget &retryBudget(const Core::UpstreamGroupId &group);
 
     ConfigurationInForce configuration() const;
+    /// The document of a generation that was in force during this life of the instance, or else
+    /// the present one.
+    // FIXME: After a restart, usage from before a change of shares is settled by the shares of now;
+    // the configuration's history in the log would tell the older ones.
+    std::shared_ptr<const Configuration::Document> documentOf(std::uint64_t generation) const;
     /// Puts a document in force unless it is older than the present one.
     void setConfiguration(ConfigurationInForce next);
 
@@ -91,7 +97,8 @@
     std::shared_ptr<Claims::ClaimCoordinator> m_claims;
     std::mutex m_budgetMutex;
     std::unordered_map<Core::UpstreamGroupId, std::unique_ptr<Admission::RetryBudget>> m_budgets;
-    std::mutex m_configurationWriter;
+    mutable std::mutex m_configurationWriter;
+    std::map<std::uint64_t, std::shared_ptr<const Configuration::Document>> m_documents;
     Core::Snapshot<ConfigurationInForce> m_configuration;
     std::atomic<bool> m_draining {false};
     std::atomic<std::uint64_t> m_requests {0};
--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -81,6 +81,8 @@
         createEmbeddedPlatform();
     m_usageReporter =
         std::make_unique<Router::UsageReporter>(m_instance, *m_log, m_settings.usageInterval);
+    m_usageAccount = std::make_unique<Router::UsageAccount>(m_instance, *m_log);
+    m_adminPort.setUsageHook([this] { return m_usageAccount->report(); });
     createClaims();
     createSiblings();
 }
--- a/Services/jujubesaddled/Daemon.h
+++ b/Services/jujubesaddled/Daemon.h
@@ -13,6 +13,7 @@
 #include <LibRouter/Instance.h>
 #include <LibRouter/LoadProber.h>
 #include <LibRouter/RequestRouter.h>
+#include <LibRouter/UsageAccount.h>
 #include <LibRouter/UsageReporter.h>
 #include <LibSiblings/SiblingService.h>
 
@@ -62,6 +63,7 @@
     std::unique_ptr<Platform::InstanceDirectory> m_platformDirectory;
     std::unique_ptr<Configuration::ConfigurationReader> m_configurationReader;
     std::unique_ptr<Router::UsageReporter> m_usageReporter;
+    std::unique_ptr<Router::UsageAccount> m_usageAccount;
     std::shared_ptr<Claims::ClaimCoordinator> m_claims;
     std::unique_ptr<Router::DirectoryWatcher> m_directoryWatcher;
     Router::LoadProber m_loadProber;
