LibClaims: Draw the origin of attempt ids at random for each life

The origin was a hash of instance id and incarnation, and the incarnation is a clock reading. If it comes up twice, a restarted instance takes its earlier life's claim, under the same attempt id, for its own win and sends a second time. The origin is now 64 random bits, drawn by the coordinator and passed into the engine.

The histories now restart instances with the same incarnation number in one of five histories with crashes.

--- a/Libraries/LibClaims/ClaimCodec.cpp
+++ b/Libraries/LibClaims/ClaimCodec.cpp
@@ -1,6 +1,5 @@
 #include <LibClaims/ClaimBatch_generated.h>
 #include <LibClaims/ClaimCodec.h>
-#include <LibCore/Hash.h>
 
 #include <flatbuffers/flatbuffers.h>
 
@@ -43,11 +42,6 @@
 
 } // namespace
 
-std::uint64_t attemptOrigin(const Holder &holder)
-{
-    return Core::hash64(holder.instance.value(), holder.incarnation);
-}
-
 std::string encodeBatch(std::span<const ClaimRecord> records)
 {
     flatbuffers::FlatBufferBuilder builder;
--- a/Libraries/LibClaims/ClaimCoordinator.cpp
+++ b/Libraries/LibClaims/ClaimCoordinator.cpp
@@ -1,4 +1,5 @@
 #include <LibClaims/ClaimCoordinator.h>
+#include <LibCore/Hash.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -6,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cstring>
 
 namespace Claims {
 
@@ -25,6 +27,14 @@
     co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
 }
 
+std::uint64_t randomOrigin()
+{
+    std::uint64_t origin = 0;
+    const auto bytes = Core::secureRandomBytes(sizeof(origin));
+    std::memcpy(&origin, bytes.data(), sizeof(origin));
+    return origin;
+}
+
 } // namespace
 
 Core::Result<std::shared_ptr<ClaimCoordinator>>
@@ -47,7 +57,7 @@
     , m_log(log)
     , m_clock(clock)
     , m_askHolder(std::move(askHolder))
-    , m_engine(settings, std::move(self), clock)
+    , m_engine(settings, std::move(self), randomOrigin(), clock)
 { }
 
 void ClaimCoordinator::start()
--- a/Libraries/LibClaims/ClaimEngine.cpp
+++ b/Libraries/LibClaims/ClaimEngine.cpp
@@ -14,14 +14,15 @@
 
 } // namespace
 
-ClaimEngine::ClaimEngine(const ClaimSettings &settings, Holder self, const Core::Clock &clock)
+ClaimEngine::ClaimEngine(const ClaimSettings &settings, Holder self, std::uint64_t origin,
+                         const Core::Clock &clock)
     : m_settings(settings)
     , m_self(std::move(self))
     , m_clock(clock)
     , m_partitions(settings.partitions, ClaimPartition(settings.window))
     , m_writer(settings.batch, settings.partitions, m_counters)
     , m_answers(settings.answerBytes)
-    , m_origin(attemptOrigin(m_self))
+    , m_origin(origin)
 { }
 
 ClaimActions ClaimEngine::begin(CallId call, const Call &request)
--- a/Libraries/LibClaims/ClaimEngine.h
+++ b/Libraries/LibClaims/ClaimEngine.h
@@ -49,7 +49,10 @@
 class ClaimEngine
 {
 public:
-    ClaimEngine(const ClaimSettings &settings, Holder self, const Core::Clock &clock);
+    /// The origin must be drawn anew for each life of an instance, because it tells its attempts
+    /// from those of earlier lives also when an incarnation number comes up twice.
+    ClaimEngine(const ClaimSettings &settings, Holder self, std::uint64_t origin,
+                const Core::Clock &clock);
     ClaimEngine(const ClaimEngine &) = delete;
     ClaimEngine &operator=(const ClaimEngine &) = delete;
 
@@ -84,6 +87,7 @@
     std::size_t pendingRecords() const { return m_writer.pendingCount(); }
     const ClaimCounters &counters() const { return m_counters; }
     const Holder &self() const { return m_self; }
+    std::uint64_t origin() const { return m_origin; }
 
     /// The stream of one partition. The count is part of the name, so that instances that were
     /// set up differently never share a stream.
--- a/Libraries/LibClaims/ClaimRecord.h
+++ b/Libraries/LibClaims/ClaimRecord.h
@@ -7,8 +7,8 @@
 
 namespace Claims {
 
-/// Names one attempt of one instance's life. The origin is drawn from instance id and incarnation,
-/// the sequence counts within it.
+/// Names one attempt. The origin is drawn at random once in a process's life, so that no later life
+/// takes an earlier one's claims for its own; the sequence counts within it.
 struct AttemptId
 {
     std::uint64_t origin = 0;
@@ -24,9 +24,6 @@
     friend bool operator==(const Holder &, const Holder &) = default;
 };
 
-/// The origin of all attempts of one holder.
-std::uint64_t attemptOrigin(const Holder &holder);
-
 /// What a record says. The values are written to the log and never change.
 enum class RecordKind : std::uint8_t {
     /// The attempt wants to run the key. The first live claim wins.
--- a/Tests/LibClaims/ClaimHistory.cpp
+++ b/Tests/LibClaims/ClaimHistory.cpp
@@ -40,6 +40,7 @@
 
 HistoryReport ClaimHistory::run()
 {
+    m_reusesIncarnations = hasCrashes() && chance(20);
     for (std::size_t n = 0; n < InstanceCount; ++n)
         start(n);
     plan();
@@ -79,10 +80,10 @@
 // Runs a task on a life of an instance: never after its end, and only when it is not frozen.
 void ClaimHistory::deliver(std::size_t n, Time delay, Task task)
 {
-    const auto life = m_instances[n].incarnation;
+    const auto life = m_instances[n].life;
     at(delay, [this, n, life, task = std::move(task)] {
         auto &it = m_instances[n];
-        if (it.incarnation != life || !it.engine)
+        if (it.life != life || !it.engine)
             return;
         if (it.frozenUntil > now())
             deliver(n, it.frozenUntil - now(), task);
@@ -94,9 +95,11 @@
 void ClaimHistory::start(std::size_t n)
 {
     auto &it = m_instances[n];
-    ++it.incarnation;
-    const Holder self {Core::InstanceId("i" + std::to_string(n)), it.incarnation};
-    it.engine = std::make_unique<ClaimEngine>(m_settings, self, m_clock);
+    ++it.life;
+    const auto incarnation = m_reusesIncarnations ? 1 : it.life;
+    const auto named = m_mutation == Mutation::ReuseOrigin ? incarnation : it.life;
+    const Holder self {Core::InstanceId("i" + std::to_string(n)), incarnation};
+    it.engine = std::make_unique<ClaimEngine>(m_settings, self, n * 1000 + named, m_clock);
     it.reading.assign(PartitionCount, false);
     it.timerAt = Time(-1);
     it.frozenUntil = Time(0);
@@ -197,7 +200,7 @@
         auto call = request;
         if (m_mutation == Mutation::IgnoreDigest)
             call.digest = 1;
-        m_calls[id] = {n, it.incarnation, request};
+        m_calls[id] = {n, it.life, request};
         m_calls[id].probe = m_quiet;
         deliver(n, 0ms, [this, n, id, call, atDoor] {
             auto &engine = *m_instances[n].engine;
@@ -375,7 +378,7 @@
 
 void ClaimHistory::mutateRecords(std::size_t n, Platform::LogRecord &entry)
 {
-    const auto origin = attemptOrigin(m_instances[n].engine->self());
+    const auto origin = m_instances[n].engine->origin();
     std::vector<ClaimRecord> kept;
     const auto records = decodeBatch(entry.data).value();
     for (const auto &it : records) {
--- a/Tests/LibClaims/ClaimHistory.h
+++ b/Tests/LibClaims/ClaimHistory.h
@@ -31,6 +31,8 @@
     DoorPromises,
     /// A refusal of an expired key says that the key has not run.
     ExpiryPromises,
+    /// A restarted instance names its attempts by its incarnation alone.
+    ReuseOrigin,
     /// A key's request is not compared.
     IgnoreDigest,
 };
@@ -86,7 +88,7 @@
     };
     struct Instance
     {
-        std::uint64_t incarnation = 0;
+        std::uint64_t life = 0;
         std::unique_ptr<Claims::ClaimEngine> engine;
         Time frozenUntil {0};
         Time timerAt {-1};
@@ -96,7 +98,7 @@
     struct Call
     {
         std::size_t instance = 0;
-        std::uint64_t incarnation = 0;
+        std::uint64_t life = 0;
         Claims::Call request;
         bool sent = false;
         bool ran = false;
@@ -167,5 +169,7 @@
     Time m_outUntil {0};
     bool m_quiet = false;
     bool m_hasLongSleep = false;
+    /// Restarted instances come up with the same incarnation number.
+    bool m_reusesIncarnations = false;
     HistoryReport m_report;
 };
--- a/Tests/LibClaims/ClaimHistoryCheck.cpp
+++ b/Tests/LibClaims/ClaimHistoryCheck.cpp
@@ -71,7 +71,7 @@
             breach(it.call, "a key that was never sent is held for good");
     }
     for (const auto &[id, call] : m_calls) {
-        if (!call.answered && call.incarnation == m_instances[call.instance].incarnation)
+        if (!call.answered && call.life == m_instances[call.instance].life)
             breach(id, "never answered");
     }
     for (const auto &it : m_instances) {
--- a/Tests/LibClaims/TestClaimEngine.cpp
+++ b/Tests/LibClaims/TestClaimEngine.cpp
@@ -48,7 +48,7 @@
     Call call {
         {Core::TeamId("t"), "k", std::chrono::floor<std::chrono::milliseconds>(clock.wallNow())},
         1};
-    ClaimEngine engine {settings(), {Core::InstanceId("a"), 1}, clock};
+    ClaimEngine engine {settings(), {Core::InstanceId("a"), 1}, 1, clock};
     Platform::LogOffset next = 0;
 };
 
--- a/Tests/LibClaims/TestClaimHistories.cpp
+++ b/Tests/LibClaims/TestClaimHistories.cpp
@@ -113,6 +113,11 @@
     CHECK(breachesWith(Mutation::ExpiryPromises, "key was said not to run") > 0);
 }
 
+TEST_CASE("without a fresh origin a restarted instance takes old claims for its own")
+{
+    CHECK(breachesWith(Mutation::ReuseOrigin, " times") > 0);
+}
+
 TEST_CASE("without the request's digest a caller gets another request's answer")
 {
     CHECK(breachesWith(Mutation::IgnoreDigest, "another request's") > 0);
