LibConfiguration: Announce versions one at a time and in rising order

The log's reader and a sibling's answer can bring versions on different threads. The hook ran after the lock was given up, so a slow thread could announce an older version last, and a daemon that takes its configuration from the hook would have gone back. The hook now runs under the lock; reading stays free of it.

--- a/Libraries/LibConfiguration/ConfigurationReader.cpp
+++ b/Libraries/LibConfiguration/ConfigurationReader.cpp
@@ -133,16 +133,15 @@
 
 bool ConfigurationReader::putInForce(ConfigurationVersionPointer version, bool fromLog)
 {
-    {
-        std::scoped_lock lock(m_writer);
-        const auto held = m_current.share();
-        const bool corrects =
-            fromLog && version->generation == held->generation && version->digest != held->digest;
-        if (version->generation <= held->generation && !corrects)
-            return false;
-        m_current.replace(version);
-        m_generation.store(version->generation, std::memory_order_release);
-    }
+    // The hook runs under the lock, or a slower thread could announce an older version last.
+    std::scoped_lock lock(m_writer);
+    const auto held = m_current.share();
+    const bool corrects =
+        fromLog && version->generation == held->generation && version->digest != held->digest;
+    if (version->generation <= held->generation && !corrects)
+        return false;
+    m_current.replace(version);
+    m_generation.store(version->generation, std::memory_order_release);
     Core::logEvent(fromLog ? Core::EventId::ConfigurationInForce
                            : Core::EventId::ConfigurationFromSibling,
                    {{"generation", std::to_string(version->generation)},
--- a/Libraries/LibConfiguration/ConfigurationReader.h
+++ b/Libraries/LibConfiguration/ConfigurationReader.h
@@ -37,7 +37,8 @@
 
 struct ReaderHooks
 {
-    /// A version came into force here. Called before run() reads on.
+    /// A version came into force here. Called one at a time and in rising order, from the thread
+    /// that brought it; must not call adoptFromSibling().
     std::function<void(const ConfigurationVersion &)> onAccepted = [](const auto &) {};
     /// A record was refused.
     std::function<void(const HistoryEntry &)> onRefused = [](const auto &) {};
--- a/Tests/LibConfiguration/TestConfigurationReader.cpp
+++ b/Tests/LibConfiguration/TestConfigurationReader.cpp
@@ -8,7 +8,10 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <deque>
+#include <thread>
 
 using namespace std::chrono_literals;
 using Configuration::ConfigurationReader;
@@ -46,9 +49,15 @@
                                           .firstRetry = 0ms,
                                           .longestRetry = 0ms},
             service, readerClock, random,
-            Configuration::ReaderHooks {
-                .onAccepted = [this](const auto &it) { accepted.push_back(it.generation); },
-                .onRefused = [this](const auto &) { ++refused; }});
+            Configuration::ReaderHooks {.onAccepted =
+                                            [this](const auto &it) {
+                                                // Some announcements are slow, so that others could
+                                                // overtake them.
+                                                if (isSlowToAnnounce && it.generation % 2 == 0)
+                                                    std::this_thread::sleep_for(1ms);
+                                                accepted.push_back(it.generation);
+                                            },
+                                        .onRefused = [this](const auto &) { ++refused; }});
         boost::asio::co_spawn(context, reader.run(), boost::asio::detached);
         return reader;
     }
@@ -76,6 +85,7 @@
     FakeLogService service;
     std::vector<std::string> documents;
     std::vector<Generation> accepted;
+    bool isSlowToAnnounce = false;
     std::size_t refused = 0;
     std::deque<ConfigurationReader> readers;
 };
@@ -130,6 +140,36 @@
     CHECK(fixture.accepted == std::vector<Generation> {2, 3});
 }
 
+TEST_CASE("threads that bring versions in any order never announce or show an older one")
+{
+    constexpr Generation Versions = 60;
+    Fixture fixture;
+    fixture.isSlowToAnnounce = true;
+    auto &reader = fixture.start();
+    std::atomic<bool> isDone {false};
+    std::atomic<std::size_t> falls {0};
+    std::vector<std::thread> threads;
+    for (unsigned n = 0; n < 3; ++n)
+        threads.emplace_back([&, n] {
+            for (Generation it = 1 + n; it <= Versions; it += 1 + n % 2)
+                (void)reader.adoptFromSibling(it, sampleDocument(static_cast<unsigned>(it)));
+        });
+    std::thread watcher([&] {
+        for (Generation last = 0; !isDone;) {
+            const auto now = reader.current()->generation;
+            falls += now < last ? 1 : 0;
+            last = now;
+        }
+    });
+    for (auto &it : threads)
+        it.join();
+    isDone = true;
+    watcher.join();
+    CHECK(falls == 0);
+    CHECK(reader.generation() == Versions);
+    CHECK(std::is_sorted(fixture.accepted.begin(), fixture.accepted.end()));
+}
+
 TEST_CASE("the log's word replaces what a sibling said of the same generation")
 {
     Fixture fixture;
