LibPlacement: Let a slow upstream work its queue off slowly

Cause: the wait was reckoned at the rate of the settings, so that between stale reports a slow upstream's queue seemed to empty. The learnt slowness now divides the rate in the wait and the prefill.

--- a/Libraries/LibPlacement/Placement.cpp
+++ b/Libraries/LibPlacement/Placement.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t WholeSetSize = 64;
 constexpr std::size_t SampleSize = 16;
 
+/// A piece unused for longer than this is ever less likely to be cached still.
+constexpr std::chrono::seconds BeliefLifetime {40};
+
 } // namespace
 
 Placement::Placement(const Core::Clock &clock, const PlacementSettings &settings)
@@ -156,11 +159,10 @@
     for (const auto &holder : belief.holders) {
         if (!m_upstreams.isCurrent(holder.slot, holder.epoch) || !candidates.contains(holder.slot))
             continue;
-        auto chance = survival(holder.slot, holder.lastUse, scratch.now);
+        auto chance = survival(holder.lastUse, scratch.now);
         if (scratch.isHome(candidates.position(holder.slot)))
             chance = std::max(chance, m_settings.homePrior);
-        const auto age = scratch.now - std::min(scratch.now, holder.lastUse);
-        scratch.credit(holder.slot, piece, chance, age);
+        scratch.credit(holder.slot, piece, chance);
     }
 }
 
@@ -175,16 +177,16 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(count));
 }
 
-double Placement::survival(UpstreamSlot slot, BeliefTime lastUse, BeliefTime now) const
+double Placement::survival(BeliefTime lastUse, BeliefTime now)
 {
     constexpr double Fresh = 0.95;
     if (now <= lastUse)
         return Fresh;
-    const auto lifetime = m_upstreams.state(slot).cacheLifetime.load(std::memory_order_relaxed);
-    const auto age = static_cast<float>((now - lastUse).count());
-    if (age <= lifetime)
+    const auto age = now - lastUse;
+    if (age <= BeliefLifetime)
         return Fresh;
-    return Fresh * std::exp(1 - age / lifetime);
+    const Seconds lifetime = BeliefLifetime;
+    return Fresh * std::exp(1 - Seconds(age) / lifetime);
 }
 
 void Placement::reckon(CostTerms &terms, const PlacementRequest &request,
@@ -196,22 +198,23 @@
     terms.isExcluded = !m_upstreams.isCurrent(terms.slot, terms.epoch)
                        || std::find(excluded.begin(), excluded.end(), terms.slot) != excluded.end();
     const auto missed = request.pieces.promptTokens() - terms.expectedCachedTokens;
-    terms.queueWait = queueWait(state, now);
-    terms.prefill = Seconds(static_cast<double>(missed) / state.prefillTokensPerSecond);
     if (m_settings.usesSlowness) {
         terms.slowness = slowness(state, now);
         terms.stall = stall(state, now);
     }
+    // A slow upstream also works its queue off more slowly.
+    const double rate = state.prefillTokensPerSecond / terms.slowness;
+    terms.queueWait = queueWait(state, rate, now);
+    terms.prefill = Seconds(static_cast<double>(missed) / rate);
     if (!request.preference.empty())
         terms.preference = request.preference[candidates.position(terms.slot)];
-    terms.total = (terms.queueWait + terms.prefill * m_settings.missWeight) * terms.slowness
-                  + terms.stall + terms.preference;
+    terms.total =
+        terms.queueWait + terms.prefill * m_settings.missWeight + terms.stall + terms.preference;
 }
 
-Seconds Placement::queueWait(const UpstreamState &state, BeliefTime now) const
+Seconds Placement::queueWait(const UpstreamState &state, double rate, BeliefTime now) const
 {
     const BeliefTime reportedAt(state.reportedAt.load(std::memory_order_relaxed));
-    const double rate = state.prefillTokensPerSecond.load(std::memory_order_relaxed);
     const Seconds age = now - std::min(reportedAt, now);
     RecentSends::Sum sent;
     double siblings = 1;
--- a/Libraries/LibPlacement/Placement.h
+++ b/Libraries/LibPlacement/Placement.h
@@ -18,7 +18,6 @@
     bool usesOwnSends = true;
     bool usesSlowness = true;
     bool usesCacheEvents = true;
-    bool learnsLifetime = true;
     bool randomises = true;
     /// How much a missed token weighs beside a waited one: storing it evicts another's.
     double missWeight = 4;
@@ -51,14 +50,12 @@
     UpstreamSlot slot = 0;
     std::uint32_t epoch = 0;
     std::uint64_t expectedCachedTokens = 0;
-    /// Time since the least recently used of the pieces that beliefs speak of was last used;
-    /// zero without any.
-    BeliefTime oldestBelief {0};
     bool isHome = false;
     bool isExcluded = false;
     Seconds queueWait {0};
     Seconds prefill {0};
-    /// Factor on wait and prefill for an upstream that answers late.
+    /// How many times slower than its settings say the upstream is taken to be; in both terms
+    /// above.
     double slowness = 1;
     /// Time without progress beyond what was reckoned.
     Seconds stall {0};
@@ -169,15 +166,13 @@
     /// Homes that a prefix with this many own requests a second should have.
     std::size_t homeCount(double rate) const;
     /// The chance that a piece last used then is still cached.
-    double survival(UpstreamSlot slot, BeliefTime lastUse, BeliefTime now) const;
+    static double survival(BeliefTime lastUse, BeliefTime now);
     /// Fills in every term but the cached tokens, which must stand.
     void reckon(CostTerms &terms, const PlacementRequest &request, const CandidateSet &candidates,
                 BeliefTime now) const;
     /// Time until the upstream gets to a request sent now: its last report, what was sent since,
-    /// less what it has worked off.
-    Seconds queueWait(const UpstreamState &state, BeliefTime now) const;
-    /// Adjusts how long pieces are thought to live on the upstream.
-    void learnLifetime(const Decision &decision, std::uint64_t cachedTokens);
+    /// less what it has worked off at the rate (tokens a second).
+    Seconds queueWait(const UpstreamState &state, double rate, BeliefTime now) const;
     /// Adjusts how many times longer than reckoned the upstream takes.
     void learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now);
     /// The present factor for an upstream that answers late.
--- a/Libraries/LibPlacement/PlacementNotes.cpp
+++ b/Libraries/LibPlacement/PlacementNotes.cpp
@@ -14,9 +14,6 @@
 constexpr float MostSlowness = 20;
 /// A first token this late is no sign of a stall yet.
 constexpr Seconds StallGrace {1.0};
-/// Bounds of the learnt time that a piece stays cached.
-constexpr float LeastLifetime = 1000;
-constexpr float MostLifetime = 120000;
 
 void average(std::atomic<float> &value, float sample)
 {
@@ -78,8 +75,6 @@
     if (cachedTokens) {
         const auto missed = pieces.promptTokens() - std::min(pieces.promptTokens(), *cachedTokens);
         average(m_prefillPerRequest, static_cast<float>(missed) / state.prefillTokensPerSecond);
-        if (m_settings.learnsLifetime)
-            learnLifetime(decision, *cachedTokens);
     }
     // The prefill just done left every piece in the cache.
     for (const auto hash : pieces.hashes())
@@ -188,29 +183,13 @@
     }
 }
 
-void Placement::learnLifetime(const Decision &decision, std::uint64_t cachedTokens)
-{
-    // A belief near the end of its life that was borne out lengthens lives, one that was not
-    // shortens them. Much younger ones were lost to something else than age.
-    constexpr float Shrink = 0.9F;
-    constexpr float Grow = 1.1F;
-    const auto age = static_cast<float>(decision.terms.oldestBelief.count());
-    auto &lifetime = m_upstreams.state(decision.slot).cacheLifetime;
-    const auto before = lifetime.load(std::memory_order_relaxed);
-    if (age < before / 4)
-        return;
-    const bool isBorneOut = cachedTokens + PieceTokens / 2 >= decision.expectedCachedTokens;
-    const auto after = before * (isBorneOut ? Grow : Shrink);
-    lifetime.store(std::clamp(after, LeastLifetime, MostLifetime), std::memory_order_relaxed);
-}
-
 void Placement::learnSlowness(const Decision &decision, UpstreamState &state, BeliefTime now)
 {
     // Reckoned time below this is mostly noise.
     constexpr Seconds LeastReckoned {0.1};
     constexpr double SampleShare = 0.3;
     /// Lateness up to this many times the usual is noise.
-    constexpr double Tolerance = 2;
+    constexpr double Tolerance = 1.3;
     const Seconds taken = m_clock.now() - decision.sentAt;
     const auto reckoned =
         std::max(LeastReckoned, decision.terms.queueWait + decision.terms.prefill);
--- a/Libraries/LibPlacement/PlacementScratch.cpp
+++ b/Libraries/LibPlacement/PlacementScratch.cpp
@@ -28,7 +28,7 @@
     return &weighed[count++];
 }
 
-void Placement::Scratch::credit(UpstreamSlot slot, std::size_t piece, double chance, BeliefTime age)
+void Placement::Scratch::credit(UpstreamSlot slot, std::size_t piece, double chance)
 {
     auto *entry = add(slot);
     if (entry == nullptr || entry->pieces != piece)
@@ -36,7 +36,6 @@
     entry->chance = std::min(entry->chance, chance);
     entry->cachedTokens += entry->chance * static_cast<double>(PieceTokens);
     ++entry->pieces;
-    entry->terms.oldestBelief = std::max(entry->terms.oldestBelief, age);
 }
 
 void Placement::Scratch::creditHome(UpstreamSlot slot, std::size_t piece, double chance)
--- a/Libraries/LibPlacement/PlacementScratch.h
+++ b/Libraries/LibPlacement/PlacementScratch.h
@@ -35,10 +35,8 @@
     void begin(BeliefTime time);
     /// The entry of the upstream, added if there is room; null if not.
     Weighed *add(UpstreamSlot slot);
-    /// Credits the piece at the index, last used that long ago, to the upstream if its chain
-    /// reaches up to it.
-    void credit(UpstreamSlot slot, std::size_t piece, double chance,
-                BeliefTime age = BeliefTime(0));
+    /// Credits the piece at the index to the upstream if its chain reaches up to it.
+    void credit(UpstreamSlot slot, std::size_t piece, double chance);
     /// Credits every piece up to the index to a home of the piece.
     void creditHome(UpstreamSlot slot, std::size_t piece, double chance);
     /// Whether the position is among the present homes.
--- a/Libraries/LibPlacement/UpstreamTable.cpp
+++ b/Libraries/LibPlacement/UpstreamTable.cpp
@@ -13,9 +13,6 @@
 constexpr std::uint64_t RequestMask = (1ULL << RequestBits) - 1;
 constexpr std::uint64_t NumberMask = (1ULL << 24) - 1;
 
-/// First guess of how long a piece stays cached after its last use.
-constexpr std::chrono::milliseconds FirstCacheLifetime {40000};
-
 std::uint64_t bucketNumber(std::uint64_t word)
 {
     return word >> (TokenBits + RequestBits);
@@ -139,7 +136,6 @@
     state.sends.clear();
     state.slowness = 1;
     state.waiting = 0;
-    state.cacheLifetime = static_cast<float>(FirstCacheLifetime.count());
     const auto epoch = state.epoch.load();
     state.epoch.store((epoch | 1) + 1, std::memory_order_release);
 }
--- a/Libraries/LibPlacement/UpstreamTable.h
+++ b/Libraries/LibPlacement/UpstreamTable.h
@@ -85,8 +85,6 @@
     /// Own requests that wait for their first token, and when one last got on.
     std::atomic<std::uint32_t> waiting {0};
     std::atomic<std::uint32_t> progressAt {0};
-    /// How long a piece stays cached after its last use, in milliseconds.
-    std::atomic<float> cacheLifetime {0};
 };
 
 /// Numbers the upstreams and keeps their states. Numbers are never reused for another upstream.
--- a/Utilities/jujubebench/OurPolicy.cpp
+++ b/Utilities/jujubebench/OurPolicy.cpp
@@ -40,7 +40,6 @@
         {"no-own-sends", [](auto &settings) { settings.usesOwnSends = false; }},
         {"no-slowness", [](auto &settings) { settings.usesSlowness = false; }},
         {"no-cache-events", [](auto &settings) { settings.usesCacheEvents = false; }},
-        {"no-lifetime", [](auto &settings) { settings.learnsLifetime = false; }},
         {"no-exchange", [](auto &settings) { settings.exchanges = false; }},
         {"no-random", [](auto &settings) { settings.randomises = false; }},
     };
--- a/Utilities/jujubebench/PlacementScenario.cpp
+++ b/Utilities/jujubebench/PlacementScenario.cpp
@@ -36,6 +36,8 @@
     seconds warmUp {10};
     ViewSettings views;
     double loadFactor = 1;
+    /// Cache size of every engine in pieces; zero keeps the deployment's.
+    std::size_t cachePieces = 0;
     bool hasShift = false;
     bool isAblated = false;
     bool judgesSteady = false;
@@ -93,6 +95,8 @@
     scenario.warmUp = secondsOr(file, "warmUpSeconds", scenario.warmUp);
     scenario.eventAt = secondsOr(file, "eventAtSeconds", scenario.eventAt);
     scenario.loadFactor = toml::find_or(file, "loadFactor", scenario.loadFactor);
+    scenario.cachePieces =
+        static_cast<std::size_t>(toml::find_or(file, "cachePieces", std::int64_t {0}));
     scenario.hasShift = toml::find_or(file, "hotPrefixShift", false);
     scenario.isAblated = toml::find_or(file, "ablation", false);
     scenario.judgesSteady = toml::find_or(file, "judgeSteady", false);
@@ -122,6 +126,10 @@
     deployment.views = scenario.views;
     deployment.work.duration = options.isQuick ? scenario.quickDuration : scenario.duration;
     deployment.work.requestsPerSecond *= scenario.loadFactor;
+    for (auto &engine : deployment.engines) {
+        if (scenario.cachePieces != 0)
+            engine.cachePieces = scenario.cachePieces;
+    }
     if (scenario.hasShift)
         deployment.work.shiftAt = scenario.eventAt;
     return deployment;
