LibPlacement: Rank only homes whose hash can rank

A bound on the hash, worked out from the worst home kept so far, lets nearly all candidates go after one hash.

--- a/Libraries/LibPlacement/CandidateSet.cpp
+++ b/Libraries/LibPlacement/CandidateSet.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
 
 namespace Placement {
 
@@ -26,6 +27,15 @@
     return exponent + (mantissa - 1) * (1.3465557F - 0.3465557F * (mantissa - 1));
 }
 
+/// A hash that is surely below all whose logarithm is at least the value.
+std::uint64_t leastHash(float log)
+{
+    // The stand-in for the logarithm errs by less than this.
+    constexpr float Margin = 0.05F;
+    constexpr double HashRange = 18446744073709551616.0; // 2^64
+    return static_cast<std::uint64_t>(std::exp2(static_cast<double>(log - Margin)) * HashRange);
+}
+
 } // namespace
 
 CandidateSet CandidateSet::create(const UpstreamTable &table, std::span<const UpstreamSlot> slots)
@@ -38,6 +48,7 @@
         set.m_members.set(slots[i]);
         set.m_seeds.push_back(Core::hash64(table.id(slots[i]).value()));
         set.m_weights.push_back(table.state(slots[i]).weight);
+        set.m_greatestWeight = std::max(set.m_greatestWeight, set.m_weights.back());
     }
     return set;
 }
@@ -48,7 +59,12 @@
     count = std::min({count, MaxHomes, m_slots.size()});
     std::array<float, MaxHomes> scores {};
     std::size_t n = 0;
+    // Hashes below this cannot rank even with the greatest weight, so that most candidates cost
+    // one hash and one comparison.
+    std::uint64_t least = 0;
     for (std::size_t i = 0; i < m_slots.size(); ++i) {
+        if (mix(key ^ m_seeds[i]) < least)
+            continue;
         const auto rank = score(key, i);
         if (n == count && rank <= scores[n - 1])
             continue;
@@ -59,6 +75,8 @@
         }
         scores[at] = rank;
         positions[at] = static_cast<std::uint16_t>(i);
+        if (n == count)
+            least = leastHash(scores[n - 1] * m_greatestWeight);
     }
     return n;
 }
--- a/Tests/LibPlacement/TestCandidateSet.cpp
+++ b/Tests/LibPlacement/TestCandidateSet.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <numeric>
 #include <random>
 
 using namespace Placement;
@@ -68,3 +69,22 @@
     CHECK(big > Draws * 45 / 100);
     CHECK(big < Draws * 55 / 100);
 }
+
+TEST_CASE("the first home of many is the first of the homes ranked one by one")
+{
+    UpstreamTable table;
+    std::vector<std::string> names {"big"};
+    for (int i = 0; i < 300; ++i)
+        names.push_back("u" + std::to_string(i));
+    const auto set = makeSet(table, names);
+    std::mt19937_64 rng(8);
+    for (int i = 0; i < 300; ++i) {
+        const auto key = rng();
+        std::array<std::uint16_t, MaxHomes> homes {};
+        REQUIRE(set.homes(key, MaxHomes, homes) == MaxHomes);
+        std::vector<std::uint16_t> all(set.size());
+        std::iota(all.begin(), all.end(), std::uint16_t {0});
+        set.narrow(key, MaxHomes, all);
+        REQUIRE(std::equal(homes.begin(), homes.end(), all.begin()));
+    }
+}
