--- a/Tests/Documents/TestDocuments.cpp
+++ b/Tests/Documents/TestDocuments.cpp
@@ -4,8 +4,11 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
+#include <regex>
 #include <string>
 #include <vector>
 
@@ -112,3 +115,26 @@
     }
     checkRows(tableRows("ERRORS.md", "kind"), expected);
 }
+
+TEST_CASE("every link between the pages leads to a file")
+{
+    namespace fs = std::filesystem;
+    const fs::path root(JUJUBE_SOURCE_DIR);
+    std::vector<fs::path> pages {root / "README.md"};
+    for (const auto &entry : fs::recursive_directory_iterator(root / "docs")) {
+        if (entry.path().extension() == ".md")
+            pages.push_back(entry.path());
+    }
+    const std::regex link(R"(\]\(([^)#:]+)[^):]*\))");
+    std::size_t links = 0;
+    for (const auto &page : pages) {
+        std::ifstream file(page);
+        const std::string text((std::istreambuf_iterator<char>(file)), {});
+        for (std::sregex_iterator it(text.begin(), text.end(), link), end; it != end; ++it) {
+            INFO(page << " links to " << (*it)[1]);
+            CHECK(fs::exists(page.parent_path() / (*it)[1].str()));
+            ++links;
+        }
+    }
+    CHECK(links > 0);
+}
