--- a/Libraries/LibClaims/ClaimCoordinator.cpp
+++ b/Libraries/LibClaims/ClaimCoordinator.cpp
@@ -153,7 +153,7 @@
         std::scoped_lock lock(m_engineMutex);
         from = m_engine.partition(partition).next();
     }
-    auto stream = ClaimEngine::streamName(partition, m_engine.partitionCount());
+    auto stream = m_engine.streamName(partition);
     Platform::LogPage page;
     try {
         page = co_await m_log.read(std::move(stream), from, PageRecords, ReadWait);
@@ -178,8 +178,7 @@
 {
     bool succeeded = true;
     try {
-        co_await m_log.append(ClaimEngine::streamName(batch.partition, m_engine.partitionCount()),
-                              std::move(batch.data));
+        co_await m_log.append(m_engine.streamName(batch.partition), std::move(batch.data));
     } catch (const std::exception &) {
         succeeded = false;
     }
--- a/Libraries/LibClaims/ClaimEngine.cpp
+++ b/Libraries/LibClaims/ClaimEngine.cpp
@@ -71,7 +71,7 @@
 {
     m_counters.rebuilds += rebuilds;
     m_counters.garbage += garbage;
-    const auto stream = streamName(partition, m_partitions.size());
+    const auto stream = streamName(partition);
     if (rebuilds > 0)
         Core::logEvent(Core::EventId::ClaimIndexRebuilt, {{"stream", stream}});
     if (garbage > 0)
@@ -194,9 +194,15 @@
     return std::ranges::all_of(m_partitions, &ClaimPartition::isCaughtUp);
 }
 
-std::string ClaimEngine::streamName(std::size_t partition, std::size_t count)
+std::string ClaimEngine::streamName(const std::string &environment, std::size_t partition,
+                                    std::size_t count)
 {
-    return "claims-" + std::to_string(count) + "-" + std::to_string(partition);
+    return "claims." + environment + "-" + std::to_string(count) + "-" + std::to_string(partition);
+}
+
+std::string ClaimEngine::streamName(std::size_t partition) const
+{
+    return streamName(m_settings.environment, partition, m_partitions.size());
 }
 
 bool ClaimEngine::refuseAtDoor(CallId call, const Call &request, ClaimActions &actions)
--- a/Libraries/LibClaims/ClaimEngine.h
+++ b/Libraries/LibClaims/ClaimEngine.h
@@ -91,7 +91,10 @@
 
     /// The stream of one partition. The count is part of the name, so that instances that were
     /// set up differently never share a stream.
-    static std::string streamName(std::size_t partition, std::size_t count);
+    static std::string streamName(const std::string &environment, std::size_t partition,
+                                  std::size_t count);
+    /// The stream of one of this engine's partitions.
+    std::string streamName(std::size_t partition) const;
 
 private:
     using Attempt = std::unique_ptr<ClaimAttempt>;
--- a/Libraries/LibClaims/ClaimSettings.h
+++ b/Libraries/LibClaims/ClaimSettings.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <string>
 
 namespace Claims {
 
@@ -45,6 +46,8 @@
     std::chrono::milliseconds askInterval {100};
     /// Memory for stored answers.
     std::size_t answerBytes = 16U << 20;
+    /// Part of the streams' names, so that trial and production never share a key.
+    std::string environment;
 };
 
 } // namespace Claims
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -81,8 +81,7 @@
                                                      const Endpoint &endpoint,
                                                      const ServerLimits &limits, Handler handler)
 {
-    auto shared = std::make_shared<Shared>();
-    shared->limits = limits;
+    auto shared = std::make_shared<Shared>(limits);
     shared->handler = std::move(handler);
     auto acceptor = std::make_shared<Acceptor>(threads, shared);
     try {
@@ -110,6 +109,11 @@
     return m_acceptor->localEndpoint();
 }
 
+void Server::setLimits(const ServerLimits &limits)
+{
+    m_shared->limits.replace(std::make_shared<ServerLimits>(limits));
+}
+
 void Server::stopAccepting()
 {
     if (!m_shared->stopping.exchange(true))
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/IoThreads.h>
 #include <LibCore/Result.h>
+#include <LibCore/Snapshot.h>
 #include <LibHttp/Endpoint.h>
 #include <LibHttp/ServerExchange.h>
 
@@ -42,6 +43,8 @@
     ~Server();
 
     Endpoint localEndpoint() const;
+    /// Puts other limits in force for the requests that begin after.
+    void setLimits(const ServerLimits &limits);
     /// Closes the port and tells connections to end after their present exchange.
     void stopAccepting();
     /// Exchanges under way, from the first byte of the request to the last of the answer.
@@ -60,7 +63,11 @@
 
 struct Server::Shared
 {
-    ServerLimits limits;
+    explicit Shared(const ServerLimits &limits)
+        : limits(std::make_shared<ServerLimits>(limits))
+    { }
+
+    Core::Snapshot<ServerLimits> limits;
     Handler handler;
     std::atomic<std::size_t> activeExchanges {0};
     std::atomic<bool> stopping {false};
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -235,17 +235,18 @@
 asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf,
                                Server::Shared &shared)
 {
+    const auto limits = shared.limits.share();
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
-    const bool hasBegun = co_await awaitFirstByte(stream, buf, shared.limits);
+    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits);
     if (!hasBegun)
         co_return false;
     // A request counts from its first byte on, so that a graceful shutdown waits for it.
     const ActiveGuard guard(shared);
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(shared.limits.headerBytes));
-    parser.body_limit(shared.limits.bodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits->headerBytes));
+    parser.body_limit(limits->bodyBytes);
     stream.expires_never();
-    const ReadDeadline deadline(stream, shared.limits.requestTime);
+    const ReadDeadline deadline(stream, limits->requestTime);
     boost::system::error_code ec;
     co_await http::async_read_header(stream, buf, parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
@@ -257,15 +258,15 @@
         co_await http::async_read(stream, buf, parser,
                                   asio::redirect_error(asio::use_awaitable, ec));
     if (ec && deadline.hasExpired()) {
-        co_await refuse(stream, shared.limits, Core::Error(Core::ErrorKind::SlowCaller));
+        co_await refuse(stream, *limits, Core::Error(Core::ErrorKind::SlowCaller));
         co_return false;
     }
     if (ec) {
         if (!isCallerGone(ec))
-            co_await refuse(stream, shared.limits, readError(ec));
+            co_await refuse(stream, *limits, readError(ec));
         co_return false;
     }
-    auto exchange = std::make_shared<SessionExchange>(stream, shared.limits, parser.release());
+    auto exchange = std::make_shared<SessionExchange>(stream, *limits, parser.release());
     exchange->watchForClose();
     stream.expires_never();
     co_await runHandler(*exchange, shared);
--- a/Libraries/LibRouter/CompletionAttempt.cpp
+++ b/Libraries/LibRouter/CompletionAttempt.cpp
@@ -62,6 +62,8 @@
                 throw Core::Error(Core::ErrorKind::UpstreamFailed, "the upstream sent an error");
             const auto chunk = CompletionChunk::parse(event->data, attemptId).value();
             co_await take(chunk, sink, progress);
+            if (m_instance.clock().now() - m_context.arrivedAt > m_model.answerTimeout)
+                throw Core::Error(Core::ErrorKind::UpstreamTimedOut, "the answer takes too long");
             answer.setBodyTimeout(m_model.nextTokenTimeout);
         }
     }
--- a/Libraries/LibRouter/CompletionRelay.cpp
+++ b/Libraries/LibRouter/CompletionRelay.cpp
@@ -110,6 +110,8 @@
 
 bool CompletionRelay::mayRetry()
 {
+    if (m_instance.clock().now() - m_context.arrivedAt > m_model.answerTimeout)
+        return false;
     const auto suspicion = m_instance.suspects().check(m_call.digest());
     m_isSuspect = suspicion != Admission::SuspectVerdict::Clear;
     if (suspicion == Admission::SuspectVerdict::Poison) {
--- a/Libraries/LibRouter/LoadProber.cpp
+++ b/Libraries/LibRouter/LoadProber.cpp
@@ -77,7 +77,8 @@
         report.measuredAt = measuredAt;
         report.running = static_cast<std::uint32_t>(numberAt(fields, "running"));
         report.queued = static_cast<std::uint32_t>(numberAt(fields, "waiting"));
-        if (upstream->noteIncarnation(report.incarnation))
+        const bool wasKnown = upstream->incarnation() > 0;
+        if (upstream->noteIncarnation(report.incarnation) && wasKnown)
             Core::logEvent(Core::EventId::UpstreamRestarted,
                            {{"upstream", upstream->id().value()}});
         m_instance.placement().noteIncarnation(upstream->slot(), report.incarnation);
--- a/Libraries/LibSiblings/SiblingService.cpp
+++ b/Libraries/LibSiblings/SiblingService.cpp
@@ -98,13 +98,6 @@
     hooks.send = [this](const std::string &address, const Membership::Message &message) {
         m_client->send(peerAddress(address), Membership::toBody(message));
     };
-    hooks.changed = [](const Membership::Member &member, Membership::MemberChange change) {
-        const bool dropped =
-            change == Membership::MemberChange::Died || change == Membership::MemberChange::Left;
-        Core::logEvent(dropped ? Core::EventId::PeerDropped : Core::EventId::PeerSuspected,
-                       {{"instance", member.id.instance.value()},
-                        {"change", std::string(Membership::memberChangeName(change))}});
-    };
     m_probes = Membership::ProbeService::create({}, std::move(self), m_instance.clock(), m_rng,
                                                 std::move(hooks))
                    .value();
--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -27,7 +27,6 @@
 constexpr std::chrono::milliseconds PlatformTimeout {2000};
 constexpr std::chrono::milliseconds DrainPoll {20};
 constexpr std::chrono::milliseconds AdmissionTick {100};
-constexpr std::chrono::milliseconds ClaimMargin {60'000};
 constexpr std::chrono::milliseconds LastAppendLimit {5'000};
 constexpr int RenewalsPerRetention = 8;
 
@@ -43,6 +42,18 @@
     return result;
 }
 
+Http::ServerLimits serverLimits(const Configuration::Limits &limits)
+{
+    Http::ServerLimits result;
+    if (limits.bodyBytes == 0)
+        return result;
+    result.headerBytes = limits.headerBytes;
+    result.bodyBytes = limits.bodyBytes;
+    result.requestTime = limits.headerTimeout + limits.bodyTimeout;
+    result.idleTime = limits.idleTimeout;
+    return result;
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
@@ -68,6 +79,11 @@
 { }
 
 Daemon::~Daemon()
+{
+    stop();
+}
+
+void Daemon::stop()
 {
     m_controlThread.stop();
     m_requestThreads.stop();
@@ -145,6 +161,7 @@
     Configuration::ReaderHooks hooks;
     hooks.onAccepted = [this](const Configuration::ConfigurationVersion &version) {
         m_instance.setConfiguration({version.generation, version.document});
+        applyLimits(version.document->limits());
     };
     m_configurationReader = std::make_unique<Configuration::ConfigurationReader>(
         options, *m_log, m_clock, m_random, std::move(hooks));
@@ -159,6 +176,7 @@
     // Nobody else reads an embedded log, so that more streams would only cost reads.
     if (m_embeddedLog)
         settings.partitions = 1;
+    settings.environment = m_settings.environment;
     const Claims::Holder self {m_settings.instance, m_instance.settings().incarnation};
     m_claims = Claims::ClaimCoordinator::create(
                    m_controlThread.at(0).get_executor(), settings, self, *m_log, m_clock,
@@ -175,11 +193,17 @@
                           "--config cannot be read: '" + m_settings.configurationFile + "'");
     const std::string text((std::istreambuf_iterator<char>(file)), {});
     m_instance.setConfiguration({1, Configuration::Document::parse(text).value()});
+    m_limits = m_instance.configuration().document->limits();
+}
+
+void Daemon::applyLimits(const Configuration::Limits &limits)
+{
+    m_server->setLimits(serverLimits(limits));
 }
 
 void Daemon::openPorts()
 {
-    Http::ServerLimits limits;
+    const auto limits = serverLimits(m_limits);
     m_server = Http::Server::create(
                    m_requestThreads, m_settings.listen, limits,
                    [this](Http::ServerExchange &exchange) { return m_router.handle(exchange); })
--- a/Services/jujubesaddled/Daemon.h
+++ b/Services/jujubesaddled/Daemon.h
@@ -35,6 +35,8 @@
 
     /// Blocks until a signal asks the process to end, then shuts down without cutting a request.
     void runUntilSignal();
+    /// Ends all threads.
+    void stop();
 
 private:
     explicit Daemon(const Settings &settings);
@@ -50,6 +52,7 @@
     boost::asio::awaitable<void> tickAdmission();
     void startControl();
     void openPorts();
+    void applyLimits(const Configuration::Limits &limits);
     void drain();
     void waitForRequests();
     void appendLastRecords();
@@ -74,6 +77,8 @@
     Core::IoThreads m_requestThreads;
     /// Null without a peer port.
     std::unique_ptr<Siblings::SiblingService> m_siblings;
+    /// Of the embedded document; all zeros before the log has told any.
+    Configuration::Limits m_limits;
     std::unique_ptr<Http::Server> m_server;
     std::unique_ptr<Http::Server> m_adminServer;
 };
--- a/Services/jujubesaddled/Settings.cpp
+++ b/Services/jujubesaddled/Settings.cpp
@@ -1,3 +1,5 @@
+#include <LibClaims/ClaimKey.h>
+
 #include <CLI/CLI.hpp>
 #include <jujubesaddled/Settings.h>
 
@@ -166,6 +168,10 @@
         checker.number("--log-retention-s", raw.logRetentionS, 1, LongestSeconds));
     settings.clockSkew =
         std::chrono::milliseconds(checker.number("--clock-skew-ms", raw.clockSkewMs, 0, LongestMs));
+    const auto window = Claims::KeyWindow::create(settings.keyWindow, settings.clockSkew,
+                                                  settings.logRetention, ClaimMargin);
+    if (!window.has_value())
+        checker.fault("--key-window-s", window.error().detail());
     settings.usageInterval = std::chrono::milliseconds(
         checker.number("--usage-interval-ms", raw.usageIntervalMs, 10, LongestMs));
 }
--- a/Services/jujubesaddled/Settings.h
+++ b/Services/jujubesaddled/Settings.h
@@ -19,6 +19,9 @@
     Http::Endpoint endpoint;
 };
 
+/// How much longer the log keeps a claim than its key is acceptable, beyond the clocks' skew.
+constexpr std::chrono::milliseconds ClaimMargin {60'000};
+
 /// The daemon's settings, checked.
 struct Settings
 {
--- a/Services/jujubesaddled/main.cpp
+++ b/Services/jujubesaddled/main.cpp
@@ -27,7 +27,11 @@
         std::cerr << daemon.error().what() << '\n';
         return ExitBadSettings;
     }
-    daemon.value()->runUntilSignal();
+    // Coroutines that still wait in its contexts and the parts that they use refer to each other,
+    // so that no order of destruction is right. With its threads ended it is left to the process.
+    static Daemon::Daemon *const running = daemon.value().release();
+    running->runUntilSignal();
+    running->stop();
     return 0;
 }
 
--- a/Tests/LibClaims/ClaimHistory.cpp
+++ b/Tests/LibClaims/ClaimHistory.cpp
@@ -244,7 +244,7 @@
 
 void ClaimHistory::append(std::size_t n, const AppendBatch &batch)
 {
-    const auto stream = ClaimEngine::streamName(batch.partition, PartitionCount);
+    const auto stream = ClaimEngine::streamName("", batch.partition, PartitionCount);
     const auto takeEffect = [this, stream, batch] {
         m_log.append(stream, batch.data);
         for (std::size_t reader = 0; reader < InstanceCount; ++reader)
@@ -286,7 +286,7 @@
             });
             return;
         }
-        const auto stream = ClaimEngine::streamName(partition, PartitionCount);
+        const auto stream = ClaimEngine::streamName("", partition, PartitionCount);
         auto page = m_log.read(stream, reader.engine->partition(partition).next(), 50);
         mutatePage(n, page);
         perform(n, reader.engine->onPage(partition, page));
