jujubeload: Send seeded load and check that answers are whole

Purpose: times of the daemon as a process, and a check of every answer under load.

Closed-loop or open-loop (Poisson) over Http::Client; the prompt of an index depends on the seed alone, so runs against different targets do the same work, and a digest over prompts and texts compares their answers. Metrics::DurationHistogram was weighed for the quantiles and ruled out: its buckets are half again as wide as the one before, too coarse for differences of a part of a millisecond; LatencySeries has buckets of one percent.

Found on the way: an Http::Client must be destroyed before the IoThreads it was used on, because its idle connections stand on their contexts.

Checks shown failing: with the look at the end mark switched off in StreamedAnswer::finish() the test of cut streams fails; a stand-in engine that crosses answers (/control cross_answers) or cuts streams (cut_after_tokens) makes jujubeload exit with 1.

--- /dev/null
+++ b/Utilities/jujubeload/LoadRun.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/IoThreads.h>
+#include <LibHttp/Client.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <jujubeload/AnswerBook.h>
+#include <jujubeload/RunReport.h>
+#include <jujubeload/Settings.h>
+#include <jujubeload/Workload.h>
+
+#include <atomic>
+
+namespace Load {
+
+/// Sends the work of the settings, closed-loop or open-loop, and checks the answers.
+class LoadRun
+{
+public:
+    /// The clock must outlive the run.
+    LoadRun(const Settings &settings, const Core::Clock &clock);
+
+    /// Runs to the end; to be called once.
+    RunReport run();
+
+private:
+    using Due = Core::Clock::Monotonic;
+
+    boost::asio::awaitable<void> closedLoop();
+    boost::asio::awaitable<void> openLoop();
+    boost::asio::awaitable<void> sendOne(std::uint64_t index, Due due);
+    boost::asio::awaitable<void> exchange(std::uint64_t index, Due due, RequestOutcome &outcome);
+    boost::asio::awaitable<void> readStream(Http::ClientExchange &exchange,
+                                            const std::string &prompt, Due due,
+                                            RequestOutcome &outcome);
+    boost::asio::awaitable<void> readWhole(Http::ClientExchange &exchange,
+                                           const std::string &prompt, Due due,
+                                           RequestOutcome &outcome);
+    void judge(AnswerFault fault, const std::string &prompt, const std::string &text,
+               RequestOutcome &outcome);
+    Http::Request requestFor(const std::string &prompt) const;
+    /// Whether the request of that number, counted from zero, is still to be sent.
+    bool isWanted(std::uint64_t number) const;
+
+    Settings m_settings;
+    const Core::Clock &m_clock;
+    Workload m_workload;
+    /// Before the client, whose idle connections stand on the threads' contexts.
+    Core::IoThreads m_threads;
+    Http::Client m_client;
+    AnswerBook m_book;
+    RunRecord m_record;
+    Due m_startedAt;
+    std::atomic<std::uint64_t> m_next {0};
+    std::atomic<std::uint64_t> m_underWay {0};
+};
+
+} // namespace Load
--- /dev/null
+++ b/Utilities/jujubeload/main.cpp
@@ -0,0 +1,28 @@
+#include <LibCore/EventLog.h>
+
+#include <jujubeload/CommandLine.h>
+#include <jujubeload/LoadRun.h>
+
+#include <iostream>
+
+/// Exits with 0 when every answer was whole and right, 1 when one was not, 2 for wrong settings.
+int main(int argc, char **argv)
+{
+    constexpr int SettingsFault = 2;
+    const auto settings = Load::parseCommandLine(argc, argv);
+    if (!settings) {
+        std::cerr << "jujubeload: " << settings.error().what() << '\n';
+        return SettingsFault;
+    }
+    if (!settings.value())
+        return 0;
+    Core::configureEventLog(Core::LogFormat::Text, Core::EventLevel::Error);
+    const Core::SystemClock clock;
+    Load::LoadRun run(*settings.value(), clock);
+    const auto report = run.run();
+    if (settings.value()->json)
+        std::cout << Load::formatJson(report) << '\n';
+    else
+        std::cout << Load::formatText(report);
+    return report.isClean() ? 0 : 1;
+}
