Meta: End the load script with 1 when a daemon crashed

Purpose: a daemon that crashes at its end, or a faulty answer, showed only as a line of the output. Stopping at the first such event was ruled out, since the figures that follow are still wanted.

The script now says so with its exit code.

--- a/Meta/load.sh
+++ b/Meta/load.sh
@@ -14,6 +14,8 @@
 export JUJUBE_PEER_KEY="a key for measurements only"
 work=$(mktemp -d)
 declare -A pids=()
+# Set when an answer was faulty or a daemon did not end properly; the script then ends with 1.
+failed=0
 stop() {
     for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
     wait 2>/dev/null || true
@@ -43,7 +45,10 @@
     for name in "$@"; do
         local code=0
         wait "${pids[$name]}" || code=$?
-        [ "$code" -eq 0 ] || echo "$name ended with exit code $code"
+        if [ "$code" -ne 0 ]; then
+            echo "$name ended with exit code $code"
+            failed=1
+        fi
         unset "pids[$name]"
     done
 }
@@ -61,6 +66,7 @@
     return 1
 }
 unlessAnswersOnly() { # unlessAnswersOnly CODE RUN: faulty answers show in the run's row
+    failed=1
     [ "$1" -eq 1 ] && return 0
     echo "run $2 ended with exit code $1" >&2
     return 1
@@ -199,3 +205,4 @@
     show "round $round, engines in turn" "$work/turns.json"
 done
 echo "machine: load average $(cut -d' ' -f1-3 /proc/loadavg) after the runs"
+[ "$failed" -eq 0 ]
