LibRouter: Tell the placement and the admission of a first token when it comes

Cause: the relay reported the first token at the answer's end, where engines say what they had cached. To the placement every running answer looked like a request without progress: with one engine in the middle of twelve answers, /explain gave a stall of 0.51 s (0.516 s again) though nothing was late. Ruled out: the engine's queue (16 slots for 12 streams). The first token is now reported at once, the cached tokens at the end, and the engine gets the priority of the grant.

Measured: the new test 'an engine in the middle of long answers' failed before (0.51 s) and passes after (0 s).

--- a/Libraries/LibPlacement/Placement.h
+++ b/Libraries/LibPlacement/Placement.h
@@ -130,6 +130,10 @@
     /// The first token came, with the cached tokens that the upstream reported, if it did.
     void noteFirstToken(const Decision &decision, const PromptPieces &pieces,
                         std::optional<std::uint64_t> cachedTokens);
+    /// The answer's end told how many prompt tokens had been cached; for engines that say it only
+    /// then, in place of noteFirstToken()'s argument.
+    void noteCachedTokens(const Decision &decision, const PromptPieces &pieces,
+                          std::uint64_t cachedTokens);
     /// The answer ended after the time since it was sent.
     void noteAnswer(const Decision &decision);
     /// The request was sent but no first token will come (failed or cancelled).
--- a/Libraries/LibPlacement/PlacementNotes.cpp
+++ b/Libraries/LibPlacement/PlacementNotes.cpp
@@ -72,15 +72,23 @@
     decrement(state.waiting);
     state.progressAt.store(time.count(), std::memory_order_relaxed);
     learnSlowness(decision, state, time);
-    if (cachedTokens) {
-        const auto missed = pieces.promptTokens() - std::min(pieces.promptTokens(), *cachedTokens);
-        average(m_prefillPerRequest, static_cast<float>(missed) / state.prefillTokensPerSecond);
-    }
+    if (cachedTokens)
+        noteCachedTokens(decision, pieces, *cachedTokens);
     // The prefill just done left every piece in the cache.
     for (const auto hash : pieces.hashes())
         m_beliefs.recordHolder(hash, decision.slot, decision.epoch, time);
 }
 
+void Placement::noteCachedTokens(const Decision &decision, const PromptPieces &pieces,
+                                 std::uint64_t cachedTokens)
+{
+    if (!m_upstreams.isCurrent(decision.slot, decision.epoch))
+        return;
+    const auto missed = pieces.promptTokens() - std::min(pieces.promptTokens(), cachedTokens);
+    const auto &state = m_upstreams.state(decision.slot);
+    average(m_prefillPerRequest, static_cast<float>(missed) / state.prefillTokensPerSecond);
+}
+
 void Placement::noteAnswer(const Decision &decision)
 {
     const Seconds taken = m_clock.now() - decision.sentAt;
--- a/Libraries/LibRouter/CompletionAttempt.cpp
+++ b/Libraries/LibRouter/CompletionAttempt.cpp
@@ -29,12 +29,12 @@
 
 CompletionAttempt::CompletionAttempt(Instance &instance, const CallContext &context,
                                      const CompletionCall &call, const Configuration::Model &model,
-                                     std::uint64_t maxTokens)
+                                     Options options)
     : m_instance(instance)
     , m_context(context)
     , m_call(call)
     , m_model(model)
-    , m_maxTokens(maxTokens)
+    , m_options(std::move(options))
 { }
 
 asio::awaitable<void> CompletionAttempt::run(UpstreamPtr upstream, std::string attemptId,
@@ -72,7 +72,7 @@
 }
 
 asio::awaitable<void> CompletionAttempt::take(const CompletionChunk &chunk, AnswerSink &sink,
-                                              AnswerProgress &progress) const
+                                              AnswerProgress &progress)
 {
     const bool hasToken = !chunk.text().empty();
     const auto index = chunk.tokenIndex().value_or(progress.tokens);
@@ -83,6 +83,8 @@
         co_return;
     if (index > progress.tokens)
         throw Core::Error(Core::ErrorKind::UpstreamGarbage, "a gap in the stream");
+    if (hasToken && !std::exchange(m_hasToken, true) && m_options.firstToken)
+        m_options.firstToken();
     if (hasToken) {
         ++progress.tokens;
         if (!progress.firstTokenAt)
@@ -103,7 +105,7 @@
     request.headers.add("Content-Type", "application/json");
     request.headers.add("X-Request-Id", attemptId);
     request.headers.add("X-Team", m_context.team->id.value());
-    request.body = m_call.engineBody(m_maxTokens, m_context.priorityClass->rank, progress.tokens);
+    request.body = m_call.engineBody(m_options.maxTokens, m_options.priority, progress.tokens);
     return request;
 }
 
--- a/Libraries/LibRouter/CompletionAttempt.h
+++ b/Libraries/LibRouter/CompletionAttempt.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -31,8 +32,16 @@
 class CompletionAttempt
 {
 public:
+    /// What the engine is asked for, and who is told of the attempt's first token.
+    struct Options
+    {
+        std::uint64_t maxTokens = 0;
+        int priority = 0;
+        std::function<void()> firstToken;
+    };
+
     CompletionAttempt(Instance &instance, const CallContext &context, const CompletionCall &call,
-                      const Configuration::Model &model, std::uint64_t maxTokens);
+                      const Configuration::Model &model, Options options);
 
     /// Returns with progress.isComplete set, or throws Core::Error for the upstream's failures,
     /// UpstreamDraining, or boost::system::system_error when the caller is gone.
@@ -43,7 +52,7 @@
     boost::asio::awaitable<void> relay(Http::ClientExchange &answer, const std::string &attemptId,
                                        AnswerSink &sink, AnswerProgress &progress);
     boost::asio::awaitable<void> take(const CompletionChunk &chunk, AnswerSink &sink,
-                                      AnswerProgress &progress) const;
+                                      AnswerProgress &progress);
     Http::Request engineRequest(const std::string &attemptId, const AnswerProgress &progress) const;
     Http::ClientTimeouts timeouts() const;
 
@@ -51,7 +60,8 @@
     const CallContext &m_context;
     const CompletionCall &m_call;
     const Configuration::Model &m_model;
-    std::uint64_t m_maxTokens;
+    Options m_options;
+    bool m_hasToken = false;
 };
 
 } // namespace Router
--- a/Libraries/LibRouter/CompletionCall.cpp
+++ b/Libraries/LibRouter/CompletionCall.cpp
@@ -103,7 +103,7 @@
     return m_kind == Kind::Chat ? "/v1/chat/completions" : "/v1/completions";
 }
 
-std::string CompletionCall::engineBody(std::uint64_t maxTokens, std::uint32_t priority,
+std::string CompletionCall::engineBody(std::uint64_t maxTokens, int priority,
                                        std::uint64_t resumeFrom) const
 {
     auto body = m_body;
--- a/Libraries/LibRouter/CompletionCall.h
+++ b/Libraries/LibRouter/CompletionCall.h
@@ -36,8 +36,7 @@
     /// The request's path at an engine.
     std::string_view path() const;
     /// The body for an engine, always streamed, from the given token on.
-    std::string engineBody(std::uint64_t maxTokens, std::uint32_t priority,
-                           std::uint64_t resumeFrom) const;
+    std::string engineBody(std::uint64_t maxTokens, int priority, std::uint64_t resumeFrom) const;
 
 private:
     CompletionCall() = default;
--- a/Libraries/LibRouter/CompletionRelay.cpp
+++ b/Libraries/LibRouter/CompletionRelay.cpp
@@ -53,6 +53,7 @@
         throw Core::Error(Core::ErrorKind::PoisonRequest);
     m_isSuspect = suspicion == Admission::SuspectVerdict::Suspect;
     auto slot = co_await admit();
+    m_grant = slot.grant();
     const auto verdict = co_await tryEngines();
     slot.setTokens(usedTokens());
     if (verdict == Verdict::Complete) {
@@ -163,7 +164,9 @@
     placement.noteSent(decision, m_pieces);
     const auto attemptId = m_context.requestId + '.' + std::to_string(m_tried.size());
     const auto resumedFrom = m_progress.tokens;
-    CompletionAttempt sending(m_instance, m_context, m_call, m_model, tokenLimit(m_call, m_model));
+    bool hasToken = false;
+    CompletionAttempt sending(m_instance, m_context, m_call, m_model,
+                              attemptOptions(decision, hasToken));
     std::optional<Core::Error> failure;
     bool draining = false;
     try {
@@ -174,7 +177,8 @@
         draining = true;
     } catch (...) {
         // The caller is gone. Dropping the connection cancels the work upstream.
-        placement.noteFailed(decision);
+        if (!hasToken)
+            placement.noteFailed(decision);
         Core::logEvent(Core::EventId::CallerWentAway, {{"request", m_context.requestId}});
         record("caller_gone");
         throw;
@@ -188,7 +192,8 @@
         noteSuccess(*upstream, decision);
         co_return Verdict::Complete;
     }
-    placement.noteFailed(decision);
+    if (!hasToken)
+        placement.noteFailed(decision);
     if (draining) {
         if (upstream->noteLeaving())
             Core::logEvent(Core::EventId::UpstreamLeaving, {{"upstream", upstream->id().value()}});
@@ -199,6 +204,21 @@
     co_return noteFailure(*upstream, *failure);
 }
 
+CompletionAttempt::Options CompletionRelay::attemptOptions(const Placement::Decision &decision,
+                                                           bool &hasToken)
+{
+    CompletionAttempt::Options options;
+    options.maxTokens = tokenLimit(m_call, m_model);
+    options.priority = m_grant.enginePriority;
+    options.firstToken = [this, decision, &hasToken] {
+        hasToken = true;
+        m_instance.placement().noteFirstToken(decision, m_pieces, std::nullopt);
+        if (m_tried.empty())
+            m_instance.admission().noteFirstToken(m_grant.id);
+    };
+    return options;
+}
+
 void CompletionRelay::noteCrash(const Upstream &upstream, std::uint64_t incarnation)
 {
     // Every request that a crash breaks off notes the same crash, each against its own digest.
@@ -227,7 +247,8 @@
     m_instance.suspects().noteAnswered(m_call.digest());
     m_instance.retryBudget(m_model.upstreamGroup).noteSuccess();
     auto &placement = m_instance.placement();
-    placement.noteFirstToken(decision, m_pieces, m_progress.cachedTokens);
+    if (m_progress.cachedTokens)
+        placement.noteCachedTokens(decision, m_pieces, *m_progress.cachedTokens);
     placement.noteAnswer(decision);
     const auto labels = m_context.labels();
     auto &metrics = m_instance.metrics();
--- a/Libraries/LibRouter/CompletionRelay.h
+++ b/Libraries/LibRouter/CompletionRelay.h
@@ -47,6 +47,7 @@
     boost::asio::awaitable<Verdict> attempt(UpstreamPtr upstream, Placement::Decision decision);
     std::optional<Placement::Decision> choose(const UpstreamGroupView &group);
     bool isPassedOver(const Upstream &upstream, Strictness strictness) const;
+    CompletionAttempt::Options attemptOptions(const Placement::Decision &decision, bool &hasToken);
     void noteCrash(const Upstream &upstream, std::uint64_t incarnation);
     Verdict noteFailure(Upstream &upstream, const Core::Error &error);
     void noteSuccess(Upstream &upstream, const Placement::Decision &decision);
@@ -63,6 +64,7 @@
     AnswerProgress m_progress;
     std::vector<Placement::UpstreamSlot> m_tried;
     std::optional<Core::Error> m_lastError;
+    Admission::Grant m_grant;
     bool m_isSuspect = false;
 };
 
--- a/Tests/Processes/TestAtMostOnce.cpp
+++ b/Tests/Processes/TestAtMostOnce.cpp
@@ -107,6 +107,7 @@
     void sendAllDuring(const std::function<void()> &faults)
     {
         std::vector<std::future<void>> callers;
+        callers.reserve(Keys);
         for (int key = 0; key < Keys; ++key) {
             callers.push_back(std::async(std::launch::async, [this, key] {
                 std::this_thread::sleep_for(20ms * key);
--- a/Tests/Processes/TestStreams.cpp
+++ b/Tests/Processes/TestStreams.cpp
@@ -20,7 +20,8 @@
     {
         std::vector<std::string> names;
         for (std::size_t n = 1; n <= engines; ++n)
-            startEngine("engine-" + std::to_string(n), "engines", {"--decode-us", decodeTime});
+            startEngine("engine-" + std::to_string(n), "engines",
+                        {"--decode-us", decodeTime, "--slots", "16"});
         startDaemon("router", "a");
         publish(testDocument(), {"router"});
         awaitUpstreams({"router"}, engines);
@@ -203,3 +204,25 @@
     }
     CHECK(served() == before);
 }
+
+TEST_CASE("an engine in the middle of long answers is not taken for one that makes no progress")
+{
+    StreamFleet fleet(1, "30000");
+    Fleet::await("the router has heard from the engine itself", [&] {
+        const auto status = fleet.json(fleet.node("router").admin, "/status");
+        return status.at("upstreams").at(0).at("incarnation")
+               == fleet.json(fleet.node("engine-1").address, "/load").at("incarnation");
+    });
+    auto bodies = fleet.startStreams();
+    Fleet::await("the streams are well past their first tokens", [&] {
+        const auto report = fleet.json(fleet.node("engine-1").address, "/load");
+        return report.at("tokens").to_number<std::size_t>() >= 50 * Streams;
+    });
+    const auto reasons = fleet.json(fleet.node("router").admin, "/explain",
+                                    R"({"team":"site","model":"model","prompt":"p"})");
+    INFO(boost::json::serialize(reasons));
+    const auto &terms = reasons.at("candidates").as_array().at(0);
+    CHECK(terms.at("stall_s").to_number<double>() == 0);
+    for (auto &body : bodies)
+        body.get();
+}
--- a/Tests/StandIns/PlatformStandIn.cpp
+++ b/Tests/StandIns/PlatformStandIn.cpp
@@ -130,7 +130,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     auto next = m_lists.back().instances;
-    const auto id = entry.at("id");
+    const auto &id = entry.at("id");
     const auto same = [&id](const json::value &other) { return other.as_object().at("id") == id; };
     next.erase(std::remove_if(next.begin(), next.end(), same), next.end());
     if (!entry.contains("remove"))
