LibSiblings: Keep a sibling's beliefs until their upstream has been heard from

Cause: a starting instance gets a sibling's hot prefixes before its first load report, under the incarnation that the engine names; the platform's list had named another one, so the beliefs were dropped and, being known, never sent again. They now wait, for as long as they are believed, until the upstream is known under that incarnation.

Measured: test 'a sibling's belief counts once the upstream has been heard from' failed before.

Also: an event logged before the log is set up no longer prints a warning of the library.

--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <iostream>
+#include <mutex>
 #include <sstream>
 
 INITIALIZE_EASYLOGGINGPP
@@ -16,6 +17,8 @@
 constexpr const char *LoggerName = "events";
 std::atomic<LogFormat> theFormat {LogFormat::Text};
 std::atomic<EventLevel> theLowestLevel {EventLevel::Info};
+std::atomic<bool> theIsConfigured {false};
+std::once_flag theSetUp;
 
 /// Sends every line to standard error, because standard output belongs to the programs' answers.
 class StandardErrorSink : public el::LogDispatchCallback
@@ -67,6 +70,7 @@
 
 void configureEventLog(LogFormat format, EventLevel lowest)
 {
+    theIsConfigured = true;
     theFormat = format;
     theLowestLevel = lowest;
     el::Configurations configurations;
@@ -81,6 +85,11 @@
 
 void logEvent(EventId id, std::initializer_list<EventField> fields)
 {
+    // Programs that set nothing up, such as unit tests, get readable text.
+    std::call_once(theSetUp, [] {
+        if (!theIsConfigured)
+            configureEventLog(theFormat, theLowestLevel);
+    });
     const auto &row = eventRow(id);
     if (row.level < theLowestLevel.load(std::memory_order_relaxed))
         return;
--- a/Libraries/LibSiblings/SharedStateBridge.cpp
+++ b/Libraries/LibSiblings/SharedStateBridge.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t PublishedSuspects = 64;
 constexpr std::size_t PublishedPrefixes = 128;
+constexpr std::size_t MostWaitingHomes = 8192;
 
 /// A request hotter than this a minute is shared as this.
 constexpr float MostHeat = static_cast<float>(std::numeric_limits<std::uint16_t>::max());
@@ -31,6 +32,7 @@
 void SharedStateBridge::publish()
 {
     m_state.expire();
+    retryImports();
     const auto configuration = m_instance.configuration();
     if (configuration.generation > 0) {
         Membership::ConfigurationMark mark;
@@ -124,16 +126,34 @@
 }
 
 void SharedStateBridge::take(const Membership::PrefixHome &home, std::chrono::milliseconds age)
+{
+    // A starting instance gets a sibling's beliefs before it has heard from the upstreams.
+    if (!import(home, age) && m_waitingHomes.size() < MostWaitingHomes)
+        m_waitingHomes.push_back({home, m_instance.clock().now() - age});
+}
+
+bool SharedStateBridge::import(const Membership::PrefixHome &home, std::chrono::milliseconds age)
 {
     const auto upstream = findUpstream(home.upstream);
     if (!upstream || static_cast<std::uint32_t>(upstream->incarnation()) != home.incarnation)
-        return;
+        return false;
     Placement::HotBelief belief;
     belief.piece = home.prefix;
     belief.heat = static_cast<float>(home.heat);
     belief.holders.push_back({upstream->id(), upstream->incarnation(), age});
     const std::array beliefs {std::move(belief)};
     m_instance.placement().importHot(beliefs);
+    return true;
+}
+
+void SharedStateBridge::retryImports()
+{
+    const auto now = m_instance.clock().now();
+    std::erase_if(m_waitingHomes, [this, now](const WaitingHome &waiting) {
+        const auto age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - waiting.observed);
+        return age > Membership::lifetime(waiting.home) || import(waiting.home, age);
+    });
 }
 
 Router::UpstreamPtr SharedStateBridge::findUpstream(std::uint64_t idHash) const
--- a/Libraries/LibSiblings/SharedStateBridge.h
+++ b/Libraries/LibSiblings/SharedStateBridge.h
@@ -6,7 +6,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <unordered_map>
+#include <vector>
 
 namespace Siblings {
 
@@ -34,6 +34,10 @@
     void take(const Membership::PoisonCrash &crash, std::chrono::milliseconds age);
     void take(const Membership::UpstreamMark &mark);
     void take(const Membership::PrefixHome &home, std::chrono::milliseconds age);
+    /// Hands a sibling's belief to the placement; false while the upstream is not known here
+    /// under the incarnation that the belief is about.
+    bool import(const Membership::PrefixHome &home, std::chrono::milliseconds age);
+    void retryImports();
     Router::UpstreamPtr findUpstream(std::uint64_t idHash) const;
     void publishUpstreams();
     void publishPrefixes();
@@ -41,6 +45,14 @@
     Router::Instance &m_instance;
     NewerConfigurationHook m_newerConfiguration;
     Membership::SharedState m_state;
+
+    /// A belief that came before this instance had heard from its upstream.
+    struct WaitingHome
+    {
+        Membership::PrefixHome home;
+        Core::Clock::Monotonic observed;
+    };
+    std::vector<WaitingHome> m_waitingHomes;
 };
 
 } // namespace Siblings
--- /dev/null
+++ b/Tests/LibSiblings/TestSharedStateBridge.cpp
@@ -0,0 +1,82 @@
+#include <LibCore/Hash.h>
+#include <LibCore/ManualClock.h>
+#include <LibSiblings/SharedStateBridge.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Prefix = 4711;
+
+/// An instance that knows one upstream from the list only, under the list's incarnation.
+struct Fixture
+{
+    Core::ManualClock clock;
+    Router::Instance instance {clock, {}};
+    Siblings::SharedStateBridge bridge {instance, {}};
+
+    Fixture()
+    {
+        Platform::ListedInstance listed;
+        listed.id = "engine-1";
+        listed.group = Core::UpstreamGroupId("engines");
+        listed.incarnation = 1;
+        Platform::InstanceList list;
+        list.instances.push_back(listed);
+        instance.directory().apply(list);
+    }
+
+    void receiveHome(std::uint32_t incarnation)
+    {
+        Membership::PrefixHome home;
+        home.prefix = Prefix;
+        home.upstream = Core::hash64("engine-1");
+        home.incarnation = incarnation;
+        home.heat = 10;
+        bridge.state().receive({Membership::toWire(home, 1, 100ms)});
+    }
+
+    void hearFromUpstream(std::uint64_t incarnation)
+    {
+        const auto upstream = instance.directory().all().front();
+        upstream->noteIncarnation(incarnation);
+        instance.placement().noteIncarnation(upstream->slot(), incarnation);
+    }
+
+    bool believes() const
+    {
+        auto &placement = const_cast<Router::Instance &>(instance).placement();
+        for (const auto &belief : placement.exportHot(10)) {
+            if (belief.piece == Prefix && !belief.holders.empty())
+                return true;
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a sibling's belief counts once the upstream has been heard from")
+{
+    Fixture fixture;
+    fixture.receiveHome(7);
+    CHECK_FALSE(fixture.believes());
+    fixture.hearFromUpstream(7);
+    fixture.bridge.publish();
+    CHECK(fixture.believes());
+}
+
+TEST_CASE("a sibling's belief about another incarnation never counts")
+{
+    Fixture fixture;
+    fixture.receiveHome(7);
+    fixture.hearFromUpstream(8);
+    fixture.bridge.publish();
+    CHECK_FALSE(fixture.believes());
+    fixture.clock.advance(2min);
+    fixture.hearFromUpstream(9);
+    fixture.bridge.publish();
+    CHECK_FALSE(fixture.believes());
+}
