LibRouter: Never call a request unrun whose earlier attempt may have run

Cause: the error of the last attempt was the answer. With one engine that broke off and another that refused its connection, callers were told 'not_run' of a prompt that the first engine had been sent. Ruled out: a refusal by the retry budget, after which 'not_run' is true (the test compares the answer with what the engine received). Idempotent service calls had the same fault. The attempts before now count into the fate.

--- a/Libraries/LibCore/Error.cpp
+++ b/Libraries/LibCore/Error.cpp
@@ -29,6 +29,13 @@
     , m_key(key)
 { }
 
+Error afterOtherAttempts(const Error &last, Fate earlier)
+{
+    if (last.attempt() != Fate::NotRun || earlier == Fate::NotRun)
+        return last;
+    return Error(last.kind(), last.detail(), earlier, last.key());
+}
+
 std::string errorBody(const Error &error)
 {
     const auto &row = errorKindRow(error.kind());
--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -31,6 +31,10 @@
     std::optional<Fate> m_key;
 };
 
+/// The error of a request's last attempt, when earlier ones may have run: an attempt that did not
+/// run says nothing of those before it.
+Error afterOtherAttempts(const Error &last, Fate earlier);
+
 /// The JSON body callers receive: {"error":{"kind","message","attempt","key"}}.
 std::string errorBody(const Error &error);
 
--- a/Libraries/LibRouter/CompletionRelay.h
+++ b/Libraries/LibRouter/CompletionRelay.h
@@ -64,6 +64,8 @@
     AnswerProgress m_progress;
     std::vector<Placement::UpstreamSlot> m_tried;
     std::optional<Core::Error> m_lastError;
+    /// What became of the attempts so far, taken together.
+    Core::Fate m_fate = Core::Fate::NotRun;
     Admission::Grant m_grant;
     bool m_isSuspect = false;
 };
--- a/Libraries/LibRouter/ServiceRelay.cpp
+++ b/Libraries/LibRouter/ServiceRelay.cpp
@@ -105,7 +105,7 @@
             co_await m_exchange.respond(std::move(response));
             co_return;
         } catch (const Core::Error &error) {
-            failure = error;
+            failure = failure ? Core::afterOtherAttempts(error, failure->attempt()) : error;
         }
         tried.push_back(upstream);
     }
--- a/Tests/Processes/TestStreams.cpp
+++ b/Tests/Processes/TestStreams.cpp
@@ -232,3 +232,30 @@
     for (auto &body : bodies)
         body.get();
 }
+
+TEST_CASE(
+    "a request that may have run at one engine is not called unrun when the next is unreachable")
+{
+    Fleet fleet;
+    fleet.startEngine("engine-1", "engines", {"--poison-marker", "P"});
+    fleet.list("engine-2", "engines", Http::parseEndpoint("127.0.0.1:1").value(), "live");
+    fleet.startDaemon("router", "a");
+    fleet.publish(testDocument(), {"router"});
+    fleet.awaitUpstreams({"router"}, 2);
+    const auto received = [&] {
+        return fleet.json(fleet.node("engine-1").address, "/load").at("crashes").to_number<int>();
+    };
+    std::size_t unknown = 0;
+    for (std::size_t n = 0; n < Streams; ++n) {
+        const auto before = received();
+        const auto answer = fleet.send(
+            fleet.node("router").address,
+            completionRequest("example-key", "model", "P" + std::to_string(n), 1, false));
+        INFO(answer.body);
+        CHECK(answer.status >= 500);
+        const bool saysNotRun = answer.body.find(R"("attempt":"not_run")") != std::string::npos;
+        CHECK(saysNotRun == (received() == before));
+        unknown += answer.body.find(R"("attempt":"unknown")") != std::string::npos ? 1 : 0;
+    }
+    CHECK(unknown > 0);
+}
