--- a/Meta/load.sh
+++ b/Meta/load.sh
@@ -4,7 +4,7 @@
 # build. REQUESTS, TOKENS, FIRST, ROUNDS and SEED change the size of the work.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=$PWD/Build/release/bin
+. Meta/processes.sh
 requests=${REQUESTS:-3000}
 tokens=${TOKENS:-32}
 first=${FIRST:-100}
@@ -12,33 +12,8 @@
 seed=${SEED:-1}
 export JUJUBELOAD_KEY=example-key JUJUBELOAD_MODEL=small-model JUJUBELOAD_SEED=$seed
 export JUJUBE_PEER_KEY="a key for measurements only"
-work=$(mktemp -d)
-declare -A pids=()
 # Set when an answer was faulty or a daemon did not end properly; the script then ends with 1.
 failed=0
-stop() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$work"
-}
-trap stop EXIT
-
-await() { # await FILE PATTERN: waits until the file has a line that matches, and prints it
-    for _ in $(seq 600); do
-        if grep -m1 -E "$2" "$1" 2>/dev/null; then return 0; fi
-        sleep 0.05
-    done
-    echo "no '$2' in $1:" >&2
-    tail -5 "$1" >&2
-    return 1
-}
-start() { # start NAME PROGRAM ARGUMENTS...
-    local name=$1
-    shift
-    : >"$work/$name"
-    "$bin/$1" "${@:2}" >"$work/$name" 2>&1 &
-    pids[$name]=$!
-}
 end() { # end NAME...: asks the processes to stop, and waits for them
     local name
     for name in "$@"; do kill "${pids[$name]}"; done
@@ -52,8 +27,6 @@
         unset "pids[$name]"
     done
 }
-listening() { await "$work/$1" '^listening on' | sed 's/listening on //'; }
-port() { await "$work/$1" "\"port\":\"$2\"" | sed 's/.*"address":"\([^"]*\)".*/\1/'; }
 status() { curl -sf "http://$(port "$1" admin)/status"; }
 awaitStatus() { # awaitStatus DAEMON PYTHON-CONDITION ON status
     for _ in $(seq 600); do
--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -6,37 +6,15 @@
 cd "$(dirname "$0")/.."
 Meta/install-packages.sh
 Meta/build.sh release
-bin=Build/release/bin
-work=$(mktemp -d)
-started=()
-stop() {
-    for pid in "${started[@]}"; do kill "$pid" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$work"
-}
-trap stop EXIT
+. Meta/processes.sh
 
-await() { # await FILE PATTERN: waits until the file has a line that matches, and prints it
-    for _ in $(seq 200); do
-        if grep -m1 -E "$2" "$1" 2>/dev/null; then return 0; fi
-        sleep 0.05
-    done
-    echo "no '$2' in $1:" >&2
-    cat "$1" >&2
-    return 1
-}
-
-"$bin/standin-engine" --port 0 >"$work/engine" &
-started+=($!)
-engine=$(await "$work/engine" '^listening on' | sed 's/listening on //')
-
-"$bin/jujubesaddled" --listen 127.0.0.1:0 --admin 127.0.0.1:0 --platform embedded \
+start engine standin-engine --port 0
+engine=$(listening engine)
+start daemon jujubesaddled --listen 127.0.0.1:0 --admin 127.0.0.1:0 --platform embedded \
     --config Examples/small-site.toml --upstream "engines=$engine" --drain-grace-ms 0 \
-    --log-format json 2>"$work/daemon" &
-started+=($!)
-address() { await "$work/daemon" "\"port\":\"$1\"" | sed 's/.*"address":"\([^"]*\)".*/\1/'; }
-callers=$(address callers)
-admin=$(address admin)
+    --log-format json
+callers=$(port daemon callers)
+admin=$(port daemon admin)
 for _ in $(seq 200); do
     curl -sf "http://$admin/status" | grep -q "$engine" && break
     sleep 0.05
@@ -49,9 +27,4 @@
 grep -q '\[DONE\]' "$work/answer"
 
 echo "== status"
-if [ -x "$bin/jujubectl" ]; then
-    "$bin/jujubectl" status --admin "$admin"
-else
-    curl -sS "http://$admin/status"
-    echo
-fi
+"$bin/jujubectl" status --admin "$admin"
