LibRouter: Derive the fate of earlier attempts from the last error

The completion relay kept that fate beside the error that already carries it; the idempotent service call derives it, and both do so now. No behaviour changes.

--- a/Libraries/LibRouter/CompletionRelay.cpp
+++ b/Libraries/LibRouter/CompletionRelay.cpp
@@ -230,8 +230,7 @@
 
 CompletionRelay::Verdict CompletionRelay::noteFailure(Upstream &upstream, const Core::Error &error)
 {
-    m_lastError = Core::afterOtherAttempts(error, m_fate);
-    m_fate = m_lastError->attempt();
+    m_lastError = m_lastError ? Core::afterOtherAttempts(error, m_lastError->attempt()) : error;
     Core::logEvent(Core::EventId::RequestFailed, {{"request", m_context.requestId},
                                                   {"upstream", upstream.id().value()},
                                                   {"error", error.what()}});
--- a/Libraries/LibRouter/CompletionRelay.h
+++ b/Libraries/LibRouter/CompletionRelay.h
@@ -63,9 +63,8 @@
     std::unique_ptr<AnswerSink> m_sink;
     AnswerProgress m_progress;
     std::vector<Placement::UpstreamSlot> m_tried;
+    /// The last failure, with the fate of all attempts so far.
     std::optional<Core::Error> m_lastError;
-    /// What became of the attempts so far, taken together.
-    Core::Fate m_fate = Core::Fate::NotRun;
     Admission::Grant m_grant;
     bool m_isSuspect = false;
 };
