--- /dev/null
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -0,0 +1,175 @@
+#include <LibCore/EventLog.h>
+#include <LibGateway/FleetJournal.h>
+#include <LibGateway/FleetMessages_generated.h>
+#include <LibGateway/FleetWatcher.h>
+
+namespace Gateway {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto JournalWait = 10'000ms;
+constexpr auto RetryPause = 300ms;
+// The log forgets old records; an instance that serves for long announces itself again.
+constexpr auto AnnouncePause = 60'000ms;
+// Breaks that come together, as when an upstream crashes, are written in one record.
+constexpr auto BreaksPause = 100ms;
+
+std::string finished(flatbuffers::FlatBufferBuilder &builder)
+{
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+template <typename Table>
+std::string journalRecord(flatbuffers::FlatBufferBuilder &builder, Wire::Entry kind,
+                          flatbuffers::Offset<Table> entry)
+{
+    builder.Finish(Wire::CreateJournalRecord(builder, kind, entry.Union()));
+    return finished(builder);
+}
+
+std::string text(const flatbuffers::String *value)
+{
+    return value ? value->str() : std::string();
+}
+
+} // namespace
+
+FleetJournal::FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
+                           PoisonLedger &poison)
+    : m_log(log)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_poison(poison)
+    , m_lease(settings.instance, settings.leaseTime)
+{ }
+
+asio::awaitable<void> FleetJournal::watch()
+{
+    for (;;) {
+        bool isAnswering = true;
+        try {
+            co_await follow();
+        } catch (const Core::Error &) {
+            // The watcher of operators' records says that the store is away.
+            isAnswering = false;
+        }
+        if (!isAnswering)
+            co_await sleepFor(RetryPause);
+    }
+}
+
+asio::awaitable<void> FleetJournal::follow()
+{
+    for (;;) {
+        const auto wait = m_hasRead ? JournalWait : 0ms;
+        const auto page = co_await m_log.read(FleetTopic::Journal, m_next, wait);
+        for (const auto &record : page.records)
+            apply(record);
+        m_next = std::max(m_next, page.next);
+        m_hasRead = !page.isHistoryGone;
+    }
+}
+
+void FleetJournal::apply(const FleetRecord &record)
+{
+    if (!record.value)
+        return;
+    const auto *bytes = reinterpret_cast<const std::uint8_t *>(record.value->data());
+    flatbuffers::Verifier verifier(bytes, record.value->size());
+    if (!verifier.VerifyBuffer<Wire::JournalRecord>(nullptr)) {
+        Core::logEvent(Core::EventId::LogRecordInvalid,
+                       {{"log", "journal"}, {"offset", std::to_string(record.offset)}});
+        return;
+    }
+    const auto *entry = flatbuffers::GetRoot<Wire::JournalRecord>(bytes);
+    if (const auto *member = entry->entry_as_Member()) {
+        auto endpoint = Http::parseEndpoint(text(member->endpoint()));
+        const Core::InstanceId instance(text(member->instance()));
+        if (endpoint)
+            m_members[instance] = {instance, text(member->data_centre()), endpoint.value()};
+    }
+    if (const auto *lease = entry->entry_as_Lease())
+        m_lease.noteRecord(record.offset, Core::InstanceId(text(lease->holder())), m_clock.now());
+    const auto *breaks = entry->entry_as_Breaks();
+    if (!breaks || !breaks->digests() || text(breaks->instance()) == m_settings.instance.value())
+        return;
+    for (const auto digest : *breaks->digests())
+        m_poison.noteBreak(digest, m_clock.now());
+}
+
+asio::awaitable<bool> FleetJournal::append(std::string record)
+{
+    bool isAppended = false;
+    try {
+        const auto outcome =
+            co_await m_log.append(FleetTopic::Journal, std::move(record), std::nullopt);
+        isAppended = outcome.isAppended;
+    } catch (const Core::Error &error) {
+        Core::logEvent(Core::EventId::PlatformUnavailable,
+                       {{"log", "journal"}, {"reason", error.what()}});
+    }
+    co_return isAppended;
+}
+
+asio::awaitable<void> FleetJournal::announce()
+{
+    for (;;) {
+        flatbuffers::FlatBufferBuilder builder;
+        const auto member = Wire::CreateMemberDirect(
+            builder, m_settings.instance.value().c_str(), m_settings.dataCentre.c_str(),
+            Http::formatEndpoint(m_settings.siblings).c_str());
+        auto record = journalRecord(builder, Wire::Entry::Member, member);
+        const bool isAnnounced = co_await append(std::move(record));
+        co_await sleepFor(isAnnounced ? AnnouncePause : RetryPause);
+    }
+}
+
+asio::awaitable<void> FleetJournal::writeBreaks()
+{
+    for (;;) {
+        co_await sleepFor(BreaksPause);
+        if (m_breaks.empty())
+            continue;
+        const auto breaks = std::exchange(m_breaks, {});
+        flatbuffers::FlatBufferBuilder builder;
+        const auto entry =
+            Wire::CreateBreaksDirect(builder, m_settings.instance.value().c_str(), &breaks);
+        auto record = journalRecord(builder, Wire::Entry::Breaks, entry);
+        const bool isWritten = co_await append(std::move(record));
+        if (isWritten)
+            continue;
+        m_breaks.insert(m_breaks.begin(), breaks.begin(), breaks.end());
+        co_await sleepFor(RetryPause);
+    }
+}
+
+asio::awaitable<bool> FleetJournal::takeLease()
+{
+    const auto asked = m_clock.now();
+    if (!m_hasRead || !m_lease.mayTake(asked))
+        co_return false;
+    const bool isRenewal = m_lease.token(asked, 0ms).has_value();
+    flatbuffers::FlatBufferBuilder builder;
+    const auto lease = Wire::CreateLeaseDirect(builder, m_settings.instance.value().c_str());
+    auto record = journalRecord(builder, Wire::Entry::Lease, lease);
+    AppendOutcome outcome;
+    try {
+        outcome = co_await m_log.append(FleetTopic::Journal, std::move(record), m_next);
+    } catch (const Core::Error &error) {
+        // Whether the log took it shows when the journal is read on.
+        Core::logEvent(Core::EventId::LeaseLost, {{"reason", error.what()}});
+        co_return false;
+    }
+    if (!outcome.isAppended)
+        co_return false;
+    m_lease.noteTaken(outcome.offset, asked);
+    if (!isRenewal)
+        Core::logEvent(Core::EventId::LeaseTaken,
+                       {{"token", std::to_string(outcome.offset + 1)}});
+    co_return m_lease.token(m_clock.now(), 0ms).has_value();
+}
+
+} // namespace Gateway
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -61,6 +61,11 @@
 
     /// Called with the digest of a request under which an upstream broke.
     std::function<void(std::uint64_t)> onBreak;
+    /// Called when an engine has read a prompt's parts.
+    std::function<void(const Upstream &, std::span<const PromptPart>)> onPartsRead;
+    /// Called when an answer showed newer weights than were known.
+    std::function<void(const Upstream &, const std::string &model, std::uint64_t version)>
+        onWeightsSeen;
 
 private:
     GatewayParts m_parts;
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -63,6 +63,8 @@
     /// Memory of one engine, in tokens.
     std::uint64_t cacheTokens = 0;
     std::uint64_t bytesPerToken = 0;
+    /// The speed at which an engine sends or takes in cached parts.
+    double linkMegabitsPerSecond = 0;
 };
 
 /// Interchangeable upstreams.
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -24,6 +24,7 @@
 // Left of the grace for the process to end by itself.
 constexpr auto GraceMargin = 500ms;
 constexpr auto DrainPoll = 50ms;
+constexpr auto CountPause = 200ms;
 
 } // namespace
 
@@ -36,7 +37,13 @@
     , m_watcher({m_interfaces.log, m_interfaces.decoder, m_interfaces.clock, m_configuration,
                  m_weights, m_fleet},
                 [this] { applyConfiguration(); })
-{ }
+    , m_journal(m_interfaces.log, m_interfaces.clock, m_settings, m_gateway.poison())
+    , m_siblings(m_threads.at(0), m_settings, m_interfaces.clock, m_journal, m_fleet)
+    , m_roller({m_journal, m_interfaces.engines, m_fleet, m_weights, m_interfaces.clock,
+                m_gateway.metrics(), m_settings.instance})
+{
+    connectNews();
+}
 
 GatewayDaemon::~GatewayDaemon()
 {
@@ -53,6 +60,7 @@
                   }).value();
     Core::logEvent(Core::EventId::ProcessStarted, {{"instance", m_settings.instance.value()},
                                                    {"version", JUJUBE_VERSION}});
+    m_siblings.open();
     startLoops();
     auto ended = asio::co_spawn(m_threads.at(0), awaitSignals(), asio::use_future);
     ended.get();
@@ -66,6 +74,36 @@
     auto &context = m_threads.at(0);
     asio::co_spawn(context, m_watcher.watchOperator(), asio::detached);
     asio::co_spawn(context, m_watcher.watchUpstreams(), asio::detached);
+    asio::co_spawn(context, m_journal.watch(), asio::detached);
+    asio::co_spawn(context, m_journal.announce(), asio::detached);
+    asio::co_spawn(context, m_journal.writeBreaks(), asio::detached);
+    asio::co_spawn(context, m_siblings.send(), asio::detached);
+    asio::co_spawn(context, m_siblings.receive(), asio::detached);
+    asio::co_spawn(context, m_roller.run(), asio::detached);
+    asio::co_spawn(context, countInstances(), asio::detached);
+}
+
+void GatewayDaemon::connectNews()
+{
+    m_gateway.onBreak = [this](std::uint64_t digest) { m_journal.noteBreak(digest); };
+    m_gateway.onPartsRead = [this](const Upstream &engine, std::span<const PromptPart> parts) {
+        m_siblings.tellParts(engine, parts);
+    };
+    m_gateway.onWeightsSeen = m_roller.onWeights = [this](const auto &engine, const auto &model,
+                                                          std::uint64_t version) {
+        m_siblings.tellWeights(engine, model, version);
+    };
+    m_roller.onHold = [this](const Upstream &engine, std::chrono::milliseconds time) {
+        m_siblings.tellHold(engine, time);
+    };
+}
+
+asio::awaitable<void> GatewayDaemon::countInstances()
+{
+    for (;;) {
+        m_gateway.setInstances(static_cast<unsigned>(m_journal.members().size()));
+        co_await sleepFor(CountPause);
+    }
 }
 
 void GatewayDaemon::applyConfiguration()
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -2,8 +2,11 @@
 
 #include <LibCore/IoThreads.h>
 #include <LibGateway/EngineControl.h>
+#include <LibGateway/FleetJournal.h>
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/Gateway.h>
+#include <LibGateway/SiblingExchange.h>
+#include <LibGateway/WeightRoller.h>
 #include <LibHttp/Server.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -41,6 +44,9 @@
 private:
     void startLoops();
     void applyConfiguration();
+    void connectNews();
+    /// Keeps the number of instances that share budgets up to date.
+    boost::asio::awaitable<void> countInstances();
     boost::asio::awaitable<void> answerOperator(Http::ServerExchange &exchange);
     boost::asio::awaitable<void> awaitSignals();
     boost::asio::awaitable<void> drain();
@@ -54,6 +60,9 @@
     UpstreamFleet m_fleet;
     Gateway m_gateway;
     FleetWatcher m_watcher;
+    FleetJournal m_journal;
+    SiblingExchange m_siblings;
+    WeightRoller m_roller;
     std::unique_ptr<Http::Server> m_callers;
     std::unique_ptr<Http::Server> m_readiness;
     bool m_wasReady = false;
--- /dev/null
+++ b/Libraries/LibGateway/OrderLease.cpp
@@ -0,0 +1,56 @@
+#include <LibGateway/OrderLease.h>
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+// For the way of an order that was sent at the lease's end.
+constexpr std::chrono::milliseconds TurnMargin {500};
+
+} // namespace
+
+OrderLease::OrderLease(Core::InstanceId self, std::chrono::milliseconds turnDistance)
+    : m_self(std::move(self))
+    , m_turnDistance(turnDistance)
+{ }
+
+void OrderLease::noteRecord(std::uint64_t offset, const Core::InstanceId &holder,
+                            Core::Clock::Monotonic now)
+{
+    if (m_lastSeen != Core::Clock::Monotonic::min() && offset <= m_lastOffset)
+        return;
+    m_lastOffset = offset;
+    m_lastHolder = holder;
+    m_lastSeen = now;
+    if (holder != m_self)
+        m_ownOffset.reset();
+}
+
+bool OrderLease::mayTake(Core::Clock::Monotonic now) const
+{
+    if (m_lastSeen == Core::Clock::Monotonic::min() || m_lastHolder == m_self)
+        return true;
+    return now - m_lastSeen >= Duration + m_turnDistance + TurnMargin;
+}
+
+void OrderLease::noteTaken(std::uint64_t offset, Core::Clock::Monotonic asked)
+{
+    noteRecord(offset, m_self, asked);
+    if (m_lastHolder != m_self)
+        return;
+    m_ownOffset = offset;
+    m_ownEnd = asked + Duration;
+}
+
+std::optional<std::uint64_t> OrderLease::token(Core::Clock::Monotonic now,
+                                               std::chrono::milliseconds margin) const
+{
+    if (!m_ownOffset || now + margin >= m_ownEnd)
+        return std::nullopt;
+    // Tokens begin with 1, as some upstreams take 0 for none.
+    return *m_ownOffset + 1;
+}
+
+} // namespace Gateway
--- a/Libraries/LibGateway/PrefixMemory.cpp
+++ b/Libraries/LibGateway/PrefixMemory.cpp
@@ -13,7 +13,7 @@
     return kept;
 }
 
-void PrefixMemory::noteUse(std::span<const PromptPart> parts, std::uint64_t capacityTokens)
+void PrefixMemory::noteUse(std::span<const PromptPart> parts)
 {
     // The last parts are touched first, so that a part never outlives one that it builds on.
     for (auto it = parts.rbegin(); it != parts.rend(); ++it) {
@@ -26,7 +26,7 @@
         m_parts[it->chain] = std::prev(m_order.end());
         m_tokens += it->tokens;
     }
-    while (m_tokens > capacityTokens && !m_order.empty()) {
+    while (m_tokens > m_capacity && !m_order.empty()) {
         m_tokens -= m_order.front().tokens;
         m_parts.erase(m_order.front().chain);
         m_order.pop_front();
--- a/Libraries/LibGateway/PrefixMemory.h
+++ b/Libraries/LibGateway/PrefixMemory.h
@@ -22,7 +22,9 @@
     /// Tokens of the prompt's leading parts that the engine is believed to keep.
     unsigned keptTokens(std::span<const PromptPart> parts) const;
     /// Notes that the engine read or used these parts, and drops the oldest beyond the capacity.
-    void noteUse(std::span<const PromptPart> parts, std::uint64_t capacityTokens);
+    void noteUse(std::span<const PromptPart> parts);
+    /// Sets how many tokens the engine keeps at most.
+    void setCapacity(std::uint64_t tokens) { m_capacity = tokens; }
     /// Forgets everything, as after a restart or new weights.
     void clear();
     std::uint64_t tokens() const { return m_tokens; }
@@ -32,6 +34,7 @@
 
     Order m_order;
     std::unordered_map<std::uint64_t, Order::iterator> m_parts;
+    std::uint64_t m_capacity = 0;
     std::uint64_t m_tokens = 0;
 };
 
--- a/Libraries/LibGateway/RequestDialect.h
+++ b/Libraries/LibGateway/RequestDialect.h
@@ -50,6 +50,10 @@
     std::string resumeAfter;
     /// The weights that the upstream must have to run the request.
     std::optional<std::uint64_t> weights;
+    /// Another engine or store to fetch cached parts from.
+    std::optional<Http::Endpoint> fetchFrom;
+    /// A store to save the prompt's parts to.
+    std::optional<Http::Endpoint> saveTo;
 };
 
 /// What the head of an upstream's answer says.
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -38,6 +38,8 @@
 // Connections beyond an equal share that may still be starting or closing.
 constexpr unsigned SpareInstances = 1;
 constexpr int MostUrgency = 9;
+constexpr double BytesPerMegabit = 125'000;
+constexpr double MillisecondsPerSecond = 1'000;
 // Shorter times to the first token say little about an engine's speed.
 constexpr EngineModel::Milliseconds LeastJudgedTime {20};
 
@@ -276,6 +278,10 @@
     demand.weightsPatience =
         duration_cast<milliseconds>(WeightsPatienceShare * parts.settings.weightsBound);
     demand.slots = service.engine->slots;
+    if (service.engine->bytesPerToken > 0)
+        demand.fetchTokensPerMillisecond = service.engine->linkMegabitsPerSecond * BytesPerMegabit
+                                           / MillisecondsPerSecond
+                                           / static_cast<double>(service.engine->bytesPerToken);
     m_engine = chooseEngine(parts.fleet.members(m_service), m_gateway.engineModel(m_service),
                             demand, limits);
     if (!m_engine)
@@ -351,13 +357,13 @@
         std::uint64_t total = 0;
         for (const auto &part : m_parts)
             total += part.tokens;
-        missed = total - std::min<std::uint64_t>(total, m_engine->keptTokens);
+        missed = total - std::min<std::uint64_t>(total, m_engine->readyTokens);
         m_gateway.metrics().promptTokens.add(total, labels());
         m_gateway.metrics().keptTokens.add(total - missed, labels());
         m_gateway.metrics().expectedFirst.observe(
             duration_cast<std::chrono::nanoseconds>(m_engine->expectedFirst), labels());
         const auto &engine = *m_configuration->findService(m_service)->engine;
-        m_upstream->memory().noteUse(m_parts, engine.cacheTokens);
+        m_upstream->memory().setCapacity(engine.cacheTokens);
     }
     Load load(m_upstream, missed, m_gateway.parts().clock.now());
     const auto end = co_await exchangeWith(load);
@@ -378,6 +384,16 @@
     dispatch.tenant = m_tenant ? m_tenant->name : "";
     dispatch.cacheScope = cacheScope();
     dispatch.urgency = urgency();
+    if (m_engine) {
+        // Parts are only found under the scope's name, so that memory made by other weights is out
+        // of reach wherever it lies; the upstream refuses the request if it has other weights.
+        const auto weights = m_upstream->weights(m_request.model);
+        dispatch.weights = weights;
+        dispatch.cacheScope += ".weights-" + text(weights);
+        if (m_engine->source && !m_engine->source->isGone()
+            && m_engine->source->weights(m_request.model) == weights)
+            dispatch.fetchFrom = m_engine->source->report().endpoint;
+    }
     dispatch.resumeAfter = m_events.lastId().empty() ? m_request.resumeAfter : m_events.lastId();
     return Http::Request(request.method, request.target,
                          m_gateway.parts().dialect.upstreamHeaders(request, dispatch),
@@ -462,8 +478,11 @@
                        std::to_string(answer.status()));
             co_return AttemptEnd::NotRun;
         }
-        if (head.weights)
+        if (head.weights && *head.weights > m_upstream->weights(m_request.model)) {
             m_upstream->noteWeights(m_request.model, *head.weights);
+            if (m_gateway.onWeightsSeen)
+                m_gateway.onWeightsSeen(*m_upstream, m_request.model, *head.weights);
+        }
         auto headers = Http::withoutConnectionFields(answer.headers());
         const bool isSuccess = answer.status() < 300;
         if (!head.isSealed)
@@ -531,6 +550,9 @@
         m_gateway.metrics().firstByte.observe(now - m_arrival, labels());
     if (!m_engine)
         return;
+    m_upstream->noteKept(m_parts);
+    if (m_gateway.onPartsRead)
+        m_gateway.onPartsRead(*m_upstream, m_parts);
     const EngineModel::Milliseconds taken = now - load.sent();
     if (load.isAlone())
         m_gateway.engineModel(m_service).learn(static_cast<unsigned>(load.tokens()), taken);
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -45,6 +45,8 @@
     void noteSlowness(double sample);
 
     PrefixMemory &memory() { return m_memory; }
+    /// Notes that it read or used a prompt's parts.
+    void noteKept(std::span<const PromptPart> parts) { m_memory.noteUse(parts); }
     const PrefixMemory &memory() const { return m_memory; }
 
     /// The version of the model's weights that it was last seen to have; 0 when unknown.
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -21,6 +21,9 @@
 // The home engine is taken to keep this share of a session's parts, as others may have sent them.
 constexpr double HomeCredit = 0.5;
 constexpr double FailureWeight = 20;
+// A fetch costs a call to the source; fewer tokens are read sooner.
+constexpr unsigned LeastFetchTokens = 128;
+constexpr double MostSourceFailures = 0.3;
 
 bool hasOldWeights(const Upstream &upstream, const EngineDemand &demand)
 {
@@ -42,20 +45,72 @@
     return home;
 }
 
-Milliseconds cost(const Upstream &upstream, const EngineChoice &choice, const EngineModel &model,
-                  const EngineDemand &demand, const ChoiceLimits &limits, bool isHome)
+/// The engine that keeps the most of the prompt among those with the same weights.
+struct Holder
 {
-    const double missed = demand.promptTokens - choice.keptTokens;
+    std::shared_ptr<Upstream> engine;
+    unsigned tokens = 0;
+};
+
+/// The best holder for each version of the weights.
+std::map<std::uint64_t, Holder> findHolders(const UpstreamFleet::Members &members,
+                                            const EngineDemand &demand, const ChoiceLimits &limits)
+{
+    std::map<std::uint64_t, Holder> holders;
+    for (const auto &member : members) {
+        // A source that fails costs a fetch some hundred milliseconds.
+        if (member->isGone() || member->failureShare(limits.now) > MostSourceFailures)
+            continue;
+        auto &holder = holders[member->weights(demand.model)];
+        const auto tokens = member->memory().keptTokens(demand.parts);
+        const bool isBetter =
+            tokens > holder.tokens
+            || (tokens == holder.tokens && holder.engine && tokens > 0
+                && member->inFlight() < holder.engine->inFlight());
+        if (isBetter)
+            holder = {member, tokens};
+    }
+    return holders;
+}
+
+EngineChoice expectedAt(const std::shared_ptr<Upstream> &engine, const EngineModel &model,
+                        const EngineDemand &demand, const Holder &holder)
+{
+    EngineChoice choice;
+    choice.upstream = engine;
+    choice.keptTokens =
+        std::min(engine->memory().keptTokens(demand.parts), demand.promptTokens);
+    choice.readyTokens = choice.keptTokens;
+    Milliseconds fetch {0};
+    const auto most = std::min(holder.tokens, demand.promptTokens);
+    if (demand.fetchTokensPerMillisecond > 0 && holder.engine && holder.engine != engine
+        && most > choice.keptTokens + LeastFetchTokens) {
+        choice.source = holder.engine;
+        choice.readyTokens = most;
+        fetch = Milliseconds((most - choice.keptTokens) / demand.fetchTokensPerMillisecond);
+    }
+    const auto tokens = engine->waitingTokens() + engine->othersWaitingTokens()
+                        + demand.promptTokens - choice.readyTokens;
+    choice.expectedFirst = engine->slowness() * model.firstToken(tokens) + fetch;
+    return choice;
+}
+
+Milliseconds cost(const EngineChoice &choice, const EngineModel &model, const EngineDemand &demand,
+                  const ChoiceLimits &limits, bool isHome)
+{
+    const auto &upstream = *choice.upstream;
     const double rate = model.tokensPerMillisecond();
-    auto sum = choice.expectedFirst + SharedCost * upstream.slowness() * Milliseconds(missed / rate);
+    auto sum = choice.expectedFirst
+               + SharedCost * upstream.slowness()
+                     * Milliseconds((demand.promptTokens - choice.readyTokens) / rate);
     sum += upstream.failureShare(limits.now) * FailureCost;
     const auto running = upstream.inFlight() + upstream.othersInFlight();
     if (running >= demand.slots)
         sum += (running - demand.slots + 1.0) * FullSlotCost;
     if (hasOldWeights(upstream, demand) && limits.now - demand.weights->learnt > OldWeightsGrace)
         sum += OldWeightsCost;
-    if (isHome && choice.keptTokens < demand.sharedTokens)
-        sum -= HomeCredit * Milliseconds((demand.sharedTokens - choice.keptTokens) / rate);
+    if (isHome && choice.readyTokens < demand.sharedTokens)
+        sum -= HomeCredit * Milliseconds((demand.sharedTokens - choice.readyTokens) / rate);
     return sum;
 }
 
@@ -80,18 +135,15 @@
             candidates.push_back(member);
     }
     const auto *home = homeOf(candidates, demand.homeKey);
+    auto holders = findHolders(members, demand, limits);
     std::optional<EngineChoice> best;
     Milliseconds bestCost {0};
     for (const auto &candidate : candidates) {
-        EngineChoice choice {candidate, candidate->memory().keptTokens(demand.parts), {}};
-        choice.keptTokens = std::min(choice.keptTokens, demand.promptTokens);
-        const auto tokens = candidate->waitingTokens() + candidate->othersWaitingTokens()
-                            + demand.promptTokens - choice.keptTokens;
-        choice.expectedFirst = candidate->slowness() * model.firstToken(tokens);
-        const auto sum =
-            cost(*candidate, choice, model, demand, limits, candidate.get() == home);
+        const auto &holder = holders[candidate->weights(demand.model)];
+        auto choice = expectedAt(candidate, model, demand, holder);
+        const auto sum = cost(choice, model, demand, limits, candidate.get() == home);
         if (!best || sum < bestCost) {
-            best = choice;
+            best = std::move(choice);
             bestCost = sum;
         }
     }
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -36,13 +36,20 @@
     /// From this age of a target on, engines with older weights are passed over.
     std::chrono::milliseconds weightsPatience {0};
     unsigned slots = 1;
+    /// How fast engines pass cached parts to each other; zero when they cannot.
+    double fetchTokensPerMillisecond = 0;
 };
 
 /// An engine and what is expected of it.
 struct EngineChoice
 {
     std::shared_ptr<Upstream> upstream;
+    /// Leading tokens of the prompt that it is believed to keep.
     unsigned keptTokens = 0;
+    /// Another engine with the same weights that keeps more; null when fetching does not pay.
+    std::shared_ptr<Upstream> source;
+    /// Leading tokens that need no reading, with what is fetched.
+    unsigned readyTokens = 0;
     EngineModel::Milliseconds expectedFirst {0};
 };
 
--- /dev/null
+++ b/Libraries/LibGateway/WeightRoller.cpp
@@ -0,0 +1,228 @@
+#include <LibCore/EventLog.h>
+#include <LibCore/Hash.h>
+#include <LibGateway/FleetWatcher.h>
+#include <LibGateway/WeightRoller.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto IdlePause = 30ms;
+constexpr auto StatePause = 60ms;
+// A lease is renewed while this much of it is left, and no order goes out in its last part.
+constexpr auto RenewMargin = 700ms;
+constexpr auto OrderMargin = 300ms;
+// Instances try for a free lease one after the other, so that most calls are not in vain.
+constexpr auto TurnStep = 60ms;
+// An engine that carries out an order refuses requests; what was sent before the order goes first.
+constexpr auto HoldTime = 2'500ms;
+constexpr auto MostOrderTime = 3'000ms;
+constexpr auto ConflictPause = 250ms;
+constexpr auto FailurePause = 1'000ms;
+// The part of the engines that take weights at the same time. More would leave too few to serve.
+constexpr std::size_t RollingPart = 3;
+
+} // namespace
+
+WeightRoller::WeightRoller(Parts parts)
+    : m_parts(std::move(parts))
+{ }
+
+std::vector<WeightRoller::Task> WeightRoller::tasks() const
+{
+    std::vector<Task> result;
+    const auto now = m_parts.clock.now();
+    for (const auto &[model, target] : m_parts.targets.all()) {
+        for (const auto &[id, engine] : m_parts.fleet.all()) {
+            const auto known = engine->weights(model);
+            if (known == 0 || known >= target.version || engine->report().isDraining
+                || m_isRolling.contains(id))
+                continue;
+            const auto it = m_notBefore.find(id);
+            if (it == m_notBefore.end() || it->second <= now)
+                result.push_back({engine, model, target.version, target.learnt});
+        }
+    }
+    // Engines with little to finish are ready soonest.
+    std::sort(result.begin(), result.end(), [](const Task &left, const Task &right) {
+        const auto work = [](const Task &task) {
+            return task.engine->waitingTokens() + task.engine->othersWaitingTokens();
+        };
+        return work(left) < work(right);
+    });
+    return result;
+}
+
+asio::awaitable<void> WeightRoller::run()
+{
+    for (;;) {
+        co_await sleepFor(IdlePause);
+        auto open = tasks();
+        if (open.empty() && m_running == 0)
+            continue;
+        const auto named = open.empty() ? m_parts.clock.now() : open.front().named;
+        const bool isHolder = co_await ensureLease(named);
+        if (!isHolder)
+            continue;
+        std::size_t engines = 0;
+        for (const auto &[id, engine] : m_parts.fleet.all())
+            engines += engine->report().weights.empty() ? 0 : 1;
+        const auto most = std::max<std::size_t>(1, engines / RollingPart);
+        for (auto &task : open) {
+            if (m_running >= most)
+                break;
+            ++m_running;
+            m_isRolling[task.engine->report().id] = true;
+            asio::co_spawn(co_await asio::this_coro::executor, roll(std::move(task)),
+                           asio::detached);
+        }
+    }
+}
+
+bool WeightRoller::isTurn(Core::Clock::Monotonic named) const
+{
+    const auto rank = [&](const Core::InstanceId &instance) {
+        return Core::hash64(instance.value());
+    };
+    const auto own = rank(m_parts.self);
+    std::size_t before = 0;
+    for (const auto &[instance, member] : m_parts.journal.members())
+        before += rank(instance) < own ? 1 : 0;
+    return m_parts.clock.now() >= named + before * TurnStep;
+}
+
+asio::awaitable<bool> WeightRoller::ensureLease(Core::Clock::Monotonic named)
+{
+    const auto now = m_parts.clock.now();
+    const auto &lease = m_parts.journal.lease();
+    if (lease.token(now, RenewMargin))
+        co_return true;
+    const bool isOwn = lease.lastHolder() == m_parts.self;
+    if (!lease.mayTake(now) || (!isOwn && !isTurn(named)))
+        co_return false;
+    co_return co_await m_parts.journal.takeLease();
+}
+
+asio::awaitable<void> WeightRoller::roll(Task task)
+{
+    std::string failure;
+    try {
+        const bool isOrdered = co_await giveOrder(task);
+        if (isOrdered)
+            co_await awaitWeights(task);
+    } catch (const Core::Error &error) {
+        failure = error.what();
+    }
+    const auto &id = task.engine->report().id;
+    if (!failure.empty()) {
+        Core::logEvent(Core::EventId::OrderUnanswered,
+                       {{"upstream", id.value()}, {"reason", failure}});
+        m_parts.metrics.orders.add(1, {}, "unanswered");
+        backOff(task, FailurePause);
+    }
+    task.engine->holdUntil(Core::Clock::Monotonic::min());
+    if (onHold)
+        onHold(*task.engine, 0ms);
+    m_isRolling.erase(id);
+    --m_running;
+}
+
+asio::awaitable<EngineState> WeightRoller::stateOf(const Task &task)
+{
+    auto state = co_await m_parts.engines.state(task.engine->report());
+    noteWeights(task, state);
+    co_return state;
+}
+
+void WeightRoller::noteWeights(const Task &task, const EngineState &state)
+{
+    for (const auto &[model, version] : state.weights) {
+        const auto before = task.engine->weights(model);
+        task.engine->noteWeights(model, version);
+        if (version > before && onWeights)
+            onWeights(*task.engine, model, version);
+    }
+}
+
+asio::awaitable<bool> WeightRoller::giveOrder(const Task &task)
+{
+    const auto &id = task.engine->report().id;
+    const auto state = co_await stateOf(task);
+    if (task.engine->weights(task.model) >= task.version)
+        co_return false;
+    if (state.isBusy) {
+        backOff(task, ConflictPause);
+        co_return false;
+    }
+    task.engine->holdUntil(m_parts.clock.now() + HoldTime);
+    if (onHold)
+        onHold(*task.engine, HoldTime);
+    const auto token = m_parts.journal.lease().token(m_parts.clock.now(), OrderMargin);
+    if (!token)
+        co_return false;
+    WeightsOrder order;
+    order.model = task.model;
+    order.version = task.version;
+    order.holder = m_parts.self.value();
+    order.fencingToken = *token;
+    order.expectedOrders = std::max(state.ordersAccepted, m_accepted[id]);
+    const auto outcome = co_await m_parts.engines.order(task.engine->report(), order);
+    Core::logEvent(Core::EventId::OrderSent,
+                   {{"upstream", id.value()},
+                    {"model", task.model},
+                    {"version", std::to_string(task.version)},
+                    {"token", std::to_string(*token)},
+                    {"outcome", std::to_string(static_cast<int>(outcome))}});
+    if (outcome == OrderOutcome::Accepted) {
+        m_parts.metrics.orders.add(1, {}, "accepted");
+        m_accepted[id] = order.expectedOrders + 1;
+        co_return true;
+    }
+    m_parts.metrics.orders.add(1, {}, "refused");
+    // Another life of the engine counts anew, and its own word is as good as ours then.
+    m_accepted.erase(id);
+    if (outcome == OrderOutcome::AlreadyHolds) {
+        EngineState holds;
+        holds.weights[task.model] = task.version;
+        noteWeights(task, holds);
+    }
+    backOff(task, ConflictPause);
+    co_return false;
+}
+
+asio::awaitable<void> WeightRoller::awaitWeights(const Task &task)
+{
+    const auto begin = m_parts.clock.now();
+    while (m_parts.clock.now() - begin < MostOrderTime) {
+        co_await sleepFor(StatePause);
+        if (task.engine->isGone())
+            co_return;
+        co_await stateOf(task);
+        if (task.engine->weights(task.model) < task.version)
+            continue;
+        const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_parts.clock.now() - begin);
+        Core::logEvent(Core::EventId::WeightsInPlace,
+                       {{"upstream", task.engine->report().id.value()},
+                        {"version", std::to_string(task.version)},
+                        {"took_ms", std::to_string(taken.count())}});
+        co_return;
+    }
+    backOff(task, ConflictPause);
+}
+
+void WeightRoller::backOff(const Task &task, std::chrono::milliseconds time)
+{
+    m_notBefore[task.engine->report().id] = m_parts.clock.now() + time;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/WeightRoller.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <LibGateway/EngineControl.h>
+#include <LibGateway/FleetJournal.h>
+#include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/UpstreamFleet.h>
+#include <LibGateway/WeightsTargets.h>
+
+#include <functional>
+#include <map>
+
+namespace Gateway {
+
+/// Brings engines to the weights that operators named, some at a time, while this instance holds
+/// the lease for orders.
+class WeightRoller
+{
+public:
+    struct Parts
+    {
+        FleetJournal &journal;
+        EngineControl &engines;
+        UpstreamFleet &fleet;
+        WeightsTargets &targets;
+        const Core::Clock &clock;
+        GatewayMetrics &metrics;
+        Core::InstanceId self;
+    };
+
+    explicit WeightRoller(Parts parts);
+
+    /// Works until the process ends.
+    boost::asio::awaitable<void> run();
+
+    /// Called when an engine is to begin nothing for a while, so that siblings hear of it.
+    std::function<void(const Upstream &, std::chrono::milliseconds)> onHold;
+    /// Called when an engine was seen to have weights.
+    std::function<void(const Upstream &, const std::string &model, std::uint64_t version)> onWeights;
+
+private:
+    /// One engine that has older weights than were named.
+    struct Task
+    {
+        std::shared_ptr<Upstream> engine;
+        std::string model;
+        std::uint64_t version = 0;
+        Core::Clock::Monotonic named;
+    };
+
+    std::vector<Task> tasks() const;
+    bool isTurn(Core::Clock::Monotonic named) const;
+    boost::asio::awaitable<bool> ensureLease(Core::Clock::Monotonic named);
+    boost::asio::awaitable<void> roll(Task task);
+    boost::asio::awaitable<bool> giveOrder(const Task &task);
+    boost::asio::awaitable<void> awaitWeights(const Task &task);
+    boost::asio::awaitable<EngineState> stateOf(const Task &task);
+    void noteWeights(const Task &task, const EngineState &state);
+    void backOff(const Task &task, std::chrono::milliseconds time);
+
+    Parts m_parts;
+    std::map<Core::UpstreamId, Core::Clock::Monotonic> m_notBefore;
+    /// Orders that engines are known to have accepted, where their own word may be older.
+    std::map<Core::UpstreamId, std::uint64_t> m_accepted;
+    std::size_t m_running = 0;
+    std::map<Core::UpstreamId, bool> m_isRolling;
+};
+
+} // namespace Gateway
