LibGateway: Order the longest outdated engines first

An engine that got version 3 while version 4 was named kept being passed over, and requests began on weights older than the bound allows.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -34,7 +34,7 @@
 // Younger knowledge than this part of the configuration's bound is taken to be complete.
 constexpr double CompleteKnowledgeShare = 0.75;
 // An engine with older weights is passed over from this part of the weights' bound on.
-constexpr double WeightsPatienceShare = 0.75;
+constexpr double WeightsPatienceShare = 0.65;
 // Connections beyond an equal share that may still be starting or closing.
 constexpr unsigned SpareInstances = 1;
 constexpr int MostUrgency = 9;
@@ -273,8 +273,7 @@
             demand.sharedTokens += m_parts[n].tokens;
     }
     demand.model = m_request.model;
-    if (const auto *target = parts.weights.find(m_request.model))
-        demand.weights = *target;
+    demand.targets = &parts.weights;
     demand.weightsPatience =
         duration_cast<milliseconds>(WeightsPatienceShare * parts.settings.weightsBound);
     demand.slots = service.engine->slots;
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -25,9 +25,14 @@
 constexpr unsigned LeastFetchTokens = 128;
 constexpr double MostSourceFailures = 0.3;
 
-bool hasOldWeights(const Upstream &upstream, const EngineDemand &demand)
+/// Whether the upstream's weights have been outdated for longer than the given time.
+bool isOutdated(const Upstream &upstream, const EngineDemand &demand,
+                std::chrono::milliseconds time, Core::Clock::Monotonic now)
 {
-    return demand.weights && upstream.weights(demand.model) < demand.weights->version;
+    if (!demand.targets)
+        return false;
+    const auto since = demand.targets->outdatedSince(demand.model, upstream.weights(demand.model));
+    return since && now - *since > time;
 }
 
 /// The member that rendezvous hashing gives a session.
@@ -107,7 +112,7 @@
     const auto running = upstream.inFlight() + upstream.othersInFlight();
     if (running >= demand.slots)
         sum += (running - demand.slots + 1.0) * FullSlotCost;
-    if (hasOldWeights(upstream, demand) && limits.now - demand.weights->learnt > OldWeightsGrace)
+    if (isOutdated(upstream, demand, OldWeightsGrace, limits.now))
         sum += OldWeightsCost;
     if (isHome && choice.readyTokens < demand.sharedTokens)
         sum -= HomeCredit * Milliseconds((demand.sharedTokens - choice.readyTokens) / rate);
@@ -127,11 +132,10 @@
                                          const EngineModel &model, const EngineDemand &demand,
                                          const ChoiceLimits &limits)
 {
-    const bool isPatienceOver =
-        demand.weights && limits.now - demand.weights->learnt > demand.weightsPatience;
     std::vector<std::shared_ptr<Upstream>> candidates;
     for (const auto &member : members) {
-        if (takesRequests(*member, limits) && !(isPatienceOver && hasOldWeights(*member, demand)))
+        if (takesRequests(*member, limits)
+            && !isOutdated(*member, demand, demand.weightsPatience, limits.now))
             candidates.push_back(member);
     }
     const auto *home = homeOf(candidates, demand.homeKey);
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -31,9 +31,9 @@
     std::uint64_t homeKey = 0;
     unsigned sharedTokens = 0;
     std::string model;
-    /// The weights named for the model, if any were.
-    std::optional<WeightsTargets::Target> weights;
-    /// From this age of a target on, engines with older weights are passed over.
+    /// The weights that were named; null when none matter.
+    const WeightsTargets *targets = nullptr;
+    /// Engines whose weights have been outdated for longer are passed over.
     std::chrono::milliseconds weightsPatience {0};
     unsigned slots = 1;
     /// How fast engines pass cached parts to each other; zero when they cannot.
--- a/Libraries/LibGateway/WeightRoller.cpp
+++ b/Libraries/LibGateway/WeightRoller.cpp
@@ -29,7 +29,7 @@
 constexpr auto ConflictPause = 250ms;
 constexpr auto FailurePause = 1'000ms;
 // The part of the engines that take weights at the same time. More would leave too few to serve.
-constexpr std::size_t RollingPart = 3;
+constexpr std::size_t RollingPart = 2;
 
 } // namespace
 
@@ -41,7 +41,7 @@
 {
     std::vector<Task> result;
     const auto now = m_parts.clock.now();
-    for (const auto &[model, target] : m_parts.targets.all()) {
+    for (const auto &[model, target] : m_parts.targets.newest()) {
         for (const auto &[id, engine] : m_parts.fleet.all()) {
             const auto known = engine->weights(model);
             if (known == 0 || known >= target.version || engine->report().isDraining
@@ -49,15 +49,16 @@
                 continue;
             const auto it = m_notBefore.find(id);
             if (it == m_notBefore.end() || it->second <= now)
-                result.push_back({engine, model, target.version, target.learnt});
+                result.push_back({engine, model, target.version,
+                                  m_parts.targets.outdatedSince(model, known).value_or(now)});
         }
     }
-    // Engines with little to finish are ready soonest.
+    // The longest outdated first; of those, engines with little to finish are ready soonest.
     std::sort(result.begin(), result.end(), [](const Task &left, const Task &right) {
         const auto work = [](const Task &task) {
-            return task.engine->waitingTokens() + task.engine->othersWaitingTokens();
+            return task.engine->inFlight() + task.engine->othersInFlight();
         };
-        return work(left) < work(right);
+        return std::pair(left.since, work(left)) < std::pair(right.since, work(right));
     });
     return result;
 }
@@ -69,7 +70,7 @@
         auto open = tasks();
         if (open.empty() && m_running == 0)
             continue;
-        const auto named = open.empty() ? m_parts.clock.now() : open.front().named;
+        const auto named = open.empty() ? m_parts.clock.now() : open.front().since;
         const bool isHolder = co_await ensureLease(named);
         if (!isHolder)
             continue;
--- a/Libraries/LibGateway/WeightRoller.h
+++ b/Libraries/LibGateway/WeightRoller.h
@@ -44,7 +44,8 @@
         std::shared_ptr<Upstream> engine;
         std::string model;
         std::uint64_t version = 0;
-        Core::Clock::Monotonic named;
+        /// Since when the engine's weights are outdated.
+        Core::Clock::Monotonic since;
     };
 
     std::vector<Task> tasks() const;
--- a/Libraries/LibGateway/WeightsTargets.cpp
+++ b/Libraries/LibGateway/WeightsTargets.cpp
@@ -1,21 +1,47 @@
 #include <LibGateway/WeightsTargets.h>
 
+#include <algorithm>
+
 namespace Gateway {
 
+namespace {
+
+// Older ones are outdated for so long that nothing runs on them any more.
+constexpr std::size_t KeptTargets = 64;
+
+} // namespace
+
 bool WeightsTargets::name(const std::string &model, std::uint64_t version,
                           Core::Clock::Monotonic now)
 {
-    auto &target = m_targets[model];
-    if (version <= target.version)
+    auto &targets = m_targets[model];
+    if (!targets.empty() && version <= targets.back().version)
         return false;
-    target = {version, now};
+    targets.push_back({version, now});
+    if (targets.size() > KeptTargets)
+        targets.erase(targets.begin());
     return true;
 }
 
-const WeightsTargets::Target *WeightsTargets::find(const std::string &model) const
+std::map<std::string, WeightsTargets::Target> WeightsTargets::newest() const
+{
+    std::map<std::string, Target> result;
+    for (const auto &[model, targets] : m_targets)
+        result[model] = targets.back();
+    return result;
+}
+
+std::optional<Core::Clock::Monotonic> WeightsTargets::outdatedSince(const std::string &model,
+                                                                    std::uint64_t version) const
 {
     const auto it = m_targets.find(model);
-    return it == m_targets.end() ? nullptr : &it->second;
+    if (it == m_targets.end())
+        return std::nullopt;
+    const auto newer = std::find_if(it->second.begin(), it->second.end(),
+                                    [version](const Target &t) { return t.version > version; });
+    if (newer == it->second.end())
+        return std::nullopt;
+    return newer->learnt;
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/WeightsTargets.h
+++ b/Libraries/LibGateway/WeightsTargets.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace Gateway {
 
@@ -20,12 +22,15 @@
 
     /// Takes a higher version. Returns whether it was one.
     bool name(const std::string &model, std::uint64_t version, Core::Clock::Monotonic now);
-    /// The newest target; null when none was named.
-    const Target *find(const std::string &model) const;
-    const std::map<std::string, Target> &all() const { return m_targets; }
+    /// The newest target of each model that one was named for.
+    std::map<std::string, Target> newest() const;
+    /// Since when weights of this version are known to be outdated; none while they are the newest.
+    std::optional<Core::Clock::Monotonic> outdatedSince(const std::string &model,
+                                                        std::uint64_t version) const;
 
 private:
-    std::map<std::string, Target> m_targets;
+    /// In rising order of version.
+    std::map<std::string, std::vector<Target>> m_targets;
 };
 
 } // namespace Gateway
