LibHttp: Watch on for a caller's close after a stale readiness

A wait for readability can end at once because of bytes that were read before. Ruled out: a close lost on the way; no event 202 was logged for the request at all.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -96,8 +96,14 @@
                 char byte = 0;
                 const auto n = ::recv(self->m_stream.socket().native_handle(), &byte, 1,
                                       MSG_PEEK | MSG_DONTWAIT);
-                if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
-                    self->noteCallerGone();
+                if (n > 0)
+                    return;
+                if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                    // The readiness of bytes that were read before; the close is still to come.
+                    self->watchForClose();
+                    return;
+                }
+                self->noteCallerGone();
             });
     }
 
