LibGateway: Keep the upstream of the last attempt when no other is found

A repeat that found no free upstream, or whose route had been dropped, was told through pointers that were null by then. An abort of a finished call could also close a later call's connection.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -173,6 +173,21 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> RequestRelay::authorizeAgain()
+{
+    const auto configuration = m_configuration;
+    const auto *route = m_route;
+    const auto *tenant = m_tenant;
+    auto denied = authorize();
+    if (denied) {
+        // What becomes of the request is still told by the route that it was sent on.
+        m_configuration = configuration;
+        m_route = route;
+        m_tenant = tenant;
+    }
+    return denied;
+}
+
 void RequestRelay::startTimers()
 {
     const auto guard = std::weak_ptr(m_isAlive);
@@ -219,10 +234,12 @@
             co_return;
         }
         // A queued or repeated request is judged by the configuration in force when it is sent.
-        if (const auto denied = authorize(); denied && !m_mayHaveRun) {
+        const auto denied = authorizeAgain();
+        if (denied && !m_mayHaveRun) {
             co_await refuse(*denied);
             co_return;
-        } else if (denied) {
+        }
+        if (denied) {
             co_await finish(end);
             co_return;
         }
@@ -251,10 +268,11 @@
     m_engine.reset();
     if (service->engine && !m_request.model.empty())
         return chooseAmongEngines(*service, std::move(limits));
-    m_upstream = chooseService(parts.fleet.members(m_service), limits, m_gateway.random());
-    if (!m_upstream)
+    auto chosen = chooseService(parts.fleet.members(m_service), limits, m_gateway.random());
+    if (!chosen)
         return Refusal {Core::ErrorKind::NoUpstream, "no upstream of " + m_service + " is free",
                         ShortRetryAfter};
+    m_upstream = std::move(chosen);
     return std::nullopt;
 }
 
@@ -281,25 +299,28 @@
         demand.fetchTokensPerMillisecond = service.engine->linkMegabitsPerSecond * BytesPerMegabit
                                            / MillisecondsPerSecond
                                            / static_cast<double>(service.engine->bytesPerToken);
-    m_engine = chooseEngine(parts.fleet.members(m_service), m_gateway.engineModel(m_service),
-                            demand, limits);
-    if (!m_engine)
+    auto chosen = chooseEngine(parts.fleet.members(m_service), m_gateway.engineModel(m_service),
+                               demand, limits);
+    if (!chosen)
         return Refusal {Core::ErrorKind::NoUpstream, "no engine of " + m_service + " is free",
                         ShortRetryAfter};
+    if (auto refusal = refuseSlowEngine(*chosen))
+        return refusal;
+    m_engine = std::move(chosen);
     m_upstream = m_engine->upstream;
-    return refuseSlowEngine();
+    return std::nullopt;
 }
 
-std::optional<Refusal> RequestRelay::refuseSlowEngine() const
+std::optional<Refusal> RequestRelay::refuseSlowEngine(const EngineChoice &choice) const
 {
     const auto patience = std::min<EngineModel::Milliseconds>(
         PatienceInTargets * m_route->target, FirstTokenShare * EngineModel::Milliseconds(left()));
-    if (m_engine->expectedFirst <= patience)
+    if (choice.expectedFirst <= patience)
         return std::nullopt;
-    const auto wait = m_engine->expectedFirst - m_route->target;
+    const auto wait = choice.expectedFirst - m_route->target;
     return Refusal {Core::ErrorKind::Overloaded,
                     "first token expected in "
-                        + text(static_cast<std::uint64_t>(m_engine->expectedFirst.count()))
+                        + text(static_cast<std::uint64_t>(choice.expectedFirst.count()))
                         + " ms",
                     std::max<milliseconds>(LeastRetryAfter, duration_cast<milliseconds>(wait))};
 }
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -64,13 +64,15 @@
     class Load;
 
     std::optional<Refusal> authorize();
+    /// Judges the request anew before another attempt; keeps its route when that is denied.
+    std::optional<Refusal> authorizeAgain();
     std::optional<Refusal> readRequest();
     void startTimers();
     void endWith(EndReason reason);
     boost::asio::awaitable<void> attempts();
     std::optional<Refusal> choose();
     std::optional<Refusal> chooseAmongEngines(const Service &service, ChoiceLimits limits);
-    std::optional<Refusal> refuseSlowEngine() const;
+    std::optional<Refusal> refuseSlowEngine(const EngineChoice &choice) const;
     bool mayStillSend();
     bool mayTryAgain(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -37,6 +37,8 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buf;
+    /// Counts the calls that it served, so that an old call's abort cannot close a later one's.
+    std::uint64_t call = 0;
     /// When the server may close the connection for being idle.
     std::chrono::steady_clock::time_point idleUntil = std::chrono::steady_clock::time_point::max();
 };
@@ -221,6 +223,7 @@
         if (const auto idle = announcedIdleTime(m_parser.get()[http::field::keep_alive]))
             m_connection->idleUntil = std::chrono::steady_clock::now() + *idle - IdleMargin;
         m_connection->stream.expires_never();
+        ++m_connection->call;
         if (const auto shared = m_shared.lock())
             shared->keep(m_key, std::move(m_connection));
     }
@@ -238,8 +241,9 @@
 {
     if (!options.abort)
         return;
-    options.abort->bind([weak = std::weak_ptr(connection)] {
-        if (const auto alive = weak.lock())
+    options.abort->bind([weak = std::weak_ptr(connection), call = connection->call] {
+        const auto alive = weak.lock();
+        if (alive && alive->call == call)
             alive->stream.close();
     });
 }
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -135,6 +135,23 @@
     bool m_done = false;
 };
 
+/// Ends the wait for the caller's close before the connection goes, however the exchange ends.
+class WatchGuard
+{
+public:
+    explicit WatchGuard(SessionExchange &exchange)
+        : m_exchange(exchange)
+    {
+        m_exchange.watchForClose();
+    }
+    ~WatchGuard() { m_exchange.endWatch(); }
+    WatchGuard(const WatchGuard &) = delete;
+    WatchGuard &operator=(const WatchGuard &) = delete;
+
+private:
+    SessionExchange &m_exchange;
+};
+
 /// Counts a running exchange for as long as it lives.
 class ActiveGuard
 {
@@ -277,10 +294,9 @@
         co_return false;
     }
     auto exchange = std::make_shared<SessionExchange>(stream, shared, *limits, parser.release());
-    exchange->watchForClose();
+    const WatchGuard watch(*exchange);
     stream.expires_never();
     co_await runHandler(*exchange, shared);
-    exchange->endWatch();
     co_return exchange->mayContinue() && !shared.stopping;
 }
 
