Tests: Play the platform's path with stand-ins of the store and of workers

Seventeen cases run the gateway as a process: routing and headers, keys and their revocation, at most once, resumed and cut streams, callers that leave, poison over instances, drains, orders for weights, cache scopes, outages of the store, SIGTERM. Events go to standard output, bounded and never waiting.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -22,7 +22,7 @@
     EventRow {EventId::CallerWentAway, EventLevel::Info, "caller_went_away", "The caller closed its connection; upstream work is cancelled."},
     EventRow {EventId::StreamResumed, EventLevel::Warning, "stream_resumed", "A stream broke and goes on at another upstream."},
     EventRow {EventId::InternalFault, EventLevel::Error, "internal_fault", "An exception that no rule foresaw."},
-    EventRow {EventId::RequestServed, EventLevel::Debug, "request_served", "A request was answered with what an upstream made."},
+    EventRow {EventId::RequestServed, EventLevel::Info, "request_served", "A request was answered with what an upstream made."},
     EventRow {EventId::AttemptFailed, EventLevel::Info, "attempt_failed", "One attempt of a request failed at an upstream; another may follow."},
     EventRow {EventId::LinesLeftOut, EventLevel::Warning, "lines_left_out", "Log lines were left out because nobody took them fast enough."},
     EventRow {EventId::UpstreamAdded, EventLevel::Info, "upstream_added", "A new upstream takes work."},
--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -1,10 +1,17 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/LineAllowance.h>
+#include <LibCore/LineWriter.h>
 
 #include <boost/json.hpp>
 #include <easylogging++.h>
+#include <unistd.h>
 
+#include <array>
 #include <atomic>
+#include <cstdio>
+#include <ctime>
 #include <iostream>
+#include <memory>
 #include <mutex>
 #include <sstream>
 
@@ -20,12 +27,57 @@
 std::atomic<bool> theIsConfigured {false};
 std::once_flag theSetUp;
 
-/// Sends every line to standard error, because standard output belongs to the programs' answers.
-class StandardErrorSink : public el::LogDispatchCallback
+// What a reader that stands still may leave behind.
+constexpr std::size_t PendingBytes = 256 * 1024;
+constexpr std::chrono::seconds LeftOutInterval {1};
+
+/// Bounds what is written to standard output, and says what was left out.
+class BoundedOutput
+{
+public:
+    bool admit(EventLevel level, Clock::Monotonic now)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_allowance.admit(level, now);
+    }
+
+    void write(std::string_view line, bool isImportant)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_writer.write(line, isImportant);
+    }
+
+    /// The lines left out so far, at most once an interval.
+    std::uint64_t takeLeftOut(Clock::Monotonic now)
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (now - m_said < LeftOutInterval)
+            return 0;
+        m_said = now;
+        return m_allowance.takeLeftOut() + m_writer.takeLeftOut();
+    }
+
+private:
+    std::mutex m_mutex;
+    LineAllowance m_allowance;
+    LineWriter m_writer {STDOUT_FILENO, PendingBytes};
+    Clock::Monotonic m_said;
+};
+
+std::unique_ptr<BoundedOutput> theBoundedOutput;
+
+/// Sends every line to the target.
+class TargetSink : public el::LogDispatchCallback
 {
 protected:
     void handle(const el::LogDispatchData *data) override
     {
+        if (theBoundedOutput) {
+            const auto line =
+                data->logMessage()->logger()->logBuilder()->build(data->logMessage(), false);
+            theBoundedOutput->write(line, data->logMessage()->level() != el::Level::Info);
+            return;
+        }
         std::cerr << data->logMessage()->logger()->logBuilder()->build(data->logMessage(), true)
                   << std::flush;
     }
@@ -46,11 +98,28 @@
     return "error";
 }
 
+/// The time of day in UTC, to the millisecond.
+std::string calendarTime()
+{
+    const auto now = SystemClock().wallNow();
+    const auto seconds = std::chrono::system_clock::to_time_t(now);
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()
+        % std::milli::den;
+    std::tm parts {};
+    ::gmtime_r(&seconds, &parts);
+    std::array<char, 40> text {};
+    const auto n = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + n, text.size() - n, ".%03dZ", static_cast<int>(milliseconds));
+    return text.data();
+}
+
 std::string render(const EventRow &row, std::initializer_list<EventField> fields)
 {
     const auto number = static_cast<unsigned>(row.id);
     if (theFormat.load(std::memory_order_relaxed) == LogFormat::Json) {
         boost::json::object line;
+        line["time"] = calendarTime();
         line["event"] = number;
         line["level"] = levelName(row.level);
         line["name"] = row.name;
@@ -66,10 +135,29 @@
     return text.str();
 }
 
+void writeLine(EventLevel level, const std::string &text)
+{
+    switch (level) {
+    case EventLevel::Debug:
+    case EventLevel::Info:
+        CLOG(INFO, LoggerName) << text;
+        return;
+    case EventLevel::Warning:
+        CLOG(WARNING, LoggerName) << text;
+        return;
+    case EventLevel::Error:
+        CLOG(ERROR, LoggerName) << text;
+        return;
+    }
+}
+
 } // namespace
 
-void configureEventLog(LogFormat format, EventLevel lowest)
+void configureEventLog(LogFormat format, EventLevel lowest, LogTarget target)
 {
+    theBoundedOutput = target == LogTarget::BoundedStandardOutput
+                           ? std::make_unique<BoundedOutput>()
+                           : nullptr;
     theIsConfigured = true;
     theFormat = format;
     theLowestLevel = lowest;
@@ -80,7 +168,7 @@
     configurations.setGlobally(el::ConfigurationType::ToFile, "false");
     configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     el::Loggers::reconfigureLogger(LoggerName, configurations);
-    el::Helpers::installLogDispatchCallback<StandardErrorSink>("StandardErrorSink");
+    el::Helpers::installLogDispatchCallback<TargetSink>("TargetSink");
 }
 
 void logEvent(EventId id, std::initializer_list<EventField> fields)
@@ -93,19 +181,15 @@
     const auto &row = eventRow(id);
     if (row.level < theLowestLevel.load(std::memory_order_relaxed))
         return;
-    const auto text = render(row, fields);
-    switch (row.level) {
-    case EventLevel::Debug:
-    case EventLevel::Info:
-        CLOG(INFO, LoggerName) << text;
-        return;
-    case EventLevel::Warning:
-        CLOG(WARNING, LoggerName) << text;
-        return;
-    case EventLevel::Error:
-        CLOG(ERROR, LoggerName) << text;
-        return;
+    if (theBoundedOutput) {
+        const auto now = SystemClock().now();
+        if (!theBoundedOutput->admit(row.level, now))
+            return;
+        if (const auto count = theBoundedOutput->takeLeftOut(now); count > 0)
+            writeLine(EventLevel::Warning, render(eventRow(EventId::LinesLeftOut),
+                                                  {{"lines", std::to_string(count)}}));
     }
+    writeLine(row.level, render(row, fields));
 }
 
 } // namespace Core
--- /dev/null
+++ b/Libraries/LibCore/LineWriter.cpp
@@ -0,0 +1,55 @@
+#include <LibCore/LineWriter.h>
+
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Core {
+
+LineWriter::LineWriter(int descriptor, std::size_t capacityBytes)
+    : m_descriptor(descriptor)
+    , m_capacity(capacityBytes)
+{ }
+
+bool LineWriter::write(std::string_view line, bool isImportant)
+{
+    const auto room = isImportant ? m_capacity + ReservedBytes : m_capacity;
+    if (m_pending.size() + line.size() + 1 > room) {
+        flush();
+        if (m_pending.size() + line.size() + 1 > room) {
+            ++m_leftOut;
+            return false;
+        }
+    }
+    m_pending += line;
+    m_pending += '\n';
+    flush();
+    return true;
+}
+
+void LineWriter::flush()
+{
+    std::size_t written = 0;
+    while (written < m_pending.size()) {
+        // A pipe that is ready takes this many bytes at once, so that the write does not wait.
+        pollfd ready {m_descriptor, POLLOUT, 0};
+        if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
+            break;
+        const auto count = std::min<std::size_t>(m_pending.size() - written, PIPE_BUF);
+        const auto n = ::write(m_descriptor, m_pending.data() + written, count);
+        if (n <= 0)
+            break;
+        written += static_cast<std::size_t>(n);
+    }
+    m_pending.erase(0, written);
+}
+
+std::uint64_t LineWriter::takeLeftOut()
+{
+    return std::exchange(m_leftOut, 0);
+}
+
+} // namespace Core
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -50,7 +50,7 @@
     m_threads.stop();
 }
 
-int GatewayDaemon::run()
+void GatewayDaemon::start()
 {
     m_callers = Http::Server::create(m_threads, m_settings.callers, {},
                                      [this](auto &exchange) { return m_gateway.handle(exchange); })
@@ -61,7 +61,16 @@
     Core::logEvent(Core::EventId::ProcessStarted, {{"instance", m_settings.instance.value()},
                                                    {"version", JUJUBE_VERSION}});
     m_siblings.open();
+    Core::logEvent(Core::EventId::ListeningOn,
+                   {{"port", "callers"}, {"address", Http::formatEndpoint(callers())}});
+    Core::logEvent(Core::EventId::ListeningOn,
+                   {{"port", "readiness"}, {"address", Http::formatEndpoint(readiness())}});
     startLoops();
+}
+
+int GatewayDaemon::run()
+{
+    start();
     auto ended = asio::co_spawn(m_threads.at(0), awaitSignals(), asio::use_future);
     ended.get();
     Core::logEvent(Core::EventId::ProcessStopped,
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -34,10 +34,17 @@
     GatewayDaemon(const GatewaySettings &settings, GatewayInterfaces interfaces);
     ~GatewayDaemon();
 
-    /// Serves until SIGTERM or SIGINT and the end of what runs then. Returns the exit code. Throws
-    /// Error(SettingsInvalid) when a port cannot be opened.
+    /// Opens the ports and begins to follow the store. Throws Error(SettingsInvalid) when a port
+    /// cannot be opened.
+    void start();
+    /// Starts, and serves until SIGTERM or SIGINT and the end of what runs then. Returns the exit
+    /// code.
     int run();
 
+    /// Where callers connect; for settings that leave the port open.
+    Http::Endpoint callers() const { return m_callers->localEndpoint(); }
+    Http::Endpoint readiness() const { return m_readiness->localEndpoint(); }
+
     /// Reads the settings again; called on SIGHUP and when their file has changed.
     std::function<void()> onReload;
 
--- /dev/null
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -0,0 +1,146 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+namespace PlatformTests {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto LongTime = 30s;
+constexpr auto PollPause = 5ms;
+
+/// Outlives the fixtures, so that connections of a finished test end in peace.
+Core::IoThreads &sharedThreads()
+{
+    static Core::IoThreads threads(2);
+    return threads;
+}
+
+std::string temporaryFolder()
+{
+    std::string name = std::filesystem::temp_directory_path() / "gateway-test-XXXXXX";
+    if (!::mkdtemp(name.data()))
+        throw std::runtime_error("no temporary folder");
+    return name;
+}
+
+} // namespace
+
+GatewayFixture::GatewayFixture()
+    : store(sharedThreads())
+    , m_threads(sharedThreads())
+    , m_folder(temporaryFolder())
+{ }
+
+GatewayFixture::~GatewayFixture()
+{
+    m_gateways.clear();
+    std::filesystem::remove_all(m_folder);
+}
+
+StandIns::WorkerStandIn &GatewayFixture::addWorker(const std::string &id,
+                                                   const std::string &service)
+{
+    m_workers.push_back(std::make_unique<StandIns::WorkerStandIn>(m_threads, id, service));
+    store.put("keyed.servers", id, m_workers.back()->entry());
+    return *m_workers.back();
+}
+
+std::string GatewayFixture::defaultRoutes()
+{
+    return R"([
+{"Name":"calls","Host":"a.example","PathPrefix":"/calls/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":2,"Service":"app","MaxAttempts":1},
+{"Name":"views","Host":"a.example","PathPrefix":"/views/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":2,"Service":"app","MaxAttempts":2},
+{"Name":"streams","Host":"a.example","PathPrefix":"/streams/","Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":500,"Priority":0,"Service":"llm","MaxAttempts":2,"Resumable":true},
+{"Name":"once","Host":"a.example","PathPrefix":"/streams/once/","Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":500,"Priority":1,"Service":"llm","MaxAttempts":1,"Resumable":false}])";
+}
+
+std::string GatewayFixture::defaultTenants()
+{
+    return R"([{"Name":"liit","ApiKeys":["key-1","key-2"]},{"Name":"kool","ApiKeys":["key-3"],"Isolated":true}])";
+}
+
+void GatewayFixture::configure(unsigned version, const std::string &routes,
+                               const std::string &tenants)
+{
+    store.put("keyed.op", "config",
+              R"({"Version":)" + std::to_string(version) + R"(,"Routes":)" + routes
+                  + R"(,"Services":[{"Name":"app","MaxConns":96},{"Name":"llm","MaxConns":230,"Engine":{"Slots":8,"KvCapacity":200000,"TokenKvBytes":327680,"LinkMbps":1500000.0,"Models":[{"Name":"model"}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":)"
+                  + tenants + "}");
+}
+
+Processes::Process &GatewayFixture::startGateway(const GatewayOptions &options, bool waits)
+{
+    const auto path = m_folder + "/" + options.name + ".toml";
+    std::ofstream(path) << "NodeName = \"" << options.name << "\"\nZone = \"a\"\n"
+                        << "PortRange = [0,0]\nHeartbeatMs = 1200\n[Listen]\n"
+                        << "Front = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n[Bounds]\n"
+                        << "RevokeMs = " << options.revokeMs << "\nGraceS = " << options.graceS
+                        << "\nRetryBudgetRatio = 0.2\nBudgetSlack = 52\n[Platform]\nAddress = \""
+                        << Http::formatEndpoint(store.endpoint()) << "\"\n";
+    m_gateways.push_back(std::make_unique<Processes::Process>(
+        "jujubesaddle-gateway", std::vector<std::string> {"--settings", path}));
+    auto &gateway = *m_gateways.back();
+    m_callers = gateway.awaitEndpoint("\"port\":\"callers\"");
+    m_readiness = gateway.awaitEndpoint("\"port\":\"readiness\"");
+    if (waits && !eventually([this] { return readiness() == 200; }))
+        throw std::runtime_error("the gateway did not become ready");
+    return gateway;
+}
+
+Http::Response GatewayFixture::send(Http::Request request) const
+{
+    return asio::co_spawn(m_threads.next(), m_client.fetch(m_callers, std::move(request), {}),
+                          asio::use_future)
+        .get();
+}
+
+unsigned GatewayFixture::readiness() const
+{
+    return asio::co_spawn(m_threads.next(),
+                          m_client.fetch(m_readiness, Http::Request("GET", "/ready"), {}),
+                          asio::use_future)
+        .get()
+        .status;
+}
+
+Http::Request GatewayFixture::request(const std::string &target, const std::string &id,
+                                      const std::string &method)
+{
+    Http::Headers headers;
+    headers.add("Host", "a.example");
+    headers.add("Authorization", "Bearer key-1");
+    headers.add("X-Jujubesaddle-Attempt-Id", id);
+    headers.add("X-Jujubesaddle-Deadline-Ms", "4000");
+    return {method, target, std::move(headers), method == "POST" ? "body of " + id : ""};
+}
+
+Http::Request GatewayFixture::streamRequest(const std::string &target, const std::string &id)
+{
+    auto result = request(target, id);
+    result.headers.add("X-Jujubesaddle-Model", "model");
+    result.headers.add("X-Jujubesaddle-Token-Usage", "1000,50");
+    result.headers.add("X-Jujubesaddle-Prompt-Prefix", "aa:600,bb:400");
+    return result;
+}
+
+bool GatewayFixture::eventually(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + LongTime;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(PollPause);
+    }
+    return true;
+}
+
+} // namespace PlatformTests
--- /dev/null
+++ b/Tests/Platform/TestFleet.cpp
@@ -0,0 +1,109 @@
+#include "GatewayFixture.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace std::chrono_literals;
+using PlatformTests::GatewayFixture;
+
+namespace {
+
+std::string header(const Http::Request &request, std::string_view name)
+{
+    return std::string(request.headers.find(name).value_or(std::string_view()));
+}
+
+} // namespace
+
+TEST_CASE("nothing goes to a worker that drains, is not listed or has an unreadable entry")
+{
+    GatewayFixture fixture;
+    auto &draining = fixture.addWorker("w-1", "app");
+    auto &gone = fixture.addWorker("w-2", "app");
+    auto &staying = fixture.addWorker("w-3", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    fixture.store.put("keyed.servers", "w-1", draining.entry("draining"));
+    fixture.store.put("keyed.servers", "w-2", std::nullopt);
+    // What another writer wrote changes nothing of what is known.
+    fixture.store.put("keyed.servers", "w-3", R"({"Service":7,"State":"ready"})");
+    fixture.store.put("keyed.servers", "w-4", "\x01\x02");
+    std::this_thread::sleep_for(1s);
+    const auto before = draining.requests().size() + gone.requests().size();
+    for (int n = 0; n < 10; ++n)
+        CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-" + std::to_string(n))).status
+              == 200);
+    CHECK(staying.requests().size() >= 10);
+    CHECK(draining.requests().size() + gone.requests().size() == before);
+}
+
+TEST_CASE("new weights are ordered once from each engine under one token, and requests expect them")
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "llm");
+    auto &second = fixture.addWorker("w-2", "llm");
+    fixture.configure(1);
+    fixture.startGateway({"edge-1", 5'000, 8});
+    fixture.startGateway({"edge-2", 5'000, 8});
+    fixture.store.put("keyed.op", "version/model", R"({"Model":"model","Version":2})");
+    CHECK(GatewayFixture::eventually([&] { return first.weights() == 2 && second.weights() == 2; }));
+    REQUIRE(first.orders().size() == 1);
+    REQUIRE(second.orders().size() == 1);
+    const auto one = boost::json::parse(first.orders().front()).as_object();
+    const auto other = boost::json::parse(second.orders().front()).as_object();
+    CHECK(one.at("Holder") == other.at("Holder"));
+    CHECK(one.at("Fence") == other.at("Fence"));
+    CHECK(one.at("Mode") == "queue");
+    CHECK(GatewayFixture::eventually([&] {
+        fixture.send(GatewayFixture::streamRequest("/streams/a", "id"));
+        const auto seen = first.requests().empty() ? second.requests() : first.requests();
+        return header(seen.back(), "X-Jujubesaddle-Expect-Version") == "2";
+    }));
+}
+
+TEST_CASE("requests of isolated tenants and of other weights share no cached parts")
+{
+    GatewayFixture fixture;
+    auto &engine = fixture.addWorker("w-1", "llm");
+    fixture.configure(1);
+    fixture.startGateway();
+    const auto salt = [&](const std::string &key) {
+        auto request = GatewayFixture::streamRequest("/streams/a", "id-" + key);
+        request.headers.remove("Authorization");
+        request.headers.add("Authorization", "Bearer " + key);
+        request.headers.add("X-Jujubesaddle-Cache-Salt", "of the caller");
+        // While the engine takes other weights, it serves nothing and this answers 503.
+        fixture.send(std::move(request));
+        return header(engine.requests().back(), "X-Jujubesaddle-Cache-Salt");
+    };
+    const auto shared = salt("key-1");
+    CHECK(salt("key-2") == shared);
+    const auto isolated = salt("key-3");
+    CHECK(isolated != shared);
+    CHECK(shared != "of the caller");
+    fixture.store.put("keyed.op", "version/model", R"({"Model":"model","Version":2})");
+    CHECK(GatewayFixture::eventually([&] { return engine.weights() == 2; }));
+    CHECK(GatewayFixture::eventually([&] {
+        const auto now = salt("key-1");
+        return now != shared && now != isolated;
+    }));
+}
+
+TEST_CASE("configuration and list are followed over a lost history and an outage of the store")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    fixture.store.setRefusal(503);
+    std::this_thread::sleep_for(500ms);
+    fixture.configure(2, "[]");
+    fixture.store.dropHistory("keyed.op");
+    fixture.store.dropHistory("keyed.servers");
+    fixture.store.setRefusal(0);
+    CHECK(GatewayFixture::eventually([&] {
+        return fixture.send(GatewayFixture::request("/calls/a", "id")).status == 404;
+    }));
+}
--- /dev/null
+++ b/Tests/Platform/TestRequests.cpp
@@ -0,0 +1,342 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <thread>
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using PlatformTests::GatewayFixture;
+using StandIns::WorkerStandIn;
+
+namespace {
+
+std::string header(const Http::Request &request, std::string_view name)
+{
+    return std::string(request.headers.find(name).value_or(std::string_view()));
+}
+
+std::string header(const Http::Response &response, std::string_view name)
+{
+    return std::string(response.headers.find(name).value_or(std::string_view()));
+}
+
+/// Ends the exchange without an answer, as a crashing worker does.
+asio::awaitable<bool> crash(Http::ServerExchange &)
+{
+    throw boost::system::system_error(asio::error::connection_reset);
+    co_return true;
+}
+
+asio::awaitable<bool> refuse(Http::ServerExchange &exchange)
+{
+    Http::Headers headers;
+    headers.add("X-Jujubesaddle-Not-Executed", "1");
+    Http::Response response(503, std::move(headers), "");
+    co_await exchange.respond(std::move(response));
+    co_return true;
+}
+
+asio::awaitable<bool> failSealed(Http::ServerExchange &exchange)
+{
+    Http::Response response(500, WorkerStandIn::answerHeaders(exchange.request()), "failed");
+    co_await exchange.respond(std::move(response));
+    co_return true;
+}
+
+/// Sends one whole event and a part of the next, and breaks off.
+asio::awaitable<bool> breakAmidEvent(Http::ServerExchange &exchange)
+{
+    co_await exchange.startStream(200, WorkerStandIn::answerHeaders(exchange.request()));
+    co_await exchange.write("id: 1\ndata: 1\n\nid: 2\nda");
+    throw boost::system::system_error(asio::error::connection_reset);
+    co_return true;
+}
+
+} // namespace
+
+TEST_CASE("a request goes to a worker of its route with what the worker has to know")
+{
+    GatewayFixture fixture;
+    auto &app = fixture.addWorker("w-app", "app");
+    fixture.addWorker("w-llm", "llm");
+    fixture.configure(3);
+    fixture.startGateway();
+    auto request = GatewayFixture::request("/calls/order?x=1", "id-1");
+    request.headers.add("X-Jujubesaddle-Tenant", "somebody");
+    request.headers.add("X-Jujubesaddle-Hold", "h");
+    request.headers.add("Kv-From", "10.0.0.1:1/x");
+    request.headers.add("X-Own", "kept");
+    const auto answer = fixture.send(std::move(request));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "w-app");
+    CHECK(header(answer, "X-Jujubesaddle-Server-Seal") == "seal");
+    REQUIRE(app.requests().size() == 1);
+    const auto seen = app.requests().front();
+    CHECK(seen.method == "POST");
+    CHECK(seen.target == "/calls/order?x=1");
+    CHECK(seen.body == "body of id-1");
+    CHECK(header(seen, "Host") == "a.example");
+    CHECK(header(seen, "X-Jujubesaddle-Attempt-Id") == "id-1");
+    CHECK(header(seen, "X-Jujubesaddle-Expect-Instance") == "w-app");
+    CHECK(header(seen, "X-Jujubesaddle-Tenant") == "liit");
+    CHECK(header(seen, "X-Own") == "kept");
+    CHECK(header(seen, "Authorization").empty());
+    CHECK(header(seen, "X-Jujubesaddle-Hold").empty());
+    CHECK(header(seen, "Kv-From").empty());
+    const auto left = std::stoi(header(seen, "X-Jujubesaddle-Deadline-Ms"));
+    CHECK(left <= 3000);
+    CHECK(left > 0);
+}
+
+TEST_CASE("unknown keys and routes are denied, and everything before a configuration is refused")
+{
+    GatewayFixture fixture;
+    fixture.startGateway({}, false);
+    CHECK(fixture.readiness() == 503);
+    const auto early = fixture.send(GatewayFixture::request("/calls/a", "id-1"));
+    CHECK(early.status == 503);
+    CHECK(!header(early, "Retry-After").empty());
+    fixture.addWorker("w-app", "app");
+    fixture.configure(1);
+    REQUIRE(GatewayFixture::eventually([&] { return fixture.readiness() == 200; }));
+    CHECK(fixture.send(GatewayFixture::request("/elsewhere/a", "id-2")).status == 404);
+    auto stranger = GatewayFixture::request("/calls/a", "id-3");
+    stranger.headers.remove("Authorization");
+    stranger.headers.add("Authorization", "Bearer nobody");
+    CHECK(fixture.send(std::move(stranger)).status == 401);
+}
+
+TEST_CASE("a key that was taken away stops working, and no older configuration brings it back")
+{
+    GatewayFixture fixture;
+    auto &app = fixture.addWorker("w-app", "app");
+    fixture.configure(5);
+    fixture.startGateway();
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 200);
+    fixture.configure(9, GatewayFixture::defaultRoutes(),
+                      R"([{"Name":"liit","ApiKeys":["key-2"]}])");
+    CHECK(GatewayFixture::eventually([&] {
+        return fixture.send(GatewayFixture::request("/calls/a", "id-2")).status == 401;
+    }));
+    const auto runs = app.runs();
+    fixture.configure(7);
+    std::this_thread::sleep_for(300ms);
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-3")).status == 401);
+    CHECK(app.runs() == runs);
+}
+
+TEST_CASE("without word from the store, keyed requests stop before a revocation may take effect")
+{
+    GatewayFixture fixture;
+    auto &app = fixture.addWorker("w-app", "app");
+    fixture.configure(1);
+    fixture.startGateway({"edge-1", 2'500, 8});
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 200);
+    fixture.store.setRefusal(503);
+    CHECK(GatewayFixture::eventually([&] {
+        return fixture.send(GatewayFixture::request("/calls/a", "id-2")).status == 503;
+    }));
+    CHECK(fixture.readiness() == 503);
+    const auto runs = app.runs();
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-3")).status == 503);
+    CHECK(app.runs() == runs);
+    fixture.store.setRefusal(0);
+    CHECK(GatewayFixture::eventually([&] { return fixture.readiness() == 200; }));
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-4")).status == 200);
+}
+
+TEST_CASE("a call that may run once is sent again only when a worker did not run it")
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "app");
+    auto &second = fixture.addWorker("w-2", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    first.setBehaviour(refuse);
+    for (int n = 0; n < 6; ++n)
+        CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-" + std::to_string(n))).body
+              == "w-2");
+    CHECK(!first.requests().empty());
+    first.setBehaviour(crash);
+    second.setBehaviour(crash);
+    const auto before = first.requests().size() + second.requests().size();
+    const auto answer = fixture.send(GatewayFixture::request("/calls/a", "broken"));
+    CHECK(answer.status == 502);
+    CHECK(header(answer, "Retry-After").empty());
+    CHECK(header(answer, "X-Jujubesaddle-Server-Seal").empty());
+    CHECK(first.requests().size() + second.requests().size() == before + 1);
+}
+
+TEST_CASE("a call that may be repeated is sent to another worker after a failure")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "app").setBehaviour(failSealed);
+    auto &second = fixture.addWorker("w-2", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    for (int n = 0; n < 6; ++n)
+        CHECK(
+            fixture.send(GatewayFixture::request("/views/a", "id-" + std::to_string(n), "GET")).body
+            == "w-2");
+    second.setBehaviour(failSealed);
+    const auto answer = fixture.send(GatewayFixture::request("/views/a", "last", "GET"));
+    CHECK(answer.status == 500);
+    CHECK(answer.body == "failed");
+    CHECK(header(answer, "X-Jujubesaddle-Server-Seal") == "seal");
+}
+
+TEST_CASE("a stream that breaks amid an event goes on at another engine behind the last whole one")
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "llm");
+    auto &second = fixture.addWorker("w-2", "llm");
+    fixture.configure(1);
+    fixture.startGateway();
+    first.setBehaviour(breakAmidEvent);
+    second.setBehaviour([&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        if (!header(exchange.request(), "Last-Event-Id").empty())
+            co_return false;
+        co_return co_await breakAmidEvent(exchange);
+    });
+    first.setBehaviour([&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        if (!header(exchange.request(), "Last-Event-Id").empty())
+            co_return false;
+        co_return co_await breakAmidEvent(exchange);
+    });
+    const auto answer = fixture.send(GatewayFixture::streamRequest("/streams/a", "id-1"));
+    CHECK(answer.body == "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+    CHECK(first.requests().size() == 1);
+    CHECK(second.requests().size() == 1);
+}
+
+TEST_CASE("a stream that may not be resumed is cut, and does not look complete")
+{
+    GatewayFixture fixture;
+    auto &engine = fixture.addWorker("w-1", "llm");
+    fixture.addWorker("w-2", "llm").setBehaviour(breakAmidEvent);
+    engine.setBehaviour(breakAmidEvent);
+    fixture.configure(1);
+    fixture.startGateway();
+    CHECK_THROWS_AS(fixture.send(GatewayFixture::streamRequest("/streams/once/a", "id-1")),
+                    Core::Error);
+}
+
+TEST_CASE("a caller that leaves ends the work at its worker")
+{
+    GatewayFixture fixture;
+    auto &app = fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    std::atomic<int> left = 0;
+    app.setBehaviour([&left](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
+        exchange.setCallerGoneHook([&] { timer.cancel(); });
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        ++left;
+        co_return true;
+    });
+    // The whole request lies there before the gateway reads, whose first readiness is then stale.
+    for (int n = 0; n < 20; ++n) {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect(fixture.callers());
+        asio::write(socket, asio::buffer(
+                                "GET /views/a HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer "
+                                "key-1\r\nX-Jujubesaddle-Attempt-Id: id-"
+                                + std::to_string(n) + "\r\n\r\n"));
+        REQUIRE(GatewayFixture::eventually(
+            [&] { return app.requests().size() == static_cast<std::size_t>(n) + 1; }));
+    }
+    CHECK(GatewayFixture::eventually([&] { return left == 20; }));
+}
+
+TEST_CASE("a request that broke three workers is sent to no further one, at any instance")
+{
+    GatewayFixture fixture;
+    auto &app = fixture.addWorker("w-1", "app");
+    fixture.addWorker("w-2", "app").setBehaviour(crash);
+    app.setBehaviour(crash);
+    fixture.configure(1);
+    fixture.startGateway();
+    auto poison = [](const std::string &id) {
+        auto request = GatewayFixture::request("/calls/poison", id);
+        request.body = "the same";
+        return request;
+    };
+    for (int n = 0; n < 3; ++n)
+        CHECK(fixture.send(poison("id-" + std::to_string(n))).status == 502);
+    const auto refused = fixture.send(poison("id-3"));
+    CHECK(refused.status == 503);
+    CHECK(refused.body.find("poison_request") != std::string::npos);
+    fixture.startGateway({"edge-2", 5'000, 8});
+    CHECK(GatewayFixture::eventually(
+        [&] { return fixture.send(poison("id-4")).body.find("poison") != std::string::npos; }));
+    app.setBehaviour(nullptr);
+}
+
+TEST_CASE("a repeat whose route was dropped meanwhile ends with the failure of the attempt before")
+{
+    GatewayFixture fixture;
+    auto &app = fixture.addWorker("w-1", "app");
+    auto &other = fixture.addWorker("w-2", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway();
+    const auto dropRoutes = [&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        fixture.configure(2, "[]");
+        asio::steady_timer timer(co_await asio::this_coro::executor, 500ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return co_await failSealed(exchange);
+    };
+    app.setBehaviour(dropRoutes);
+    other.setBehaviour(dropRoutes);
+    CHECK(fixture.send(GatewayFixture::request("/views/a", "id-1", "GET")).status == 500);
+    CHECK(fixture.send(GatewayFixture::request("/views/a", "id-2", "GET")).status == 404);
+    CHECK(gateway.isRunning());
+}
+
+TEST_CASE("a failure without another free worker is told as it was, and the process goes on")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "app").setBehaviour(crash);
+    fixture.configure(1);
+    fixture.startGateway();
+    CHECK(fixture.send(GatewayFixture::request("/views/a", "id-1", "GET")).status == 502);
+    CHECK(fixture.readiness() == 200);
+}
+
+TEST_CASE("on SIGTERM the instance stops being ready, finishes its streams and ends with 0")
+{
+    GatewayFixture fixture;
+    auto &engine = fixture.addWorker("w-1", "llm");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway();
+    std::promise<void> begun;
+    engine.setBehaviour([&begun](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        co_await exchange.startStream(200, WorkerStandIn::answerHeaders(exchange.request()));
+        co_await exchange.write("id: 1\ndata: 1\n\n");
+        begun.set_value();
+        asio::steady_timer timer(co_await asio::this_coro::executor, 1s);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await exchange.write("id: 2\ndata: 2\n\n");
+        co_await exchange.finishStream();
+        co_return true;
+    });
+    auto answer = std::async(std::launch::async, [&fixture] {
+        return fixture.send(GatewayFixture::streamRequest("/streams/a", "id-1"));
+    });
+    begun.get_future().get();
+    gateway.signal(SIGTERM);
+    CHECK(GatewayFixture::eventually([&] { return fixture.readiness() == 503; }));
+    CHECK(answer.get().body == "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n");
+    CHECK(gateway.wait() == 0);
+}
--- /dev/null
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -0,0 +1,223 @@
+#include "StoreStandIn.h"
+
+#include <LibCore/Base64.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/json.hpp>
+
+#include <cstring>
+#include <thread>
+
+namespace StandIns {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto PollPause = 5ms;
+
+std::map<std::string, std::string> parseQuery(const std::string &target)
+{
+    std::map<std::string, std::string> query;
+    auto rest = target.substr(std::min(target.size(), target.find('?') + 1));
+    while (!rest.empty()) {
+        const auto end = rest.find('&');
+        const auto pair = rest.substr(0, end);
+        rest = end == std::string::npos ? "" : rest.substr(end + 1);
+        query[pair.substr(0, pair.find('='))] = pair.substr(pair.find('=') + 1);
+    }
+    return query;
+}
+
+template <typename Number>
+std::string bigEndian(Number number)
+{
+    const auto big = boost::endian::native_to_big(number);
+    std::string bytes(sizeof(big), '\0');
+    std::memcpy(bytes.data(), &big, sizeof(big));
+    return bytes;
+}
+
+bool isKeyed(const std::string &topic)
+{
+    return topic.starts_with("keyed.");
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(Core::IoThreads &threads)
+    : m_server(Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), {},
+                                    [this](auto &exchange) { return handle(exchange); })
+                   .value())
+{ }
+
+StoreStandIn::~StoreStandIn()
+{
+    // Handlers use this object until their exchanges end.
+    setRefusal(503);
+    m_server->stopAccepting();
+    while (m_server->activeExchanges() > 0)
+        std::this_thread::sleep_for(PollPause);
+}
+
+void StoreStandIn::put(const std::string &topic, const std::string &key,
+                       const std::optional<std::string> &value)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_topics[topic].records.push_back({key, value.value_or(""), value.has_value()});
+}
+
+std::size_t StoreStandIn::count(const std::string &topic) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_topics.find(topic);
+    return it == m_topics.end() ? 0 : it->second.records.size();
+}
+
+void StoreStandIn::setRefusal(unsigned status)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_refusal = status;
+}
+
+void StoreStandIn::dropHistory(const std::string &topic)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto &log = m_topics[topic];
+    // The newest of each key is kept aside as records below the first offset would be.
+    std::map<std::string, Record> kept;
+    for (const auto &record : log.records)
+        kept[record.key] = record;
+    log.first = log.end() + 1;
+    log.records.clear();
+    for (const auto &[key, record] : kept) {
+        if (record.hasValue)
+            log.records.push_back(record);
+    }
+}
+
+std::size_t StoreStandIn::calls() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_calls;
+}
+
+asio::awaitable<void> StoreStandIn::handle(Http::ServerExchange &exchange)
+{
+    const auto &request = exchange.request();
+    unsigned refusal = 0;
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_calls;
+        refusal = m_refusal;
+    }
+    if (refusal != 0) {
+        Http::Response response(refusal, {}, "");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    auto query = parseQuery(request.target);
+    if (request.target.starts_with("/log-read")) {
+        co_await read(exchange, std::move(query));
+        co_return;
+    }
+    auto response = request.target.starts_with("/log-newest") ? newest(query["Topic"])
+                                                              : append(query, request.body);
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> StoreStandIn::read(Http::ServerExchange &exchange,
+                                         std::map<std::string, std::string> query)
+{
+    const auto from = std::stoull(query["From"]);
+    const auto name = query["Topic"];
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    const auto end = std::chrono::steady_clock::now()
+                     + std::chrono::milliseconds(std::stoul(query["WaitMs"]));
+    for (;;) {
+        Http::Response response;
+        bool isReady = std::chrono::steady_clock::now() >= end;
+        {
+            const std::scoped_lock lock(m_mutex);
+            const auto &topic = m_topics[name];
+            if (from < topic.first) {
+                response.status = 410;
+                response.body = boost::json::serialize(boost::json::object {{"First", topic.first}});
+                isReady = true;
+            } else {
+                response.body = bigEndian(topic.end()) + bigEndian(topic.first);
+                for (auto at = from; at < topic.end(); ++at) {
+                    const auto &record = topic.records[at - topic.first];
+                    auto bytes = record.value;
+                    if (isKeyed(name))
+                        bytes = std::string(1, static_cast<char>(record.key.size())) + record.key
+                                + record.value;
+                    response.body += bigEndian(static_cast<std::uint32_t>(bytes.size())) + bytes;
+                    isReady = true;
+                }
+            }
+            if (m_refusal != 0) {
+                response = Http::Response(m_refusal, {}, "");
+                isReady = true;
+            }
+        }
+        if (isReady) {
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        timer.expires_after(PollPause);
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+Http::Response StoreStandIn::newest(const std::string &topic) const
+{
+    const std::scoped_lock lock(m_mutex);
+    boost::json::array items;
+    std::uint64_t end = 0;
+    if (const auto it = m_topics.find(topic); it != m_topics.end()) {
+        end = it->second.end();
+        std::map<std::string, std::uint64_t> byKey;
+        for (std::size_t n = 0; n < it->second.records.size(); ++n)
+            byKey[it->second.records[n].key] = n;
+        for (const auto &[key, n] : byKey) {
+            const auto &record = it->second.records[n];
+            if (record.hasValue)
+                items.push_back(boost::json::object {{"Key", key},
+                                                     {"Value", Core::encodeBase64(record.value)},
+                                                     {"Offset", it->second.first + n}});
+        }
+    }
+    return Http::jsonResponse(200, boost::json::serialize(boost::json::object {
+                                       {"items", items}, {"HasMore", false}, {"End", end}}));
+}
+
+Http::Response StoreStandIn::append(const std::map<std::string, std::string> &query,
+                                    std::string_view body)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto &topic = m_topics[query.at("Topic")];
+    const auto it = query.find("At");
+    if (it != query.end() && std::stoull(it->second) != topic.end())
+        return Http::jsonResponse(
+            412, boost::json::serialize(boost::json::object {{"End", topic.end()}}));
+    const auto offset = topic.end();
+    while (body.size() >= sizeof(std::uint32_t)) {
+        std::uint32_t length = 0;
+        std::memcpy(&length, body.data(), sizeof(length));
+        length = boost::endian::big_to_native(length);
+        body.remove_prefix(sizeof(length));
+        topic.records.push_back({"", std::string(body.substr(0, length)), true});
+        body.remove_prefix(length);
+    }
+    return Http::jsonResponse(200, boost::json::serialize(boost::json::object {
+                                       {"Offset", offset}, {"End", topic.end()}}));
+}
+
+} // namespace StandIns
--- /dev/null
+++ b/Tests/StandIns/StoreStandIn.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibCore/IoThreads.h>
+#include <LibHttp/Server.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace StandIns {
+
+/// A small stand-in of the users' platform's store: logs with one partition each, the newest record
+/// of each key, conditional appends, and faults on command.
+class StoreStandIn
+{
+public:
+    explicit StoreStandIn(Core::IoThreads &threads);
+
+    /// Ends what is still asked.
+    ~StoreStandIn();
+    StoreStandIn(const StoreStandIn &) = delete;
+    StoreStandIn &operator=(const StoreStandIn &) = delete;
+
+    Http::Endpoint endpoint() const { return m_server->localEndpoint(); }
+
+    /// Writes what operators and workers write. A value that is missing drops the key.
+    void put(const std::string &topic, const std::string &key,
+             const std::optional<std::string> &value);
+    /// Records of a topic that has no keys.
+    std::size_t count(const std::string &topic) const;
+    /// While set, every call is answered with this status.
+    void setRefusal(unsigned status);
+    /// Forgets the records before the newest of each key, as a compaction does.
+    void dropHistory(const std::string &topic);
+    std::size_t calls() const;
+
+private:
+    struct Record
+    {
+        std::string key;
+        std::string value;
+        bool hasValue = true;
+    };
+    struct Topic
+    {
+        std::uint64_t first = 0;
+        std::vector<Record> records;
+        std::uint64_t end() const { return first + records.size(); }
+    };
+
+    boost::asio::awaitable<void> handle(Http::ServerExchange &exchange);
+    boost::asio::awaitable<void> read(Http::ServerExchange &exchange,
+                                      std::map<std::string, std::string> query);
+    Http::Response newest(const std::string &topic) const;
+    Http::Response append(const std::map<std::string, std::string> &query, std::string_view body);
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, Topic> m_topics;
+    unsigned m_refusal = 0;
+    std::size_t m_calls = 0;
+    std::unique_ptr<Http::Server> m_server;
+};
+
+} // namespace StandIns
