--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -566,8 +566,10 @@
 void RequestRelay::learnFirstToken(const Load &load)
 {
     const auto now = m_gateway.parts().clock.now();
-    if (!m_exchange.hasStarted())
+    if (!m_firstByte) {
+        m_firstByte = now;
         m_gateway.metrics().firstByte.observe(now - m_arrival, labels());
+    }
     if (!m_engine)
         return;
     m_upstream->noteKept(m_parts);
@@ -585,10 +587,7 @@
 {
     if (end == AttemptEnd::Answered) {
         m_gateway.metrics().requests.add(1, labels(), "served");
-        Core::logEvent(Core::EventId::RequestServed,
-                       {{"request", m_request.attemptId},
-                        {"upstream", m_upstream->report().id.value()},
-                        {"sends", text(m_sends)}});
+        logServed();
         co_return;
     }
     if (m_endReason == EndReason::CallerGone) {
@@ -676,6 +675,27 @@
          {"age_ms", std::to_string(duration_cast<milliseconds>(age).count())}});
 }
 
+void RequestRelay::logServed() const
+{
+    const auto now = m_gateway.parts().clock.now();
+    const auto milliseconds = [](auto time) {
+        return std::to_string(duration_cast<std::chrono::milliseconds>(time).count());
+    };
+    Core::logEvent(
+        Core::EventId::RequestServed,
+        {{"request", m_request.attemptId},
+         {"route", m_route->name},
+         {"tenant", m_tenant ? m_tenant->name : ""},
+         {"upstream", m_upstream->report().id.value()},
+         {"sends", text(m_sends)},
+         {"took_ms", milliseconds(now - m_arrival)},
+         {"first_ms", milliseconds(m_firstByte.value_or(now) - m_arrival)},
+         {"expected_ms", m_engine ? milliseconds(m_engine->expectedFirst) : "0"},
+         {"ready_tokens", text(m_engine ? m_engine->readyTokens : 0)},
+         {"kept_tokens", text(m_engine ? m_engine->keptTokens : 0)},
+         {"prompt_tokens", text(m_request.promptTokens)}});
+}
+
 void RequestRelay::logAttempt(std::string_view end, const std::string &reason) const
 {
     m_gateway.metrics().attempts.add(1, labels(), std::string(end));
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -90,6 +90,7 @@
     boost::asio::awaitable<void> respondError(Core::ErrorKind kind, const std::string &reason,
                                               std::optional<std::chrono::milliseconds> retryAfter);
     void logRefusal(const Refusal &refusal) const;
+    void logServed() const;
     void logAttempt(std::string_view end, const std::string &reason) const;
 
     std::chrono::milliseconds left() const;
@@ -117,6 +118,7 @@
     unsigned m_sends = 0;
     bool m_mayHaveRun = false;
     std::optional<Http::Response> m_failure;
+    std::optional<Core::Clock::Monotonic> m_firstByte;
     Http::EventSplitter m_events;
     bool m_hasTimedOut = false;
     EndReason m_endReason = EndReason::None;
