LibHttp: Bound only the reading of a request by its time

The deadline for a request's bytes lived until its answer was done.

The new test fails before and passes after.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
+#include <optional>
+
 namespace Http {
 
 namespace asio = boost::asio;
@@ -273,7 +275,7 @@
     parser.header_limit(static_cast<std::uint32_t>(limits->headerBytes));
     parser.body_limit(limits->bodyBytes);
     stream.expires_never();
-    const ReadDeadline deadline(stream, limits->requestTime);
+    std::optional<ReadDeadline> deadline(std::in_place, stream, limits->requestTime);
     boost::system::error_code ec;
     co_await http::async_read_header(stream, buf, parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
@@ -284,7 +286,10 @@
     if (!ec)
         co_await http::async_read(stream, buf, parser,
                                   asio::redirect_error(asio::use_awaitable, ec));
-    if (ec && deadline.hasExpired()) {
+    const bool isLate = deadline->hasExpired();
+    // Only reading is bound by it: later it would cancel the answer and the wait for the close.
+    deadline.reset();
+    if (ec && isLate) {
         co_await refuse(stream, shared, *limits, Core::Error(Core::ErrorKind::SlowCaller));
         co_return false;
     }
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_future.hpp>
@@ -10,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <thread>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -123,6 +125,85 @@
     CHECK(gone.get_future().wait_for(30s) == std::future_status::ready);
 }
 
+TEST_CASE("a caller that closes after the time for its request is noticed all the same")
+{
+    std::promise<void> gone;
+    Http::ServerLimits limits;
+    limits.requestTime = 100ms;
+    Fixture fixture(
+        [&gone](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+            asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
+            exchange.setCallerGoneHook([&] { timer.cancel(); });
+            boost::system::error_code ec;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            gone.set_value();
+        },
+        limits);
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect(fixture.server->localEndpoint());
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+        std::this_thread::sleep_for(300ms);
+    }
+    CHECK(gone.get_future().wait_for(10s) == std::future_status::ready);
+}
+
+TEST_CASE("a call that was ended does not close the connection that a later call uses")
+{
+    Fixture fixture;
+    auto run = [&](asio::awaitable<void> work) {
+        asio::co_spawn(fixture.threads.at(0), std::move(work), asio::use_future).get();
+    };
+    run([](Fixture &fixture) -> asio::awaitable<void> {
+        const auto endpoint = fixture.server->localEndpoint();
+        Http::SendOptions options;
+        options.abort = std::make_shared<Http::CallAbort>();
+        auto first = co_await fixture.client.open(endpoint, Http::Request("GET", "/"), {}, options);
+        while (co_await first->readSome()) { }
+        auto second = co_await fixture.client.open(endpoint, Http::Request("GET", "/stream"), {},
+                                                   Http::SendOptions());
+        options.abort->abort();
+        std::string body;
+        while (auto piece = co_await second->readSome())
+            body += *piece;
+        CHECK(body.ends_with("99,"));
+    }(fixture));
+}
+
+TEST_CASE("bytes beyond an answer belong to no later request")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, Http::parseEndpoint("127.0.0.1:0").value());
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+    auto served = std::async(std::launch::async, [&] {
+        for (int n = 0; n < 2; ++n) {
+            auto socket = acceptor.accept();
+            std::string request;
+            asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+            asio::write(socket, asio::buffer(answer + answer));
+            boost::system::error_code ec;
+            std::string rest;
+            asio::read(socket, asio::dynamic_buffer(rest), ec);
+            CHECK(rest.empty());
+        }
+    });
+    {
+        Core::IoThreads threads(1);
+        Http::Client client;
+        for (int n = 0; n < 2; ++n) {
+            const auto body = asio::co_spawn(threads.at(0),
+                                             client.fetch(acceptor.local_endpoint(),
+                                                          Http::Request("GET", "/"), {}),
+                                             asio::use_future)
+                                  .get()
+                                  .body;
+            CHECK(body == "one");
+        }
+    }
+    served.get();
+}
+
 TEST_CASE("a refused connection says that nothing was sent")
 {
     Fixture fixture;
