LibGateway: End a draining instance without cutting late requests

Idle connections are now closed once the balancer has noticed, and late requests are refused as not run.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -50,7 +50,11 @@
     /// Sets how many instances share the retry budgets and upstreams' connections.
     void setInstances(unsigned count) { m_instances = count; }
     unsigned instances() const { return m_instances; }
+    /// From now on this instance is not ready, but serves on.
     void beginDrain() { m_isDraining = true; }
+    /// From now on new requests are refused, since they could not be finished.
+    void refuseAll() { m_isRefusing = true; }
+    bool isRefusing() const { return m_isRefusing; }
 
     const GatewayParts &parts() const { return m_parts; }
     GatewayMetrics &metrics() { return m_metrics; }
@@ -76,6 +80,7 @@
     std::minstd_rand m_random;
     unsigned m_instances = 1;
     bool m_isDraining = false;
+    bool m_isRefusing = false;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -23,6 +23,8 @@
 constexpr auto BalancerNotice = 2'300ms;
 // Left of the grace for the process to end by itself.
 constexpr auto GraceMargin = 500ms;
+// Requests that come later in the grace could not be served to their end.
+constexpr auto LastRequestTime = 5'000ms;
 constexpr auto DrainPoll = 50ms;
 constexpr auto CountPause = 200ms;
 
@@ -173,9 +175,14 @@
     // New callers may come until the balancer has noticed.
     while (m_interfaces.clock.now() - begin < m_settings.grace - GraceMargin) {
         co_await sleepFor(DrainPoll);
-        const bool isNoticed = m_interfaces.clock.now() - begin >= BalancerNotice;
-        if (isNoticed && m_callers->activeExchanges() == 0)
+        const auto passed = m_interfaces.clock.now() - begin;
+        if (passed < BalancerNotice)
+            continue;
+        m_callers->closeIdle();
+        if (m_callers->activeExchanges() == 0)
             break;
+        if (passed >= m_settings.grace - LastRequestTime && !m_gateway.isRefusing())
+            m_gateway.refuseAll();
     }
     m_callers->stopAccepting();
 }
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -113,6 +113,8 @@
 asio::awaitable<void> RequestRelay::run()
 {
     auto refusal = readRequest();
+    if (!refusal && m_gateway.isRefusing())
+        refusal = Refusal {Core::ErrorKind::Draining, "the instance ends", LeastRetryAfter};
     if (!refusal)
         refusal = authorize();
     if (refusal) {
--- /dev/null
+++ b/Libraries/LibHttp/IdleConnections.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <list>
+#include <memory>
+#include <mutex>
+
+namespace Http {
+
+/// The connections of a server that wait for a request, so that a server that ends can close them.
+/// Safe from any thread.
+class IdleConnections
+{
+public:
+    /// Keeps a connection listed while it waits.
+    class Entry
+    {
+    public:
+        Entry(IdleConnections &list, boost::beast::tcp_stream &stream);
+        ~Entry();
+        Entry(const Entry &) = delete;
+        Entry &operator=(const Entry &) = delete;
+
+    private:
+        struct State;
+        friend class IdleConnections;
+
+        IdleConnections &m_list;
+        std::shared_ptr<State> m_state;
+        std::list<std::weak_ptr<State>>::iterator m_position;
+    };
+
+    /// Closes all that wait now, each on its own thread.
+    void closeAll();
+
+private:
+    std::mutex m_mutex;
+    std::list<std::weak_ptr<Entry::State>> m_entries;
+};
+
+} // namespace Http
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -119,6 +119,11 @@
     m_shared->draining = true;
 }
 
+void Server::closeIdle()
+{
+    m_shared->idle.closeAll();
+}
+
 void Server::stopAccepting()
 {
     if (!m_shared->stopping.exchange(true))
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -4,6 +4,7 @@
 #include <LibCore/Result.h>
 #include <LibCore/Snapshot.h>
 #include <LibHttp/Endpoint.h>
+#include <LibHttp/IdleConnections.h>
 #include <LibHttp/ServerExchange.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -47,6 +48,8 @@
     void setLimits(const ServerLimits &limits);
     /// Goes on taking connections, but ends each after its next answer and says so in it.
     void beginDrain();
+    /// Closes connections that wait for a request. A request that crosses the close is not read.
+    void closeIdle();
     /// Closes the port and tells connections to end after their present exchange.
     void stopAccepting();
     /// Exchanges under way, from the first byte of the request to the last of the answer.
@@ -74,6 +77,7 @@
     std::atomic<std::size_t> activeExchanges {0};
     std::atomic<bool> stopping {false};
     std::atomic<bool> draining {false};
+    IdleConnections idle;
 };
 
 } // namespace Http
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -248,10 +248,11 @@
 
 /// Waits for the first byte under the idle time, so that a slow request can be told from none.
 asio::awaitable<bool> awaitFirstByte(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                                     const ServerLimits &limits)
+                                     const ServerLimits &limits, IdleConnections &idle)
 {
     if (buf.size() > 0)
         co_return true;
+    const IdleConnections::Entry entry(idle, stream);
     stream.expires_after(limits.idleTime);
     constexpr std::size_t ReadBytes = 16 * 1024;
     boost::system::error_code ec;
@@ -266,7 +267,7 @@
 {
     const auto limits = shared.limits.share();
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
-    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits);
+    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle);
     if (!hasBegun)
         co_return false;
     // A request counts from its first byte on, so that a graceful shutdown waits for it.
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -314,6 +314,52 @@
     CHECK(fixture.readiness() == 200);
 }
 
+TEST_CASE("on SIGTERM idle connections are closed once the balancer has noticed")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway();
+    // The client keeps its connection; the process ends without waiting for it.
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 200);
+    gateway.signal(SIGTERM);
+    CHECK(gateway.wait() == 0);
+}
+
+TEST_CASE("late in the grace new requests are refused as not run, and running ones finish")
+{
+    GatewayFixture fixture;
+    auto &app = fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway({"edge-1", 5'000, 8});
+    app.setBehaviour([](Http::ServerExchange &) -> asio::awaitable<bool> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, 2'500ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return false;
+    });
+    gateway.signal(SIGTERM);
+    std::vector<std::future<unsigned>> answers;
+    for (int n = 0; n < 10; ++n) {
+        answers.push_back(std::async(std::launch::async, [&fixture, n] {
+            return fixture.send(GatewayFixture::request("/calls/a", "id-" + std::to_string(n)))
+                .status;
+        }));
+        std::this_thread::sleep_for(500ms);
+    }
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    for (auto &status : answers) {
+        const auto code = status.get();
+        CHECK((code == 200 || code == 503));
+        served += code == 200 ? 1 : 0;
+        refused += code == 503 ? 1 : 0;
+    }
+    CHECK(served == app.runs());
+    CHECK(served > 0);
+    CHECK(refused > 0);
+    CHECK(gateway.wait() == 0);
+}
+
 TEST_CASE("on SIGTERM the instance stops being ready, finishes its streams and ends with 0")
 {
     GatewayFixture fixture;
