--- a/Libraries/LibGateway/RequestDialect.h
+++ b/Libraries/LibGateway/RequestDialect.h
@@ -63,6 +63,8 @@
     bool isNotRun = false;
     /// The address belongs to another upstream than the one expected.
     bool isOtherUpstream = false;
+    /// Which upstream answers, where it says so.
+    Core::UpstreamId upstream;
     /// The answer bears the mark of the upstream that made it.
     bool isSealed = false;
     std::string attemptId;
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -38,6 +38,7 @@
 // Connections beyond an equal share that may still be starting or closing.
 constexpr unsigned SpareInstances = 1;
 constexpr int MostUrgency = 9;
+constexpr double Percent = 100;
 constexpr double BytesPerMegabit = 125'000;
 constexpr double MillisecondsPerSecond = 1'000;
 // Shorter times to the first token say little about an engine's speed.
@@ -497,7 +498,9 @@
             // Taking the body in whole lets the connection serve on.
             while (co_await answer.readSome()) { }
             logAttempt(head.isOtherUpstream ? "other_upstream" : "not_run",
-                       std::to_string(answer.status()));
+                       std::to_string(answer.status()) + " from " + head.upstream.value()
+                           + " weights " + text(head.weights.value_or(0)) + " believed "
+                           + text(m_upstream->weights(m_request.model)));
             co_return AttemptEnd::NotRun;
         }
         if (head.weights && *head.weights > m_upstream->weights(m_request.model)) {
@@ -695,7 +698,11 @@
          {"expected_ms", m_engine ? milliseconds(m_engine->expectedFirst) : "0"},
          {"ready_tokens", text(m_engine ? m_engine->readyTokens : 0)},
          {"kept_tokens", text(m_engine ? m_engine->keptTokens : 0)},
-         {"prompt_tokens", text(m_request.promptTokens)}});
+         {"prompt_tokens", text(m_request.promptTokens)},
+         {"tokens_per_ms", text(static_cast<std::uint64_t>(
+                               m_gateway.engineModel(m_service).tokensPerMillisecond()))},
+         {"slowness_percent",
+          text(static_cast<std::uint64_t>(m_upstream->slowness() * Percent))}});
 }
 
 void RequestRelay::logAttempt(std::string_view end, const std::string &reason) const
