LibGateway: Keep the queue of less urgent requests short

Prompts share an engine's steps, so a long queue of less urgent ones made urgent ones late without serving more. Requests are judged by the tokens that are read before theirs; what is less urgent waits half of its target at most and is told to come back. An engine that refuses is left alone for a moment, one whose address another life has until its entry lapses.

--- a/Libraries/LibGateway/EngineModel.cpp
+++ b/Libraries/LibGateway/EngineModel.cpp
@@ -10,7 +10,10 @@
 constexpr EngineModel::Milliseconds Overhead {10};
 // Shorter prompts say more about the overhead than about the rate.
 constexpr unsigned LeastLearntTokens = 1'500;
-constexpr double Gain = 0.05;
+// Most samples hold some work that this instance does not know of, so the rate follows the faster
+// ones.
+constexpr double RisingGain = 0.2;
+constexpr double FallingGain = 0.02;
 constexpr double LeastRate = 1;
 constexpr double MostRate = 2'000;
 
@@ -27,7 +30,8 @@
     if (tokensRead < LeastLearntTokens || reading <= Milliseconds::zero())
         return;
     const double sample = std::clamp(tokensRead / reading.count(), LeastRate, MostRate);
-    m_tokensPerMillisecond += Gain * (sample - m_tokensPerMillisecond);
+    const double gain = sample > m_tokensPerMillisecond ? RisingGain : FallingGain;
+    m_tokensPerMillisecond += gain * (sample - m_tokensPerMillisecond);
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -98,18 +98,26 @@
  private:
   uint64_t upstream_;
   uint32_t waiting_tokens_;
+  uint32_t urgent_tokens_;
   uint32_t in_flight_;
+  int32_t padding0__;
 
  public:
   Load()
       : upstream_(0),
         waiting_tokens_(0),
-        in_flight_(0) {
+        urgent_tokens_(0),
+        in_flight_(0),
+        padding0__(0) {
+    (void)padding0__;
   }
-  Load(uint64_t _upstream, uint32_t _waiting_tokens, uint32_t _in_flight)
+  Load(uint64_t _upstream, uint32_t _waiting_tokens, uint32_t _urgent_tokens, uint32_t _in_flight)
       : upstream_(flatbuffers::EndianScalar(_upstream)),
         waiting_tokens_(flatbuffers::EndianScalar(_waiting_tokens)),
-        in_flight_(flatbuffers::EndianScalar(_in_flight)) {
+        urgent_tokens_(flatbuffers::EndianScalar(_urgent_tokens)),
+        in_flight_(flatbuffers::EndianScalar(_in_flight)),
+        padding0__(0) {
+    (void)padding0__;
   }
   uint64_t upstream() const {
     return flatbuffers::EndianScalar(upstream_);
@@ -117,11 +125,14 @@
   uint32_t waiting_tokens() const {
     return flatbuffers::EndianScalar(waiting_tokens_);
   }
+  uint32_t urgent_tokens() const {
+    return flatbuffers::EndianScalar(urgent_tokens_);
+  }
   uint32_t in_flight() const {
     return flatbuffers::EndianScalar(in_flight_);
   }
 };
-FLATBUFFERS_STRUCT_END(Load, 16);
+FLATBUFFERS_STRUCT_END(Load, 24);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) KeptPart FLATBUFFERS_FINAL_CLASS {
  private:
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -67,6 +67,10 @@
     std::function<void(std::uint64_t)> onBreak;
     /// Called when an engine has read a prompt's parts.
     std::function<void(const Upstream &, std::span<const PromptPart>)> onPartsRead;
+    /// Called when an upstream is to get nothing for a while.
+    std::function<void(const Upstream &, std::chrono::milliseconds)> onHold;
+    /// Called when an engine refused a request for having other weights than were known.
+    std::function<void(const std::shared_ptr<Upstream> &)> onOtherWeights;
     /// Called when an answer showed newer weights than were known.
     std::function<void(const Upstream &, const std::string &model, std::uint64_t version)>
         onWeightsSeen;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -104,7 +104,10 @@
                                                           std::uint64_t version) {
         m_siblings.tellWeights(engine, model, version);
     };
-    m_roller.onHold = [this](const Upstream &engine, std::chrono::milliseconds time) {
+    m_gateway.onOtherWeights = [this](const std::shared_ptr<Upstream> &engine) {
+        asio::co_spawn(m_threads.at(0), m_roller.refresh(engine), asio::detached);
+    };
+    m_gateway.onHold = m_roller.onHold = [this](const Upstream &engine, std::chrono::milliseconds time) {
         m_siblings.tellHold(engine, time);
     };
 }
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -28,7 +28,10 @@
 constexpr auto ShortRetryAfter = 300ms;
 constexpr auto LeastRetryAfter = 100ms;
 // Streams are given up by callers after this many times the target without a first event.
-constexpr int PatienceInTargets = 4;
+constexpr double PatienceInTargets = 4;
+// What is less urgent waits for at most this part of its target: a longer queue serves no more
+// requests, and delays the urgent ones that share the engines' steps with it.
+constexpr double QueueInTargets = 0.5;
 // Of a stream's time, this share may be spent on waiting for the first token.
 constexpr double FirstTokenShare = 0.85;
 // Younger knowledge than this part of the configuration's bound is taken to be complete.
@@ -38,6 +41,11 @@
 // Connections beyond an equal share that may still be starting or closing.
 constexpr unsigned SpareInstances = 1;
 constexpr int MostUrgency = 9;
+// Levels of urgency for each priority.
+constexpr int UrgencyLevels = 3;
+// Entries of the list lapse after this many reports that did not come.
+constexpr int LapsedReports = 3;
+constexpr auto BusyHold = 120ms;
 constexpr double Percent = 100;
 constexpr double BytesPerMegabit = 125'000;
 constexpr double MillisecondsPerSecond = 1'000;
@@ -61,13 +69,15 @@
 class RequestRelay::Load
 {
 public:
-    Load(std::shared_ptr<Upstream> upstream, std::uint64_t tokens, Core::Clock::Monotonic now)
+    Load(std::shared_ptr<Upstream> upstream, std::uint64_t tokens, bool isUrgent,
+         Core::Clock::Monotonic now)
         : m_upstream(std::move(upstream))
         , m_tokens(tokens)
-        , m_isAlone(m_upstream->waitingTokens() + m_upstream->othersWaitingTokens() == 0)
+        , m_isUrgent(isUrgent)
+        , m_isAlone(m_upstream->tokensBefore(false) == 0)
         , m_sent(now)
     {
-        m_upstream->noteSent(m_tokens);
+        m_upstream->noteSent(m_tokens, m_isUrgent);
     }
     ~Load()
     {
@@ -83,7 +93,7 @@
         if (m_hasFirstToken)
             return false;
         m_hasFirstToken = true;
-        m_upstream->noteFirstToken(m_tokens);
+        m_upstream->noteFirstToken(m_tokens, m_isUrgent);
         return true;
     }
     std::uint64_t tokens() const { return m_tokens; }
@@ -94,6 +104,7 @@
 private:
     std::shared_ptr<Upstream> m_upstream;
     std::uint64_t m_tokens;
+    bool m_isUrgent;
     bool m_isAlone;
     bool m_hasFirstToken = false;
     Core::Clock::Monotonic m_sent;
@@ -294,6 +305,7 @@
             demand.sharedTokens += m_parts[n].tokens;
     }
     demand.model = m_request.model;
+    demand.isUrgent = isUrgent();
     demand.targets = &parts.weights;
     demand.weightsPatience =
         duration_cast<milliseconds>(WeightsPatienceShare * parts.settings.weightsBound);
@@ -316,8 +328,10 @@
 
 std::optional<Refusal> RequestRelay::refuseSlowEngine(const EngineChoice &choice) const
 {
+    const auto most = isUrgent() ? PatienceInTargets : QueueInTargets;
     const auto patience = std::min<EngineModel::Milliseconds>(
-        PatienceInTargets * m_route->target, FirstTokenShare * EngineModel::Milliseconds(left()));
+        most * EngineModel::Milliseconds(m_route->target),
+        FirstTokenShare * EngineModel::Milliseconds(left()));
     if (choice.expectedFirst <= patience)
         return std::nullopt;
     const auto wait = choice.expectedFirst - m_route->target;
@@ -388,7 +402,7 @@
         const auto &engine = *m_configuration->findService(m_service)->engine;
         m_upstream->memory().setCapacity(engine.cacheTokens);
     }
-    Load load(m_upstream, missed, m_gateway.parts().clock.now());
+    Load load(m_upstream, missed, isUrgent(), m_gateway.parts().clock.now());
     const auto end = co_await exchangeWith(load);
     const auto now = m_gateway.parts().clock.now();
     if (end == AttemptEnd::Answered)
@@ -495,12 +509,9 @@
     std::optional<Core::Error> failure;
     try {
         if (head.isOtherUpstream || head.isNotRun) {
+            noteRefusedByUpstream(answer.status(), head);
             // Taking the body in whole lets the connection serve on.
             while (co_await answer.readSome()) { }
-            logAttempt(head.isOtherUpstream ? "other_upstream" : "not_run",
-                       std::to_string(answer.status()) + " from " + head.upstream.value()
-                           + " weights " + text(head.weights.value_or(0)) + " believed "
-                           + text(m_upstream->weights(m_request.model)));
             co_return AttemptEnd::NotRun;
         }
         if (head.weights && *head.weights > m_upstream->weights(m_request.model)) {
@@ -521,6 +532,28 @@
     co_return noteBroken(*failure);
 }
 
+void RequestRelay::noteRefusedByUpstream(unsigned status, const AnswerHead &head)
+{
+    const auto now = m_gateway.parts().clock.now();
+    logAttempt(head.isOtherUpstream ? "other_upstream" : "not_run",
+               std::to_string(status) + " from " + head.upstream.value() + ", believed weights "
+                   + text(m_upstream->weights(m_request.model)));
+    if (head.isOtherUpstream && head.upstream != m_upstream->report().id) {
+        // Another life has the address; the entry of the one before has yet to lapse.
+        m_upstream->holdUntil(now + LapsedReports * m_gateway.parts().settings.reportInterval);
+        if (m_gateway.onHold)
+            m_gateway.onHold(*m_upstream,
+                             LapsedReports * m_gateway.parts().settings.reportInterval);
+        return;
+    }
+    if (!m_engine)
+        return;
+    // It is full or carries out an order, or took other weights than were known.
+    m_upstream->holdUntil(std::max(m_upstream->heldUntil(), now + BusyHold));
+    if (head.isOtherUpstream && m_gateway.onOtherWeights)
+        m_gateway.onOtherWeights(m_upstream);
+}
+
 asio::awaitable<RequestRelay::AttemptEnd> RequestRelay::relayWhole(Http::ClientExchange &answer,
                                                                    Http::Headers headers)
 {
@@ -732,7 +765,18 @@
 {
     const int priority =
         m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
-    return std::clamp(priority, 0, MostUrgency);
+    // Of one priority, what can still be in time goes first, and then what its route ranks first.
+    const bool isLate = m_engine && m_engine->expectedFirst > m_route->target;
+    const int level = UrgencyLevels * priority + (isLate ? 1 : 0)
+                      + (m_route->priority > priority ? 1 : 0);
+    return std::clamp(level, 0, MostUrgency);
+}
+
+bool RequestRelay::isUrgent() const
+{
+    const int priority =
+        m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
+    return priority <= 0 || m_route->priority <= 0;
 }
 
 Metrics::Labels RequestRelay::labels() const
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -96,6 +96,8 @@
     std::chrono::milliseconds left() const;
     std::string cacheScope() const;
     int urgency() const;
+    bool isUrgent() const;
+    void noteRefusedByUpstream(unsigned status, const AnswerHead &head);
     Metrics::Labels labels() const;
 
     Gateway &m_gateway;
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -126,7 +126,8 @@
     for (const auto &[id, upstream] : m_fleet.all()) {
         if (upstream->inFlight() > 0)
             loads.emplace_back(upstreamHash(*upstream),
-                               static_cast<std::uint32_t>(upstream->waitingTokens()),
+                               static_cast<std::uint32_t>(upstream->waitingTokens().all),
+                               static_cast<std::uint32_t>(upstream->waitingTokens().urgent),
                                upstream->inFlight());
     }
     std::vector<Wire::KeptPart> parts;
@@ -178,7 +179,8 @@
     sibling.loads.clear();
     if (report->loads()) {
         for (const auto *load : *report->loads())
-            sibling.loads[load->upstream()] = {load->waiting_tokens(), load->in_flight()};
+            sibling.loads[load->upstream()] = {{load->waiting_tokens(), load->urgent_tokens()},
+                                               load->in_flight()};
     }
     // Weights come before parts: new weights empty an engine's memory.
     if (report->weights()) {
@@ -214,7 +216,8 @@
     std::map<std::uint64_t, UpstreamLoad> sums;
     for (const auto &[name, sibling] : m_siblings) {
         for (const auto &[upstream, load] : sibling.loads) {
-            sums[upstream].waitingTokens += load.waitingTokens;
+            sums[upstream].waitingTokens.all += load.waitingTokens.all;
+            sums[upstream].waitingTokens.urgent += load.waitingTokens.urgent;
             sums[upstream].inFlight += load.inFlight;
         }
     }
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -58,7 +58,7 @@
     };
     struct UpstreamLoad
     {
-        std::uint64_t waitingTokens = 0;
+        WaitingTokens waitingTokens;
         unsigned inFlight = 0;
     };
     struct Sibling
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -9,11 +9,13 @@
 
 // The weight of a new sample in the moving averages.
 constexpr double FailureGain = 0.25;
-constexpr double SlownessGain = 0.2;
+constexpr double SlownessGain = 0.1;
 // The failure share halves in this time without answers, so that an upstream is tried again.
 constexpr std::chrono::duration<double> FailureHalfLife {3.0};
-constexpr double LeastSlowness = 0.5;
-constexpr double MostSlowness = 10;
+constexpr double LeastSlowness = 0.7;
+constexpr double MostSlowness = 4;
+// Engines read prompts in pieces of about this size.
+constexpr std::uint64_t PieceTokens = 2'048;
 
 } // namespace
 
@@ -42,15 +44,18 @@
     return false;
 }
 
-void Upstream::noteSent(std::uint64_t tokens)
+void Upstream::noteSent(std::uint64_t tokens, bool isUrgent)
 {
     ++m_inFlight;
-    m_waitingTokens += tokens;
+    m_waitingTokens.all += tokens;
+    m_waitingTokens.urgent += isUrgent ? tokens : 0;
 }
 
-void Upstream::noteFirstToken(std::uint64_t tokens)
+void Upstream::noteFirstToken(std::uint64_t tokens, bool isUrgent)
 {
-    m_waitingTokens -= std::min(m_waitingTokens, tokens);
+    m_waitingTokens.all -= std::min(m_waitingTokens.all, tokens);
+    if (isUrgent)
+        m_waitingTokens.urgent -= std::min(m_waitingTokens.urgent, tokens);
 }
 
 void Upstream::noteEnd()
@@ -58,12 +63,22 @@
     m_inFlight -= m_inFlight > 0 ? 1 : 0;
 }
 
-void Upstream::setOthersLoad(std::uint64_t waitingTokens, unsigned inFlight)
+void Upstream::setOthersLoad(WaitingTokens waitingTokens, unsigned inFlight)
 {
     m_othersWaitingTokens = waitingTokens;
     m_othersInFlight = inFlight;
 }
 
+std::uint64_t Upstream::tokensBefore(bool isUrgent) const
+{
+    const auto all = m_waitingTokens.all + m_othersWaitingTokens.all;
+    if (!isUrgent)
+        return all;
+    const auto urgent = m_waitingTokens.urgent + m_othersWaitingTokens.urgent;
+    // What is being read is not put aside for an urgent request.
+    return urgent + std::min(all - urgent, PieceTokens);
+}
+
 void Upstream::noteOutcome(bool isGood, Core::Clock::Monotonic now)
 {
     m_failureShare = failureShare(now);
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -8,6 +8,14 @@
 
 namespace Gateway {
 
+/// Prompt tokens that an upstream has still to read.
+struct WaitingTokens
+{
+    std::uint64_t all = 0;
+    /// Of them, those of urgent requests, which are read first.
+    std::uint64_t urgent = 0;
+};
+
 /// One upstream as this instance knows it: its last report, what this instance has sent it, and how
 /// it answered.
 class Upstream
@@ -25,14 +33,16 @@
     /// Requests of this instance that it works on.
     unsigned inFlight() const { return m_inFlight; }
     /// Prompt tokens of this instance's requests that it has still to read.
-    std::uint64_t waitingTokens() const { return m_waitingTokens; }
-    void noteSent(std::uint64_t tokens);
-    void noteFirstToken(std::uint64_t tokens);
+    WaitingTokens waitingTokens() const { return m_waitingTokens; }
+    void noteSent(std::uint64_t tokens, bool isUrgent);
+    void noteFirstToken(std::uint64_t tokens, bool isUrgent);
     void noteEnd();
 
     /// What other instances said of their own requests here, and until when that counts.
-    void setOthersLoad(std::uint64_t waitingTokens, unsigned inFlight);
-    std::uint64_t othersWaitingTokens() const { return m_othersWaitingTokens; }
+    void setOthersLoad(WaitingTokens waitingTokens, unsigned inFlight);
+    WaitingTokens othersWaitingTokens() const { return m_othersWaitingTokens; }
+    /// Tokens of all instances that are read before those of a new request.
+    std::uint64_t tokensBefore(bool isUrgent) const;
     unsigned othersInFlight() const { return m_othersInFlight; }
 
     /// The answers' fate, for judging by what it does rather than by what it says.
@@ -61,8 +71,8 @@
 private:
     UpstreamReport m_report;
     PrefixMemory m_memory;
-    std::uint64_t m_waitingTokens = 0;
-    std::uint64_t m_othersWaitingTokens = 0;
+    WaitingTokens m_waitingTokens;
+    WaitingTokens m_othersWaitingTokens;
     unsigned m_othersInFlight = 0;
     unsigned m_inFlight = 0;
     double m_failureShare = 0;
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -94,8 +94,8 @@
         choice.readyTokens = most;
         fetch = Milliseconds((most - choice.keptTokens) / demand.fetchTokensPerMillisecond);
     }
-    const auto tokens = engine->waitingTokens() + engine->othersWaitingTokens()
-                        + demand.promptTokens - choice.readyTokens;
+    const auto tokens =
+        engine->tokensBefore(demand.isUrgent) + demand.promptTokens - choice.readyTokens;
     choice.expectedFirst = engine->slowness() * model.firstToken(tokens) + fetch;
     return choice;
 }
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -30,6 +30,8 @@
     /// Of the last part that other requests share; equal for all requests of one session.
     std::uint64_t homeKey = 0;
     unsigned sharedTokens = 0;
+    /// Whether engines read it before what is less urgent.
+    bool isUrgent = false;
     std::string model;
     /// The weights that were named; null when none matter.
     const WeightsTargets *targets = nullptr;
--- a/Libraries/LibGateway/WeightRoller.cpp
+++ b/Libraries/LibGateway/WeightRoller.cpp
@@ -137,27 +137,41 @@
     --m_running;
 }
 
-asio::awaitable<EngineState> WeightRoller::stateOf(const Task &task)
+asio::awaitable<EngineState> WeightRoller::stateOf(Upstream &engine)
 {
-    auto state = co_await m_parts.engines.state(task.engine->report());
-    noteWeights(task, state);
+    auto state = co_await m_parts.engines.state(engine.report());
+    noteWeights(engine, state);
     co_return state;
 }
 
-void WeightRoller::noteWeights(const Task &task, const EngineState &state)
+void WeightRoller::noteWeights(Upstream &engine, const EngineState &state)
 {
     for (const auto &[model, version] : state.weights) {
-        const auto before = task.engine->weights(model);
-        task.engine->noteWeights(model, version);
+        const auto before = engine.weights(model);
+        engine.noteWeights(model, version);
         if (version > before && onWeights)
-            onWeights(*task.engine, model, version);
+            onWeights(engine, model, version);
     }
 }
 
+asio::awaitable<void> WeightRoller::refresh(std::shared_ptr<Upstream> engine)
+{
+    const auto id = engine->report().id;
+    if (!m_isAsked.try_emplace(id, true).second)
+        co_return;
+    try {
+        co_await stateOf(*engine);
+    } catch (const Core::Error &error) {
+        Core::logEvent(Core::EventId::OrderUnanswered,
+                       {{"upstream", id.value()}, {"reason", error.what()}});
+    }
+    m_isAsked.erase(id);
+}
+
 asio::awaitable<bool> WeightRoller::giveOrder(const Task &task)
 {
     const auto &id = task.engine->report().id;
-    const auto state = co_await stateOf(task);
+    const auto state = co_await stateOf(*task.engine);
     if (task.engine->weights(task.model) >= task.version)
         co_return false;
     if (state.isBusy) {
@@ -194,7 +208,7 @@
     if (outcome == OrderOutcome::AlreadyHolds) {
         EngineState holds;
         holds.weights[task.model] = task.version;
-        noteWeights(task, holds);
+        noteWeights(*task.engine, holds);
     }
     backOff(task, ConflictPause);
     co_return false;
@@ -207,7 +221,7 @@
         co_await sleepFor(StatePause);
         if (task.engine->isGone())
             co_return;
-        co_await stateOf(task);
+        co_await stateOf(*task.engine);
         if (task.engine->weights(task.model) < task.version)
             continue;
         const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Libraries/LibGateway/WeightRoller.h
+++ b/Libraries/LibGateway/WeightRoller.h
@@ -32,6 +32,9 @@
     /// Works until the process ends.
     boost::asio::awaitable<void> run();
 
+    /// Asks an engine for its weights, unless it is being asked.
+    boost::asio::awaitable<void> refresh(std::shared_ptr<Upstream> engine);
+
     /// Called when an engine is to begin nothing for a while, so that siblings hear of it.
     std::function<void(const Upstream &, std::chrono::milliseconds)> onHold;
     /// Called when an engine was seen to have weights.
@@ -54,8 +57,8 @@
     boost::asio::awaitable<void> roll(Task task);
     boost::asio::awaitable<bool> giveOrder(const Task &task);
     boost::asio::awaitable<void> awaitWeights(const Task &task);
-    boost::asio::awaitable<EngineState> stateOf(const Task &task);
-    void noteWeights(const Task &task, const EngineState &state);
+    boost::asio::awaitable<EngineState> stateOf(Upstream &engine);
+    void noteWeights(Upstream &engine, const EngineState &state);
     void backOff(const Task &task, std::chrono::milliseconds time);
 
     Parts m_parts;
@@ -64,6 +67,7 @@
     std::map<Core::UpstreamId, std::uint64_t> m_accepted;
     std::size_t m_running = 0;
     std::map<Core::UpstreamId, bool> m_isRolling;
+    std::map<Core::UpstreamId, bool> m_isAsked;
 };
 
 } // namespace Gateway
