LibGateway: Save shared prompt parts to the store of parts and fetch them

Parts went with the engine that kept them, or were pushed out within seconds under load, and were read again. Engines now save prompts whose shared parts the store is not known to hold; the store's life is followed by its events, so that nothing is fetched from a dead or emptied one. Reading the events from the end made every call return at once (1.09 GB between zones); they are read on from where the last call ended.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -37,6 +37,8 @@
     EventRow {EventId::WeightsNamed, EventLevel::Info, "weights_named", "Operators named new weights for a model."},
     EventRow {EventId::OrderUnanswered, EventLevel::Warning, "order_unanswered", "An order got no answer; it may be carried out later."},
     EventRow {EventId::WeightsInPlace, EventLevel::Info, "weights_in_place", "An upstream has the weights that it was ordered to take."},
+    EventRow {EventId::PartStoreBack, EventLevel::Info, "part_store_back", "The store of prompt parts answers, or answers with another life and is empty."},
+    EventRow {EventId::PartStoreLost, EventLevel::Warning, "part_store_lost", "The store of prompt parts does not answer; nothing is fetched from it or saved to it."},
     EventRow {EventId::ConfigurationInForce, EventLevel::Info, "configuration_in_force", "A configuration generation is in force on this instance."},
     EventRow {EventId::ConfigurationRefused, EventLevel::Warning, "configuration_refused", "A published document lost its race or has faults."},
     EventRow {EventId::ConfigurationFromSibling, EventLevel::Info, "configuration_from_sibling", "A starting instance took its configuration from a sibling."},
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -43,6 +43,8 @@
     WeightsNamed = 309,
     OrderUnanswered = 310,
     WeightsInPlace = 311,
+    PartStoreBack = 312,
+    PartStoreLost = 313,
     ConfigurationInForce = 400,
     ConfigurationRefused = 401,
     ConfigurationFromSibling = 402,
--- a/Libraries/LibGateway/EngineControl.h
+++ b/Libraries/LibGateway/EngineControl.h
@@ -50,6 +50,11 @@
     virtual ~EngineControl() = default;
 
     virtual boost::asio::awaitable<EngineState> state(const UpstreamReport &engine) = 0;
+    /// Waits for news of a store of prompt parts behind the position, and moves it on. Returns the
+    /// number of the store's life.
+    virtual boost::asio::awaitable<std::uint64_t> storeEpoch(Http::Endpoint store,
+                                                             std::uint64_t &position)
+        = 0;
     virtual boost::asio::awaitable<OrderOutcome> order(const UpstreamReport &engine,
                                                        const WeightsOrder &order)
         = 0;
--- a/Libraries/LibGateway/Forward.h
+++ b/Libraries/LibGateway/Forward.h
@@ -8,6 +8,7 @@
 class FleetLog;
 class FleetWatcher;
 class Gateway;
+class PartStore;
 class PoisonLedger;
 class PrefixMemory;
 class RequestDialect;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -5,6 +5,7 @@
 #include <LibGateway/EngineModel.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/PartStore.h>
 #include <LibGateway/PoisonLedger.h>
 #include <LibGateway/RequestDialect.h>
 #include <LibGateway/RetryAllowance.h>
@@ -58,6 +59,7 @@
 
     const GatewayParts &parts() const { return m_parts; }
     GatewayMetrics &metrics() { return m_metrics; }
+    PartStore &store() { return m_store; }
     PoisonLedger &poison() { return m_poison; }
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     RetryAllowance &retries(const std::string &service) { return m_retries[service]; }
@@ -67,6 +69,8 @@
     std::function<void(std::uint64_t)> onBreak;
     /// Called when an engine has read a prompt's parts.
     std::function<void(const Upstream &, std::span<const PromptPart>)> onPartsRead;
+    /// Called when an engine has saved a prompt's parts, as PartStore::storedParts() gives them.
+    std::function<void(std::span<const PromptPart>)> onPartsStored;
     /// Called when an upstream is to get nothing for a while.
     std::function<void(const Upstream &, std::chrono::milliseconds)> onHold;
     /// Called when an engine refused a request for having other weights than were known.
@@ -78,6 +82,7 @@
 private:
     GatewayParts m_parts;
     GatewayMetrics m_metrics;
+    PartStore m_store;
     PoisonLedger m_poison;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, RetryAllowance> m_retries;
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -77,6 +77,7 @@
     /// The address of a store of cached prompt parts; such a service has no upstreams.
     std::optional<Http::Endpoint> partStore;
     std::string partStoreDataCentre;
+    std::uint64_t partStoreTokens = 0;
 };
 
 /// A team that calls with keys of its own.
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -27,6 +27,7 @@
 constexpr auto LastRequestTime = 5'000ms;
 constexpr auto DrainPoll = 50ms;
 constexpr auto CountPause = 200ms;
+constexpr auto StorePause = 400ms;
 
 } // namespace
 
@@ -92,6 +93,7 @@
     asio::co_spawn(context, m_siblings.receive(), asio::detached);
     asio::co_spawn(context, m_roller.run(), asio::detached);
     asio::co_spawn(context, countInstances(), asio::detached);
+    asio::co_spawn(context, watchPartStore(), asio::detached);
 }
 
 void GatewayDaemon::connectNews()
@@ -100,6 +102,12 @@
     m_gateway.onPartsRead = [this](const Upstream &engine, std::span<const PromptPart> parts) {
         m_siblings.tellParts(engine, parts);
     };
+    m_gateway.onPartsStored = [this](std::span<const PromptPart> parts) {
+        m_siblings.tellStored(parts);
+    };
+    m_siblings.onStored = [this](std::span<const PromptPart> parts) {
+        m_gateway.store().noteStored(parts);
+    };
     m_gateway.onWeightsSeen = m_roller.onWeights = [this](const auto &engine, const auto &model,
                                                           std::uint64_t version) {
         m_siblings.tellWeights(engine, model, version);
@@ -112,6 +120,31 @@
     };
 }
 
+asio::awaitable<void> GatewayDaemon::watchPartStore()
+{
+    std::uint64_t position = 0;
+    for (;;) {
+        const auto store = m_gateway.store().configured();
+        if (!store) {
+            co_await sleepFor(CountPause);
+            continue;
+        }
+        std::string failure;
+        try {
+            const auto epoch = co_await m_interfaces.engines.storeEpoch(*store, position);
+            if (m_gateway.store().noteAnswer(epoch))
+                Core::logEvent(Core::EventId::PartStoreBack, {{"life", std::to_string(epoch)}});
+        } catch (const Core::Error &error) {
+            failure = error.what();
+        }
+        if (!failure.empty())
+            position = 0;
+        if (!failure.empty() && m_gateway.store().noteSilence())
+            Core::logEvent(Core::EventId::PartStoreLost, {{"reason", failure}});
+        co_await sleepFor(StorePause);
+    }
+}
+
 asio::awaitable<void> GatewayDaemon::countInstances()
 {
     for (;;) {
@@ -129,6 +162,15 @@
     server.requestTime = limits.headerTime;
     server.idleTime = limits.idleTime;
     m_callers->setLimits(server);
+    std::optional<Http::Endpoint> store;
+    std::uint64_t capacity = 0;
+    for (const auto &[name, service] : m_configuration.current()->services) {
+        if (service.partStore) {
+            store = service.partStore;
+            capacity = service.partStoreTokens;
+        }
+    }
+    m_gateway.store().configure(store, capacity);
 }
 
 asio::awaitable<void> GatewayDaemon::answerOperator(Http::ServerExchange &exchange)
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -52,6 +52,8 @@
     void startLoops();
     void applyConfiguration();
     void connectNews();
+    /// Keeps in touch with the store of prompt parts.
+    boost::asio::awaitable<void> watchPartStore();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
     boost::asio::awaitable<void> answerOperator(Http::ServerExchange &exchange);
--- /dev/null
+++ b/Libraries/LibGateway/PartStore.cpp
@@ -0,0 +1,68 @@
+#include <LibCore/Hash.h>
+#include <LibGateway/PartStore.h>
+
+#include <string_view>
+#include <utility>
+
+namespace Gateway {
+
+namespace {
+
+std::uint64_t storedChain(std::uint64_t chain, std::uint64_t weights)
+{
+    const std::string_view bytes(reinterpret_cast<const char *>(&weights), sizeof(weights));
+    return Core::hash64(bytes, chain);
+}
+
+} // namespace
+
+void PartStore::configure(std::optional<Http::Endpoint> endpoint, std::uint64_t capacityTokens)
+{
+    m_memory.setCapacity(capacityTokens);
+    if (m_endpoint == endpoint)
+        return;
+    m_endpoint = std::move(endpoint);
+    m_memory.clear();
+    m_epoch.reset();
+    m_isAnswering = false;
+}
+
+std::optional<Http::Endpoint> PartStore::endpoint() const
+{
+    return m_isAnswering ? m_endpoint : std::nullopt;
+}
+
+bool PartStore::noteAnswer(std::uint64_t epoch)
+{
+    const bool isNewLife = m_epoch && *m_epoch != epoch;
+    if (isNewLife)
+        m_memory.clear();
+    m_epoch = epoch;
+    return !std::exchange(m_isAnswering, true) || isNewLife;
+}
+
+bool PartStore::noteSilence()
+{
+    return std::exchange(m_isAnswering, false);
+}
+
+unsigned PartStore::storedTokens(std::span<const PromptPart> parts, std::uint64_t weights) const
+{
+    return m_isAnswering ? m_memory.keptTokens(storedParts(parts, weights)) : 0;
+}
+
+void PartStore::noteSaved(std::span<const PromptPart> parts, std::uint64_t weights)
+{
+    m_memory.noteUse(storedParts(parts, weights));
+}
+
+std::vector<PromptPart> PartStore::storedParts(std::span<const PromptPart> parts,
+                                               std::uint64_t weights)
+{
+    std::vector<PromptPart> stored(parts.begin(), parts.end());
+    for (auto &part : stored)
+        part.chain = storedChain(part.chain, weights);
+    return stored;
+}
+
+} // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -41,6 +41,8 @@
 // Connections beyond an equal share that may still be starting or closing.
 constexpr unsigned SpareInstances = 1;
 constexpr int MostUrgency = 9;
+// Fewer shared tokens are read sooner than the store's room for the whole prompt is worth.
+constexpr unsigned LeastSavedTokens = 1'000;
 // Levels of urgency for each priority.
 constexpr int UrgencyLevels = 3;
 // Entries of the list lapse after this many reports that did not come.
@@ -305,6 +307,7 @@
             demand.sharedTokens += m_parts[n].tokens;
     }
     demand.model = m_request.model;
+    demand.store = &m_gateway.store();
     demand.isUrgent = isUrgent();
     demand.targets = &parts.weights;
     demand.weightsPatience =
@@ -401,6 +404,8 @@
             duration_cast<std::chrono::nanoseconds>(m_engine->expectedFirst), labels());
         const auto &engine = *m_configuration->findService(m_service)->engine;
         m_upstream->memory().setCapacity(engine.cacheTokens);
+        m_sentWeights = m_upstream->weights(m_request.model);
+        m_isSaving = shouldSave();
     }
     Load load(m_upstream, missed, isUrgent(), m_gateway.parts().clock.now());
     const auto end = co_await exchangeWith(load);
@@ -427,6 +432,10 @@
         const auto weights = m_upstream->weights(m_request.model);
         dispatch.weights = weights;
         dispatch.cacheScope += ".weights-" + text(weights);
+        if (m_engine->isFromStore)
+            dispatch.fetchFrom = m_gateway.store().endpoint();
+        if (m_isSaving)
+            dispatch.saveTo = m_gateway.store().endpoint();
         if (m_engine->source && !m_engine->source->isGone()
             && m_engine->source->weights(m_request.model) == weights)
             dispatch.fetchFrom = m_engine->source->report().endpoint;
@@ -613,6 +622,12 @@
     m_upstream->noteKept(m_parts);
     if (m_gateway.onPartsRead)
         m_gateway.onPartsRead(*m_upstream, m_parts);
+    if (m_isSaving) {
+        const auto stored = PartStore::storedParts(m_parts, m_sentWeights);
+        m_gateway.store().noteStored(stored);
+        if (m_gateway.onPartsStored)
+            m_gateway.onPartsStored(stored);
+    }
     const EngineModel::Milliseconds taken = now - load.sent();
     if (load.isAlone())
         m_gateway.engineModel(m_service).learn(static_cast<unsigned>(load.tokens()), taken);
@@ -772,6 +787,19 @@
     return std::clamp(level, 0, MostUrgency);
 }
 
+bool RequestRelay::shouldSave() const
+{
+    // The last part is the request's own; saving it takes room from what others share.
+    if (!m_gateway.store().endpoint() || m_parts.size() < 2)
+        return false;
+    const std::span shared(m_parts.data(), m_parts.size() - 1);
+    unsigned tokens = 0;
+    for (const auto &part : shared)
+        tokens += part.tokens;
+    return tokens >= LeastSavedTokens
+           && m_gateway.store().storedTokens(shared, m_sentWeights) < tokens;
+}
+
 bool RequestRelay::isUrgent() const
 {
     const int priority =
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -97,6 +97,7 @@
     std::string cacheScope() const;
     int urgency() const;
     bool isUrgent() const;
+    bool shouldSave() const;
     void noteRefusedByUpstream(unsigned status, const AnswerHead &head);
     Metrics::Labels labels() const;
 
@@ -114,6 +115,9 @@
 
     std::shared_ptr<Upstream> m_upstream;
     std::optional<EngineChoice> m_engine;
+    /// Whether the engine is told to save the prompt's parts, and for which weights.
+    bool m_isSaving = false;
+    std::uint64_t m_sentWeights = 0;
     std::set<Core::UpstreamId> m_excluded;
     /// Upstreams that may have run the request.
     unsigned m_runs = 0;
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -25,6 +25,8 @@
 constexpr int SilentIntervals = 15;
 // What fits a datagram beside the loads of a large fleet.
 constexpr std::size_t MostPartsPerDatagram = 256;
+// Stands for the store of parts where an engine's hash would stand.
+constexpr std::uint64_t StoreHolder = 0;
 
 std::uint64_t random64()
 {
@@ -101,11 +103,21 @@
 }
 
 void SiblingExchange::tellParts(const Upstream &engine, std::span<const PromptPart> parts)
+{
+    queueParts(upstreamHash(engine), parts);
+}
+
+void SiblingExchange::tellStored(std::span<const PromptPart> parts)
+{
+    queueParts(StoreHolder, parts);
+}
+
+void SiblingExchange::queueParts(std::uint64_t holder, std::span<const PromptPart> parts)
 {
     // The last first, so that a part never seems older than one that builds on it.
     for (auto it = parts.rbegin(); it != parts.rend(); ++it) {
         if (m_parts.size() < MostPartsPerDatagram)
-            m_parts.push_back({upstreamHash(engine), *it});
+            m_parts.push_back({holder, *it});
     }
 }
 
@@ -202,8 +214,10 @@
     }
     if (report->parts()) {
         for (const auto *part : *report->parts()) {
+            const PromptPart kept {part->chain(), part->tokens()};
+            if (part->upstream() == StoreHolder && onStored)
+                onStored(std::span(&kept, 1));
             if (auto *upstream = known(part->upstream())) {
-                const PromptPart kept {part->chain(), part->tokens()};
                 upstream->noteKept(std::span(&kept, 1));
             }
         }
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -29,6 +30,8 @@
 
     /// Queues news for the next datagram.
     void tellParts(const Upstream &engine, std::span<const PromptPart> parts);
+    /// Parts as the store of parts tells them apart.
+    void tellStored(std::span<const PromptPart> parts);
     void tellHold(const Upstream &engine, std::chrono::milliseconds time);
     void tellWeights(const Upstream &engine, const std::string &model, std::uint64_t version);
 
@@ -39,7 +42,11 @@
     /// Forgets the load of siblings that went silent.
     void dropSilent();
 
+    /// Called with a part that a sibling saw saved to the store of parts.
+    std::function<void(std::span<const PromptPart>)> onStored;
+
 private:
+    void queueParts(std::uint64_t holder, std::span<const PromptPart> parts);
     struct Part
     {
         std::uint64_t upstream = 0;
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -87,10 +87,16 @@
         std::min(engine->memory().keptTokens(demand.parts), demand.promptTokens);
     choice.readyTokens = choice.keptTokens;
     Milliseconds fetch {0};
-    const auto most = std::min(holder.tokens, demand.promptTokens);
-    if (demand.fetchTokensPerMillisecond > 0 && holder.engine && holder.engine != engine
+    // Engines forget what the store still holds, so the store goes first where both have it.
+    const auto stored =
+        demand.store ? demand.store->storedTokens(demand.parts, engine->weights(demand.model)) : 0;
+    const bool isFromStore = stored > 0 && stored >= holder.tokens;
+    const auto most = std::min(std::max(stored, holder.tokens), demand.promptTokens);
+    const bool hasSource = isFromStore || (holder.engine && holder.engine != engine);
+    if (demand.fetchTokensPerMillisecond > 0 && hasSource
         && most > choice.keptTokens + LeastFetchTokens) {
-        choice.source = holder.engine;
+        choice.isFromStore = isFromStore;
+        choice.source = isFromStore ? nullptr : holder.engine;
         choice.readyTokens = most;
         fetch = Milliseconds((most - choice.keptTokens) / demand.fetchTokensPerMillisecond);
     }
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/EngineModel.h>
+#include <LibGateway/PartStore.h>
 #include <LibGateway/PrefixMemory.h>
 #include <LibGateway/UpstreamFleet.h>
 #include <LibGateway/WeightsTargets.h>
@@ -38,6 +39,8 @@
     /// Engines whose weights have been outdated for longer are passed over.
     std::chrono::milliseconds weightsPatience {0};
     unsigned slots = 1;
+    /// The store of prompt parts; null when there is none.
+    const PartStore *store = nullptr;
     /// How fast engines pass cached parts to each other; zero when they cannot.
     double fetchTokensPerMillisecond = 0;
 };
@@ -50,6 +53,8 @@
     unsigned keptTokens = 0;
     /// Another engine with the same weights that keeps more; null when fetching does not pay.
     std::shared_ptr<Upstream> source;
+    /// Whether the store of parts holds more, and is the source instead.
+    bool isFromStore = false;
     /// Leading tokens that need no reading, with what is fetched.
     unsigned readyTokens = 0;
     EngineModel::Milliseconds expectedFirst {0};
