--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -155,9 +155,8 @@
 
 void configureEventLog(LogFormat format, EventLevel lowest, LogTarget target)
 {
-    theBoundedOutput = target == LogTarget::BoundedStandardOutput
-                           ? std::make_unique<BoundedOutput>()
-                           : nullptr;
+    theBoundedOutput =
+        target == LogTarget::BoundedStandardOutput ? std::make_unique<BoundedOutput>() : nullptr;
     theIsConfigured = true;
     theFormat = format;
     theLowestLevel = lowest;
@@ -186,8 +185,8 @@
         if (!theBoundedOutput->admit(row.level, now))
             return;
         if (const auto count = theBoundedOutput->takeLeftOut(now); count > 0)
-            writeLine(EventLevel::Warning, render(eventRow(EventId::LinesLeftOut),
-                                                  {{"lines", std::to_string(count)}}));
+            writeLine(EventLevel::Warning,
+                      render(eventRow(EventId::LinesLeftOut), {{"lines", std::to_string(count)}}));
     }
     writeLine(row.level, render(row, fields));
 }
--- a/Libraries/LibCore/LineWriter.cpp
+++ b/Libraries/LibCore/LineWriter.cpp
@@ -1,10 +1,10 @@
 #include <LibCore/LineWriter.h>
 
-#include <climits>
 #include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <climits>
 #include <utility>
 
 namespace Core {
--- a/Libraries/LibGateway/ConfigurationState.h
+++ b/Libraries/LibGateway/ConfigurationState.h
@@ -16,7 +16,8 @@
 
     /// Puts the version in force unless one as new is. Returns whether it did.
     bool adopt(Version version);
-    /// Notes that a read that was asked at the given time showed nothing newer than what is in force.
+    /// Notes that a read that was asked at the given time showed nothing newer than what is in
+    /// force.
     void confirm(Core::Clock::Monotonic asked);
 
     /// The configuration in force; null before the first.
--- a/Libraries/LibGateway/EngineControl.h
+++ b/Libraries/LibGateway/EngineControl.h
@@ -53,11 +53,9 @@
     /// Waits for news of a store of prompt parts behind the position, and moves it on. Returns the
     /// number of the store's life.
     virtual boost::asio::awaitable<std::uint64_t> storeEpoch(Http::Endpoint store,
-                                                             std::uint64_t &position)
-        = 0;
+                                                             std::uint64_t &position) = 0;
     virtual boost::asio::awaitable<OrderOutcome> order(const UpstreamReport &engine,
-                                                       const WeightsOrder &order)
-        = 0;
+                                                       const WeightsOrder &order) = 0;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -167,8 +167,7 @@
         co_return false;
     m_lease.noteTaken(outcome.offset, asked);
     if (!isRenewal)
-        Core::logEvent(Core::EventId::LeaseTaken,
-                       {{"token", std::to_string(outcome.offset + 1)}});
+        Core::logEvent(Core::EventId::LeaseTaken, {{"token", std::to_string(outcome.offset + 1)}});
     co_return m_lease.token(m_clock.now(), 0ms).has_value();
 }
 
--- a/Libraries/LibGateway/FleetLog.h
+++ b/Libraries/LibGateway/FleetLog.h
@@ -61,9 +61,8 @@
     virtual boost::asio::awaitable<FleetPage> read(FleetTopic topic, std::uint64_t from,
                                                    std::chrono::milliseconds wait) = 0;
     /// Appends a record, only if the log ends at the given offset where one is given.
-    virtual boost::asio::awaitable<AppendOutcome> append(FleetTopic topic, std::string value,
-                                                         std::optional<std::uint64_t> expectedEnd)
-        = 0;
+    virtual boost::asio::awaitable<AppendOutcome>
+    append(FleetTopic topic, std::string value, std::optional<std::uint64_t> expectedEnd) = 0;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -169,8 +169,8 @@
 {
     if (!record.value) {
         const auto now = m_parts.clock.now();
-        const bool isTrouble = m_storeTrouble != Core::Clock::Monotonic::min()
-                               && now - m_storeTrouble < LapseGrace;
+        const bool isTrouble =
+            m_storeTrouble != Core::Clock::Monotonic::min() && now - m_storeTrouble < LapseGrace;
         if (isTrouble)
             m_lapsed.try_emplace(record.key, now + LapseGrace);
         else
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -55,14 +55,14 @@
 
 void GatewayDaemon::start()
 {
-    m_callers = Http::Server::create(m_threads, m_settings.callers, {},
-                                     [this](auto &exchange) { return m_gateway.handle(exchange); })
-                    .value();
+    m_callers = Http::Server::create(m_threads, m_settings.callers, {}, [this](auto &exchange) {
+                    return m_gateway.handle(exchange);
+                }).value();
     m_readiness = Http::Server::create(m_threads, m_settings.readiness, {}, [this](auto &exchange) {
                       return answerOperator(exchange);
                   }).value();
-    Core::logEvent(Core::EventId::ProcessStarted, {{"instance", m_settings.instance.value()},
-                                                   {"version", JUJUBE_VERSION}});
+    Core::logEvent(Core::EventId::ProcessStarted,
+                   {{"instance", m_settings.instance.value()}, {"version", JUJUBE_VERSION}});
     m_siblings.open();
     Core::logEvent(Core::EventId::ListeningOn,
                    {{"port", "callers"}, {"address", Http::formatEndpoint(callers())}});
@@ -108,16 +108,17 @@
     m_siblings.onStored = [this](std::span<const PromptPart> parts) {
         m_gateway.store().noteStored(parts);
     };
-    m_gateway.onWeightsSeen = m_roller.onWeights = [this](const auto &engine, const auto &model,
-                                                          std::uint64_t version) {
-        m_siblings.tellWeights(engine, model, version);
-    };
+    m_gateway.onWeightsSeen =
+        m_roller.onWeights = [this](const auto &engine, const auto &model, std::uint64_t version) {
+            m_siblings.tellWeights(engine, model, version);
+        };
     m_gateway.onOtherWeights = [this](const std::shared_ptr<Upstream> &engine) {
         asio::co_spawn(m_threads.at(0), m_roller.refresh(engine), asio::detached);
     };
-    m_gateway.onHold = m_roller.onHold = [this](const Upstream &engine, std::chrono::milliseconds time) {
-        m_siblings.tellHold(engine, time);
-    };
+    m_gateway.onHold =
+        m_roller.onHold = [this](const Upstream &engine, std::chrono::milliseconds time) {
+            m_siblings.tellHold(engine, time);
+        };
 }
 
 asio::awaitable<void> GatewayDaemon::watchPartStore()
@@ -190,8 +191,7 @@
             Core::EventId::ReadinessChanged,
             {{"ready", isReady ? "true" : "false"},
              {"age_ms",
-              std::to_string(
-                  std::chrono::duration_cast<std::chrono::milliseconds>(age).count())}});
+              std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count())}});
     }
     m_wasReady = isReady;
     Http::Response response(isReady ? 200 : 503, {}, isReady ? "ready\n" : "not ready\n");
--- a/Libraries/LibGateway/PoisonLedger.cpp
+++ b/Libraries/LibGateway/PoisonLedger.cpp
@@ -31,13 +31,13 @@
 
 void PoisonLedger::dropOld(Core::Clock::Monotonic now)
 {
-    std::erase_if(m_entries, [now](const auto &item) { return now - item.second.last >= KeptTime; });
+    std::erase_if(m_entries,
+                  [now](const auto &item) { return now - item.second.last >= KeptTime; });
     if (m_entries.size() < MostEntries)
         return;
-    const auto oldest = std::min_element(m_entries.begin(), m_entries.end(),
-                                         [](const auto &left, const auto &right) {
-                                             return left.second.last < right.second.last;
-                                         });
+    const auto oldest = std::min_element(
+        m_entries.begin(), m_entries.end(),
+        [](const auto &left, const auto &right) { return left.second.last < right.second.last; });
     m_entries.erase(oldest);
 }
 
--- a/Libraries/LibGateway/RequestDialect.h
+++ b/Libraries/LibGateway/RequestDialect.h
@@ -82,8 +82,7 @@
     virtual Core::Result<CallerRequest> decode(const Http::Request &request) const = 0;
     /// The headers of the request as an upstream receives it.
     virtual Http::Headers upstreamHeaders(const Http::Request &request,
-                                          const Dispatch &dispatch) const
-        = 0;
+                                          const Dispatch &dispatch) const = 0;
     virtual AnswerHead readHead(unsigned status, const Http::Headers &headers) const = 0;
 };
 
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -158,8 +158,8 @@
         return Refusal {Core::ErrorKind::NotReady, "no configuration is known yet",
                         ShortRetryAfter};
     // What is not known may have been added since; only fresh knowledge denies it.
-    const bool isComplete = parts.configuration.age(now)
-                            < CompleteKnowledgeShare * parts.settings.configurationBound;
+    const bool isComplete =
+        parts.configuration.age(now) < CompleteKnowledgeShare * parts.settings.configurationBound;
     const Refusal isStale {Core::ErrorKind::NotReady, "the configuration may be out of date",
                            ShortRetryAfter};
     const auto &target = m_exchange.request().target;
@@ -332,16 +332,15 @@
 std::optional<Refusal> RequestRelay::refuseSlowEngine(const EngineChoice &choice) const
 {
     const auto most = isUrgent() ? PatienceInTargets : QueueInTargets;
-    const auto patience = std::min<EngineModel::Milliseconds>(
-        most * EngineModel::Milliseconds(m_route->target),
-        FirstTokenShare * EngineModel::Milliseconds(left()));
+    const auto patience =
+        std::min<EngineModel::Milliseconds>(most * EngineModel::Milliseconds(m_route->target),
+                                            FirstTokenShare * EngineModel::Milliseconds(left()));
     if (choice.expectedFirst <= patience)
         return std::nullopt;
     const auto wait = choice.expectedFirst - m_route->target;
     return Refusal {Core::ErrorKind::Overloaded,
                     "first token expected in "
-                        + text(static_cast<std::uint64_t>(choice.expectedFirst.count()))
-                        + " ms",
+                        + text(static_cast<std::uint64_t>(choice.expectedFirst.count())) + " ms",
                     std::max<milliseconds>(LeastRetryAfter, duration_cast<milliseconds>(wait))};
 }
 
@@ -366,8 +365,8 @@
         return false;
     const auto &parts = m_gateway.parts();
     const auto mayRepeat = [&] {
-        return m_gateway.retries(m_service).tryRepeat(parts.settings.retries,
-                                                      m_gateway.instances(), parts.clock.now());
+        return m_gateway.retries(m_service).tryRepeat(parts.settings.retries, m_gateway.instances(),
+                                                      parts.clock.now());
     };
     switch (end) {
     case AttemptEnd::NotSent:
@@ -379,8 +378,8 @@
         return m_route->mayRunAgain() && m_runs < m_route->maxAttempts
                && !m_gateway.poison().isPoison(m_digest, parts.clock.now()) && mayRepeat();
     case AttemptEnd::StreamBroken:
-        return m_route->mayRunAgain() && !m_events.lastId().empty()
-               && m_runs < m_route->maxAttempts && mayRepeat();
+        return m_route->mayRunAgain() && !m_events.lastId().empty() && m_runs < m_route->maxAttempts
+               && mayRepeat();
     case AttemptEnd::Answered:
     case AttemptEnd::Ended:
         return false;
@@ -575,8 +574,7 @@
     if (response.status >= 500) {
         logAttempt("failed", std::to_string(response.status));
         m_failure = std::move(response);
-        co_return m_exchange.hasStarted() ? AttemptEnd::StreamBroken
-                                          : AttemptEnd::FailedByUpstream;
+        co_return m_exchange.hasStarted() ? AttemptEnd::StreamBroken : AttemptEnd::FailedByUpstream;
     }
     if (m_exchange.hasStarted())
         co_return AttemptEnd::StreamBroken;
@@ -587,9 +585,8 @@
     co_return AttemptEnd::Answered;
 }
 
-asio::awaitable<RequestRelay::AttemptEnd> RequestRelay::relayStream(Http::ClientExchange &answer,
-                                                                    Http::Headers headers,
-                                                                    Load &load)
+asio::awaitable<RequestRelay::AttemptEnd>
+RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, Load &load)
 {
     m_events.dropPartialEvent();
     while (auto piece = co_await answer.readSome()) {
@@ -650,12 +647,11 @@
     }
     if (m_exchange.hasStarted()) {
         m_gateway.metrics().requests.add(1, labels(), "cut");
-        Core::logEvent(Core::EventId::RequestFailed,
-                       {{"request", m_request.attemptId},
-                        {"route", m_route->name},
-                        {"upstream", m_upstream->report().id.value()},
-                        {"outcome", "stream cut"},
-                        {"last_event", m_events.lastId()}});
+        Core::logEvent(Core::EventId::RequestFailed, {{"request", m_request.attemptId},
+                                                      {"route", m_route->name},
+                                                      {"upstream", m_upstream->report().id.value()},
+                                                      {"outcome", "stream cut"},
+                                                      {"last_event", m_events.lastId()}});
         // Closing the connection is the only way to say that the stream is not whole.
         throw boost::system::system_error(asio::error::connection_aborted);
     }
@@ -717,15 +713,14 @@
 {
     const auto &parts = m_gateway.parts();
     const auto age = parts.configuration.age(parts.clock.now());
-    Core::logEvent(
-        Core::EventId::RequestRefused,
-        {{"request", m_request.attemptId},
-         {"route", m_route ? m_route->name : ""},
-         {"tenant", m_tenant ? m_tenant->name : ""},
-         {"kind", std::string(Core::errorKindRow(refusal.kind).name)},
-         {"reason", refusal.reason},
-         {"configuration", m_configuration ? text(m_configuration->version) : "none"},
-         {"age_ms", std::to_string(duration_cast<milliseconds>(age).count())}});
+    Core::logEvent(Core::EventId::RequestRefused,
+                   {{"request", m_request.attemptId},
+                    {"route", m_route ? m_route->name : ""},
+                    {"tenant", m_tenant ? m_tenant->name : ""},
+                    {"kind", std::string(Core::errorKindRow(refusal.kind).name)},
+                    {"reason", refusal.reason},
+                    {"configuration", m_configuration ? text(m_configuration->version) : "none"},
+                    {"age_ms", std::to_string(duration_cast<milliseconds>(age).count())}});
 }
 
 void RequestRelay::logServed() const
@@ -749,20 +744,18 @@
          {"prompt_tokens", text(m_request.promptTokens)},
          {"tokens_per_ms", text(static_cast<std::uint64_t>(
                                m_gateway.engineModel(m_service).tokensPerMillisecond()))},
-         {"slowness_percent",
-          text(static_cast<std::uint64_t>(m_upstream->slowness() * Percent))}});
+         {"slowness_percent", text(static_cast<std::uint64_t>(m_upstream->slowness() * Percent))}});
 }
 
 void RequestRelay::logAttempt(std::string_view end, const std::string &reason) const
 {
     m_gateway.metrics().attempts.add(1, labels(), std::string(end));
-    Core::logEvent(Core::EventId::AttemptFailed,
-                   {{"request", m_request.attemptId},
-                    {"upstream", m_upstream->report().id.value()},
-                    {"end", std::string(end)},
-                    {"reason", reason},
-                    {"send", text(m_sends)},
-                    {"left_ms", std::to_string(left().count())}});
+    Core::logEvent(Core::EventId::AttemptFailed, {{"request", m_request.attemptId},
+                                                  {"upstream", m_upstream->report().id.value()},
+                                                  {"end", std::string(end)},
+                                                  {"reason", reason},
+                                                  {"send", text(m_sends)},
+                                                  {"left_ms", std::to_string(left().count())}});
 }
 
 milliseconds RequestRelay::left() const
@@ -778,12 +771,11 @@
 
 int RequestRelay::urgency() const
 {
-    const int priority =
-        m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
+    const int priority = m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
     // Of one priority, what can still be in time goes first, and then what its route ranks first.
     const bool isLate = m_engine && m_engine->expectedFirst > m_route->target;
-    const int level = UrgencyLevels * priority + (isLate ? 1 : 0)
-                      + (m_route->priority > priority ? 1 : 0);
+    const int level =
+        UrgencyLevels * priority + (isLate ? 1 : 0) + (m_route->priority > priority ? 1 : 0);
     return std::clamp(level, 0, MostUrgency);
 }
 
@@ -802,8 +794,7 @@
 
 bool RequestRelay::isUrgent() const
 {
-    const int priority =
-        m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
+    const int priority = m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
     return priority <= 0 || m_route->priority <= 0;
 }
 
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -137,10 +137,9 @@
     std::vector<Wire::Load> loads;
     for (const auto &[id, upstream] : m_fleet.all()) {
         if (upstream->inFlight() > 0)
-            loads.emplace_back(upstreamHash(*upstream),
-                               static_cast<std::uint32_t>(upstream->waitingTokens().all),
-                               static_cast<std::uint32_t>(upstream->waitingTokens().urgent),
-                               upstream->inFlight());
+            loads.emplace_back(
+                upstreamHash(*upstream), static_cast<std::uint32_t>(upstream->waitingTokens().all),
+                static_cast<std::uint32_t>(upstream->waitingTokens().urgent), upstream->inFlight());
     }
     std::vector<Wire::KeptPart> parts;
     for (const auto &entry : std::exchange(m_parts, {}))
@@ -209,7 +208,8 @@
     if (report->holds()) {
         for (const auto *hold : *report->holds()) {
             if (auto *upstream = known(hold->upstream()))
-                upstream->holdUntil(m_clock.now() + std::chrono::milliseconds(hold->milliseconds()));
+                upstream->holdUntil(m_clock.now()
+                                    + std::chrono::milliseconds(hold->milliseconds()));
         }
     }
     if (report->parts()) {
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -25,8 +25,7 @@
 
 bool Upstream::update(UpstreamReport report)
 {
-    const bool isNewLife =
-        report.born != m_report.born || report.endpoint != m_report.endpoint;
+    const bool isNewLife = report.born != m_report.born || report.endpoint != m_report.endpoint;
     const auto earlier = std::exchange(m_report, std::move(report));
     if (isNewLife) {
         m_memory.clear();
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -68,10 +68,9 @@
             continue;
         auto &holder = holders[member->weights(demand.model)];
         const auto tokens = member->memory().keptTokens(demand.parts);
-        const bool isBetter =
-            tokens > holder.tokens
-            || (tokens == holder.tokens && holder.engine && tokens > 0
-                && member->inFlight() < holder.engine->inFlight());
+        const bool isBetter = tokens > holder.tokens
+                              || (tokens == holder.tokens && holder.engine && tokens > 0
+                                  && member->inFlight() < holder.engine->inFlight());
         if (isBetter)
             holder = {member, tokens};
     }
@@ -83,8 +82,7 @@
 {
     EngineChoice choice;
     choice.upstream = engine;
-    choice.keptTokens =
-        std::min(engine->memory().keptTokens(demand.parts), demand.promptTokens);
+    choice.keptTokens = std::min(engine->memory().keptTokens(demand.parts), demand.promptTokens);
     choice.readyTokens = choice.keptTokens;
     Milliseconds fetch {0};
     // Engines forget what the store still holds, so the store goes first where both have it.
@@ -129,8 +127,8 @@
 
 bool takesRequests(const Upstream &upstream, const ChoiceLimits &limits)
 {
-    return !upstream.isGone() && !upstream.report().isDraining
-           && upstream.heldUntil() <= limits.now && upstream.inFlight() < limits.mostInFlight
+    return !upstream.isGone() && !upstream.report().isDraining && upstream.heldUntil() <= limits.now
+           && upstream.inFlight() < limits.mostInFlight
            && !limits.excluded.contains(upstream.report().id);
 }
 
--- a/Libraries/LibGateway/UpstreamFleet.cpp
+++ b/Libraries/LibGateway/UpstreamFleet.cpp
@@ -20,12 +20,11 @@
     }
     const auto upstream = it->second;
     const auto &known = upstream->report();
-    if (report.born < known.born
-        || (report.born == known.born && report.number < known.number))
+    if (report.born < known.born || (report.born == known.born && report.number < known.number))
         return;
     if (report.isDraining && !known.isDraining)
-        Core::logEvent(Core::EventId::UpstreamLeaving, {{"upstream", known.id.value()},
-                                                        {"reason", "draining"}});
+        Core::logEvent(Core::EventId::UpstreamLeaving,
+                       {{"upstream", known.id.value()}, {"reason", "draining"}});
     if (report.service != known.service) {
         unlist(upstream);
         m_byService[report.service].push_back(upstream);
--- a/Libraries/LibGateway/WeightRoller.cpp
+++ b/Libraries/LibGateway/WeightRoller.cpp
@@ -224,8 +224,8 @@
         co_await stateOf(*task.engine);
         if (task.engine->weights(task.model) < task.version)
             continue;
-        const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
-            m_parts.clock.now() - begin);
+        const auto taken =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_parts.clock.now() - begin);
         Core::logEvent(Core::EventId::WeightsInPlace,
                        {{"upstream", task.engine->report().id.value()},
                         {"version", std::to_string(task.version)},
--- a/Libraries/LibGateway/WeightRoller.h
+++ b/Libraries/LibGateway/WeightRoller.h
@@ -38,7 +38,8 @@
     /// Called when an engine is to begin nothing for a while, so that siblings hear of it.
     std::function<void(const Upstream &, std::chrono::milliseconds)> onHold;
     /// Called when an engine was seen to have weights.
-    std::function<void(const Upstream &, const std::string &model, std::uint64_t version)> onWeights;
+    std::function<void(const Upstream &, const std::string &model, std::uint64_t version)>
+        onWeights;
 
 private:
     /// One engine that has older weights than were named.
--- a/Libraries/LibHttp/Headers.cpp
+++ b/Libraries/LibHttp/Headers.cpp
@@ -43,9 +43,8 @@
 Headers withoutConnectionFields(const Headers &headers)
 {
     static constexpr std::array ConnectionFields {
-        "Connection", "Keep-Alive", "Proxy-Connection", "TE",
-        "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",
-        "Expect",     "Proxy-Authorization"};
+        "Connection", "Keep-Alive",        "Proxy-Connection", "TE",     "Trailer",
+        "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect", "Proxy-Authorization"};
     Headers kept;
     for (const auto &field : headers) {
         const bool isOfConnection =
--- /dev/null
+++ b/Tests/LibGateway/TestConfiguration.cpp
@@ -0,0 +1,101 @@
+#include <LibCore/ManualClock.h>
+#include <LibGateway/ConfigurationState.h>
+#include <LibGateway/WeightsTargets.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+Gateway::Route route(const std::string &host, const std::string &prefix)
+{
+    Gateway::Route result;
+    result.name = host + prefix;
+    result.host = host;
+    result.pathPrefix = prefix;
+    return result;
+}
+
+std::shared_ptr<const Gateway::GatewayConfiguration> version(std::uint64_t number)
+{
+    auto configuration = std::make_shared<Gateway::GatewayConfiguration>();
+    configuration->version = number;
+    return configuration;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of a host's routes decides, whatever their order")
+{
+    Gateway::GatewayConfiguration configuration;
+    configuration.routes = {route("a.example", "/x/"), route("a.example", "/x/y/"),
+                            route("b.example", "/")};
+    configuration.buildIndexes();
+    CHECK(configuration.findRoute("a.example", "/x/z")->pathPrefix == "/x/");
+    CHECK(configuration.findRoute("a.example", "/x/y/z")->pathPrefix == "/x/y/");
+    CHECK(configuration.findRoute("A.Example:8080", "/x/y/")->pathPrefix == "/x/y/");
+    CHECK(configuration.findRoute("a.example", "/x") == nullptr);
+    CHECK(configuration.findRoute("b.example", "/anything")->host == "b.example");
+    CHECK(configuration.findRoute("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("a key belongs to one team, and unknown keys to none")
+{
+    Gateway::GatewayConfiguration configuration;
+    configuration.tenants = {{"liit", {"k1", "k2"}, std::nullopt, false},
+                             {"kool", {"k3"}, 1, true}};
+    configuration.buildIndexes();
+    CHECK(configuration.findTenant("k2")->name == "liit");
+    CHECK(configuration.findTenant("k3")->isIsolated);
+    CHECK(configuration.findTenant("") == nullptr);
+    CHECK(configuration.findTenant("k4") == nullptr);
+}
+
+TEST_CASE("only routes whose kind allows it may run again")
+{
+    Gateway::Route route;
+    route.kind = Gateway::RequestKind::Once;
+    route.isResumable = true;
+    CHECK_FALSE(route.mayRunAgain());
+    route.kind = Gateway::RequestKind::Stream;
+    CHECK(route.mayRunAgain());
+    route.isResumable = false;
+    CHECK_FALSE(route.mayRunAgain());
+    route.kind = Gateway::RequestKind::Repeatable;
+    CHECK(route.mayRunAgain());
+}
+
+TEST_CASE("a configuration never goes back, and its age counts from when it was asked for")
+{
+    Core::ManualClock clock;
+    Gateway::ConfigurationState state;
+    CHECK(state.age(clock.now()) == std::chrono::nanoseconds::max());
+    CHECK(state.adopt(version(5)));
+    CHECK_FALSE(state.adopt(version(4)));
+    CHECK_FALSE(state.adopt(version(5)));
+    CHECK(state.current()->version == 5);
+    const auto asked = clock.now();
+    clock.advance(3s);
+    state.confirm(asked);
+    CHECK(state.age(clock.now()) == 3s);
+    // An answer that comes late to an older question makes nothing younger.
+    state.confirm(asked - 1s);
+    CHECK(state.age(clock.now()) == 3s);
+}
+
+TEST_CASE("weights are outdated since the first newer version was named, not the newest")
+{
+    Core::ManualClock clock;
+    Gateway::WeightsTargets targets;
+    CHECK_FALSE(targets.outdatedSince("m", 1).has_value());
+    targets.name("m", 2, clock.now());
+    const auto second = clock.now();
+    clock.advance(3s);
+    targets.name("m", 3, clock.now());
+    CHECK_FALSE(targets.name("m", 2, clock.now()));
+    CHECK(targets.outdatedSince("m", 1) == second);
+    CHECK(targets.outdatedSince("m", 2) == clock.now());
+    CHECK_FALSE(targets.outdatedSince("m", 3).has_value());
+    CHECK(targets.newest().at("m").version == 3);
+}
--- /dev/null
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -0,0 +1,159 @@
+#include <LibCore/ManualClock.h>
+#include <LibGateway/FleetWatcher.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using Gateway::FleetTopic;
+
+namespace {
+
+/// Reads "version" for configurations, "model=version" for weights, and "service:born:number" for
+/// upstreams.
+class PlainDecoder final : public Gateway::RecordDecoder
+{
+public:
+    Core::Result<Gateway::OperatorRecord>
+    decodeOperator(const Gateway::FleetRecord &record) const override
+    {
+        const auto &value = *record.value;
+        if (value == "unreadable")
+            return Core::Error(Core::ErrorKind::ConfigurationInvalid, value);
+        if (const auto at = value.find('='); at != std::string::npos)
+            return Gateway::OperatorRecord(
+                Gateway::WeightsTarget {value.substr(0, at), std::stoull(value.substr(at + 1))});
+        Gateway::GatewayConfiguration configuration;
+        configuration.version = std::stoull(value);
+        return Gateway::OperatorRecord(std::move(configuration));
+    }
+    Core::Result<Gateway::UpstreamReport>
+    decodeUpstream(const Gateway::FleetRecord &record) const override
+    {
+        const auto &value = *record.value;
+        if (value == "unreadable")
+            return Core::Error(Core::ErrorKind::ConfigurationInvalid, value);
+        Gateway::UpstreamReport report;
+        report.id = Core::UpstreamId(record.key);
+        const auto first = value.find(':');
+        const auto second = value.find(':', first + 1);
+        report.service = value.substr(0, first);
+        report.born = std::chrono::milliseconds(std::stoll(value.substr(first + 1)));
+        report.number = std::stoull(value.substr(second + 1));
+        report.isDraining = value.ends_with("d");
+        return report;
+    }
+};
+
+class NoLog final : public Gateway::FleetLog
+{
+public:
+    boost::asio::awaitable<Gateway::FleetPage> newest(FleetTopic) override
+    {
+        co_return Gateway::FleetPage();
+    }
+    boost::asio::awaitable<Gateway::FleetPage> read(FleetTopic, std::uint64_t,
+                                                    std::chrono::milliseconds) override
+    {
+        co_return Gateway::FleetPage();
+    }
+    boost::asio::awaitable<Gateway::AppendOutcome> append(FleetTopic, std::string,
+                                                          std::optional<std::uint64_t>) override
+    {
+        co_return Gateway::AppendOutcome();
+    }
+};
+
+struct Fixture
+{
+    Core::ManualClock clock;
+    NoLog log;
+    PlainDecoder decoder;
+    Gateway::ConfigurationState configuration;
+    Gateway::WeightsTargets weights;
+    Gateway::UpstreamFleet fleet;
+    int changes = 0;
+    Gateway::FleetWatcher watcher {{log, decoder, clock, configuration, weights, fleet},
+                                   [this] { ++changes; }};
+
+    Fixture() { clock.advance(1h); }
+    void upstream(const std::string &key, const std::optional<std::string> &value)
+    {
+        watcher.applyUpstream({0, key, value});
+    }
+    std::shared_ptr<Gateway::Upstream> find(const std::string &id) const
+    {
+        return fleet.find(Core::UpstreamId(id));
+    }
+};
+
+} // namespace
+
+TEST_CASE(
+    "configurations and weights are taken in rising order, and unreadable ones change nothing")
+{
+    Fixture fixture;
+    fixture.watcher.applyOperator({0, "config", "4"});
+    fixture.watcher.applyOperator({1, "config", "unreadable"});
+    fixture.watcher.applyOperator({2, "config", "3"});
+    fixture.watcher.applyOperator({3, "config", std::nullopt});
+    CHECK(fixture.configuration.current()->version == 4);
+    CHECK(fixture.changes == 1);
+    fixture.watcher.applyOperator({4, "version/m", "m=2"});
+    fixture.watcher.applyOperator({5, "version/m", "m=1"});
+    CHECK(fixture.weights.newest().at("m").version == 2);
+}
+
+TEST_CASE("an upstream's older report changes nothing, and another life forgets what it kept")
+{
+    Fixture fixture;
+    fixture.upstream("w", "app:10:5");
+    fixture.upstream("w", "app:10:4d");
+    CHECK_FALSE(fixture.find("w")->report().isDraining);
+    fixture.upstream("w", "unreadable");
+    CHECK(fixture.find("w")->report().number == 5);
+    auto &memory = fixture.find("w")->memory();
+    memory.setCapacity(1'000);
+    const std::vector<Gateway::PromptPart> parts {{1, 100}};
+    memory.noteUse(parts);
+    fixture.upstream("w", "app:10:6");
+    CHECK(memory.keptTokens(parts) == 100);
+    fixture.upstream("w", "app:20:0");
+    CHECK(memory.keptTokens(parts) == 0);
+    fixture.upstream("w", "app:10:9d");
+    CHECK_FALSE(fixture.find("w")->report().isDraining);
+}
+
+TEST_CASE("an upstream that moves to another service is listed there only")
+{
+    Fixture fixture;
+    fixture.upstream("w", "app:10:1");
+    fixture.upstream("w", "other:20:1");
+    CHECK(fixture.fleet.members("app").empty());
+    CHECK(fixture.fleet.members("other").size() == 1);
+}
+
+TEST_CASE("a vanished entry counts at once, but around trouble of the store only if it stays away")
+{
+    Fixture fixture;
+    fixture.upstream("w1", "app:10:1");
+    fixture.upstream("w2", "app:10:1");
+    fixture.upstream("w3", "app:10:1");
+    fixture.upstream("w1", std::nullopt);
+    CHECK_FALSE(fixture.find("w1"));
+    fixture.watcher.noteStore(FleetTopic::Upstreams, false, "down");
+    fixture.upstream("w2", std::nullopt);
+    fixture.upstream("w3", std::nullopt);
+    // Nothing can come back while the store is away.
+    fixture.clock.advance(10s);
+    fixture.watcher.dropLapsed();
+    CHECK(fixture.find("w2"));
+    fixture.watcher.noteStore(FleetTopic::Upstreams, true, {});
+    fixture.clock.advance(1s);
+    fixture.upstream("w2", "app:10:2");
+    fixture.watcher.dropLapsed();
+    CHECK(fixture.find("w3"));
+    fixture.clock.advance(2s);
+    fixture.watcher.dropLapsed();
+    CHECK(fixture.find("w2"));
+    CHECK_FALSE(fixture.find("w3"));
+}
--- /dev/null
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -0,0 +1,199 @@
+#include <LibCore/ManualClock.h>
+#include <LibGateway/UpstreamChooser.h>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace std::chrono_literals;
+using Gateway::EngineDemand;
+using Gateway::EngineModel;
+using Gateway::PromptPart;
+
+namespace {
+
+struct Fixture
+{
+    Core::ManualClock clock;
+    Gateway::UpstreamFleet fleet;
+    EngineModel model;
+    std::vector<PromptPart> parts {{11, 500}, {12, 4'500}, {13, 6'000}};
+    EngineDemand demand;
+    Gateway::ChoiceLimits limits;
+
+    Fixture()
+    {
+        clock.advance(1h);
+        demand.parts = parts;
+        demand.promptTokens = 11'000;
+        demand.sharedTokens = 5'000;
+        demand.homeKey = 12;
+        demand.model = "m";
+        demand.slots = 32;
+        demand.fetchTokensPerMillisecond = 500;
+        limits.mostInFlight = 32;
+        limits.now = clock.now();
+        for (int n = 0; n < 6; ++n)
+            add("w" + std::to_string(n));
+    }
+
+    Gateway::Upstream &add(const std::string &id, std::uint64_t weights = 1)
+    {
+        Gateway::UpstreamReport report;
+        report.id = Core::UpstreamId(id);
+        report.service = "llm";
+        report.slots = 32;
+        report.weights["m"] = weights;
+        fleet.apply(report);
+        auto &upstream = *fleet.find(report.id);
+        upstream.memory().setCapacity(200'000);
+        return upstream;
+    }
+
+    Gateway::Upstream &engine(const std::string &id) { return *fleet.find(Core::UpstreamId(id)); }
+
+    std::optional<Gateway::EngineChoice> choose()
+    {
+        return chooseEngine(fleet.members("llm"), model, demand, limits);
+    }
+    std::string chosen() { return choose()->upstream->report().id.value(); }
+};
+
+} // namespace
+
+TEST_CASE("the requests of a session go to one engine, on every instance alike")
+{
+    Fixture one;
+    Fixture other;
+    CHECK(one.chosen() == other.chosen());
+    std::map<std::string, int> homes;
+    for (std::uint64_t session = 0; session < 300; ++session) {
+        one.demand.homeKey = session;
+        ++homes[one.chosen()];
+    }
+    CHECK(homes.size() == 6);
+}
+
+TEST_CASE("an engine that keeps the shared parts is preferred, until it has much more to read")
+{
+    Fixture fixture;
+    auto &keeper = fixture.engine(fixture.chosen() == "w0" ? "w1" : "w0");
+    keeper.noteKept(std::span(fixture.parts).first(2));
+    CHECK(fixture.chosen() == keeper.report().id.value());
+    CHECK(fixture.choose()->keptTokens == 5'000);
+    keeper.noteSent(60'000, true);
+    const auto elsewhere = fixture.choose();
+    CHECK(elsewhere->upstream->report().id != keeper.report().id);
+    // The parts are fetched from it then, not read again.
+    CHECK(elsewhere->source->report().id == keeper.report().id);
+    CHECK(elsewhere->readyTokens == 5'000);
+}
+
+TEST_CASE("parts are never fetched from an engine with other weights or one that fails")
+{
+    Fixture fixture;
+    auto &keeper = fixture.engine("w0");
+    keeper.noteKept(std::span(fixture.parts).first(2));
+    fixture.limits.excluded.insert(keeper.report().id);
+    CHECK(fixture.choose()->source);
+    for (int n = 0; n < 8; ++n)
+        keeper.noteOutcome(false, fixture.limits.now);
+    CHECK_FALSE(fixture.choose()->source);
+    Fixture other;
+    auto &newer = other.add("new", 2);
+    newer.noteKept(std::span(other.parts).first(2));
+    other.limits.excluded.insert(newer.report().id);
+    CHECK_FALSE(other.choose()->source);
+}
+
+TEST_CASE("nothing new goes to engines that drain, are held, full, gone or long outdated")
+{
+    Fixture fixture;
+    const auto first = fixture.chosen();
+    auto &upstream = fixture.engine(first);
+    upstream.holdUntil(fixture.limits.now + 1s);
+    CHECK(fixture.chosen() != first);
+    upstream.holdUntil(fixture.limits.now);
+    CHECK(fixture.chosen() == first);
+    fixture.limits.mostInFlight = 1;
+    upstream.noteSent(0, false);
+    CHECK(fixture.chosen() != first);
+    upstream.noteEnd();
+    auto report = upstream.report();
+    report.isDraining = true;
+    fixture.fleet.apply(report);
+    CHECK(fixture.chosen() != first);
+    Gateway::WeightsTargets targets;
+    targets.name("m", 2, fixture.clock.now());
+    fixture.demand.targets = &targets;
+    fixture.demand.weightsPatience = 4'000ms;
+    CHECK(fixture.choose().has_value());
+    fixture.limits.now += 5s;
+    CHECK_FALSE(fixture.choose().has_value());
+    fixture.add("new", 2);
+    CHECK(fixture.chosen() == "new");
+}
+
+TEST_CASE("urgent prompts are judged by the urgent ones before them, others by all")
+{
+    Fixture fixture;
+    for (const auto &member : fixture.fleet.members("llm"))
+        member->noteSent(50'000, false);
+    const auto patient = fixture.choose()->expectedFirst;
+    fixture.demand.isUrgent = true;
+    const auto urgent = fixture.choose()->expectedFirst;
+    CHECK(urgent < patient / 2);
+}
+
+TEST_CASE("what siblings sent counts like what this instance sent")
+{
+    Fixture fixture;
+    const auto first = fixture.chosen();
+    fixture.engine(first).setOthersLoad({80'000, 0}, 10);
+    CHECK(fixture.chosen() != first);
+}
+
+TEST_CASE("an engine that fails its requests is left, and tried again after a while")
+{
+    Fixture fixture;
+    const auto first = fixture.chosen();
+    for (int n = 0; n < 6; ++n)
+        fixture.engine(first).noteOutcome(false, fixture.limits.now);
+    CHECK(fixture.chosen() != first);
+    fixture.limits.now += 30s;
+    CHECK(fixture.chosen() == first);
+}
+
+TEST_CASE("plain services share requests by load, and failing ones are left")
+{
+    Fixture fixture;
+    std::minstd_rand random(1);
+    std::map<std::string, int> counts;
+    for (int n = 0; n < 60; ++n) {
+        const auto upstream = chooseService(fixture.fleet.members("llm"), fixture.limits, random);
+        upstream->noteSent(0, false);
+        ++counts[upstream->report().id.value()];
+    }
+    for (const auto &[id, count] : counts)
+        CHECK(count == 10);
+    fixture.engine("w3").noteOutcome(false, fixture.limits.now);
+    fixture.limits.mostInFlight = 100;
+    for (int n = 0; n < 20; ++n)
+        CHECK(chooseService(fixture.fleet.members("llm"), fixture.limits, random)->report().id
+              != Core::UpstreamId("w3"));
+}
+
+TEST_CASE("the reading rate follows the faster answers, and short prompts teach nothing")
+{
+    EngineModel model;
+    const auto before = model.tokensPerMillisecond();
+    model.learn(300, EngineModel::Milliseconds(500));
+    CHECK(model.tokensPerMillisecond() == before);
+    for (int n = 0; n < 100; ++n) {
+        model.learn(8'500, EngineModel::Milliseconds(110));
+        if (n % 3 == 0)
+            model.learn(8'500, EngineModel::Milliseconds(1'000));
+    }
+    CHECK(model.tokensPerMillisecond() > 70);
+    CHECK(model.tokensPerMillisecond() < 90);
+}
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -4,6 +4,7 @@
 #include "../StandIns/WorkerStandIn.h"
 
 #include <LibHttp/Client.h>
+
 #include <Processes/Process.h>
 
 #include <memory>
--- a/Tests/Platform/TestFleet.cpp
+++ b/Tests/Platform/TestFleet.cpp
@@ -48,7 +48,8 @@
     fixture.startGateway({"edge-1", 5'000, 8});
     fixture.startGateway({"edge-2", 5'000, 8});
     fixture.store.put("keyed.op", "version/model", R"({"Model":"model","Version":2})");
-    CHECK(GatewayFixture::eventually([&] { return first.weights() == 2 && second.weights() == 2; }));
+    CHECK(
+        GatewayFixture::eventually([&] { return first.weights() == 2 && second.weights() == 2; }));
     REQUIRE(first.orders().size() == 1);
     REQUIRE(second.orders().size() == 1);
     const auto one = boost::json::parse(first.orders().front()).as_object();
@@ -103,7 +104,6 @@
     fixture.store.dropHistory("keyed.op");
     fixture.store.dropHistory("keyed.servers");
     fixture.store.setRefusal(0);
-    CHECK(GatewayFixture::eventually([&] {
-        return fixture.send(GatewayFixture::request("/calls/a", "id")).status == 404;
-    }));
+    CHECK(GatewayFixture::eventually(
+        [&] { return fixture.send(GatewayFixture::request("/calls/a", "id")).status == 404; }));
 }
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -124,9 +124,8 @@
     CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 200);
     fixture.configure(9, GatewayFixture::defaultRoutes(),
                       R"([{"Name":"liit","ApiKeys":["key-2"]}])");
-    CHECK(GatewayFixture::eventually([&] {
-        return fixture.send(GatewayFixture::request("/calls/a", "id-2")).status == 401;
-    }));
+    CHECK(GatewayFixture::eventually(
+        [&] { return fixture.send(GatewayFixture::request("/calls/a", "id-2")).status == 401; }));
     const auto runs = app.runs();
     fixture.configure(7);
     std::this_thread::sleep_for(300ms);
@@ -142,9 +141,8 @@
     fixture.startGateway({"edge-1", 2'500, 8});
     CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 200);
     fixture.store.setRefusal(503);
-    CHECK(GatewayFixture::eventually([&] {
-        return fixture.send(GatewayFixture::request("/calls/a", "id-2")).status == 503;
-    }));
+    CHECK(GatewayFixture::eventually(
+        [&] { return fixture.send(GatewayFixture::request("/calls/a", "id-2")).status == 503; }));
     CHECK(fixture.readiness() == 503);
     const auto runs = app.runs();
     CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-3")).status == 503);
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -137,8 +137,8 @@
     const auto from = std::stoull(query["From"]);
     const auto name = query["Topic"];
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    const auto end = std::chrono::steady_clock::now()
-                     + std::chrono::milliseconds(std::stoul(query["WaitMs"]));
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoul(query["WaitMs"]));
     for (;;) {
         Http::Response response;
         bool isReady = std::chrono::steady_clock::now() >= end;
@@ -147,7 +147,8 @@
             const auto &topic = m_topics[name];
             if (from < topic.first) {
                 response.status = 410;
-                response.body = boost::json::serialize(boost::json::object {{"First", topic.first}});
+                response.body =
+                    boost::json::serialize(boost::json::object {{"First", topic.first}});
                 isReady = true;
             } else {
                 response.body = bigEndian(topic.end()) + bigEndian(topic.first);
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -43,16 +43,16 @@
 {
     const boost::json::array models {
         boost::json::object {{"Name", Model}, {"Version", m_weights.load()}}};
-    return boost::json::serialize(boost::json::object {
-        {"Service", m_service},
-        {"Address", Http::formatEndpoint(m_server->localEndpoint())},
-        {"Zone", "a"},
-        {"Version", "v1"},
-        {"Slots", 8},
-        {"State", state},
-        {"ColdLeftMs", 0},
-        {"Models", models},
-        {"Seq", 1}});
+    return boost::json::serialize(
+        boost::json::object {{"Service", m_service},
+                             {"Address", Http::formatEndpoint(m_server->localEndpoint())},
+                             {"Zone", "a"},
+                             {"Version", "v1"},
+                             {"Slots", 8},
+                             {"State", state},
+                             {"ColdLeftMs", 0},
+                             {"Models", models},
+                             {"Seq", 1}});
 }
 
 void WorkerStandIn::setBehaviour(Behaviour behaviour)
@@ -169,13 +169,13 @@
     const std::scoped_lock lock(m_mutex);
     const boost::json::array models {
         boost::json::object {{"Name", Model}, {"Version", m_weights.load()}}};
-    return Http::jsonResponse(200, boost::json::serialize(boost::json::object {
-                                       {"Stage", "colocated"},
-                                       {"Models", models},
-                                       {"Busy", m_isBusy.load()},
-                                       {"Seq", m_orders.size()},
-                                       {"Waiting", 0},
-                                       {"Running", 0}}));
+    return Http::jsonResponse(200,
+                              boost::json::serialize(boost::json::object {{"Stage", "colocated"},
+                                                                          {"Models", models},
+                                                                          {"Busy", m_isBusy.load()},
+                                                                          {"Seq", m_orders.size()},
+                                                                          {"Waiting", 0},
+                                                                          {"Running", 0}}));
 }
 
 } // namespace StandIns
