--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -50,13 +50,13 @@
         return upstream;
     }
 
-    Gateway::Upstream &engine(const std::string &id) { return *fleet.find(Core::UpstreamId(id)); }
+    Gateway::Upstream &engine(const std::string &id) const { return *fleet.find(Core::UpstreamId(id)); }
 
-    std::optional<Gateway::EngineChoice> choose()
+    std::optional<Gateway::EngineChoice> choose() const
     {
         return chooseEngine(fleet.members("llm"), model, demand, limits);
     }
-    std::string chosen() { return choose()->upstream->report().id.value(); }
+    std::string chosen() const { return choose()->upstream->report().id.value(); }
 };
 
 } // namespace
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -41,7 +41,7 @@
         engine().memory().setCapacity(100'000);
     }
 
-    Gateway::Upstream &engine() { return *fleet.find(Core::UpstreamId("w1")); }
+    Gateway::Upstream &engine() const { return *fleet.find(Core::UpstreamId("w1")); }
 
     boost::asio::io_context context;
     Core::ManualClock clock;
