--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -27,6 +27,7 @@
 constexpr auto LastRequestTime = 5'000ms;
 constexpr auto DrainPoll = 50ms;
 constexpr auto CountPause = 200ms;
+constexpr auto SettingsPause = 1'000ms;
 constexpr auto StorePause = 400ms;
 
 } // namespace
@@ -94,6 +95,7 @@
     asio::co_spawn(context, m_roller.run(), asio::detached);
     asio::co_spawn(context, countInstances(), asio::detached);
     asio::co_spawn(context, watchPartStore(), asio::detached);
+    asio::co_spawn(context, watchSettings(), asio::detached);
 }
 
 void GatewayDaemon::connectNews()
@@ -154,6 +156,29 @@
     }
 }
 
+void GatewayDaemon::applySettings(const GatewaySettings &settings)
+{
+    auto taken = settings;
+    taken.instance = m_settings.instance;
+    taken.dataCentre = m_settings.dataCentre;
+    taken.callers = m_settings.callers;
+    taken.readiness = m_settings.readiness;
+    taken.siblings = m_settings.siblings;
+    m_settings = std::move(taken);
+    Core::logEvent(Core::EventId::SettingsReloaded,
+                   {{"revocation_ms", std::to_string(m_settings.revocationBound.count())}});
+}
+
+asio::awaitable<void> GatewayDaemon::watchSettings()
+{
+    // The file may change without a signal.
+    for (;;) {
+        co_await sleepFor(SettingsPause);
+        if (const auto settings = reload ? reload(false) : std::nullopt)
+            applySettings(*settings);
+    }
+}
+
 void GatewayDaemon::applyConfiguration()
 {
     const auto &limits = m_configuration.current()->limits;
@@ -205,8 +230,8 @@
         const int signal = co_await signals.async_wait(asio::use_awaitable);
         if (signal != SIGHUP)
             break;
-        if (onReload)
-            onReload();
+        if (const auto settings = reload ? reload(true) : std::nullopt)
+            applySettings(*settings);
     }
     co_await drain();
 }
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Gateway {
 
@@ -45,8 +46,9 @@
     Http::Endpoint callers() const { return m_callers->localEndpoint(); }
     Http::Endpoint readiness() const { return m_readiness->localEndpoint(); }
 
-    /// Reads the settings again; called on SIGHUP and when their file has changed.
-    std::function<void()> onReload;
+    /// Gives the settings anew when they have changed, or whenever that is wanted (on SIGHUP).
+    /// Nothing when they have not changed or cannot be read. May be empty.
+    std::function<std::optional<GatewaySettings>(bool isWanted)> reload;
 
 private:
     void startLoops();
@@ -56,6 +58,9 @@
     boost::asio::awaitable<void> watchPartStore();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
+    /// Takes the bounds of newer settings; names and addresses stay those of the start.
+    void applySettings(const GatewaySettings &settings);
+    boost::asio::awaitable<void> watchSettings();
     boost::asio::awaitable<void> answerOperator(Http::ServerExchange &exchange);
     boost::asio::awaitable<void> awaitSignals();
     boost::asio::awaitable<void> drain();
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -78,15 +78,23 @@
             + tenants + "}");
 }
 
-Processes::Process &GatewayFixture::startGateway(const GatewayOptions &options, bool waits)
+std::string GatewayFixture::writeSettings(const GatewayOptions &options,
+                                          const std::string &lines) const
 {
-    const auto path = m_folder + "/" + options.name + ".toml";
-    std::ofstream(path) << "NodeName = \"" << options.name << "\"\nZone = \"a\"\n"
-                        << "PortRange = [0,0]\nHeartbeatMs = 1200\n[Listen]\n"
-                        << "Front = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n[Bounds]\n"
-                        << "RevokeMs = " << options.revokeMs << "\nGraceS = " << options.graceS
+    auto path = m_folder + "/" + options.name + ".toml";
+    std::ofstream(path) << lines << "NodeName = \"" << options.name << "\"\nZone = \"a\"\n"
+                        << (lines.empty() ? "PortRange = [0,0]\n" : "") << "HeartbeatMs = 1200\n"
+                        << "[Listen]\nFront = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n"
+                        << "[Bounds]\nRevokeMs = " << options.revokeMs
+                        << "\nGraceS = " << options.graceS
                         << "\nRetryBudgetRatio = 0.2\nBudgetSlack = 52\n[Platform]\nAddress = \""
                         << Http::formatEndpoint(store.endpoint()) << "\"\n";
+    return path;
+}
+
+Processes::Process &GatewayFixture::startGateway(const GatewayOptions &options, bool waits)
+{
+    const auto path = writeSettings(options);
     m_gateways.push_back(std::make_unique<Processes::Process>(
         "jujubesaddle-gateway", std::vector<std::string> {"--settings", path}));
     auto &gateway = *m_gateways.back();
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -38,6 +38,9 @@
     /// Starts a gateway; with waits until it is ready.
     Processes::Process &startGateway(const GatewayOptions &options = {}, bool waits = true);
 
+    /// Writes a gateway's settings file, with the lines in front of it.
+    std::string writeSettings(const GatewayOptions &options, const std::string &lines = {}) const;
+
     /// Sends a request to the newest gateway.
     Http::Response send(Http::Request request) const;
     /// Asks the newest gateway whether it is ready.
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -112,7 +112,8 @@
     auto stranger = GatewayFixture::request("/calls/a", "id-3");
     stranger.headers.remove("Authorization");
     stranger.headers.add("Authorization", "Bearer nobody");
-    CHECK(fixture.send(std::move(stranger)).status == 401);
+    const auto denied = fixture.send(std::move(stranger));
+    CHECK(denied.status == 401);
 }
 
 TEST_CASE("a key that was taken away stops working, and no older configuration brings it back")
@@ -152,6 +153,21 @@
     CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-4")).status == 200);
 }
 
+TEST_CASE("bounds of a settings file that changes without a signal are taken, faulty ones are not")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-app", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway({"edge-1", 60'000, 8});
+    fixture.writeSettings({"edge-1", 60'000, 8}, "PortRange = \"none\"\n");
+    gateway.awaitLine("settings_invalid");
+    fixture.writeSettings({"edge-1", 1'500, 8});
+    gateway.awaitLine("settings_reloaded");
+    fixture.store.setRefusal(503);
+    CHECK(GatewayFixture::eventually([&] { return fixture.readiness() == 503; }));
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 503);
+}
+
 TEST_CASE("a call that may run once is sent again only when a worker did not run it")
 {
     GatewayFixture fixture;
