--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
 #include <LibGateway/RequestRelay.h>
+#include <LibGateway/Urgency.h>
 
 #include <boost/asio/this_coro.hpp>
 
@@ -40,11 +41,8 @@
 constexpr double WeightsPatienceShare = 0.65;
 // Connections beyond an equal share that may still be starting or closing.
 constexpr unsigned SpareInstances = 1;
-constexpr int MostUrgency = 9;
 // Fewer shared tokens are read sooner than the store's room for the whole prompt is worth.
 constexpr unsigned LeastSavedTokens = 1'000;
-// Levels of urgency for each priority.
-constexpr int UrgencyLevels = 3;
 // Entries of the list lapse after this many reports that did not come.
 constexpr int LapsedReports = 3;
 constexpr auto BusyHold = 120ms;
@@ -68,54 +66,6 @@
 
 } // namespace
 
-class RequestRelay::Load
-{
-public:
-    Load(std::shared_ptr<Upstream> upstream, std::uint64_t tokens, std::uint64_t memoryTokens,
-         bool isUrgent, Core::Clock::Monotonic now)
-        : m_upstream(std::move(upstream))
-        , m_tokens(tokens)
-        , m_memoryTokens(memoryTokens)
-        , m_isUrgent(isUrgent)
-        , m_isAlone(m_upstream->tokensBefore(false) == 0)
-        , m_sent(now)
-    {
-        m_upstream->noteSent(m_tokens, m_isUrgent);
-        m_upstream->takeMemory(m_memoryTokens);
-    }
-    ~Load()
-    {
-        noteFirstToken();
-        m_upstream->freeMemory(m_memoryTokens);
-        m_upstream->noteEnd();
-    }
-    Load(const Load &) = delete;
-    Load &operator=(const Load &) = delete;
-
-    /// Returns whether this was the first token.
-    bool noteFirstToken()
-    {
-        if (m_hasFirstToken)
-            return false;
-        m_hasFirstToken = true;
-        m_upstream->noteFirstToken(m_tokens, m_isUrgent);
-        return true;
-    }
-    std::uint64_t tokens() const { return m_tokens; }
-    /// Whether the upstream had no other prompt to read when this one was sent.
-    bool isAlone() const { return m_isAlone; }
-    Core::Clock::Monotonic sent() const { return m_sent; }
-
-private:
-    std::shared_ptr<Upstream> m_upstream;
-    std::uint64_t m_tokens;
-    std::uint64_t m_memoryTokens;
-    bool m_isUrgent;
-    bool m_isAlone;
-    bool m_hasFirstToken = false;
-    Core::Clock::Monotonic m_sent;
-};
-
 RequestRelay::RequestRelay(Gateway &gateway, Http::ServerExchange &exchange)
     : m_gateway(gateway)
     , m_exchange(exchange)
@@ -312,7 +262,7 @@
     }
     demand.model = m_request.model;
     demand.store = &m_gateway.store();
-    demand.isUrgent = isUrgent();
+    demand.isUrgent = isUrgent(*m_route, m_tenant);
     demand.targets = &parts.weights;
     demand.weightsPatience =
         duration_cast<milliseconds>(WeightsPatienceShare * parts.settings.weightsBound);
@@ -337,7 +287,7 @@
 
 std::optional<Refusal> RequestRelay::refuseSlowEngine(const EngineChoice &choice) const
 {
-    const auto most = isUrgent() ? PatienceInTargets : QueueInTargets;
+    const auto most = isUrgent(*m_route, m_tenant) ? PatienceInTargets : QueueInTargets;
     const auto patience =
         std::min<EngineModel::Milliseconds>(most * EngineModel::Milliseconds(m_route->target),
                                             FirstTokenShare * EngineModel::Milliseconds(left()));
@@ -412,7 +362,8 @@
         m_sentWeights = m_upstream->weights(m_request.model);
         m_isSaving = shouldSave();
     }
-    Load load(m_upstream, missed, memoryTokens(), isUrgent(), m_gateway.parts().clock.now());
+    UpstreamLoad load(m_upstream, missed, memoryTokens(), isUrgent(*m_route, m_tenant),
+                      m_gateway.parts().clock.now());
     const auto end = co_await exchangeWith(load);
     const auto now = m_gateway.parts().clock.now();
     if (end == AttemptEnd::Answered)
@@ -430,7 +381,8 @@
     dispatch.left = left();
     dispatch.tenant = m_tenant ? m_tenant->name : "";
     dispatch.cacheScope = cacheScope();
-    dispatch.urgency = urgency();
+    dispatch.urgency =
+        urgencyLevel(*m_route, m_tenant, m_engine && m_engine->expectedFirst > m_route->target);
     if (m_engine) {
         // Parts are only found under the scope's name, so that memory made by other weights is out
         // of reach wherever it lies; the upstream refuses the request if it has other weights.
@@ -451,7 +403,7 @@
                          request.body);
 }
 
-asio::awaitable<RequestRelay::AttemptEnd> RequestRelay::exchangeWith(Load &load)
+asio::awaitable<RequestRelay::AttemptEnd> RequestRelay::exchangeWith(UpstreamLoad &load)
 {
     m_abort = std::make_shared<Http::CallAbort>();
     if (m_endReason != EndReason::None)
@@ -510,7 +462,7 @@
 }
 
 asio::awaitable<RequestRelay::AttemptEnd> RequestRelay::relayAnswer(Http::ClientExchange &answer,
-                                                                    Load &load)
+                                                                    UpstreamLoad &load)
 {
     const auto head = m_gateway.parts().dialect.readHead(answer.status(), answer.headers());
     if (!head.attemptId.empty() && head.attemptId != m_request.attemptId) {
@@ -592,7 +544,7 @@
 }
 
 asio::awaitable<RequestRelay::AttemptEnd>
-RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, Load &load)
+RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, UpstreamLoad &load)
 {
     m_events.dropPartialEvent();
     while (auto piece = co_await answer.readSome()) {
@@ -613,7 +565,7 @@
     co_return AttemptEnd::Answered;
 }
 
-void RequestRelay::learnFirstToken(const Load &load)
+void RequestRelay::learnFirstToken(const UpstreamLoad &load)
 {
     const auto now = m_gateway.parts().clock.now();
     if (!m_firstByte) {
@@ -775,16 +727,6 @@
     return m_tenant && m_tenant->isIsolated ? "team." + m_tenant->name : "shared";
 }
 
-int RequestRelay::urgency() const
-{
-    const int priority = m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
-    // Of one priority, what can still be in time goes first, and then what its route ranks first.
-    const bool isLate = m_engine && m_engine->expectedFirst > m_route->target;
-    const int level =
-        UrgencyLevels * priority + (isLate ? 1 : 0) + (m_route->priority > priority ? 1 : 0);
-    return std::clamp(level, 0, MostUrgency);
-}
-
 bool RequestRelay::shouldSave() const
 {
     // The last part is the request's own; saving it takes room from what others share.
@@ -804,12 +746,6 @@
     return m_request.promptTokens + m_request.outputTokens / 2;
 }
 
-bool RequestRelay::isUrgent() const
-{
-    const int priority = m_tenant && m_tenant->priority ? *m_tenant->priority : m_route->priority;
-    return priority <= 0 || m_route->priority <= 0;
-}
-
 Metrics::Labels RequestRelay::labels() const
 {
     return {m_tenant ? m_tenant->name : "", m_route ? m_route->name : ""};
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -3,6 +3,7 @@
 #include <LibCore/Error.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/UpstreamChooser.h>
+#include <LibGateway/UpstreamLoad.h>
 #include <LibHttp/EventSplitter.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -60,9 +61,6 @@
         CallerGone,
         TimeOver,
     };
-    /// Keeps an upstream's counts of a request that is sent to it.
-    class Load;
-
     std::optional<Refusal> authorize();
     /// Judges the request anew before another attempt; keeps its route when that is denied.
     std::optional<Refusal> authorizeAgain();
@@ -76,13 +74,14 @@
     bool mayStillSend();
     bool mayTryAgain(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
-    boost::asio::awaitable<AttemptEnd> exchangeWith(Load &load);
-    boost::asio::awaitable<AttemptEnd> relayAnswer(Http::ClientExchange &answer, Load &load);
+    boost::asio::awaitable<AttemptEnd> exchangeWith(UpstreamLoad &load);
+    boost::asio::awaitable<AttemptEnd> relayAnswer(Http::ClientExchange &answer,
+                                                   UpstreamLoad &load);
     boost::asio::awaitable<AttemptEnd> relayWhole(Http::ClientExchange &answer,
                                                   Http::Headers headers);
     boost::asio::awaitable<AttemptEnd> relayStream(Http::ClientExchange &answer,
-                                                   Http::Headers headers, Load &load);
-    void learnFirstToken(const Load &load);
+                                                   Http::Headers headers, UpstreamLoad &load);
+    void learnFirstToken(const UpstreamLoad &load);
     AttemptEnd noteBroken(const Core::Error &error);
     Http::Request upstreamRequest() const;
     boost::asio::awaitable<void> finish(AttemptEnd end);
@@ -95,8 +94,6 @@
 
     std::chrono::milliseconds left() const;
     std::string cacheScope() const;
-    int urgency() const;
-    bool isUrgent() const;
     std::uint64_t memoryTokens() const;
     bool shouldSave() const;
     void noteRefusedByUpstream(unsigned status, const AnswerHead &head);
--- /dev/null
+++ b/Libraries/LibGateway/UpstreamLoad.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <LibGateway/Upstream.h>
+
+#include <memory>
+
+namespace Gateway {
+
+/// Keeps an upstream's counts of one request that is sent to it, until the request ends there.
+class UpstreamLoad
+{
+public:
+    UpstreamLoad(std::shared_ptr<Upstream> upstream, std::uint64_t tokens,
+                 std::uint64_t memoryTokens, bool isUrgent, Core::Clock::Monotonic now)
+        : m_upstream(std::move(upstream))
+        , m_tokens(tokens)
+        , m_memoryTokens(memoryTokens)
+        , m_isUrgent(isUrgent)
+        , m_isAlone(m_upstream->tokensBefore(false) == 0)
+        , m_sent(now)
+    {
+        m_upstream->noteSent(m_tokens, m_isUrgent);
+        m_upstream->takeMemory(m_memoryTokens);
+    }
+    ~UpstreamLoad()
+    {
+        noteFirstToken();
+        m_upstream->freeMemory(m_memoryTokens);
+        m_upstream->noteEnd();
+    }
+    UpstreamLoad(const UpstreamLoad &) = delete;
+    UpstreamLoad &operator=(const UpstreamLoad &) = delete;
+
+    /// Returns whether this was the first token.
+    bool noteFirstToken()
+    {
+        if (m_hasFirstToken)
+            return false;
+        m_hasFirstToken = true;
+        m_upstream->noteFirstToken(m_tokens, m_isUrgent);
+        return true;
+    }
+    std::uint64_t tokens() const { return m_tokens; }
+    /// Whether the upstream had no other prompt to read when this one was sent.
+    bool isAlone() const { return m_isAlone; }
+    Core::Clock::Monotonic sent() const { return m_sent; }
+
+private:
+    std::shared_ptr<Upstream> m_upstream;
+    std::uint64_t m_tokens;
+    std::uint64_t m_memoryTokens;
+    bool m_isUrgent;
+    bool m_isAlone;
+    bool m_hasFirstToken = false;
+    Core::Clock::Monotonic m_sent;
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Urgency.cpp
@@ -0,0 +1,33 @@
+#include <LibGateway/Urgency.h>
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+constexpr int MostUrgency = 9;
+// Levels of urgency for each priority.
+constexpr int LevelsPerPriority = 3;
+
+int effectivePriority(const Route &route, const Tenant *tenant)
+{
+    return tenant && tenant->priority ? *tenant->priority : route.priority;
+}
+
+} // namespace
+
+int urgencyLevel(const Route &route, const Tenant *tenant, bool isLate)
+{
+    const int priority = effectivePriority(route, tenant);
+    const int level =
+        LevelsPerPriority * priority + (isLate ? 1 : 0) + (route.priority > priority ? 1 : 0);
+    return std::clamp(level, 0, MostUrgency);
+}
+
+bool isUrgent(const Route &route, const Tenant *tenant)
+{
+    return effectivePriority(route, tenant) <= 0 || route.priority <= 0;
+}
+
+} // namespace Gateway
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/ManualClock.h>
 #include <LibGateway/UpstreamChooser.h>
+#include <LibGateway/Urgency.h>
 
 #include <catch2/catch.hpp>
 
@@ -50,7 +51,10 @@
         return upstream;
     }
 
-    Gateway::Upstream &engine(const std::string &id) const { return *fleet.find(Core::UpstreamId(id)); }
+    Gateway::Upstream &engine(const std::string &id) const
+    {
+        return *fleet.find(Core::UpstreamId(id));
+    }
 
     std::optional<Gateway::EngineChoice> choose() const
     {
@@ -197,3 +201,23 @@
     CHECK(model.tokensPerMillisecond() > 70);
     CHECK(model.tokensPerMillisecond() < 90);
 }
+
+TEST_CASE("a team's priority goes before its route's, and what can be in time before what is late")
+{
+    Gateway::Route first;
+    first.priority = 0;
+    Gateway::Route second;
+    second.priority = 2;
+    Gateway::Tenant tenant;
+    CHECK(urgencyLevel(first, nullptr, false) < urgencyLevel(first, nullptr, true));
+    CHECK(urgencyLevel(first, nullptr, true) < urgencyLevel(second, &tenant, false));
+    tenant.priority = 1;
+    CHECK(urgencyLevel(first, &tenant, false) > urgencyLevel(first, nullptr, true));
+    CHECK(urgencyLevel(first, &tenant, false) < urgencyLevel(second, &tenant, false));
+    CHECK(isUrgent(first, &tenant));
+    CHECK_FALSE(isUrgent(second, &tenant));
+    tenant.priority = 0;
+    CHECK(isUrgent(second, &tenant));
+    tenant.priority = 40;
+    CHECK(urgencyLevel(second, &tenant, true) == 9);
+}
