--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -114,20 +114,20 @@
     // What is not known may have been added since; only fresh knowledge denies it.
     const bool isComplete =
         parts.configuration.age(now) < CompleteKnowledgeShare * parts.settings.configurationBound;
-    const Refusal isStale {Core::ErrorKind::NotReady, "the configuration may be out of date",
-                           ShortRetryAfter};
+    const Refusal outOfDate {Core::ErrorKind::NotReady, "the configuration may be out of date",
+                             ShortRetryAfter};
     const auto &target = m_exchange.request().target;
     m_route = m_configuration->findRoute(m_request.host, target.substr(0, target.find('?')));
     if (!m_route)
         return isComplete ? Refusal {Core::ErrorKind::UnknownRoute, "no route matches", {}}
-                          : isStale;
+                          : outOfDate;
     m_tenant = m_configuration->findTenant(m_request.key);
     if (!m_route->isPublic && !m_configuration->tenants.empty()) {
         if (!m_gateway.knowsKeys())
-            return isStale;
+            return outOfDate;
         if (!m_tenant)
             return isComplete ? Refusal {Core::ErrorKind::Unauthenticated, "unknown key", {}}
-                              : isStale;
+                              : outOfDate;
     }
     m_digest = requestDigest(target, m_tenant ? m_tenant->name : "", m_exchange.request().body);
     if (m_gateway.poison().isPoison(m_digest, now))
