LibGateway: Sum a prompt's tokens in one place

Three loops of the relay added up the tokens of parts; totalTokens() serves them. PartStore had two ways to note saved parts, one of them for its test alone; and a forward declaration named no class.

--- a/Libraries/LibGateway/Forward.h
+++ b/Libraries/LibGateway/Forward.h
@@ -4,7 +4,6 @@
 
 class ConfigurationState;
 class EngineControl;
-class EngineLoad;
 class FleetLog;
 class FleetWatcher;
 class Gateway;
--- a/Libraries/LibGateway/PartStore.cpp
+++ b/Libraries/LibGateway/PartStore.cpp
@@ -51,11 +51,6 @@
     return m_isAnswering ? m_memory.keptTokens(storedParts(parts, weights)) : 0;
 }
 
-void PartStore::noteSaved(std::span<const PromptPart> parts, std::uint64_t weights)
-{
-    m_memory.noteUse(storedParts(parts, weights));
-}
-
 std::vector<PromptPart> PartStore::storedParts(std::span<const PromptPart> parts,
                                                std::uint64_t weights)
 {
--- a/Libraries/LibGateway/PartStore.h
+++ b/Libraries/LibGateway/PartStore.h
@@ -29,11 +29,10 @@
 
     /// Tokens of the prompt's leading parts that it is believed to hold for the weights.
     unsigned storedTokens(std::span<const PromptPart> parts, std::uint64_t weights) const;
-    void noteSaved(std::span<const PromptPart> parts, std::uint64_t weights);
-    /// The parts as the store tells them apart, for telling siblings.
+    /// The parts as the store tells them apart.
     static std::vector<PromptPart> storedParts(std::span<const PromptPart> parts,
                                                std::uint64_t weights);
-    /// Notes parts as storedParts() gives them.
+    /// Notes that it holds parts, as storedParts() gives them.
     void noteStored(std::span<const PromptPart> parts) { m_memory.noteUse(parts); }
 
 private:
--- a/Libraries/LibGateway/PrefixMemory.cpp
+++ b/Libraries/LibGateway/PrefixMemory.cpp
@@ -2,6 +2,14 @@
 
 namespace Gateway {
 
+unsigned totalTokens(std::span<const PromptPart> parts)
+{
+    unsigned total = 0;
+    for (const auto &part : parts)
+        total += part.tokens;
+    return total;
+}
+
 unsigned PrefixMemory::keptTokens(std::span<const PromptPart> parts) const
 {
     unsigned kept = 0;
--- a/Libraries/LibGateway/PrefixMemory.h
+++ b/Libraries/LibGateway/PrefixMemory.h
@@ -15,6 +15,9 @@
     unsigned tokens = 0;
 };
 
+/// The tokens of all the parts together.
+unsigned totalTokens(std::span<const PromptPart> parts);
+
 /// What one engine is believed to keep, least recently used first to go.
 class PrefixMemory
 {
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -251,14 +251,11 @@
     const auto &parts = m_gateway.parts();
     EngineDemand demand;
     demand.parts = m_parts;
-    for (const auto &part : m_parts)
-        demand.promptTokens += part.tokens;
-    demand.promptTokens = std::max(demand.promptTokens, m_request.promptTokens);
+    demand.promptTokens = std::max(totalTokens(m_parts), m_request.promptTokens);
     // The last part belongs to the request itself.
     if (m_parts.size() > 1) {
         demand.homeKey = m_parts[m_parts.size() - 2].chain;
-        for (std::size_t n = 0; n + 1 < m_parts.size(); ++n)
-            demand.sharedTokens += m_parts[n].tokens;
+        demand.sharedTokens = totalTokens(std::span(m_parts).first(m_parts.size() - 1));
     }
     demand.model = m_request.model;
     demand.store = &m_gateway.store();
@@ -349,10 +346,8 @@
     m_excluded.insert(m_upstream->report().id);
     std::uint64_t missed = 0;
     if (m_engine) {
-        std::uint64_t total = 0;
-        for (const auto &part : m_parts)
-            total += part.tokens;
-        missed = total - std::min<std::uint64_t>(total, m_engine->readyTokens);
+        const auto total = totalTokens(m_parts);
+        missed = total - std::min(total, m_engine->readyTokens);
         m_gateway.metrics().promptTokens.add(total, labels());
         m_gateway.metrics().keptTokens.add(total - missed, labels());
         m_gateway.metrics().expectedFirst.observe(
@@ -733,9 +728,7 @@
     if (!m_gateway.store().endpoint() || m_parts.size() < 2)
         return false;
     const std::span shared(m_parts.data(), m_parts.size() - 1);
-    unsigned tokens = 0;
-    for (const auto &part : shared)
-        tokens += part.tokens;
+    const auto tokens = totalTokens(shared);
     return tokens >= LeastSavedTokens
            && m_gateway.store().storedTokens(shared, m_sentWeights) < tokens;
 }
--- a/Tests/LibGateway/TestMemory.cpp
+++ b/Tests/LibGateway/TestMemory.cpp
@@ -42,7 +42,7 @@
     const std::vector<PromptPart> parts {{1, 100}, {2, 200}};
     CHECK_FALSE(store.endpoint().has_value());
     CHECK(store.noteAnswer(7));
-    store.noteSaved(parts, 3);
+    store.noteStored(Gateway::PartStore::storedParts(parts, 3));
     CHECK(store.storedTokens(parts, 3) == 300);
     // Parts that other weights made are other parts.
     CHECK(store.storedTokens(parts, 4) == 0);
