LibGateway: Split the relay of a request into request, plan, log and relay

AcceptedRequest reads and authorizes what a caller sent, RequestPlan chooses an upstream or refuses, RequestLog writes the lines of a request's way, and the relay sends, repeats and answers.

--- /dev/null
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -0,0 +1,102 @@
+#include <LibCore/Hash.h>
+#include <LibGateway/AcceptedRequest.h>
+#include <LibGateway/Gateway.h>
+
+#include <algorithm>
+
+namespace Gateway {
+
+using namespace std::chrono_literals;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto ShortRetryAfter = 300ms;
+// Younger knowledge than this part of the configuration's bound is taken to be complete.
+constexpr double CompleteKnowledgeShare = 0.75;
+
+} // namespace
+
+std::optional<Refusal> AcceptedRequest::read(const RequestDialect &dialect,
+                                             const Http::Request &request)
+{
+    auto decoded = dialect.decode(request);
+    if (!decoded)
+        return Refusal {Core::ErrorKind::MalformedRequest, decoded.error().detail(), {}};
+    caller = std::move(decoded.value());
+    return std::nullopt;
+}
+
+std::optional<Refusal> AcceptedRequest::authorize(Gateway &gateway, const Http::Request &request)
+{
+    const auto &known = gateway.parts().configuration;
+    const auto now = gateway.parts().clock.now();
+    configuration = known.current();
+    if (!configuration)
+        return Refusal {Core::ErrorKind::NotReady, "no configuration is known yet",
+                        ShortRetryAfter};
+    // What is not known may have been added since; only fresh knowledge denies it.
+    const bool isComplete =
+        known.age(now) < CompleteKnowledgeShare * gateway.parts().settings.configurationBound;
+    const Refusal outOfDate {Core::ErrorKind::NotReady, "the configuration may be out of date",
+                             ShortRetryAfter};
+    const auto &target = request.target;
+    route = configuration->findRoute(caller.host, target.substr(0, target.find('?')));
+    if (!route)
+        return isComplete ? Refusal {Core::ErrorKind::UnknownRoute, "no route matches", {}}
+                          : outOfDate;
+    tenant = configuration->findTenant(caller.key);
+    if (!route->isPublic && !configuration->tenants.empty()) {
+        if (!gateway.knowsKeys())
+            return outOfDate;
+        if (!tenant)
+            return isComplete ? Refusal {Core::ErrorKind::Unauthenticated, "unknown key", {}}
+                              : outOfDate;
+    }
+    digest = requestDigest(target, tenantName(), request.body);
+    if (gateway.poison().isPoison(digest, now))
+        return Refusal {Core::ErrorKind::PoisonRequest, "broke several upstreams", {}};
+    deadline = arrival + std::min(caller.patience.value_or(route->timeout), route->timeout);
+    parts.clear();
+    std::uint64_t chain = Core::hash64(cacheScope(), Core::hash64(caller.model));
+    for (const auto &part : caller.parts) {
+        chain = Core::hash64(part.id, chain);
+        parts.push_back({chain, part.tokens});
+    }
+    return std::nullopt;
+}
+
+milliseconds AcceptedRequest::left(Core::Clock::Monotonic now) const
+{
+    return std::max(0ms, duration_cast<milliseconds>(deadline - now));
+}
+
+std::string AcceptedRequest::cacheScope() const
+{
+    return tenant && tenant->isIsolated ? "team." + tenant->name : "shared";
+}
+
+std::uint64_t AcceptedRequest::memoryTokens() const
+{
+    // Few answers use all the tokens that they may.
+    return caller.promptTokens + caller.outputTokens / 2;
+}
+
+unsigned AcceptedRequest::promptTokens() const
+{
+    return std::max(totalTokens(parts), caller.promptTokens);
+}
+
+unsigned AcceptedRequest::sharedTokens() const
+{
+    // The last part belongs to the request itself.
+    return parts.empty() ? 0 : totalTokens(std::span(parts).first(parts.size() - 1));
+}
+
+Metrics::Labels AcceptedRequest::labels() const
+{
+    return {tenantName(), route ? route->name : ""};
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -0,0 +1,78 @@
+#include <LibCore/EventLog.h>
+#include <LibGateway/Gateway.h>
+#include <LibGateway/RequestLog.h>
+
+namespace Gateway {
+
+namespace {
+
+constexpr double Percent = 100;
+
+template <typename Time>
+std::string milliseconds(Time time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+template <typename Number>
+std::string whole(Number number)
+{
+    return std::to_string(static_cast<std::uint64_t>(number));
+}
+
+} // namespace
+
+void logRefusal(const Gateway &gateway, const AcceptedRequest &request, const Refusal &refusal)
+{
+    const auto &parts = gateway.parts();
+    Core::logEvent(
+        Core::EventId::RequestRefused,
+        {{"request", request.caller.attemptId},
+         {"route", request.route ? request.route->name : ""},
+         {"tenant", request.tenantName()},
+         {"kind", std::string(Core::errorKindRow(refusal.kind).name)},
+         {"reason", refusal.reason},
+         {"configuration",
+          request.configuration ? std::to_string(request.configuration->version) : "none"},
+         {"age_ms", milliseconds(parts.configuration.age(parts.clock.now()))}});
+}
+
+void logServed(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
+               const RequestProgress &progress)
+{
+    const auto now = gateway.parts().clock.now();
+    const EngineChoice none;
+    const auto &engine = plan.engine ? *plan.engine : none;
+    Core::logEvent(
+        Core::EventId::RequestServed,
+        {{"request", request.caller.attemptId},
+         {"route", request.route->name},
+         {"tenant", request.tenantName()},
+         {"upstream", plan.upstream->report().id.value()},
+         {"sends", std::to_string(progress.sends)},
+         {"took_ms", milliseconds(now - request.arrival)},
+         {"first_ms", milliseconds(progress.firstByte.value_or(now) - request.arrival)},
+         {"expected_ms", milliseconds(engine.expectedFirst)},
+         {"ready_tokens", std::to_string(engine.readyTokens)},
+         {"kept_tokens", std::to_string(engine.keptTokens)},
+         {"shared_tokens", std::to_string(request.sharedTokens())},
+         {"prompt_tokens", std::to_string(request.caller.promptTokens)},
+         {"source", plan.fetchSource()},
+         {"tokens_per_ms", whole(gateway.engineModel(plan.service).tokensPerMillisecond())},
+         {"slowness_percent", whole(plan.upstream->slowness() * Percent)}});
+}
+
+void logAttempt(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
+                const RequestProgress &progress, std::string_view end, const std::string &reason)
+{
+    gateway.metrics().attempts.add(1, request.labels(), std::string(end));
+    Core::logEvent(Core::EventId::AttemptFailed,
+                   {{"request", request.caller.attemptId},
+                    {"upstream", plan.upstream->report().id.value()},
+                    {"end", std::string(end)},
+                    {"reason", reason},
+                    {"send", std::to_string(progress.sends)},
+                    {"left_ms", milliseconds(request.left(gateway.parts().clock.now()))}});
+}
+
+} // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -2,7 +2,8 @@
 
 #include <LibCore/Error.h>
 #include <LibGateway/Gateway.h>
-#include <LibGateway/UpstreamChooser.h>
+#include <LibGateway/RequestLog.h>
+#include <LibGateway/RequestPlan.h>
 #include <LibGateway/UpstreamLoad.h>
 #include <LibHttp/EventSplitter.h>
 
@@ -13,21 +14,12 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace Gateway {
 
-/// Why this instance does not serve a request.
-struct Refusal
-{
-    Core::ErrorKind kind = Core::ErrorKind::NoUpstream;
-    std::string reason;
-    /// When the caller may come back; none when that would not help.
-    std::optional<std::chrono::milliseconds> retryAfter;
-};
-
-/// Carries one request of a caller: finds its route and team, chooses upstreams, sends it, and
-/// brings the answer back. Lives as long as the request.
+/// Carries one request of a caller: sends it to the upstreams that are planned for it, decides what
+/// may be tried again, and brings the answer back. Lives as long as the request.
 class RequestRelay
 {
 public:
@@ -61,16 +53,11 @@
         CallerGone,
         TimeOver,
     };
-    std::optional<Refusal> authorize();
     /// Judges the request anew before another attempt; keeps its route when that is denied.
     std::optional<Refusal> authorizeAgain();
-    std::optional<Refusal> readRequest();
     void startTimers();
     void endWith(EndReason reason);
     boost::asio::awaitable<void> attempts();
-    std::optional<Refusal> choose();
-    std::optional<Refusal> chooseAmongEngines(const Service &service, ChoiceLimits limits);
-    std::optional<Refusal> refuseSlowEngine(const EngineChoice &choice) const;
     bool mayStillSend();
     bool mayTryAgain(AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> attempt();
@@ -88,48 +75,21 @@
     boost::asio::awaitable<void> refuse(const Refusal &refusal);
     boost::asio::awaitable<void> respondError(Core::ErrorKind kind, const std::string &reason,
                                               std::optional<std::chrono::milliseconds> retryAfter);
-    void logRefusal(const Refusal &refusal) const;
-    void logServed() const;
-    void logAttempt(std::string_view end, const std::string &reason) const;
-
-    std::chrono::milliseconds left() const;
-    std::string cacheScope() const;
-    std::uint64_t memoryTokens() const;
-    /// Tokens of the prompt's parts that other requests share.
-    unsigned sharedTokens() const;
-    /// Where the engine was told to fetch parts from, for the log.
-    std::string fetchSource() const;
-    bool shouldSave() const;
-    /// The store of the session's parts; null when there is none that answers.
-    PartStore *partStore() const;
     void noteRefusedByUpstream(unsigned status, const AnswerHead &head);
-    Metrics::Labels labels() const;
+    void noteAttempt(std::string_view end, const std::string &reason) const;
+    std::chrono::milliseconds left() const;
 
     Gateway &m_gateway;
     Http::ServerExchange &m_exchange;
-    Core::Clock::Monotonic m_arrival;
-    Core::Clock::Monotonic m_deadline;
-    CallerRequest m_request;
-    ConfigurationState::Version m_configuration;
-    const Route *m_route = nullptr;
-    const Tenant *m_tenant = nullptr;
-    std::string m_service;
-    std::vector<PromptPart> m_parts;
-    std::uint64_t m_digest = 0;
-
-    std::shared_ptr<Upstream> m_upstream;
-    std::optional<EngineChoice> m_engine;
-    std::uint64_t m_storeHolder = 0;
-    /// Whether the engine is told to save the prompt's parts, and for which weights.
-    bool m_isSaving = false;
-    std::uint64_t m_sentWeights = 0;
+    AcceptedRequest m_request;
+    /// Where the last attempt went or goes; none before the first.
+    std::optional<RequestPlan> m_plan;
     std::set<Core::UpstreamId> m_excluded;
     /// Upstreams that may have run the request.
     unsigned m_runs = 0;
-    unsigned m_sends = 0;
+    RequestProgress m_progress;
     bool m_mayHaveRun = false;
     std::optional<Http::Response> m_failure;
-    std::optional<Core::Clock::Monotonic> m_firstByte;
     Http::EventSplitter m_events;
     bool m_hasTimedOut = false;
     EndReason m_endReason = EndReason::None;
