LibGateway: Tell holds at once, and let what waits begin before an order

Holds and weights now go out in a datagram of their own within 15 ms, and again in the next whole report; the order follows when what waits at the engine is expected to have begun, 20 to 300 ms later.

Ruled out: that fewer engines at once is needed for this.

--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -555,7 +555,8 @@
     VT_HOLDS = 16,
     VT_STORES = 18,
     VT_DATA_CENTRE = 20,
-    VT_ENDPOINT = 22
+    VT_ENDPOINT = 22,
+    VT_IS_URGENT = 24
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -587,6 +588,9 @@
   const flatbuffers::String *endpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
   }
+  bool is_urgent() const {
+    return GetField<uint8_t>(VT_IS_URGENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -607,6 +611,7 @@
            verifier.VerifyString(data_centre()) &&
            VerifyOffset(verifier, VT_ENDPOINT) &&
            verifier.VerifyString(endpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_URGENT, 1) &&
            verifier.EndTable();
   }
 };
@@ -645,6 +650,9 @@
   void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
     fbb_.AddOffset(SiblingReport::VT_ENDPOINT, endpoint);
   }
+  void add_is_urgent(bool is_urgent) {
+    fbb_.AddElement<uint8_t>(SiblingReport::VT_IS_URGENT, static_cast<uint8_t>(is_urgent), 0);
+  }
   explicit SiblingReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -667,7 +675,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::Hold *>> holds = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::StoreLife *>> stores = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    flatbuffers::Offset<flatbuffers::String> endpoint = 0) {
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    bool is_urgent = false) {
   SiblingReportBuilder builder_(_fbb);
   builder_.add_life(life);
   builder_.add_number(number);
@@ -679,6 +688,7 @@
   builder_.add_parts(parts);
   builder_.add_loads(loads);
   builder_.add_instance(instance);
+  builder_.add_is_urgent(is_urgent);
   return builder_.Finish();
 }
 
@@ -693,7 +703,8 @@
     const std::vector<Gateway::Wire::Hold> *holds = nullptr,
     const std::vector<Gateway::Wire::StoreLife> *stores = nullptr,
     const char *data_centre = nullptr,
-    const char *endpoint = nullptr) {
+    const char *endpoint = nullptr,
+    bool is_urgent = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<Gateway::Wire::Load>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::KeptPart>(*parts) : 0;
@@ -713,7 +724,8 @@
       holds__,
       stores__,
       data_centre__,
-      endpoint__);
+      endpoint__,
+      is_urgent);
 }
 
 struct LogQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -101,6 +101,7 @@
     asio::co_spawn(context, m_journal.announce(), asio::detached);
     asio::co_spawn(context, m_journal.writeBreaks(), asio::detached);
     asio::co_spawn(context, m_siblings.send(), asio::detached);
+    asio::co_spawn(context, m_siblings.sendUrgent(), asio::detached);
     asio::co_spawn(context, m_siblings.receive(), asio::detached);
     asio::co_spawn(context, m_roller.run(), asio::detached);
     asio::co_spawn(context, countInstances(), asio::detached);
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -23,6 +23,8 @@
 constexpr auto IntervalPerSibling = 10ms;
 // Without news for this many intervals a sibling's load counts no more.
 constexpr int SilentIntervals = 15;
+// Orders go out in bursts; this gathers their holds, and bounds the datagrams of a burst.
+constexpr auto UrgentPause = 15ms;
 // What fits a datagram beside the loads of a large fleet.
 constexpr std::size_t MostPartsPerDatagram = 256;
 std::uint64_t random64()
@@ -41,6 +43,7 @@
 SiblingExchange::SiblingExchange(asio::io_context &context, Parts parts)
     : m_parts(parts)
     , m_socket(context)
+    , m_urgentTimer(context)
     , m_life(random64())
 { }
 
@@ -70,14 +73,32 @@
         co_await sleepFor(interval());
         m_parts.members.dropLapsed();
         dropSilent();
-        const auto datagram = encode();
-        for (const auto &[instance, sibling] : m_parts.members.siblings()) {
-            const auto &endpoint = sibling.member.endpoint;
-            const asio::ip::udp::endpoint to(endpoint.address(), endpoint.port());
-            // A datagram that finds no room is lost like any other.
+        sendToAll(encode());
+    }
+}
+
+asio::awaitable<void> SiblingExchange::sendUrgent()
+{
+    for (;;) {
+        if (m_urgentNews.isEmpty()) {
+            m_urgentTimer.expires_at(asio::steady_timer::time_point::max());
             boost::system::error_code ec;
-            m_socket.send_to(asio::buffer(datagram), to, 0, ec);
+            co_await m_urgentTimer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            continue;
         }
+        sendToAll(encodeUrgent());
+        co_await sleepFor(UrgentPause);
+    }
+}
+
+void SiblingExchange::sendToAll(const std::string &datagram)
+{
+    for (const auto &[instance, sibling] : m_parts.members.siblings()) {
+        const auto &endpoint = sibling.member.endpoint;
+        const asio::ip::udp::endpoint to(endpoint.address(), endpoint.port());
+        // A datagram that finds no room is lost like any other.
+        boost::system::error_code ec;
+        m_socket.send_to(asio::buffer(datagram), to, 0, ec);
     }
 }
 
@@ -121,13 +142,22 @@
 
 void SiblingExchange::tellHold(const Upstream &engine, std::chrono::milliseconds time)
 {
-    m_holds.push_back({upstreamHash(engine), time});
+    queueNews({{{upstreamHash(engine), time}}, {}});
 }
 
 void SiblingExchange::tellWeights(const Upstream &engine, const std::string &model,
                                   std::uint64_t version)
 {
-    m_weights.push_back({upstreamHash(engine), Core::hash64(model), version});
+    queueNews({{}, {{upstreamHash(engine), Core::hash64(model), version}}});
+}
+
+void SiblingExchange::queueNews(const News &news)
+{
+    for (auto *queue : {&m_news, &m_urgentNews}) {
+        queue->holds.insert(queue->holds.end(), news.holds.begin(), news.holds.end());
+        queue->weights.insert(queue->weights.end(), news.weights.begin(), news.weights.end());
+    }
+    m_urgentTimer.cancel();
 }
 
 std::string SiblingExchange::encode()
@@ -143,15 +173,10 @@
     std::vector<Wire::KeptPart> parts;
     for (const auto &entry : std::exchange(m_keptParts, {}))
         parts.emplace_back(entry.holder, entry.part.chain, entry.part.tokens);
-    std::vector<Wire::Hold> holds;
-    for (const auto &entry : std::exchange(m_holds, {}))
-        holds.emplace_back(entry.upstream, static_cast<std::uint32_t>(entry.time.count()));
-    std::vector<Wire::Weights> weights;
-    for (const auto &entry : std::exchange(m_weights, {}))
-        weights.emplace_back(entry.upstream, entry.model, entry.version);
     std::vector<Wire::StoreLife> stores;
     for (const auto &[holder, epoch] : std::exchange(m_storeLives, {}))
         stores.emplace_back(holder, epoch);
+    const auto [holds, weights] = wireNews(std::exchange(m_news, {}));
     const auto &self = m_parts.members.self();
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(Wire::CreateSiblingReportDirect(
@@ -160,6 +185,28 @@
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
+std::string SiblingExchange::encodeUrgent()
+{
+    const auto [holds, weights] = wireNews(std::exchange(m_urgentNews, {}));
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(Wire::CreateSiblingReportDirect(
+        builder, m_parts.members.self().instance.value().c_str(), ++m_number, m_life, nullptr,
+        nullptr, &weights, &holds, nullptr, nullptr, nullptr, true));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::pair<std::vector<Wire::Hold>, std::vector<Wire::Weights>>
+SiblingExchange::wireNews(const News &news)
+{
+    std::vector<Wire::Hold> holds;
+    for (const auto &entry : news.holds)
+        holds.emplace_back(entry.upstream, static_cast<std::uint32_t>(entry.time.count()));
+    std::vector<Wire::Weights> weights;
+    for (const auto &entry : news.weights)
+        weights.emplace_back(entry.upstream, entry.model, entry.version);
+    return {std::move(holds), std::move(weights)};
+}
+
 void SiblingExchange::apply(std::string_view datagram)
 {
     const auto *bytes = reinterpret_cast<const std::uint8_t *>(datagram.data());
@@ -184,7 +231,8 @@
     applyWeights(*report);
     applyHolds(*report);
     applyParts(*report);
-    sumLoads();
+    if (!report->is_urgent())
+        sumLoads();
 }
 
 void SiblingExchange::noteMember(const Wire::SiblingReport &report)
@@ -207,6 +255,8 @@
         return false;
     sibling.life = report.life();
     sibling.number = report.number();
+    if (report.is_urgent())
+        return true;
     sibling.loads.clear();
     if (report.loads()) {
         for (const auto *load : *report.loads())
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -7,19 +7,23 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Gateway {
 
 namespace Wire {
+struct Hold;
 struct SiblingReport;
-}
+struct Weights;
+} // namespace Wire
 
 /// Tells siblings in datagrams what this instance sends to which upstream, which prompt parts
 /// engines and stores hold, and which weights engines were seen to have; and takes in what siblings
@@ -39,7 +43,10 @@
 
     /// Opens the port. Throws Error(SettingsInvalid).
     void open();
+    /// Sends a whole report again and again.
     boost::asio::awaitable<void> send();
+    /// Sends at once what siblings would otherwise act against: holds and weights.
+    boost::asio::awaitable<void> sendUrgent();
     boost::asio::awaitable<void> receive();
 
     /// Queues news for the next datagram.
@@ -51,8 +58,10 @@
     void tellHold(const Upstream &engine, std::chrono::milliseconds time);
     void tellWeights(const Upstream &engine, const std::string &model, std::uint64_t version);
 
-    /// The next datagram. Public for tests.
+    /// The next whole report. Public for tests.
     std::string encode();
+    /// What cannot wait for the next whole report, which repeats it. Public for tests.
+    std::string encodeUrgent();
     /// Takes in a sibling's datagram. Public for tests.
     void apply(std::string_view datagram);
     /// Forgets the load of siblings that went silent.
@@ -84,7 +93,19 @@
         std::unordered_map<std::uint64_t, OthersLoad> loads;
     };
 
+    /// What is told at once, and again in the next whole report, as datagrams may be lost.
+    struct News
+    {
+        std::vector<Hold> holds;
+        std::vector<Weights> weights;
+        bool isEmpty() const { return holds.empty() && weights.empty(); }
+    };
+
     void queueParts(std::uint64_t holder, std::span<const PromptPart> parts);
+    void queueNews(const News &news);
+    static std::pair<std::vector<Wire::Hold>, std::vector<Wire::Weights>>
+    wireNews(const News &news);
+    void sendToAll(const std::string &datagram);
     void noteMember(const Wire::SiblingReport &report);
     /// Returns whether the report is newer than what is known of its sender.
     bool noteReport(const Wire::SiblingReport &report, Sibling &sibling);
@@ -98,8 +119,9 @@
     boost::asio::ip::udp::socket m_socket;
     std::map<std::string, Sibling> m_siblings;
     std::vector<Part> m_keptParts;
-    std::vector<Hold> m_holds;
-    std::vector<Weights> m_weights;
+    News m_news;
+    News m_urgentNews;
+    boost::asio::steady_timer m_urgentTimer;
     std::map<std::uint64_t, std::uint64_t> m_storeLives;
     std::uint64_t m_life;
     std::uint64_t m_number = 0;
--- a/Libraries/LibGateway/WeightRoller.cpp
+++ b/Libraries/LibGateway/WeightRoller.cpp
@@ -24,6 +24,9 @@
 constexpr auto TurnStep = 60ms;
 // An engine that carries out an order refuses requests; what was sent before the order goes first.
 constexpr auto HoldTime = 2'500ms;
+// What siblings sent before they heard of the hold gets time to begin at the engine.
+constexpr std::chrono::milliseconds LeastHoldNotice = 20ms;
+constexpr std::chrono::milliseconds MostHoldNotice = 300ms;
 constexpr auto MostOrderTime = 3'000ms;
 constexpr auto ConflictPause = 250ms;
 constexpr auto FailurePause = 1'000ms;
@@ -173,6 +176,8 @@
     task.engine->holdUntil(m_parts.clock.now() + HoldTime);
     if (onHold)
         onHold(*task.engine, HoldTime);
+    // An order ends the wait of what has not begun; those requests would have to go elsewhere.
+    co_await sleepFor(timeToBegin(*task.engine));
     const auto token = m_parts.journal.lease().token(m_parts.clock.now(), OrderMargin);
     if (!token)
         co_return false;
@@ -206,6 +211,15 @@
     co_return false;
 }
 
+std::chrono::milliseconds WeightRoller::timeToBegin(const Upstream &engine) const
+{
+    const auto tokens = engine.tokensBefore(false);
+    const auto reading = m_parts.expectedFirst ? m_parts.expectedFirst(engine, tokens)
+                                               : EngineModel::Milliseconds(0);
+    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(reading), LeastHoldNotice,
+                      MostHoldNotice);
+}
+
 asio::awaitable<void> WeightRoller::awaitWeights(const Task &task)
 {
     const auto begin = m_parts.clock.now();
--- a/Libraries/LibGateway/WeightRoller.h
+++ b/Libraries/LibGateway/WeightRoller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/EngineControl.h>
+#include <LibGateway/EngineModel.h>
 #include <LibGateway/FleetJournal.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/UpstreamFleet.h>
@@ -26,6 +27,9 @@
         const Core::Clock &clock;
         GatewayMetrics &metrics;
         Core::InstanceId self;
+        /// When an engine is expected to have read this many tokens; may be empty.
+        std::function<EngineModel::Milliseconds(const Upstream &, std::uint64_t tokens)>
+            expectedFirst;
     };
 
     explicit WeightRoller(Parts parts);
@@ -58,6 +62,8 @@
     boost::asio::awaitable<bool> ensureLease(Core::Clock::Monotonic named);
     boost::asio::awaitable<void> roll(Task task);
     boost::asio::awaitable<bool> giveOrder(const Task &task);
+    /// How long what waits at the engine takes until it runs.
+    std::chrono::milliseconds timeToBegin(const Upstream &engine) const;
     boost::asio::awaitable<void> awaitWeights(const Task &task);
     boost::asio::awaitable<EngineState> stateOf(Upstream &engine);
     void noteWeights(Upstream &engine, const EngineState &state) const;
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -154,3 +154,30 @@
     other.exchange->apply(one.exchange->encode());
     CHECK(other.stores.storeFor(1)->storedTokens(parts, 1) == 0);
 }
+
+TEST_CASE("holds and weights are told at once, without touching what is known of loads")
+{
+    Instance one("one");
+    Instance other("other");
+    one.engine().noteSent(5'000, true);
+    other.exchange->apply(one.exchange->encode());
+    one.exchange->tellHold(one.engine(), 500ms);
+    one.exchange->tellWeights(one.engine(), "m", 4);
+    const auto urgent = one.exchange->encodeUrgent();
+    CHECK(urgent.size() < 300);
+    other.exchange->apply(urgent);
+    CHECK(other.engine().heldUntil() == other.clock.now() + 500ms);
+    CHECK(other.engine().weights("m") == 4);
+    CHECK(other.engine().othersLoad().inFlight == 1);
+    // The next whole report repeats them for whoever missed the first datagram.
+    Instance third("third");
+    third.exchange->apply(one.exchange->encode());
+    CHECK(third.engine().heldUntil() == third.clock.now() + 500ms);
+    CHECK(third.engine().weights("m") == 4);
+    CHECK(third.engine().othersLoad().inFlight == 1);
+    // And no other report does.
+    third.clock.advance(1s);
+    const auto before = third.engine().heldUntil();
+    third.exchange->apply(one.exchange->encode());
+    CHECK(third.engine().heldUntil() == before);
+}
