LibGateway: Pass on sums of load between data centres through hubs

Above 16 members an instance tells those of its data centre; the reachable one with the fastest link is the hub and tells the hubs of the others the sum of its data centre, and its own data centre the sum of the others. Each store of parts is asked by one instance of each data centre then.

Sites of up to 16 members work as before.

--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -112,7 +112,8 @@
         auto endpoint = Http::parseEndpoint(text(member->endpoint()));
         const Core::InstanceId instance(text(member->instance()));
         if (endpoint)
-            m_members.noteAnnounced({instance, text(member->data_centre()), endpoint.value()});
+            m_members.noteAnnounced(
+                {instance, text(member->data_centre()), endpoint.value(), member->link_megabits()});
         else
             Core::logEvent(Core::EventId::LogRecordInvalid,
                            {{"log", "journal"},
@@ -155,9 +156,9 @@
     flatbuffers::FlatBufferBuilder builder;
     const auto poison = m_poison.poison(m_clock.now());
     const auto &self = m_members.self();
-    const auto member =
-        Wire::CreateMemberDirect(builder, self.instance.value().c_str(), self.dataCentre.c_str(),
-                                 Http::formatEndpoint(self.endpoint).c_str(), &poison);
+    const auto member = Wire::CreateMemberDirect(
+        builder, self.instance.value().c_str(), self.dataCentre.c_str(),
+        Http::formatEndpoint(self.endpoint).c_str(), &poison, self.linkMegabits);
     return journalRecord(builder, Wire::Entry::Member, member);
 }
 
--- a/Libraries/LibGateway/FleetMembers.cpp
+++ b/Libraries/LibGateway/FleetMembers.cpp
@@ -12,6 +12,14 @@
     return Core::hash64(instance.value(), Core::hash64(key));
 }
 
+/// Whether the left one is to be a hub rather than the right one; all members agree on it.
+bool isLikelierHub(const FleetMember &left, const FleetMember &right)
+{
+    if (left.linkMegabits != right.linkMegabits)
+        return left.linkMegabits > right.linkMegabits;
+    return rank("hub", left.instance) < rank("hub", right.instance);
+}
+
 } // namespace
 
 FleetMembers::FleetMembers(FleetMember self, const Core::Clock &clock)
@@ -78,4 +86,35 @@
         }));
 }
 
+bool FleetMembers::isHub() const
+{
+    return std::none_of(m_siblings.begin(), m_siblings.end(), [this](const auto &item) {
+        const auto &sibling = item.second;
+        return sibling.member.dataCentre == m_self.dataCentre && isReachable(sibling)
+               && isLikelierHub(sibling.member, m_self);
+    });
+}
+
+std::map<std::string, std::vector<FleetMember>> FleetMembers::elsewhere() const
+{
+    std::map<std::string, std::vector<FleetMember>> members;
+    for (const auto &[instance, sibling] : m_siblings) {
+        if (sibling.member.dataCentre != m_self.dataCentre)
+            members[sibling.member.dataCentre].push_back(sibling.member);
+    }
+    for (auto &[dataCentre, list] : members)
+        std::sort(list.begin(), list.end(), isLikelierHub);
+    return members;
+}
+
+std::vector<FleetMember> FleetMembers::inDataCentre() const
+{
+    std::vector<FleetMember> members;
+    for (const auto &[instance, sibling] : m_siblings) {
+        if (sibling.member.dataCentre == m_self.dataCentre)
+            members.push_back(sibling.member);
+    }
+    return members;
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetMembers.h
+++ b/Libraries/LibGateway/FleetMembers.h
@@ -19,6 +19,8 @@
     std::string dataCentre;
     /// Where its datagrams arrive, and where it answers siblings' calls.
     Http::Endpoint endpoint;
+    /// The speed of its own network link, for duties that cost bytes; 0 when it was not told.
+    unsigned linkMegabits = 0;
 };
 
 /// The instances that may be alive: who announced itself in the journal, or sent a datagram, in the
@@ -32,6 +34,9 @@
     /// A member is taken to be reachable for this long after its last datagram.
     static constexpr std::chrono::milliseconds SilenceTime {1'500};
 
+    /// Members that may all talk to all others.
+    static constexpr std::size_t MostFlatMembers = 16;
+
     FleetMembers(FleetMember self, const Core::Clock &clock);
 
     const FleetMember &self() const { return m_self; }
@@ -53,6 +58,9 @@
     const std::map<Core::InstanceId, Sibling> &siblings() const { return m_siblings; }
     /// Members, this instance included.
     std::size_t count() const { return m_siblings.size() + 1; }
+    /// Whether there are so many members that only those of one data centre talk to each other, and
+    /// hubs pass on the rest.
+    bool isLarge() const { return count() > MostFlatMembers; }
     /// Whether the sibling's datagrams arrive.
     bool isReachable(const Sibling &sibling) const;
 
@@ -65,6 +73,14 @@
     std::size_t reachableBefore(std::string_view key,
                                 const std::optional<std::string> &dataCentre = {}) const;
 
+    /// Whether this instance is the one that passes news between its data centre and the others:
+    /// the one with the fastest link among those that are reachable.
+    bool isHub() const;
+    /// Members of each other data centre, likely hubs first.
+    std::map<std::string, std::vector<FleetMember>> elsewhere() const;
+    /// Siblings of the own data centre.
+    std::vector<FleetMember> inDataCentre() const;
+
 private:
     Sibling &sibling(const FleetMember &member);
 
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -105,6 +105,39 @@
 bool VerifyEntry(flatbuffers::Verifier &verifier, const void *obj, Entry type);
 bool VerifyEntryVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Entry> *types);
 
+enum class Scope : uint8_t {
+  Instance = 0,
+  DataCentre = 1,
+  Elsewhere = 2,
+  MIN = Instance,
+  MAX = Elsewhere
+};
+
+inline const Scope (&EnumValuesScope())[3] {
+  static const Scope values[] = {
+    Scope::Instance,
+    Scope::DataCentre,
+    Scope::Elsewhere
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesScope() {
+  static const char * const names[4] = {
+    "Instance",
+    "DataCentre",
+    "Elsewhere",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameScope(Scope e) {
+  if (flatbuffers::IsOutRange(e, Scope::Instance, Scope::Elsewhere)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesScope()[index];
+}
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Load FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -266,7 +299,8 @@
     VT_INSTANCE = 4,
     VT_DATA_CENTRE = 6,
     VT_ENDPOINT = 8,
-    VT_POISON = 10
+    VT_POISON = 10,
+    VT_LINK_MEGABITS = 12
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -280,6 +314,9 @@
   const flatbuffers::Vector<uint64_t> *poison() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_POISON);
   }
+  uint32_t link_megabits() const {
+    return GetField<uint32_t>(VT_LINK_MEGABITS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -290,6 +327,7 @@
            verifier.VerifyString(endpoint()) &&
            VerifyOffset(verifier, VT_POISON) &&
            verifier.VerifyVector(poison()) &&
+           VerifyField<uint32_t>(verifier, VT_LINK_MEGABITS, 4) &&
            verifier.EndTable();
   }
 };
@@ -310,6 +348,9 @@
   void add_poison(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> poison) {
     fbb_.AddOffset(Member::VT_POISON, poison);
   }
+  void add_link_megabits(uint32_t link_megabits) {
+    fbb_.AddElement<uint32_t>(Member::VT_LINK_MEGABITS, link_megabits, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -326,8 +367,10 @@
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> poison = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> poison = 0,
+    uint32_t link_megabits = 0) {
   MemberBuilder builder_(_fbb);
+  builder_.add_link_megabits(link_megabits);
   builder_.add_poison(poison);
   builder_.add_endpoint(endpoint);
   builder_.add_data_centre(data_centre);
@@ -340,7 +383,8 @@
     const char *instance = nullptr,
     const char *data_centre = nullptr,
     const char *endpoint = nullptr,
-    const std::vector<uint64_t> *poison = nullptr) {
+    const std::vector<uint64_t> *poison = nullptr,
+    uint32_t link_megabits = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
@@ -350,7 +394,8 @@
       instance__,
       data_centre__,
       endpoint__,
-      poison__);
+      poison__,
+      link_megabits);
 }
 
 struct Lease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -556,7 +601,9 @@
     VT_STORES = 18,
     VT_DATA_CENTRE = 20,
     VT_ENDPOINT = 22,
-    VT_IS_URGENT = 24
+    VT_IS_URGENT = 24,
+    VT_SCOPE = 26,
+    VT_LINK_MEGABITS = 28
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -591,6 +638,12 @@
   bool is_urgent() const {
     return GetField<uint8_t>(VT_IS_URGENT, 0) != 0;
   }
+  Gateway::Wire::Scope scope() const {
+    return static_cast<Gateway::Wire::Scope>(GetField<uint8_t>(VT_SCOPE, 0));
+  }
+  uint32_t link_megabits() const {
+    return GetField<uint32_t>(VT_LINK_MEGABITS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -612,6 +665,8 @@
            VerifyOffset(verifier, VT_ENDPOINT) &&
            verifier.VerifyString(endpoint()) &&
            VerifyField<uint8_t>(verifier, VT_IS_URGENT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LINK_MEGABITS, 4) &&
            verifier.EndTable();
   }
 };
@@ -653,6 +708,12 @@
   void add_is_urgent(bool is_urgent) {
     fbb_.AddElement<uint8_t>(SiblingReport::VT_IS_URGENT, static_cast<uint8_t>(is_urgent), 0);
   }
+  void add_scope(Gateway::Wire::Scope scope) {
+    fbb_.AddElement<uint8_t>(SiblingReport::VT_SCOPE, static_cast<uint8_t>(scope), 0);
+  }
+  void add_link_megabits(uint32_t link_megabits) {
+    fbb_.AddElement<uint32_t>(SiblingReport::VT_LINK_MEGABITS, link_megabits, 0);
+  }
   explicit SiblingReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -676,10 +737,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::StoreLife *>> stores = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
-    bool is_urgent = false) {
+    bool is_urgent = false,
+    Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
+    uint32_t link_megabits = 0) {
   SiblingReportBuilder builder_(_fbb);
   builder_.add_life(life);
   builder_.add_number(number);
+  builder_.add_link_megabits(link_megabits);
   builder_.add_endpoint(endpoint);
   builder_.add_data_centre(data_centre);
   builder_.add_stores(stores);
@@ -688,6 +752,7 @@
   builder_.add_parts(parts);
   builder_.add_loads(loads);
   builder_.add_instance(instance);
+  builder_.add_scope(scope);
   builder_.add_is_urgent(is_urgent);
   return builder_.Finish();
 }
@@ -704,7 +769,9 @@
     const std::vector<Gateway::Wire::StoreLife> *stores = nullptr,
     const char *data_centre = nullptr,
     const char *endpoint = nullptr,
-    bool is_urgent = false) {
+    bool is_urgent = false,
+    Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
+    uint32_t link_megabits = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<Gateway::Wire::Load>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::KeptPart>(*parts) : 0;
@@ -725,7 +792,9 @@
       stores__,
       data_centre__,
       endpoint__,
-      is_urgent);
+      is_urgent,
+      scope,
+      link_megabits);
 }
 
 struct LogQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -39,7 +39,8 @@
     , m_threads(Threads)
     , m_gateway({m_settings, m_interfaces.clock, m_interfaces.dialect, m_configuration, m_weights,
                  m_fleet, m_client})
-    , m_members({m_settings.instance, m_settings.dataCentre, m_settings.siblings},
+    , m_members({m_settings.instance, m_settings.dataCentre, m_settings.siblings,
+                 m_settings.linkMegabits},
                 m_interfaces.clock)
     , m_relay(m_interfaces.clock)
     , m_log({m_interfaces.log, m_relay, m_members, m_interfaces.clock})
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -21,6 +21,8 @@
     Http::Endpoint readiness;
     /// Where siblings' datagrams arrive.
     Http::Endpoint siblings;
+    /// The speed of the instance's own network link; 0 when it was not told.
+    unsigned linkMegabits = 0;
     /// A key that operators took away may run for this long afterwards.
     std::chrono::milliseconds revocationBound {5'000};
     /// A new configuration is in force everywhere within this time.
--- a/Libraries/LibGateway/PartStoreWatch.cpp
+++ b/Libraries/LibGateway/PartStoreWatch.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace asio = boost::asio;
@@ -29,7 +31,10 @@
 
 bool PartStoreWatch::isAsker(const PartStore &store) const
 {
-    return m_parts.members.reachableBefore(Http::formatEndpoint(store.endpoint())) < Askers;
+    // In a large fleet only the siblings of the own data centre are heard, and each one has askers.
+    const auto dataCentres = m_parts.members.isLarge() ? m_parts.members.elsewhere().size() + 1 : 1;
+    const auto most = std::max<std::size_t>(1, Askers / dataCentres);
+    return m_parts.members.reachableBefore(Http::formatEndpoint(store.endpoint())) < most;
 }
 
 asio::awaitable<void> PartStoreWatch::run()
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace Gateway {
@@ -17,16 +18,23 @@
 
 namespace {
 
-// Each instance sends to all others; the pause grows with their number, so that a sibling receives
-// at most some hundred datagrams a second in a large fleet.
+// The pause grows with the number of those who tell each other, so that a sibling receives at most
+// some hundred datagrams a second.
 constexpr auto LeastInterval = 100ms;
 constexpr auto IntervalPerSibling = 10ms;
 // Without news for this many intervals a sibling's load counts no more.
 constexpr int SilentIntervals = 15;
 // Orders go out in bursts; this gathers their holds, and bounds the datagrams of a burst.
 constexpr auto UrgentPause = 15ms;
-// What fits a datagram beside the loads of a large fleet.
+// What fits a datagram beside the loads of a large fleet; a hub passes on those of many.
 constexpr std::size_t MostPartsPerDatagram = 256;
+constexpr std::size_t MostPartsPerSum = 768;
+// A hub that has not been heard of may be gone; the likeliest next ones are told as well.
+constexpr std::size_t HubsTold = 3;
+// Names of sums among the sources, which no instance has.
+constexpr auto DataCentreSource = "data centre ";
+constexpr auto ElsewhereSource = "elsewhere";
+
 std::uint64_t random64()
 {
     std::random_device device;
@@ -38,6 +46,36 @@
     return UpstreamFleet::hashOf(upstream.report().id);
 }
 
+void add(OthersLoad &sum, const OthersLoad &load)
+{
+    sum.waitingTokens.all += load.waitingTokens.all;
+    sum.waitingTokens.urgent += load.waitingTokens.urgent;
+    sum.inFlight += load.inFlight;
+    sum.memoryTokens += load.memoryTokens;
+}
+
+template <typename LoadMap>
+std::vector<Wire::Load> wireLoads(const LoadMap &loads)
+{
+    std::vector<Wire::Load> entries;
+    entries.reserve(loads.size());
+    for (const auto &[upstream, load] : loads)
+        entries.emplace_back(upstream, static_cast<std::uint32_t>(load.waitingTokens.all),
+                             static_cast<std::uint32_t>(load.waitingTokens.urgent), load.inFlight,
+                             static_cast<std::uint32_t>(load.memoryTokens));
+    return entries;
+}
+
+template <typename Parts>
+std::vector<Wire::KeptPart> wireParts(const Parts &parts)
+{
+    std::vector<Wire::KeptPart> entries;
+    entries.reserve(parts.size());
+    for (const auto &entry : parts)
+        entries.emplace_back(entry.holder, entry.part.chain, entry.part.tokens);
+    return entries;
+}
+
 } // namespace
 
 SiblingExchange::SiblingExchange(asio::io_context &context, Parts parts)
@@ -63,8 +101,9 @@
 
 std::chrono::milliseconds SiblingExchange::interval() const
 {
-    return std::max<std::chrono::milliseconds>(LeastInterval,
-                                               m_parts.members.count() * IntervalPerSibling);
+    const auto &members = m_parts.members;
+    const auto told = members.isLarge() ? members.inDataCentre().size() + 1 : members.count();
+    return std::max<std::chrono::milliseconds>(LeastInterval, told * IntervalPerSibling);
 }
 
 asio::awaitable<void> SiblingExchange::send()
@@ -73,8 +112,40 @@
         co_await sleepFor(interval());
         m_parts.members.dropLapsed();
         dropSilent();
-        sendToAll(encode());
+        if (!m_parts.members.isLarge()) {
+            sendTo(allMembers(), encode());
+            continue;
+        }
+        const auto nearby = m_parts.members.inDataCentre();
+        sendTo(nearby, encode());
+        if (!m_parts.members.isHub())
+            continue;
+        sendTo(otherHubs(), encodeDataCentre());
+        sendTo(nearby, encodeElsewhere());
+    }
+}
+
+std::vector<FleetMember> SiblingExchange::allMembers() const
+{
+    std::vector<FleetMember> members;
+    for (const auto &[instance, sibling] : m_parts.members.siblings())
+        members.push_back(sibling.member);
+    return members;
+}
+
+std::vector<FleetMember> SiblingExchange::otherHubs() const
+{
+    std::vector<FleetMember> hubs;
+    for (auto &[dataCentre, members] : m_parts.members.elsewhere()) {
+        const auto it = m_sources.find(DataCentreSource + dataCentre);
+        if (it != m_sources.end() && !it->second.isSilent) {
+            hubs.push_back(it->second.sender);
+            continue;
+        }
+        const auto told = std::min(members.size(), HubsTold);
+        hubs.insert(hubs.end(), members.begin(), members.begin() + static_cast<int>(told));
     }
+    return hubs;
 }
 
 asio::awaitable<void> SiblingExchange::sendUrgent()
@@ -86,16 +157,15 @@
             co_await m_urgentTimer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        sendToAll(encodeUrgent());
+        sendTo(allMembers(), encodeUrgent());
         co_await sleepFor(UrgentPause);
     }
 }
 
-void SiblingExchange::sendToAll(const std::string &datagram)
+void SiblingExchange::sendTo(const std::vector<FleetMember> &members, const std::string &datagram)
 {
-    for (const auto &[instance, sibling] : m_parts.members.siblings()) {
-        const auto &endpoint = sibling.member.endpoint;
-        const asio::ip::udp::endpoint to(endpoint.address(), endpoint.port());
+    for (const auto &member : members) {
+        const asio::ip::udp::endpoint to(member.endpoint.address(), member.endpoint.port());
         // A datagram that finds no room is lost like any other.
         boost::system::error_code ec;
         m_socket.send_to(asio::buffer(datagram), to, 0, ec);
@@ -135,11 +205,17 @@
 {
     // The last first, so that a part never seems older than one that builds on it.
     for (auto it = parts.rbegin(); it != parts.rend(); ++it) {
-        if (m_keptParts.size() < MostPartsPerDatagram)
-            m_keptParts.push_back({holder, *it});
+        push(m_keptParts, {holder, *it}, MostPartsPerDatagram);
+        push(m_dataCentreParts, {holder, *it}, MostPartsPerSum);
     }
 }
 
+void SiblingExchange::push(PartQueue &queue, const Part &part, std::size_t most)
+{
+    if (queue.size() < most)
+        queue.push_back(part);
+}
+
 void SiblingExchange::tellHold(const Upstream &engine, std::chrono::milliseconds time)
 {
     queueNews({{{upstreamHash(engine), time}}, {}});
@@ -162,17 +238,8 @@
 
 std::string SiblingExchange::encode()
 {
-    std::vector<Wire::Load> loads;
-    for (const auto &[id, upstream] : m_parts.fleet.all()) {
-        if (upstream->inFlight() > 0)
-            loads.emplace_back(
-                upstreamHash(*upstream), static_cast<std::uint32_t>(upstream->waitingTokens().all),
-                static_cast<std::uint32_t>(upstream->waitingTokens().urgent), upstream->inFlight(),
-                static_cast<std::uint32_t>(upstream->memoryTokens()));
-    }
-    std::vector<Wire::KeptPart> parts;
-    for (const auto &entry : std::exchange(m_keptParts, {}))
-        parts.emplace_back(entry.holder, entry.part.chain, entry.part.tokens);
+    const auto loads = wireLoads(ownLoads());
+    const auto parts = wireParts(std::exchange(m_keptParts, {}));
     std::vector<Wire::StoreLife> stores;
     for (const auto &[holder, epoch] : std::exchange(m_storeLives, {}))
         stores.emplace_back(holder, epoch);
@@ -181,10 +248,50 @@
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(Wire::CreateSiblingReportDirect(
         builder, self.instance.value().c_str(), ++m_number, m_life, &loads, &parts, &weights,
-        &holds, &stores, self.dataCentre.c_str(), Http::formatEndpoint(self.endpoint).c_str()));
+        &holds, &stores, self.dataCentre.c_str(), Http::formatEndpoint(self.endpoint).c_str(),
+        false, Wire::Scope::Instance, self.linkMegabits));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
+std::string SiblingExchange::encodeDataCentre()
+{
+    auto loads = sumOf([](const Source &it) { return !it.isDataCentre && !it.isElsewhere; });
+    for (const auto &[upstream, load] : ownLoads())
+        add(loads[upstream], load);
+    return encodeSum(loads, std::exchange(m_dataCentreParts, {}), Wire::Scope::DataCentre);
+}
+
+std::string SiblingExchange::encodeElsewhere()
+{
+    return encodeSum(sumOf([](const Source &it) { return it.isDataCentre; }),
+                     std::exchange(m_elsewhereParts, {}), Wire::Scope::Elsewhere);
+}
+
+std::string SiblingExchange::encodeSum(const Loads &loads, const PartQueue &parts,
+                                       Wire::Scope scope)
+{
+    const auto &self = m_parts.members.self();
+    const auto sums = wireLoads(loads);
+    const auto kept = wireParts(parts);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(Wire::CreateSiblingReportDirect(
+        builder, self.instance.value().c_str(), ++m_number, m_life, &sums, &kept, nullptr, nullptr,
+        nullptr, self.dataCentre.c_str(), Http::formatEndpoint(self.endpoint).c_str(), false, scope,
+        self.linkMegabits));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+SiblingExchange::Loads SiblingExchange::ownLoads() const
+{
+    Loads loads;
+    for (const auto &[id, upstream] : m_parts.fleet.all()) {
+        if (upstream->inFlight() > 0)
+            loads[upstreamHash(*upstream)] = {upstream->waitingTokens(), upstream->inFlight(),
+                                              upstream->memoryTokens()};
+    }
+    return loads;
+}
+
 std::string SiblingExchange::encodeUrgent()
 {
     const auto [holds, weights] = wireNews(std::exchange(m_urgentNews, {}));
@@ -219,50 +326,68 @@
     const auto *report = Wire::GetSiblingReport(bytes);
     if (!report->instance() || report->instance()->str() == m_parts.members.self().instance.value())
         return;
-    noteMember(*report);
-    auto &sibling = m_siblings[report->instance()->str()];
-    if (sibling.isSilent)
-        Core::logEvent(Core::EventId::SiblingHeard, {{"sibling", report->instance()->str()}});
-    sibling.heard = m_parts.clock.now();
-    sibling.isSilent = false;
-    if (!noteReport(*report, sibling))
+    auto &sender = source(*report);
+    noteMember(*report, sender);
+    // Urgent news come from the whole fleet, loads only from those that tell them all the time.
+    if (!report->is_urgent()) {
+        if (sender.isSilent)
+            Core::logEvent(Core::EventId::SiblingHeard, {{"sibling", report->instance()->str()}});
+        sender.heard = m_parts.clock.now();
+        sender.isSilent = false;
+    }
+    if (!noteReport(*report, sender))
         return;
     // Weights come before parts: new weights empty an engine's memory.
     applyWeights(*report);
     applyHolds(*report);
     applyParts(*report);
     if (!report->is_urgent())
-        sumLoads();
+        applySums();
 }
 
-void SiblingExchange::noteMember(const Wire::SiblingReport &report)
+SiblingExchange::Source &SiblingExchange::source(const Wire::SiblingReport &report)
+{
+    auto name = report.instance()->str();
+    if (report.scope() == Wire::Scope::DataCentre && report.data_centre())
+        name = DataCentreSource + report.data_centre()->str();
+    if (report.scope() == Wire::Scope::Elsewhere)
+        name = ElsewhereSource;
+    auto &source = m_sources[name];
+    source.isDataCentre = report.scope() == Wire::Scope::DataCentre;
+    source.isElsewhere = report.scope() == Wire::Scope::Elsewhere;
+    return source;
+}
+
+void SiblingExchange::noteMember(const Wire::SiblingReport &report, Source &source)
 {
     if (!report.endpoint() || !report.data_centre())
         return;
     const auto endpoint = Http::parseEndpoint(report.endpoint()->string_view());
-    if (endpoint)
-        m_parts.members.noteHeard({Core::InstanceId(report.instance()->str()),
-                                   report.data_centre()->str(), endpoint.value()});
-    else
+    if (!endpoint) {
         Core::logEvent(Core::EventId::PeerFrameInvalid, {{"sibling", report.instance()->str()},
                                                          {"reason", endpoint.error().detail()}});
+        return;
+    }
+    source.sender = {Core::InstanceId(report.instance()->str()), report.data_centre()->str(),
+                     endpoint.value(), report.link_megabits()};
+    m_parts.members.noteHeard(source.sender);
 }
 
-bool SiblingExchange::noteReport(const Wire::SiblingReport &report, Sibling &sibling)
+bool SiblingExchange::noteReport(const Wire::SiblingReport &report, Source &source)
 {
-    const bool isOld = sibling.life == report.life() && report.number() <= sibling.number;
+    const bool isOld = source.life == report.life() && report.number() <= source.number;
     if (isOld)
         return false;
-    sibling.life = report.life();
-    sibling.number = report.number();
+    source.life = report.life();
+    source.number = report.number();
     if (report.is_urgent())
         return true;
-    sibling.loads.clear();
+    source.loads.clear();
     if (report.loads()) {
         for (const auto *load : *report.loads())
-            sibling.loads[load->upstream()] = {{load->waiting_tokens(), load->urgent_tokens()},
-                                               load->in_flight(),
-                                               load->memory_tokens()};
+            source.loads[load->upstream()] = {{load->waiting_tokens(), load->urgent_tokens()},
+                                              load->in_flight(),
+                                              load->memory_tokens()};
     }
     return true;
 }
@@ -307,21 +432,36 @@
             upstream->noteKept(std::span(&part, 1));
         else if (auto *store = m_parts.stores.find(entry->holder()))
             store->noteStored(std::span(&part, 1));
+        if (report.scope() == Wire::Scope::Instance)
+            push(m_dataCentreParts, {entry->holder(), part}, MostPartsPerSum);
+        if (report.scope() == Wire::Scope::DataCentre)
+            push(m_elsewhereParts, {entry->holder(), part}, MostPartsPerSum);
     }
 }
 
-void SiblingExchange::sumLoads()
+template <typename Predicate>
+SiblingExchange::Loads SiblingExchange::sumOf(Predicate isTaken) const
 {
-    std::unordered_map<std::uint64_t, OthersLoad> sums;
-    for (const auto &[name, sibling] : m_siblings) {
-        for (const auto &[upstream, load] : sibling.loads) {
-            auto &sum = sums[upstream];
-            sum.waitingTokens.all += load.waitingTokens.all;
-            sum.waitingTokens.urgent += load.waitingTokens.urgent;
-            sum.inFlight += load.inFlight;
-            sum.memoryTokens += load.memoryTokens;
-        }
+    Loads sums;
+    for (const auto &[name, source] : m_sources) {
+        if (!isTaken(source))
+            continue;
+        for (const auto &[upstream, load] : source.loads)
+            add(sums[upstream], load);
     }
+    return sums;
+}
+
+void SiblingExchange::applySums()
+{
+    // A hub hears of the other data centres itself; what a former hub passed on tells the same.
+    const bool hearsDataCentres =
+        std::any_of(m_sources.begin(), m_sources.end(), [](const auto &item) {
+            return item.second.isDataCentre && !item.second.isSilent;
+        });
+    auto sums = sumOf([hearsDataCentres](const Source &source) {
+        return !source.isElsewhere || !hearsDataCentres;
+    });
     for (const auto &[id, upstream] : m_parts.fleet.all())
         upstream->setOthersLoad(sums[upstreamHash(*upstream)]);
 }
@@ -329,13 +469,18 @@
 void SiblingExchange::dropSilent()
 {
     const auto now = m_parts.clock.now();
-    for (auto &[name, sibling] : m_siblings) {
-        if (sibling.isSilent || now - sibling.heard < SilentIntervals * interval())
+    for (auto &[name, source] : m_sources) {
+        if (source.isSilent || now - source.heard < SilentIntervals * interval())
             continue;
         Core::logEvent(Core::EventId::SiblingSilent, {{"sibling", name}});
-        sibling.isSilent = true;
-        sibling.loads.clear();
-        sumLoads();
+        source.isSilent = true;
+        source.loads.clear();
+        applySums();
+    }
+    // Only hubs empty them by passing them on.
+    if (!m_parts.members.isLarge() || !m_parts.members.isHub()) {
+        m_dataCentreParts.clear();
+        m_elsewhereParts.clear();
     }
 }
 
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -23,11 +23,17 @@
 struct Hold;
 struct SiblingReport;
 struct Weights;
+enum class Scope : std::uint8_t;
 } // namespace Wire
 
 /// Tells siblings in datagrams what this instance sends to which upstream, which prompt parts
 /// engines and stores hold, and which weights engines were seen to have; and takes in what siblings
 /// tell. All of it only makes choices better: a lost datagram or sibling breaks nothing.
+///
+/// In a small fleet each instance tells all others. In a large one it tells those of its data
+/// centre; one hub of each data centre tells the hubs of the others the sum, and passes their sums
+/// on to its own. So news is some hundred milliseconds old whatever the size, and bytes between
+/// data centres do not grow with the square of the instances.
 class SiblingExchange
 {
 public:
@@ -58,8 +64,12 @@
     void tellHold(const Upstream &engine, std::chrono::milliseconds time);
     void tellWeights(const Upstream &engine, const std::string &model, std::uint64_t version);
 
-    /// The next whole report. Public for tests.
+    /// The next whole report of this instance. Public for tests.
     std::string encode();
+    /// What a hub tells the hubs of other data centres. Public for tests.
+    std::string encodeDataCentre();
+    /// What a hub passes on to its own data centre. Public for tests.
+    std::string encodeElsewhere();
     /// What cannot wait for the next whole report, which repeats it. Public for tests.
     std::string encodeUrgent();
     /// Takes in a sibling's datagram. Public for tests.
@@ -84,14 +94,23 @@
         std::uint64_t model = 0;
         std::uint64_t version = 0;
     };
-    struct Sibling
+    using Loads = std::unordered_map<std::uint64_t, OthersLoad>;
+    /// Who tells loads: an instance, or a hub for many.
+    struct Source
     {
         std::uint64_t life = 0;
         std::uint64_t number = 0;
         Core::Clock::Monotonic heard;
         bool isSilent = true;
-        std::unordered_map<std::uint64_t, OthersLoad> loads;
+        /// A hub's sum over its own or the other data centres.
+        bool isDataCentre = false;
+        bool isElsewhere = false;
+        /// Who sent it last.
+        FleetMember sender;
+        Loads loads;
     };
+    /// Parts that a hub passes on.
+    using PartQueue = std::vector<Part>;
 
     /// What is told at once, and again in the next whole report, as datagrams may be lost.
     struct News
@@ -102,23 +121,39 @@
     };
 
     void queueParts(std::uint64_t holder, std::span<const PromptPart> parts);
+    static void push(PartQueue &queue, const Part &part, std::size_t most);
     void queueNews(const News &news);
     static std::pair<std::vector<Wire::Hold>, std::vector<Wire::Weights>>
     wireNews(const News &news);
-    void sendToAll(const std::string &datagram);
-    void noteMember(const Wire::SiblingReport &report);
-    /// Returns whether the report is newer than what is known of its sender.
-    bool noteReport(const Wire::SiblingReport &report, Sibling &sibling);
+    void sendTo(const std::vector<FleetMember> &members, const std::string &datagram);
+    std::vector<FleetMember> allMembers() const;
+    /// Where the sums of this data centre go.
+    std::vector<FleetMember> otherHubs() const;
+    std::string encodeSum(const Loads &loads, const PartQueue &parts, Wire::Scope scope);
+    /// The requests of this instance.
+    Loads ownLoads() const;
+    /// The loads of the sources that the predicate takes.
+    template <typename Predicate>
+    Loads sumOf(Predicate isTaken) const;
+
+    Source &source(const Wire::SiblingReport &report);
+    void noteMember(const Wire::SiblingReport &report, Source &source);
+    /// Returns whether the report is newer than what is known of its source.
+    bool noteReport(const Wire::SiblingReport &report, Source &source);
     void applyWeights(const Wire::SiblingReport &report) const;
     void applyHolds(const Wire::SiblingReport &report) const;
     void applyParts(const Wire::SiblingReport &report);
-    void sumLoads();
+    /// Puts together what all sources tell of each upstream.
+    void applySums();
     std::chrono::milliseconds interval() const;
 
     Parts m_parts;
     boost::asio::ip::udp::socket m_socket;
-    std::map<std::string, Sibling> m_siblings;
-    std::vector<Part> m_keptParts;
+    std::map<std::string, Source> m_sources;
+    PartQueue m_keptParts;
+    /// For a hub: what its data centre, and what all others, have told since the last sum.
+    PartQueue m_dataCentreParts;
+    PartQueue m_elsewhereParts;
     News m_news;
     News m_urgentNews;
     boost::asio::steady_timer m_urgentTimer;
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -18,10 +18,13 @@
 
 struct Instance
 {
-    explicit Instance(const std::string &name)
+    explicit Instance(const std::string &name, const std::string &dataCentre = "a",
+                      unsigned linkMegabits = 0)
     {
         members = std::make_unique<Gateway::FleetMembers>(
-            Gateway::FleetMember {Core::InstanceId(name), "a", endpointOf(name)}, clock);
+            Gateway::FleetMember {Core::InstanceId(name), dataCentre, endpointOf(name),
+                                  linkMegabits},
+            clock);
         exchange = std::make_unique<Gateway::SiblingExchange>(
             context, Gateway::SiblingExchange::Parts {clock, *members, fleet, stores});
         clock.advance(1h);
@@ -181,3 +184,60 @@
     third.exchange->apply(one.exchange->encode());
     CHECK(third.engine().heldUntil() == before);
 }
+
+TEST_CASE("in a large fleet hubs pass on the sums of data centres, each counted once")
+{
+    // Two of each data centre talk; many more only announced themselves.
+    Instance north("north", "n", 200);
+    Instance northern("onother", "n", 10);
+    Instance south("south", "s", 200);
+    Instance southern("touther", "s", 10);
+    const auto all = {&north, &northern, &south, &southern};
+    for (auto *instance : all) {
+        for (int n = 0; n < 20; ++n)
+            instance->members->noteAnnounced(
+                {Core::InstanceId("quiet-" + std::to_string(n)), n % 2 == 0 ? "n" : "s", {}, 500});
+    }
+    north.engine().noteSent(1'000, true);
+    northern.engine().noteSent(2'000, true);
+    south.engine().noteSent(4'000, true);
+    southern.engine().noteSent(8'000, true);
+    const std::vector<Gateway::PromptPart> parts {{1, 100}};
+    northern.exchange->tellParts(northern.engine(), parts);
+    const auto tellNearby = [](Instance &one, Instance &other) {
+        const auto report = one.exchange->encode();
+        other.exchange->apply(report);
+    };
+    tellNearby(north, northern);
+    tellNearby(northern, north);
+    tellNearby(south, southern);
+    tellNearby(southern, south);
+    CHECK(north.members->isLarge());
+    // Members that were never heard of are no hubs, however fast their links are.
+    CHECK(north.members->isHub());
+    CHECK_FALSE(northern.members->isHub());
+    CHECK(south.members->isHub());
+    for (int round = 0; round < 3; ++round) {
+        south.exchange->apply(north.exchange->encodeDataCentre());
+        north.exchange->apply(south.exchange->encodeDataCentre());
+        southern.exchange->apply(south.exchange->encodeElsewhere());
+        northern.exchange->apply(north.exchange->encodeElsewhere());
+    }
+    for (auto *instance : all)
+        CHECK(instance->engine().tokensBefore(false) == 15'000);
+    // Even what a former hub still passes on is counted once.
+    south.exchange->apply(southern.exchange->encodeElsewhere());
+    south.exchange->apply(south.exchange->encodeDataCentre());
+    CHECK(south.engine().tokensBefore(false) == 15'000);
+    CHECK(southern.engine().memory().keptTokens(parts) == 100);
+}
+
+TEST_CASE("the next fastest instance becomes the hub when the hub goes silent")
+{
+    Instance hub("hub", "n", 200);
+    Instance other("other", "n", 10);
+    other.exchange->apply(hub.exchange->encode());
+    CHECK_FALSE(other.members->isHub());
+    other.clock.advance(2s);
+    CHECK(other.members->isHub());
+}
