--- /dev/null
+++ b/Libraries/LibGateway/BeliefKeeper.cpp
@@ -0,0 +1,95 @@
+#include <LibCore/EventLog.h>
+#include <LibGateway/BeliefKeeper.h>
+#include <LibGateway/BeliefSnapshot.h>
+#include <LibGateway/FleetWatcher.h>
+
+namespace Gateway {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto LookPause = 100ms;
+// Engines turn over what they keep within some ten seconds; older snapshots tell little.
+constexpr auto WritePause = 4'000ms;
+// Stores of parts answer within this time after a start; what they hold counts only then.
+constexpr auto StoresGrace = 1'500ms;
+constexpr auto WriterKey = "beliefs";
+
+} // namespace
+
+BeliefKeeper::BeliefKeeper(Parts parts)
+    : m_parts(parts)
+{ }
+
+std::chrono::milliseconds BeliefKeeper::pause() const
+{
+    // In a large fleet each data centre has a writer, as only its siblings are heard.
+    const auto writers = m_parts.members.isLarge() ? m_parts.members.elsewhere().size() + 1 : 1;
+    return WritePause * static_cast<int>(writers);
+}
+
+asio::awaitable<void> BeliefKeeper::run()
+{
+    while (!m_hasTaken) {
+        co_await sleepFor(LookPause);
+        if (!m_parts.fleet.all().empty())
+            co_await takeOver();
+    }
+    for (;;) {
+        co_await sleepFor(pause());
+        if (m_parts.members.reachableBefore(WriterKey) == 0)
+            co_await write();
+    }
+}
+
+asio::awaitable<void> BeliefKeeper::takeOver()
+{
+    const auto begin = m_parts.clock.now();
+    const auto isAwaited = [this] {
+        for (const auto &[holder, store] : m_parts.stores.all()) {
+            if (!store.isAnswering())
+                return true;
+        }
+        return false;
+    };
+    while (isAwaited() && m_parts.clock.now() - begin < StoresGrace)
+        co_await sleepFor(LookPause);
+    std::string failure;
+    try {
+        const auto page = co_await m_parts.log.newest(FleetTopic::Beliefs);
+        m_hasTaken = true;
+        for (const auto &record : page.records) {
+            if (!record.value)
+                continue;
+            const auto taken = applyBeliefs(*record.value, m_parts.fleet, m_parts.stores);
+            Core::logEvent(Core::EventId::SnapshotTaken,
+                           {{"log", "beliefs"}, {"parts", std::to_string(taken)}});
+        }
+    } catch (const Core::Error &error) {
+        failure = error.what();
+    }
+    if (failure.empty())
+        co_return;
+    Core::logEvent(Core::EventId::PlatformUnavailable, {{"log", "beliefs"}, {"reason", failure}});
+    co_await sleepFor(WritePause);
+}
+
+asio::awaitable<void> BeliefKeeper::write()
+{
+    auto snapshot = encodeBeliefs(m_parts.fleet, m_parts.stores);
+    if (snapshot.empty())
+        co_return;
+    std::string failure;
+    try {
+        co_await m_parts.log.append(FleetTopic::Beliefs, std::move(snapshot), std::nullopt);
+    } catch (const Core::Error &error) {
+        failure = error.what();
+    }
+    if (!failure.empty())
+        Core::logEvent(Core::EventId::PlatformUnavailable,
+                       {{"log", "beliefs"}, {"reason", failure}});
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/BeliefKeeper.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibGateway/FleetLog.h>
+#include <LibGateway/FleetMembers.h>
+#include <LibGateway/PartStores.h>
+#include <LibGateway/UpstreamFleet.h>
+
+namespace Gateway {
+
+/// Keeps the newest snapshot of beliefs about cached parts in the store, so that an instance that
+/// starts need not learn them anew, even when all instances start at once. One instance writes.
+class BeliefKeeper
+{
+public:
+    struct Parts
+    {
+        FleetLog &log;
+        const FleetMembers &members;
+        UpstreamFleet &fleet;
+        PartStores &stores;
+        const Core::Clock &clock;
+    };
+
+    explicit BeliefKeeper(Parts parts);
+
+    /// Takes over the snapshot once the upstreams are known, and then writes in its turn until the
+    /// process ends.
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<void> takeOver();
+    boost::asio::awaitable<void> write();
+    /// Between two snapshots of this instance.
+    std::chrono::milliseconds pause() const;
+
+    Parts m_parts;
+    bool m_hasTaken = false;
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/BeliefSnapshot.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibGateway/PartStores.h>
+#include <LibGateway/UpstreamFleet.h>
+
+#include <string>
+#include <string_view>
+
+namespace Gateway {
+
+/// Writes down what engines and stores of parts are believed to keep, the most recently used parts
+/// of each. Empty when nothing is believed.
+std::string encodeBeliefs(const UpstreamFleet &fleet, const PartStores &stores);
+
+/// Takes over beliefs about engines that are still in the same life with the same weights, and
+/// about stores in the same life. Returns the number of parts taken over; none from bytes that are
+/// no snapshot, which is logged.
+std::size_t applyBeliefs(std::string_view bytes, const UpstreamFleet &fleet, PartStores &stores);
+
+} // namespace Gateway
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -41,6 +41,14 @@
 struct SiblingReport;
 struct SiblingReportBuilder;
 
+struct PartEntry;
+
+struct HolderBeliefs;
+struct HolderBeliefsBuilder;
+
+struct Beliefs;
+struct BeliefsBuilder;
+
 struct LogQuery;
 struct LogQueryBuilder;
 
@@ -293,6 +301,34 @@
 };
 FLATBUFFERS_STRUCT_END(StoreLife, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartEntry FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t chain_;
+  uint32_t tokens_;
+  int32_t padding0__;
+
+ public:
+  PartEntry()
+      : chain_(0),
+        tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartEntry(uint64_t _chain, uint32_t _tokens)
+      : chain_(flatbuffers::EndianScalar(_chain)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t chain() const {
+    return flatbuffers::EndianScalar(chain_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartEntry, 16);
+
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MemberBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -797,6 +833,133 @@
       link_megabits);
 }
 
+struct HolderBeliefs FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HolderBeliefsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDER = 4,
+    VT_STATE = 6,
+    VT_PARTS = 8
+  };
+  uint64_t holder() const {
+    return GetField<uint64_t>(VT_HOLDER, 0);
+  }
+  uint64_t state() const {
+    return GetField<uint64_t>(VT_STATE, 0);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::PartEntry *> *parts() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::PartEntry *> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_HOLDER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STATE, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct HolderBeliefsBuilder {
+  typedef HolderBeliefs Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holder(uint64_t holder) {
+    fbb_.AddElement<uint64_t>(HolderBeliefs::VT_HOLDER, holder, 0);
+  }
+  void add_state(uint64_t state) {
+    fbb_.AddElement<uint64_t>(HolderBeliefs::VT_STATE, state, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::PartEntry *>> parts) {
+    fbb_.AddOffset(HolderBeliefs::VT_PARTS, parts);
+  }
+  explicit HolderBeliefsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HolderBeliefs> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HolderBeliefs>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HolderBeliefs> CreateHolderBeliefs(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t holder = 0,
+    uint64_t state = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::PartEntry *>> parts = 0) {
+  HolderBeliefsBuilder builder_(_fbb);
+  builder_.add_state(state);
+  builder_.add_holder(holder);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HolderBeliefs> CreateHolderBeliefsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t holder = 0,
+    uint64_t state = 0,
+    const std::vector<Gateway::Wire::PartEntry> *parts = nullptr) {
+  auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::PartEntry>(*parts) : 0;
+  return Gateway::Wire::CreateHolderBeliefs(
+      _fbb,
+      holder,
+      state,
+      parts__);
+}
+
+struct Beliefs FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BeliefsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::HolderBeliefs>> *holders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::HolderBeliefs>> *>(VT_HOLDERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOLDERS) &&
+           verifier.VerifyVector(holders()) &&
+           verifier.VerifyVectorOfTables(holders()) &&
+           verifier.EndTable();
+  }
+};
+
+struct BeliefsBuilder {
+  typedef Beliefs Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::HolderBeliefs>>> holders) {
+    fbb_.AddOffset(Beliefs::VT_HOLDERS, holders);
+  }
+  explicit BeliefsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Beliefs> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Beliefs>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Beliefs> CreateBeliefs(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::HolderBeliefs>>> holders = 0) {
+  BeliefsBuilder builder_(_fbb);
+  builder_.add_holders(holders);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Beliefs> CreateBeliefsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<Gateway::Wire::HolderBeliefs>> *holders = nullptr) {
+  auto holders__ = holders ? _fbb.CreateVector<flatbuffers::Offset<Gateway::Wire::HolderBeliefs>>(*holders) : 0;
+  return Gateway::Wire::CreateBeliefs(
+      _fbb,
+      holders__);
+}
+
 struct LogQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LogQueryBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 
@@ -50,10 +51,12 @@
     , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_members)
     , m_siblings(m_threads.at(0), {m_interfaces.clock, m_members, m_fleet, m_gateway.stores()})
     , m_storeWatch({m_gateway.stores(), m_interfaces.engines, m_members, m_interfaces.clock})
+    , m_beliefs({m_log, m_members, m_fleet, m_gateway.stores(), m_interfaces.clock})
     , m_roller({m_journal, m_members, m_interfaces.engines, m_fleet, m_weights, m_interfaces.clock,
                 m_gateway.metrics(), m_settings.instance})
 {
     connectNews();
+    addGauges();
 }
 
 GatewayDaemon::~GatewayDaemon()
@@ -104,6 +107,7 @@
     asio::co_spawn(context, m_siblings.send(), asio::detached);
     asio::co_spawn(context, m_siblings.sendUrgent(), asio::detached);
     asio::co_spawn(context, m_siblings.receive(), asio::detached);
+    asio::co_spawn(context, m_beliefs.run(), asio::detached);
     asio::co_spawn(context, m_roller.run(), asio::detached);
     asio::co_spawn(context, countInstances(), asio::detached);
     asio::co_spawn(context, m_storeWatch.run(), asio::detached);
@@ -135,6 +139,47 @@
         };
 }
 
+void GatewayDaemon::addGauges()
+{
+    using Samples = std::vector<Metrics::Gauge::Sample>;
+    auto &metrics = m_gateway.metrics();
+    metrics.addGauge("jujube_gateway_knowledge_age_seconds",
+                     "Time since the store was asked for what is known, by log.", "log", [this] {
+                         Samples samples;
+                         for (const auto topic :
+                              {FleetTopic::Operator, FleetTopic::Upstreams, FleetTopic::Journal}) {
+                             const auto asked = m_relay.tail(topic).asOf();
+                             if (asked == Core::Clock::Monotonic::min())
+                                 continue;
+                             const std::chrono::duration<double> age =
+                                 m_interfaces.clock.now() - asked;
+                             samples.push_back({std::string(nameOf(topic)), age.count()});
+                         }
+                         return samples;
+                     });
+    metrics.addGauge("jujube_gateway_configuration_version", "The configuration in force.", "",
+                     [this] {
+                         const auto &current = m_configuration.current();
+                         return Samples {{"", current ? static_cast<double>(current->version) : 0}};
+                     });
+    metrics.addGauge("jujube_gateway_members", "Instances, this one included.", "state", [this] {
+        const auto &siblings = m_members.siblings();
+        const auto reachable =
+            std::count_if(siblings.begin(), siblings.end(),
+                          [this](const auto &item) { return m_members.isReachable(item.second); });
+        return Samples {{"known", static_cast<double>(m_members.count())},
+                        {"reachable", static_cast<double>(reachable + 1)}};
+    });
+    metrics.addGauge("jujube_gateway_duties", "1 for each duty that this instance has now.", "duty",
+                     [this] {
+                         const auto now = m_interfaces.clock.now();
+                         const bool givesOrders = m_journal.lease().token(now, {}).has_value();
+                         return Samples {{"orders", givesOrders ? 1.0 : 0.0},
+                                         {"log_reader", m_log.isReader() ? 1.0 : 0.0},
+                                         {"hub", m_members.isHub() ? 1.0 : 0.0}};
+                     });
+}
+
 asio::awaitable<void> GatewayDaemon::countInstances()
 {
     for (;;) {
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/IoThreads.h>
+#include <LibGateway/BeliefKeeper.h>
 #include <LibGateway/EngineControl.h>
 #include <LibGateway/FleetJournal.h>
 #include <LibGateway/FleetWatcher.h>
@@ -56,6 +57,7 @@
     void startLoops();
     void applyConfiguration();
     void connectNews();
+    void addGauges();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
     /// Takes the bounds of newer settings; names and addresses stay those of the start.
@@ -80,6 +82,7 @@
     FleetJournal m_journal;
     SiblingExchange m_siblings;
     PartStoreWatch m_storeWatch;
+    BeliefKeeper m_beliefs;
     WeightRoller m_roller;
     std::unique_ptr<Http::Server> m_callers;
     std::unique_ptr<Http::Server> m_readiness;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -14,4 +14,12 @@
     m_registry.add(expectedFirst);
 }
 
+void GatewayMetrics::addGauge(std::string name, std::string help, std::string labelName,
+                              Metrics::Gauge::Reader read)
+{
+    m_gauges.push_back(std::make_unique<Metrics::Gauge>(std::move(name), std::move(help),
+                                                        std::move(labelName), std::move(read)));
+    m_registry.add(*m_gauges.back());
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -2,9 +2,12 @@
 
 #include <LibMetrics/Counter.h>
 #include <LibMetrics/DurationHistogram.h>
+#include <LibMetrics/Gauge.h>
 #include <LibMetrics/Registry.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace Gateway {
 
@@ -32,10 +35,15 @@
         "jujube_gateway_expected_first_token_seconds",
         "Time to the first token that was expected when an engine was chosen."};
 
+    /// Adds values that are read when they are asked for.
+    void addGauge(std::string name, std::string help, std::string labelName,
+                  Metrics::Gauge::Reader read);
+
     /// Everything in the Prometheus text format.
     std::string render() const { return m_registry.render(); }
 
 private:
+    std::vector<std::unique_ptr<Metrics::Gauge>> m_gauges;
     Metrics::Registry m_registry;
 };
 
--- a/Libraries/LibGateway/PartStore.h
+++ b/Libraries/LibGateway/PartStore.h
@@ -41,6 +41,7 @@
     /// The parts as the store tells them apart.
     static std::vector<PromptPart> storedParts(std::span<const PromptPart> parts,
                                                std::uint64_t weights);
+    const PrefixMemory &memory() const { return m_memory; }
     /// Notes that it holds parts, as storedParts() gives them.
     void noteStored(std::span<const PromptPart> parts) { m_memory.noteUse(parts); }
 
--- a/Libraries/LibGateway/PrefixMemory.cpp
+++ b/Libraries/LibGateway/PrefixMemory.cpp
@@ -1,5 +1,8 @@
 #include <LibGateway/PrefixMemory.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace Gateway {
 
 unsigned totalTokens(std::span<const PromptPart> parts)
@@ -41,6 +44,12 @@
     }
 }
 
+std::vector<PromptPart> PrefixMemory::newest(std::size_t count) const
+{
+    const auto left = m_order.size() - std::min(count, m_order.size());
+    return {std::next(m_order.begin(), static_cast<std::ptrdiff_t>(left)), m_order.end()};
+}
+
 void PrefixMemory::clear()
 {
     m_order.clear();
--- a/Libraries/LibGateway/PrefixMemory.h
+++ b/Libraries/LibGateway/PrefixMemory.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <span>
 #include <unordered_map>
+#include <vector>
 
 namespace Gateway {
 
@@ -31,13 +32,17 @@
     /// Forgets everything, as after a restart or new weights.
     void clear();
     std::uint64_t tokens() const { return m_tokens; }
+    /// At most this many parts, the most recently used last.
+    std::vector<PromptPart> newest(std::size_t count) const;
 
 private:
+    /// Until the configuration tells; what siblings say before that is worth keeping.
+    static constexpr std::uint64_t UnknownCapacity = 1'000'000;
     using Order = std::list<PromptPart>;
 
     Order m_order;
     std::unordered_map<std::uint64_t, Order::iterator> m_parts;
-    std::uint64_t m_capacity = 0;
+    std::uint64_t m_capacity = UnknownCapacity;
     std::uint64_t m_tokens = 0;
 };
 
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -35,6 +35,8 @@
         return 800ms;
     case FleetTopic::Journal:
         return 1'000ms;
+    case FleetTopic::Beliefs:
+        break;
     }
     return 0ms;
 }
@@ -48,6 +50,7 @@
     case FleetTopic::Upstreams:
         return 1'600ms;
     case FleetTopic::Journal:
+    case FleetTopic::Beliefs:
         break;
     }
     return 8'000ms;
@@ -63,9 +66,11 @@
     case FleetTopic::Upstreams:
         return "upstreams";
     case FleetTopic::Journal:
+        return "journal";
+    case FleetTopic::Beliefs:
         break;
     }
-    return "journal";
+    return "beliefs";
 }
 
 SharedLog::SharedLog(Parts parts)
--- a/Tests/LibGateway/TestMemory.cpp
+++ b/Tests/LibGateway/TestMemory.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/ManualClock.h>
+#include <LibGateway/BeliefSnapshot.h>
 #include <LibGateway/PartStores.h>
 #include <LibGateway/PrefixMemory.h>
 
@@ -108,3 +109,80 @@
     stores.configure({other});
     CHECK(stores.storeFor(1) == nullptr);
 }
+
+TEST_CASE("a snapshot of beliefs is taken over by an instance that starts")
+{
+    const auto report = [](const std::string &id, std::uint64_t weights, std::int64_t born) {
+        Gateway::UpstreamReport upstream;
+        upstream.id = Core::UpstreamId(id);
+        upstream.service = "llm";
+        upstream.weights["m"] = weights;
+        upstream.born = std::chrono::milliseconds(born);
+        return upstream;
+    };
+    const std::vector<PromptPart> parts {{1, 100}, {2, 200}};
+    const Gateway::PartStores::Place place {Http::parseEndpoint("10.0.0.1:9").value(), 9'000};
+    const auto holder = Gateway::PartStore::holderOf(place.endpoint);
+    Core::ManualClock clock;
+    Gateway::UpstreamFleet fleet;
+    Gateway::PartStores stores;
+    stores.configure({place});
+    CHECK(encodeBeliefs(fleet, stores).empty());
+    for (const auto *id : {"same", "restarted", "reloaded"}) {
+        fleet.apply(report(id, 3, 50));
+        fleet.find(Core::UpstreamId(id))->noteKept(parts);
+    }
+    stores.noteAnswer(holder, 7, clock.now());
+    stores.find(holder)->noteStored(Gateway::PartStore::storedParts(parts, 3));
+    const auto snapshot = encodeBeliefs(fleet, stores);
+
+    Gateway::UpstreamFleet fresh;
+    Gateway::PartStores freshStores;
+    freshStores.configure({place});
+    freshStores.noteAnswer(holder, 7, clock.now());
+    fresh.apply(report("same", 3, 50));
+    fresh.apply(report("restarted", 3, 51));
+    fresh.apply(report("reloaded", 4, 50));
+    CHECK(applyBeliefs(snapshot, fresh, freshStores) == 4);
+    CHECK(fresh.find(Core::UpstreamId("same"))->memory().keptTokens(parts) == 300);
+    CHECK(fresh.find(Core::UpstreamId("restarted"))->memory().keptTokens(parts) == 0);
+    CHECK(fresh.find(Core::UpstreamId("reloaded"))->memory().keptTokens(parts) == 0);
+    CHECK(freshStores.find(holder)->storedTokens(parts, 3) == 300);
+
+    // A store that began another life holds none of it.
+    Gateway::PartStores emptied;
+    emptied.configure({place});
+    emptied.noteAnswer(holder, 8, clock.now());
+    applyBeliefs(snapshot, Gateway::UpstreamFleet(), emptied);
+    CHECK(emptied.find(holder)->storedTokens(parts, 3) == 0);
+    CHECK(applyBeliefs("no snapshot", fresh, freshStores) == 0);
+    CHECK(
+        applyBeliefs(std::string_view(snapshot).substr(0, snapshot.size() / 2), fresh, freshStores)
+        == 0);
+}
+
+TEST_CASE("a snapshot of a large fleet fits a record of the log and holds the newest parts of each")
+{
+    Gateway::UpstreamFleet fleet;
+    for (int n = 0; n < 100; ++n) {
+        Gateway::UpstreamReport upstream;
+        upstream.id = Core::UpstreamId("w" + std::to_string(n));
+        upstream.service = "llm";
+        fleet.apply(upstream);
+        for (std::uint64_t part = 0; part < 500; ++part) {
+            const std::vector<PromptPart> parts {{part, 100}};
+            fleet.find(upstream.id)->noteKept(parts);
+        }
+    }
+    const auto snapshot = encodeBeliefs(fleet, {});
+    CHECK(snapshot.size() < 262'144);
+    Gateway::UpstreamFleet fresh;
+    for (const auto &[id, engine] : fleet.all())
+        fresh.apply(engine->report());
+    Gateway::PartStores stores;
+    applyBeliefs(snapshot, fresh, stores);
+    const std::vector<PromptPart> newest {{499, 100}};
+    const std::vector<PromptPart> oldest {{0, 100}};
+    CHECK(fresh.find(Core::UpstreamId("w7"))->memory().keptTokens(newest) == 100);
+    CHECK(fresh.find(Core::UpstreamId("w7"))->memory().keptTokens(oldest) == 0);
+}
--- a/Tests/LibMetrics/TestRender.cpp
+++ b/Tests/LibMetrics/TestRender.cpp
@@ -1,5 +1,6 @@
 #include <LibMetrics/Counter.h>
 #include <LibMetrics/DurationHistogram.h>
+#include <LibMetrics/Gauge.h>
 #include <LibMetrics/RatioHistogram.h>
 #include <LibMetrics/Registry.h>
 
@@ -43,3 +44,19 @@
     CHECK(wait.quantile(0.5).count() < 0.002);
     CHECK(wait.quantile(1.0).count() >= 100);
 }
+
+TEST_CASE("a gauge reads its values when it is rendered")
+{
+    double age = 1.5;
+    const Metrics::Gauge gauge("age_seconds", "Age.", "log", [&age] {
+        return std::vector<Metrics::Gauge::Sample> {{"operator", age}, {"journal", 2}};
+    });
+    age = 0.25;
+    CHECK(gauge.render()
+          == "# HELP age_seconds Age.\n# TYPE age_seconds gauge\n"
+             "age_seconds{log=\"operator\"} 0.25\nage_seconds{log=\"journal\"} 2\n");
+    const Metrics::Gauge plain("version", "Version.", "", [] {
+        return std::vector<Metrics::Gauge::Sample> {{"", 33}};
+    });
+    CHECK(plain.render() == "# HELP version Version.\n# TYPE version gauge\nversion 33\n");
+}
--- a/Tests/Platform/TestFleet.cpp
+++ b/Tests/Platform/TestFleet.cpp
@@ -65,6 +65,24 @@
     }));
 }
 
+TEST_CASE("an instance that starts knows what engines keep, though no other instance lives")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "llm");
+    fixture.addWorker("w-2", "llm");
+    fixture.configure(1);
+    auto &first = fixture.startGateway();
+    CHECK(fixture.send(GatewayFixture::streamRequest("/streams/a", "id-1")).status == 200);
+    CHECK(GatewayFixture::eventually([&] { return fixture.store.count("keyed.beliefs") > 0; }));
+    first.kill();
+    auto &second = fixture.startGateway({"edge-2", 5'000, 8});
+    // The request's two parts, at the engine that read them.
+    CHECK(second.awaitLine("snapshot_taken").find("\"parts\":\"2\"") != std::string::npos);
+    CHECK(fixture.send(GatewayFixture::streamRequest("/streams/a", "id-2")).status == 200);
+    const auto served = second.awaitLine("request_served");
+    CHECK(served.find("\"kept_tokens\":\"1000\"") != std::string::npos);
+}
+
 TEST_CASE("requests of isolated tenants and of other weights share no cached parts")
 {
     GatewayFixture fixture;
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -199,6 +199,15 @@
                                        {"items", items}, {"HasMore", false}, {"End", end}}));
 }
 
+StoreStandIn::Record StoreStandIn::recordOf(const std::string &topic, std::string_view bytes)
+{
+    if (!isKeyed(topic) || bytes.empty())
+        return {"", std::string(bytes), true};
+    const auto keyLength = static_cast<std::uint8_t>(bytes.front());
+    const auto value = bytes.substr(1 + keyLength);
+    return {std::string(bytes.substr(1, keyLength)), std::string(value), !value.empty()};
+}
+
 Http::Response StoreStandIn::append(const std::map<std::string, std::string> &query,
                                     std::string_view body)
 {
@@ -214,7 +223,7 @@
         std::memcpy(&length, body.data(), sizeof(length));
         length = boost::endian::big_to_native(length);
         body.remove_prefix(sizeof(length));
-        topic.records.push_back({"", std::string(body.substr(0, length)), true});
+        topic.records.push_back(recordOf(query.at("Topic"), body.substr(0, length)));
         body.remove_prefix(length);
     }
     return Http::jsonResponse(200, boost::json::serialize(boost::json::object {
--- a/Tests/StandIns/StoreStandIn.h
+++ b/Tests/StandIns/StoreStandIn.h
@@ -57,6 +57,8 @@
     boost::asio::awaitable<void> read(Http::ServerExchange &exchange,
                                       std::map<std::string, std::string> query);
     Http::Response newest(const std::string &topic) const;
+    /// A record of an append; those of keyed topics begin with their key.
+    static Record recordOf(const std::string &topic, std::string_view bytes);
     Http::Response append(const std::map<std::string, std::string> &query, std::string_view body);
 
     mutable std::mutex m_mutex;
--- a/Tests/jujubectl/TestCommands.cpp
+++ b/Tests/jujubectl/TestCommands.cpp
@@ -9,6 +9,7 @@
 #include <jujubectl/Commands.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <map>
@@ -121,6 +122,40 @@
 
 } // namespace
 
+TEST_CASE("a request is traced over the logs of instances, with news of its upstreams")
+{
+    const auto path = "jujubectl-trace-" + std::to_string(::getpid()) + ".log";
+    std::ofstream(path)
+        << R"(edge-2 {"time":"2026-05-08T03:33:52.250Z","event":205,"name":"request_served","request":"id-1","upstream":"w2"})"
+        << "\nnot a line of a log { at all\n"
+        << R"(edge-1 {"time":"2026-05-08T03:33:52.010Z","event":206,"name":"attempt_failed","request":"id-1","upstream":"w1","end":"not_run"})"
+        << "\n"
+        << R"(edge-1 {"time":"2026-05-08T03:33:52.005Z","event":306,"name":"order_sent","upstream":"w1"})"
+        << "\n"
+        << R"(edge-1 {"time":"2026-05-08T03:33:52.006Z","event":306,"name":"order_sent","upstream":"w9"})"
+        << "\n"
+        << R"(edge-1 {"time":"2026-05-08T03:33:40.000Z","event":300,"name":"upstream_added","upstream":"w1"})"
+        << "\n"
+        << R"(edge-1 {"time":"2026-05-08T03:33:52.100Z","event":205,"name":"request_served","request":"id-2","upstream":"w1"})"
+        << "\n";
+    Fixture fixture;
+    fixture.settings.request = "id-1";
+    fixture.settings.files = {path};
+    CHECK(fixture.run(CommandKind::Trace) == ExitCode::Success);
+    const auto text = fixture.out.str();
+    const auto order = text.find("52.005Z edge-1 order_sent");
+    const auto failed = text.find("52.010Z edge-1 attempt_failed");
+    const auto served = text.find("52.250Z edge-2 request_served");
+    CHECK(order < failed);
+    CHECK(failed < served);
+    CHECK(served != std::string::npos);
+    CHECK(std::count(text.begin(), text.end(), '\n') == 3);
+    fixture.settings.request = "id-3";
+    CHECK(fixture.run(CommandKind::Trace) == ExitCode::Failure);
+    CHECK(fixture.printed("no line of request \"id-3\" in 6 lines"));
+    std::remove(path.c_str());
+}
+
 TEST_CASE("a document is published once, and a stale edit is refused")
 {
     Fixture fixture;
--- a/Utilities/jujubectl/CommandLine.cpp
+++ b/Utilities/jujubectl/CommandLine.cpp
@@ -124,6 +124,11 @@
     auto *drain =
         declareCommand(app, raw, "drain", "Lets an instance take no new work", CommandKind::Drain);
     drain->add_option("INSTANCE", settings.instance, "The instance; not needed with --admin");
+    auto *trace = declareCommand(app, raw, "trace", "Shows what logs tell of one request",
+                                 CommandKind::Trace);
+    trace->add_option("ID", settings.request, "The attempt id of the request")->required();
+    trace->add_option("LOG", settings.files, "Logs of any instances; - for standard input")
+        ->default_val(std::vector<std::string> {"-"});
     auto *explain =
         declareCommand(app, raw, "explain", "Shows which upstream a request would go to, and why",
                        CommandKind::Explain);
@@ -156,7 +161,8 @@
                          || command == CommandKind::ConfigWatch;
     if (usesLog && !settings.platform)
         throw CLI::ValidationError("--platform", "is needed for this command");
-    if (!settings.platform && !settings.admin && command != CommandKind::ConfigCheck)
+    const bool isOffline = command == CommandKind::ConfigCheck || command == CommandKind::Trace;
+    if (!settings.platform && !settings.admin && !isOffline)
         throw CLI::ValidationError("--platform", "is needed, or --admin");
     if (command == CommandKind::Drain && settings.instance.empty() && !settings.admin)
         throw CLI::ValidationError("INSTANCE", "is needed, or --admin");
--- a/Utilities/jujubectl/Commands.cpp
+++ b/Utilities/jujubectl/Commands.cpp
@@ -8,6 +8,7 @@
 #include <jujubectl/Drain.h>
 #include <jujubectl/Explain.h>
 #include <jujubectl/Status.h>
+#include <jujubectl/Trace.h>
 #include <jujubectl/Usage.h>
 
 namespace Jujubectl {
@@ -37,6 +38,8 @@
         return usage(context);
     case CommandKind::Drain:
         return drain(context);
+    case CommandKind::Trace:
+        return trace(context);
     case CommandKind::Explain:
         break;
     }
--- a/Utilities/jujubectl/Settings.h
+++ b/Utilities/jujubectl/Settings.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Jujubectl {
 
@@ -20,6 +21,7 @@
     Usage,
     Drain,
     Explain,
+    Trace,
 };
 
 /// The command line, checked.
@@ -43,6 +45,9 @@
     std::string promoteTo;
     std::string digest;
     std::string instance;
+    /// The attempt id to trace, and the logs to look in; "-" for standard input.
+    std::string request;
+    std::vector<std::string> files;
 };
 
 } // namespace Jujubectl
