--- a/Tests/Documents/TestSettingsPage.cpp
+++ b/Tests/Documents/TestSettingsPage.cpp
@@ -31,7 +31,7 @@
         expected.push_back({(*it)[1].str(), (*it)[4].str(), (*it)[3].str()});
     CHECK(expected.size() > 1);
     // The page says in words what an empty default means.
-    auto written = Documents::tableRows("OPERATING.md", "flag");
+    auto written = Documents::tableRows("OPERATIONS.md", "flag");
     for (auto &row : expected) {
         const auto found = written.find(row.front());
         if ((row.back().empty() || row.back() == "[]") && found != written.end())
