LibGateway: Bound what a follower believes by the configuration's and the drain's bound

Cause, found in reading: a follower took a sibling's knowledge up to 2.3 s old for configurations and 1.6 s for upstreams, whatever the site's bounds. With bounds of 2 s and more than three instances in a data centre, one behind a reader that the store hangs would have been late.

A reader with followers asks the store at least four times in a bound, a follower takes knowledge up to 0.6 of it, and a sibling holds a call for an eighth, so the rest is left to ask the store. The new test fails on the fixed ages (the store is asked too late).

--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -44,7 +44,7 @@
                  m_settings.linkMegabits},
                 m_interfaces.clock)
     , m_relay(m_interfaces.clock)
-    , m_log({m_interfaces.log, m_relay, m_members, m_interfaces.clock})
+    , m_log({m_interfaces.log, m_relay, m_members, m_interfaces.clock, m_settings})
     , m_watcher(
           {m_log, m_interfaces.decoder, m_interfaces.clock, m_configuration, m_weights, m_fleet},
           [this] { applyConfiguration(); })
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds revocationBound {5'000};
     /// A new configuration is in force everywhere within this time.
     std::chrono::milliseconds configurationBound {2'000};
+    /// Nothing goes to a leaving upstream later than this after it said so.
+    std::chrono::milliseconds drainBound {2'000};
     /// Requests begin on new weights within this time of their naming.
     std::chrono::milliseconds weightsBound {6'000};
     /// Two holders of orders follow each other at this distance at least.
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -14,72 +14,89 @@
 
 namespace {
 
-// A sibling holds a call for no longer, so that one that died is noticed well within the bounds on
-// drains and configurations.
-constexpr auto SiblingWait = 500ms;
 // A sibling that did not help is asked again after this time.
 constexpr auto PassOverTime = 2'000ms;
 // While siblings help, the store that gave no answer is asked again after this time.
 constexpr auto StoreRetryPause = 1'000ms;
 constexpr auto ReadersKey = "log readers";
 
-/// The pause between two reads of the store. Reports of upstreams and the fleet's own records come
-/// all the time; reading them in batches keeps the calls few, and the drain bound leaves room for
-/// it.
-milliseconds pauseOf(FleetTopic topic)
+// Reports of upstreams and the fleet's own records come all the time; reading them in batches keeps
+// the calls few, and the drain bound leaves room for it.
+constexpr std::chrono::milliseconds UpstreamsPause = 800ms;
+constexpr std::chrono::milliseconds JournalPause = 1'000ms;
+// Leases and breaks may be known late; the store itself is asked before a lease is taken.
+constexpr std::chrono::milliseconds JournalBound = 10'000ms;
+// Parts of a log's bound. A reader with followers asks this often, a follower takes knowledge up to
+// this age, and a sibling holds its call this long; then enough is left to ask the store.
+constexpr int ReadsInBound = 4;
+constexpr double MostAgeShare = 0.6;
+constexpr int HoldsInBound = 8;
+
+} // namespace
+
+std::string_view nameOf(FleetTopic topic)
 {
     switch (topic) {
     case FleetTopic::Operator:
-        return 0ms;
+        return "operator";
     case FleetTopic::Upstreams:
-        return 800ms;
+        return "upstreams";
     case FleetTopic::Journal:
-        return 1'000ms;
+        return "journal";
     case FleetTopic::Beliefs:
         break;
     }
-    return 0ms;
+    return "beliefs";
 }
 
-/// Older knowledge of a sibling is not waited for, as the store itself would tell more.
-milliseconds mostAgeOf(FleetTopic topic)
+SharedLog::SharedLog(Parts parts)
+    : m_parts(parts)
+{ }
+
+bool SharedLog::isReader() const
+{
+    return m_parts.members.reachableBefore(ReadersKey, m_parts.members.self().dataCentre) < Readers;
+}
+
+bool SharedLog::mayHaveFollowers() const
+{
+    return m_parts.members.inDataCentre().size() + 1 > Readers;
+}
+
+milliseconds SharedLog::boundOf(FleetTopic topic) const
 {
     switch (topic) {
     case FleetTopic::Operator:
-        return 2'300ms;
+        return m_parts.settings.configurationBound;
     case FleetTopic::Upstreams:
-        return 1'600ms;
+        return m_parts.settings.drainBound;
     case FleetTopic::Journal:
     case FleetTopic::Beliefs:
         break;
     }
-    return 8'000ms;
+    return JournalBound;
 }
 
-} // namespace
-
-std::string_view nameOf(FleetTopic topic)
+milliseconds SharedLog::pauseOf(FleetTopic topic) const
 {
+    const auto most = mayHaveFollowers() ? boundOf(topic) / ReadsInBound : boundOf(topic);
     switch (topic) {
-    case FleetTopic::Operator:
-        return "operator";
     case FleetTopic::Upstreams:
-        return "upstreams";
+        return std::min(UpstreamsPause, most);
     case FleetTopic::Journal:
-        return "journal";
+        return JournalPause;
+    case FleetTopic::Operator:
     case FleetTopic::Beliefs:
         break;
     }
-    return "beliefs";
+    return 0ms;
 }
 
-SharedLog::SharedLog(Parts parts)
-    : m_parts(parts)
-{ }
-
-bool SharedLog::isReader() const
+milliseconds SharedLog::waitOf(FleetTopic topic, milliseconds wanted) const
 {
-    return m_parts.members.reachableBefore(ReadersKey, m_parts.members.self().dataCentre) < Readers;
+    if (m_topics.at(topic).isStoreFailing)
+        return 0ms;
+    return mayHaveFollowers() ? std::min(wanted, boundOf(topic) / ReadsInBound) : wanted;
 }
 
 asio::awaitable<FleetPage> SharedLog::newest(FleetTopic topic)
@@ -99,14 +116,14 @@
     const auto isStoreDue = [&] { return m_parts.clock.now() >= state.nextDirect; };
     if (isPatient && (state.isStoreFailing ? !isStoreDue() : !isReader())) {
         if (auto page =
-                co_await readSibling(topic, from, std::min<milliseconds>(wait, SiblingWait)))
+                co_await readSibling(topic, from, std::min(wait, boundOf(topic) / HoldsInBound)))
             co_return std::move(*page);
     }
     if (isPatient && !state.isStoreFailing && !isStoreDue())
         co_await sleepFor(duration_cast<milliseconds>(state.nextDirect - m_parts.clock.now()));
     std::optional<Core::Error> failure;
     try {
-        co_return co_await readStore(topic, from, state.isStoreFailing ? 0ms : wait);
+        co_return co_await readStore(topic, from, isPatient ? waitOf(topic, wait) : 0ms);
     } catch (const Core::Error &error) {
         failure = error;
     }
@@ -194,7 +211,7 @@
     // A sibling that the store turns away as well knows nothing newer.
     if (m_topics[topic].isStoreFailing)
         return page.asOf > m_parts.relay.tail(topic).asOf();
-    return m_parts.clock.now() - page.asOf <= mostAgeOf(topic);
+    return m_parts.clock.now() - page.asOf <= MostAgeShare * boundOf(topic);
 }
 
 void SharedLog::noteSource(FleetTopic topic, const Core::InstanceId &source,
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/FleetMembers.h>
+#include <LibGateway/GatewaySettings.h>
 #include <LibGateway/LogRelay.h>
 
 #include <map>
@@ -26,6 +27,8 @@
         LogRelay &relay;
         const FleetMembers &members;
         const Core::Clock &clock;
+        /// For the bounds on configurations and drains, which hold however the logs are read.
+        const GatewaySettings &settings;
     };
 
     explicit SharedLog(Parts parts);
@@ -53,6 +56,14 @@
         Core::InstanceId source;
     };
 
+    /// Whether others of the data centre may read through this instance.
+    bool mayHaveFollowers() const;
+    /// The pause between two reads of the store.
+    std::chrono::milliseconds pauseOf(FleetTopic topic) const;
+    /// How long a read of the store may wait for news.
+    std::chrono::milliseconds waitOf(FleetTopic topic, std::chrono::milliseconds wanted) const;
+    /// The bound that knowledge of the log has to meet.
+    std::chrono::milliseconds boundOf(FleetTopic topic) const;
     boost::asio::awaitable<FleetPage> readStore(FleetTopic topic, std::uint64_t from,
                                                 std::chrono::milliseconds wait);
     /// Nothing when no sibling has fresh enough knowledge.
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -32,9 +32,10 @@
         co_return page;
     }
     asio::awaitable<FleetPage> read(FleetTopic, std::uint64_t from,
-                                    std::chrono::milliseconds) override
+                                    std::chrono::milliseconds wait) override
     {
         enter();
+        lastWait = wait;
         FleetPage page;
         page.next = m_records.size();
         for (auto n = from; n < m_records.size(); ++n)
@@ -51,6 +52,7 @@
 
     bool isClosed = false;
     int calls = 0;
+    std::chrono::milliseconds lastWait {0};
 
 private:
     void enter()
@@ -74,9 +76,10 @@
                      [this](Http::ServerExchange &exchange) { return relay.answer(exchange); })
                      .value())
         , members({Core::InstanceId(name), dataCentre, server->localEndpoint()}, clock)
-        , log({door, relay, members, clock})
+        , log({door, relay, members, clock, settings})
     { }
 
+    Gateway::GatewaySettings settings;
     StoreDoor door;
     Gateway::LogRelay relay;
     std::unique_ptr<Http::Server> server;
@@ -177,6 +180,36 @@
     CHECK(follower.door.calls == 1);
 }
 
+TEST_CASE("a follower leaves a reader that the store hangs well before the configuration's bound")
+{
+    Fleet fleet;
+    for (int n = 0; n < 5; ++n)
+        fleet.add("n" + std::to_string(n));
+    auto &follower = fleet.firstThat(false);
+    const auto bound = follower.settings.configurationBound;
+    for (auto &instance : fleet.instances) {
+        if (!instance->log.isReader())
+            continue;
+        fleet.read(*instance, 0, 10s);
+        // Readers whom others follow ask often enough for their knowledge to be taken.
+        CHECK(instance->door.lastWait * 2 <= 0.6 * bound);
+    }
+    fleet.clock.advance(bound / 2);
+    fleet.hear();
+    fleet.read(follower, 0);
+    CHECK(follower.door.calls == 0);
+    // The readers hear nothing more of the store from here on.
+    fleet.clock.advance(bound / 4);
+    fleet.hear();
+    fleet.records.emplace_back("newer");
+    CHECK(fleet.read(follower, 1).records.size() == 1);
+    CHECK(follower.door.calls == 1);
+    // Alone in its data centre, an instance may wait for long.
+    auto &lonely = fleet.add("s0", "south");
+    fleet.read(lonely, 0, 10s);
+    CHECK(lonely.door.lastWait == 10s);
+}
+
 TEST_CASE("an instance that asks a dead reader asks the store at once")
 {
     Fleet fleet;
