LibGateway: Keep requests from upstreams that cannot be reached, and tell siblings

An upstream that cannot be reached, or acknowledges nothing, gets nothing for 1 s from the instance that saw it, which tells its siblings at once. A sibling acts on it when a second instance says the same within 1.5 s, as one alone may be cut off itself. Unacknowledged bytes are a time-out now, not a crash, so they no longer count towards a poison request.

--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -639,7 +639,8 @@
     VT_ENDPOINT = 22,
     VT_IS_URGENT = 24,
     VT_SCOPE = 26,
-    VT_LINK_MEGABITS = 28
+    VT_LINK_MEGABITS = 28,
+    VT_UNREACHABLE = 30
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -680,6 +681,9 @@
   uint32_t link_megabits() const {
     return GetField<uint32_t>(VT_LINK_MEGABITS, 0);
   }
+  const flatbuffers::Vector<uint64_t> *unreachable() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UNREACHABLE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -703,6 +707,8 @@
            VerifyField<uint8_t>(verifier, VT_IS_URGENT, 1) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
            VerifyField<uint32_t>(verifier, VT_LINK_MEGABITS, 4) &&
+           VerifyOffset(verifier, VT_UNREACHABLE) &&
+           verifier.VerifyVector(unreachable()) &&
            verifier.EndTable();
   }
 };
@@ -750,6 +756,9 @@
   void add_link_megabits(uint32_t link_megabits) {
     fbb_.AddElement<uint32_t>(SiblingReport::VT_LINK_MEGABITS, link_megabits, 0);
   }
+  void add_unreachable(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable) {
+    fbb_.AddOffset(SiblingReport::VT_UNREACHABLE, unreachable);
+  }
   explicit SiblingReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -775,10 +784,12 @@
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     bool is_urgent = false,
     Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
-    uint32_t link_megabits = 0) {
+    uint32_t link_megabits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable = 0) {
   SiblingReportBuilder builder_(_fbb);
   builder_.add_life(life);
   builder_.add_number(number);
+  builder_.add_unreachable(unreachable);
   builder_.add_link_megabits(link_megabits);
   builder_.add_endpoint(endpoint);
   builder_.add_data_centre(data_centre);
@@ -807,7 +818,8 @@
     const char *endpoint = nullptr,
     bool is_urgent = false,
     Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
-    uint32_t link_megabits = 0) {
+    uint32_t link_megabits = 0,
+    const std::vector<uint64_t> *unreachable = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<Gateway::Wire::Load>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::KeptPart>(*parts) : 0;
@@ -816,6 +828,7 @@
   auto stores__ = stores ? _fbb.CreateVectorOfStructs<Gateway::Wire::StoreLife>(*stores) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto unreachable__ = unreachable ? _fbb.CreateVector<uint64_t>(*unreachable) : 0;
   return Gateway::Wire::CreateSiblingReport(
       _fbb,
       instance__,
@@ -830,7 +843,8 @@
       endpoint__,
       is_urgent,
       scope,
-      link_megabits);
+      link_megabits,
+      unreachable__);
 }
 
 struct HolderBeliefs FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -75,6 +75,8 @@
     std::function<void(const PartStore &, std::span<const PromptPart>)> onPartsStored;
     /// Called when an upstream is to get nothing for a while.
     std::function<void(const Upstream &, std::chrono::milliseconds)> onHold;
+    /// Called when an upstream could not be reached.
+    std::function<void(const Upstream &)> onUnreachable;
     /// Called when an engine refused a request for having other weights than were known.
     std::function<void(const std::shared_ptr<Upstream> &)> onOtherWeights;
     /// Called when an answer showed newer weights than were known.
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -126,6 +126,9 @@
     m_storeWatch.onAnswer = [this](std::uint64_t holder, std::uint64_t epoch) {
         m_siblings.tellStoreLife(holder, epoch);
     };
+    m_gateway.onUnreachable = [this](const Upstream &upstream) {
+        m_siblings.tellUnreachable(upstream);
+    };
     m_gateway.onWeightsSeen =
         m_roller.onWeights = [this](const auto &engine, const auto &model, std::uint64_t version) {
             m_siblings.tellWeights(engine, model, version);
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -259,7 +259,11 @@
     options.mayRepeat = false;
     options.abort = m_abort;
     options.unacknowledged = UnacknowledgedTimeout;
-    options.maySend = [this] { return mayStillSend(); };
+    m_isWithdrawn = false;
+    options.maySend = [this] {
+        m_isWithdrawn = !mayStillSend();
+        return !m_isWithdrawn;
+    };
     // The deadline's timer ends the call; these only bound what it would forget.
     Http::ClientTimeouts timeouts;
     timeouts.connect = std::min<milliseconds>(ConnectTimeout, left());
@@ -275,6 +279,8 @@
     }
     if (failure && failure->kind() == Core::ErrorKind::UpstreamUnreachable) {
         noteAttempt("not_sent", failure->detail());
+        if (!m_isWithdrawn && m_endReason == EndReason::None)
+            noteUnreachable();
         co_return m_endReason == EndReason::None ? AttemptEnd::NotSent : AttemptEnd::Ended;
     }
     // From here on bytes of the request may have reached the upstream.
@@ -299,6 +305,9 @@
         return AttemptEnd::Ended;
     m_hasTimedOut = error.kind() == Core::ErrorKind::UpstreamTimedOut;
     noteAttempt("broken", error.what());
+    // Bytes that nobody acknowledges were sent to an upstream that is gone.
+    if (m_hasTimedOut)
+        noteUnreachable();
     if (error.kind() == Core::ErrorKind::UpstreamFailed) {
         m_gateway.poison().noteBreak(m_request.digest, m_gateway.parts().clock.now());
         if (m_gateway.onBreak)
@@ -344,6 +353,15 @@
     co_return noteBroken(*failure);
 }
 
+void RequestRelay::noteUnreachable()
+{
+    const auto now = m_gateway.parts().clock.now();
+    m_plan->upstream->holdUntil(
+        std::max(m_plan->upstream->heldUntil(), now + Upstream::UnreachableHold));
+    if (m_gateway.onUnreachable)
+        m_gateway.onUnreachable(*m_plan->upstream);
+}
+
 void RequestRelay::noteRefusedByUpstream(unsigned status, const AnswerHead &head)
 {
     const auto now = m_gateway.parts().clock.now();
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -75,6 +75,8 @@
     boost::asio::awaitable<void> refuse(const Refusal &refusal);
     boost::asio::awaitable<void> respondError(Core::ErrorKind kind, const std::string &reason,
                                               std::optional<std::chrono::milliseconds> retryAfter);
+    /// Keeps new requests from an upstream that does not answer at its address.
+    void noteUnreachable();
     void noteRefusedByUpstream(unsigned status, const AnswerHead &head);
     void noteAttempt(std::string_view end, const std::string &reason) const;
     std::chrono::milliseconds left() const;
@@ -92,6 +94,8 @@
     std::optional<Http::Response> m_failure;
     Http::EventSplitter m_events;
     bool m_hasTimedOut = false;
+    /// Whether the last attempt was given up before its first byte, as the choice was outdated.
+    bool m_isWithdrawn = false;
     EndReason m_endReason = EndReason::None;
 
     std::shared_ptr<Http::CallAbort> m_abort;
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -218,13 +218,19 @@
 
 void SiblingExchange::tellHold(const Upstream &engine, std::chrono::milliseconds time)
 {
-    queueNews({{{upstreamHash(engine), time}}, {}});
+    queueNews({{{upstreamHash(engine), time}}, {}, {}});
+}
+
+void SiblingExchange::tellUnreachable(const Upstream &upstream)
+{
+    m_urgentNews.unreachable.push_back(upstreamHash(upstream));
+    m_urgentTimer.cancel();
 }
 
 void SiblingExchange::tellWeights(const Upstream &engine, const std::string &model,
                                   std::uint64_t version)
 {
-    queueNews({{}, {{upstreamHash(engine), Core::hash64(model), version}}});
+    queueNews({{}, {{upstreamHash(engine), Core::hash64(model), version}}, {}});
 }
 
 void SiblingExchange::queueNews(const News &news)
@@ -294,11 +300,13 @@
 
 std::string SiblingExchange::encodeUrgent()
 {
-    const auto [holds, weights] = wireNews(std::exchange(m_urgentNews, {}));
+    const auto news = std::exchange(m_urgentNews, {});
+    const auto [holds, weights] = wireNews(news);
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(Wire::CreateSiblingReportDirect(
         builder, m_parts.members.self().instance.value().c_str(), ++m_number, m_life, nullptr,
-        nullptr, &weights, &holds, nullptr, nullptr, nullptr, true));
+        nullptr, &weights, &holds, nullptr, nullptr, nullptr, true, Wire::Scope::Instance, 0,
+        &news.unreachable));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -340,6 +348,7 @@
     // Weights come before parts: new weights empty an engine's memory.
     applyWeights(*report);
     applyHolds(*report);
+    applyUnreachable(*report);
     applyParts(*report);
     if (!report->is_urgent())
         applySums();
@@ -407,6 +416,17 @@
     }
 }
 
+void SiblingExchange::applyUnreachable(const Wire::SiblingReport &report) const
+{
+    if (!report.unreachable())
+        return;
+    for (const auto hash : *report.unreachable()) {
+        if (const auto upstream = m_parts.fleet.findByHash(hash))
+            upstream->noteUnreachable(report.instance()->str(), Upstream::UnreachableHold,
+                                      m_parts.clock.now());
+    }
+}
+
 void SiblingExchange::applyHolds(const Wire::SiblingReport &report) const
 {
     if (!report.holds())
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -62,6 +62,8 @@
     /// A store of parts answered this instance, in the life with this epoch.
     void tellStoreLife(std::uint64_t holder, std::uint64_t epoch);
     void tellHold(const Upstream &engine, std::chrono::milliseconds time);
+    /// This instance could not reach the upstream. Told at once only.
+    void tellUnreachable(const Upstream &upstream);
     void tellWeights(const Upstream &engine, const std::string &model, std::uint64_t version);
 
     /// The next whole report of this instance. Public for tests.
@@ -117,7 +119,8 @@
     {
         std::vector<Hold> holds;
         std::vector<Weights> weights;
-        bool isEmpty() const { return holds.empty() && weights.empty(); }
+        std::vector<std::uint64_t> unreachable;
+        bool isEmpty() const { return holds.empty() && weights.empty() && unreachable.empty(); }
     };
 
     void queueParts(std::uint64_t holder, std::span<const PromptPart> parts);
@@ -141,6 +144,7 @@
     /// Returns whether the report is newer than what is known of its source.
     bool noteReport(const Wire::SiblingReport &report, Source &source);
     void applyWeights(const Wire::SiblingReport &report) const;
+    void applyUnreachable(const Wire::SiblingReport &report) const;
     void applyHolds(const Wire::SiblingReport &report) const;
     void applyParts(const Wire::SiblingReport &report);
     /// Puts together what all sources tell of each upstream.
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::duration<double> FailureHalfLife {3.0};
 constexpr double LeastSlowness = 0.7;
 constexpr double MostSlowness = 4;
+// Two instances that cannot reach an upstream within this time are not cut off by chance.
+constexpr std::chrono::milliseconds UnreachableWindow {1'500};
 // Engines read prompts in pieces of about this size.
 constexpr std::uint64_t PieceTokens = 2'048;
 
@@ -97,6 +99,18 @@
     m_slowness += SlownessGain * (std::clamp(sample, LeastSlowness, MostSlowness) - m_slowness);
 }
 
+void Upstream::noteUnreachable(const std::string &sibling, std::chrono::milliseconds time,
+                               Core::Clock::Monotonic now)
+{
+    const bool isConfirmed = m_unreachableSince != Core::Clock::Monotonic::min()
+                             && now - m_unreachableSince < UnreachableWindow
+                             && m_unreachableFrom != sibling;
+    m_unreachableFrom = sibling;
+    m_unreachableSince = now;
+    if (isConfirmed)
+        m_heldUntil = std::max(m_heldUntil, now + time);
+}
+
 std::uint64_t Upstream::weights(const std::string &model) const
 {
     const auto it = m_report.weights.find(model);
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -5,6 +5,7 @@
 #include <LibGateway/UpstreamReport.h>
 
 #include <cstdint>
+#include <string>
 
 namespace Gateway {
 
@@ -30,6 +31,9 @@
 class Upstream
 {
 public:
+    /// Nothing goes for this long to an upstream that could not be reached.
+    static constexpr std::chrono::milliseconds UnreachableHold {1'000};
+
     explicit Upstream(UpstreamReport report);
 
     const UpstreamReport &report() const { return m_report; }
@@ -81,6 +85,11 @@
     /// Notes weights that it was seen to have. New weights mean that its memory is empty.
     void noteWeights(const std::string &model, std::uint64_t version);
 
+    /// Notes that another instance could not reach it. One that says so may be cut off itself; when
+    /// two say so within a while, nothing new goes there for the given time.
+    void noteUnreachable(const std::string &sibling, std::chrono::milliseconds time,
+                         Core::Clock::Monotonic now);
+
     /// Until when an order keeps it from beginning requests.
     Core::Clock::Monotonic heldUntil() const { return m_heldUntil; }
     void holdUntil(Core::Clock::Monotonic time) { m_heldUntil = time; }
@@ -96,6 +105,9 @@
     Core::Clock::Monotonic m_lastOutcome = Core::Clock::Monotonic::min();
     double m_slowness = 1;
     Core::Clock::Monotonic m_heldUntil = Core::Clock::Monotonic::min();
+    /// The last sibling that could not reach it, and when.
+    std::string m_unreachableFrom;
+    Core::Clock::Monotonic m_unreachableSince = Core::Clock::Monotonic::min();
     bool m_isGone = false;
 };
 
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -81,6 +81,9 @@
     if (ec.category() == make_error_code(http::error::bad_chunk).category()
         && ec != http::error::end_of_stream && ec != http::error::partial_message)
         return Core::Error(Core::ErrorKind::UpstreamGarbage, ec.message());
+    // The system gave up on bytes that were not acknowledged (SendOptions::unacknowledged).
+    if (ec == asio::error::timed_out)
+        return Core::Error(Core::ErrorKind::UpstreamTimedOut, ec.message());
     return Core::Error(Core::ErrorKind::UpstreamFailed, ec.message());
 }
 
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -241,3 +241,24 @@
     other.clock.advance(2s);
     CHECK(other.members->isHub());
 }
+
+TEST_CASE("an upstream that two instances cannot reach gets nothing for a while, from anybody")
+{
+    Instance one("one");
+    Instance two("two");
+    Instance other("other");
+    one.exchange->tellUnreachable(one.engine());
+    other.exchange->apply(one.exchange->encodeUrgent());
+    // One alone may be cut off itself, however often it says so.
+    one.exchange->tellUnreachable(one.engine());
+    other.exchange->apply(one.exchange->encodeUrgent());
+    CHECK(other.engine().heldUntil() <= other.clock.now());
+    two.exchange->tellUnreachable(two.engine());
+    other.exchange->apply(two.exchange->encodeUrgent());
+    CHECK(other.engine().heldUntil() == other.clock.now() + Gateway::Upstream::UnreachableHold);
+    // Long ago is no confirmation.
+    other.clock.advance(10s);
+    one.exchange->tellUnreachable(one.engine());
+    other.exchange->apply(one.exchange->encodeUrgent());
+    CHECK(other.engine().heldUntil() < other.clock.now());
+}
