Tests: Catch two faults that planted trials found uncaught

Planted faults of the gateway, one at a time: an upstream call that is not ended when its caller leaves passed the test of it, because the route's time ended the work while the test waited; and urgent news that erase a sibling's loads passed, because nothing added the loads up afterwards. The route of the first test now lasts longer than the test waits, and the second lets another report arrive.

--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -172,6 +172,9 @@
     CHECK(other.engine().heldUntil() == other.clock.now() + 500ms);
     CHECK(other.engine().weights("m") == 4);
     CHECK(other.engine().othersLoad().inFlight == 1);
+    // Neither when another's report makes it add up all loads anew.
+    other.exchange->apply(Instance("two").exchange->encode());
+    CHECK(other.engine().othersLoad().inFlight == 1);
     // The next whole report repeats them for whoever missed the first datagram.
     Instance third("third");
     third.exchange->apply(one.exchange->encode());
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -248,7 +248,10 @@
 {
     GatewayFixture fixture;
     auto &app = fixture.addWorker("w-1", "app");
-    fixture.configure(1);
+    // The route's time is far longer than the test waits, so that it cannot end the work either.
+    fixture.configure(
+        1,
+        R"([{"Name":"views","Host":"a.example","PathPrefix":"/views/","Kind":"idempotent","TimeoutMs":600000,"TargetLatencyMs":300,"Priority":2,"Service":"app","MaxAttempts":2}])");
     fixture.startGateway();
     std::atomic<int> left = 0;
     app.setBehaviour([&left](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
