LibGateway: Keep to siblings that the store serves while it turns this one away

A sibling with nothing newer was passed over for 2 s, so an instance that the store turned away ran out of siblings and asked the store, which hung. Now a sibling with nothing newer stays in its turn, knowledge of up to twice the bound is taken, and all siblings are asked before the store. The store is asked again each 3 s while siblings help.

The test of a store that is away from all waits 5 s now, past twice the bound.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -62,7 +62,7 @@
     EventRow {EventId::PlatformUnavailable, EventLevel::Warning, "platform_unavailable", "The platform does not answer."},
     EventRow {EventId::PlatformBack, EventLevel::Info, "platform_back", "The platform answers again."},
     EventRow {EventId::LogRecordInvalid, EventLevel::Warning, "log_record_invalid", "A record in the platform's log does not decode and is passed over."},
-    EventRow {EventId::LogSourceChanged, EventLevel::Info, "log_source_changed", "A log of the store is read through another sibling than before, or from the store itself."},
+    EventRow {EventId::LogSourceChanged, EventLevel::Info, "log_source_changed", "A log of the store is read through siblings from now on, or from the store again."},
     EventRow {EventId::UsageAppended, EventLevel::Debug, "usage_appended", "Usage records were appended."},
     EventRow {EventId::UsageLost, EventLevel::Warning, "usage_lost", "Usage records could not be appended before the process ended."},
 };
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -17,7 +17,7 @@
 // A sibling that did not help is asked again after this time.
 constexpr auto PassOverTime = 2'000ms;
 // While siblings help, the store that gave no answer is asked again after this time.
-constexpr auto StoreRetryPause = 1'000ms;
+constexpr auto StoreRetryPause = 3'000ms;
 constexpr auto ReadersKey = "log readers";
 
 // Reports of upstreams and the fleet's own records come all the time; reading them in batches keeps
@@ -31,6 +31,10 @@
 constexpr int ReadsInBound = 4;
 constexpr double MostAgeShare = 0.6;
 constexpr int HoldsInBound = 8;
+// An instance that the store turns away takes what it can get. Knowledge of a sibling without
+// followers, which waits for news of the store, gets older than a bound now and then; that of keys
+// is bounded by its age wherever it comes from.
+constexpr double MostCutAgeShare = 2;
 
 } // namespace
 
@@ -116,7 +120,7 @@
     const auto isStoreDue = [&] { return m_parts.clock.now() >= state.nextDirect; };
     if (isPatient && (state.isStoreFailing ? !isStoreDue() : !isReader())) {
         if (auto page =
-                co_await readSibling(topic, from, std::min(wait, boundOf(topic) / HoldsInBound)))
+                co_await readSiblings(topic, from, std::min(wait, boundOf(topic) / HoldsInBound)))
             co_return std::move(*page);
     }
     if (isPatient && !state.isStoreFailing && !isStoreDue())
@@ -127,7 +131,7 @@
     } catch (const Core::Error &error) {
         failure = error;
     }
-    if (auto page = co_await readSibling(topic, from, 0ms))
+    if (auto page = co_await readSiblings(topic, from, 0ms))
         co_return std::move(*page);
     throw *failure;
 }
@@ -158,26 +162,40 @@
 }
 
 asio::awaitable<std::optional<FleetPage>>
-SharedLog::readSibling(FleetTopic topic, std::uint64_t from, milliseconds wait)
+SharedLog::readSiblings(FleetTopic topic, std::uint64_t from, milliseconds wait)
 {
     auto &state = m_topics[topic];
-    const auto sibling = chooseSibling(state);
-    if (!sibling)
-        co_return std::nullopt;
+    for (;;) {
+        const auto sibling = chooseSibling(state);
+        if (!sibling)
+            co_return std::nullopt;
+        auto page = co_await askSibling(*sibling, topic, from, wait);
+        // While the store answers, it knows more than another sibling.
+        if (page || !state.isStoreFailing)
+            co_return page;
+    }
+}
+
+asio::awaitable<std::optional<FleetPage>>
+SharedLog::askSibling(FleetMember sibling, FleetTopic topic, std::uint64_t from, milliseconds wait)
+{
     std::string reason = "its knowledge is old";
     try {
-        auto page = co_await m_parts.relay.ask(sibling->endpoint, topic, from, wait);
+        auto page = co_await m_parts.relay.ask(sibling.endpoint, topic, from, wait);
         page.asOf = std::min(page.asOf, m_parts.clock.now());
         if (isUseful(topic, page)) {
+            // The next one may have been served since.
+            if (page.asOf <= m_parts.relay.tail(topic).asOf())
+                ++m_turn;
             m_parts.relay.tail(topic).extend(from, page);
-            noteSource(topic, sibling->instance, "a sibling reads for this instance");
+            noteSource(topic, sibling.instance, "a sibling reads for this instance");
             co_return page;
         }
     } catch (const Core::Error &error) {
         reason = error.what();
     }
-    m_passedOver[sibling->instance] = m_parts.clock.now() + PassOverTime;
-    Core::logEvent(Core::EventId::SiblingPassedOver, {{"sibling", sibling->instance.value()},
+    m_passedOver[sibling.instance] = m_parts.clock.now() + PassOverTime;
+    Core::logEvent(Core::EventId::SiblingPassedOver, {{"sibling", sibling.instance.value()},
                                                       {"log", std::string(nameOf(topic))},
                                                       {"reason", reason}});
     co_return std::nullopt;
@@ -201,26 +219,26 @@
     if (members.empty())
         return std::nullopt;
     if (state.isStoreFailing)
-        return members.front();
+        return members[m_turn % members.size()];
     // Each asker keeps to one reader, and the askers spread over all of them.
     return members[Core::hash64(self.instance.value()) % members.size()];
 }
 
-bool SharedLog::isUseful(FleetTopic topic, const FleetPage &page)
+bool SharedLog::isUseful(FleetTopic topic, const FleetPage &page) const
 {
-    // A sibling that the store turns away as well knows nothing newer.
-    if (m_topics[topic].isStoreFailing)
-        return page.asOf > m_parts.relay.tail(topic).asOf();
-    return m_parts.clock.now() - page.asOf <= MostAgeShare * boundOf(topic);
+    const auto share = m_topics.at(topic).isStoreFailing ? MostCutAgeShare : MostAgeShare;
+    return m_parts.clock.now() - page.asOf <= share * boundOf(topic);
 }
 
 void SharedLog::noteSource(FleetTopic topic, const Core::InstanceId &source,
                            const std::string &reason)
 {
     auto &state = m_topics[topic];
-    if (state.source == source)
-        return;
+    // Which sibling it is changes often while the store turns this instance away.
+    const bool isSameKind = state.source.isEmpty() == source.isEmpty();
     state.source = source;
+    if (isSameKind)
+        return;
     Core::logEvent(Core::EventId::LogSourceChanged,
                    {{"log", std::string(nameOf(topic))},
                     {"source", source.value().empty() ? "store" : source.value()},
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -68,13 +68,20 @@
                                                 std::chrono::milliseconds wait);
     /// Nothing when no sibling has fresh enough knowledge.
     boost::asio::awaitable<std::optional<FleetPage>>
-    readSibling(FleetTopic topic, std::uint64_t from, std::chrono::milliseconds wait);
+    readSiblings(FleetTopic topic, std::uint64_t from, std::chrono::milliseconds wait);
+    /// Nothing, and the sibling is passed over for a while, when it does not help.
+    boost::asio::awaitable<std::optional<FleetPage>> askSibling(FleetMember sibling,
+                                                                FleetTopic topic,
+                                                                std::uint64_t from,
+                                                                std::chrono::milliseconds wait);
     std::optional<FleetMember> chooseSibling(const Topic &state) const;
-    bool isUseful(FleetTopic topic, const FleetPage &page);
+    bool isUseful(FleetTopic topic, const FleetPage &page) const;
     void noteSource(FleetTopic topic, const Core::InstanceId &source, const std::string &reason);
 
     Parts m_parts;
     std::map<FleetTopic, Topic> m_topics;
+    /// Which sibling is asked while the store does not answer; moves on when one has nothing newer.
+    std::size_t m_turn = 0;
     /// Siblings that gave no or an old answer, with the time until which they are not asked again.
     std::map<Core::InstanceId, Core::Clock::Monotonic> m_passedOver;
 };
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -242,7 +242,7 @@
     fleet.clock.advance(500ms);
     // A sibling that is cut off as well may be asked first; its knowledge is no newer.
     FleetPage page;
-    for (int n = 0; n < 3 && page.records.empty(); ++n) {
+    for (int n = 0; n < 4 && page.records.empty(); ++n) {
         try {
             page = fleet.read(cut, 1);
         } catch (const Core::Error &error) {
@@ -255,6 +255,14 @@
     CHECK(page.asOf <= asked);
     // The trouble is this instance's; whoever reads the store has none.
     CHECK(page.trouble == Core::Clock::Monotonic::min());
+    // It may ask again before there is anything newer, and does not turn to the store for it.
+    const auto calls = cut.door.calls;
+    for (int n = 0; n < 3; ++n) {
+        fleet.clock.advance(200ms);
+        fleet.hear();
+        CHECK(fleet.read(cut, 2).asOf <= asked);
+    }
+    CHECK(cut.door.calls == calls);
 }
 
 TEST_CASE("with the store away from all, what siblings tell grows old and is no answer")
@@ -266,7 +274,7 @@
     fleet.read(other, 0);
     one.door.isClosed = true;
     other.door.isClosed = true;
-    fleet.clock.advance(4s);
+    fleet.clock.advance(5s);
     fleet.hear();
     CHECK_THROWS_AS(fleet.read(one, 1), Core::Error);
 }
