Tests: Let a former hub pass on a sum that would count twice

The planted fault "sums of a former hub are added too" passed the test of hubs, whose former hub had nothing to pass on. It hears of the other data centre now. With the fault planted the test fails (18,000 tokens for 15,000), without it all cases of TestLibGateway pass.

--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -229,6 +229,8 @@
     for (auto *instance : all)
         CHECK(instance->engine().tokensBefore(false) == 15'000);
     // Even what a former hub still passes on is counted once.
+    southern.exchange->apply(north.exchange->encodeDataCentre());
+    CHECK(southern.engine().tokensBefore(false) == 15'000);
     south.exchange->apply(southern.exchange->encodeElsewhere());
     south.exchange->apply(south.exchange->encodeDataCentre());
     CHECK(south.engine().tokensBefore(false) == 15'000);
