LibGateway: Admit prompts by their wait, model transfers of kept parts, pace loads of weights

Change: refusePrompt() looks at the wait only, and at whether the deadline can be met; callers that return may wait longer. tokensAhead() counts the prompt in progress. Sources are compared by transfer time, link queue and the prefill that they save. WeightsLoadPace learns how many engines may load; an engine finishes its requests before it is ordered.

--- a/Libraries/LibGateway/AcceptedRequest.cpp
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -64,6 +64,8 @@
                         "several upstreams failed while they executed this request",
                         {}};
     deadline = arrival + std::min(caller.callerTimeout.value_or(route->timeout), route->timeout);
+    if (caller.callerTimeout)
+        isReturning = gateway.returningCallers(route->name).noteArrival(*caller.callerTimeout);
     parts.clear();
     std::uint64_t prefixHash = Core::hash64(cacheScope(), Core::hash64(caller.model));
     for (const auto &part : caller.parts) {
--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -37,6 +37,8 @@
     const Route *route = nullptr;
     const Tenant *tenant = nullptr;
     std::vector<PromptPart> parts;
+    /// Whether the caller was refused before and has returned.
+    bool isReturning = false;
     /// Identifies the request in the poison request table; equal for all attempts of one request.
     std::uint64_t digest = 0;
 
--- a/Libraries/LibGateway/EngineModel.cpp
+++ b/Libraries/LibGateway/EngineModel.cpp
@@ -19,9 +19,14 @@
 
 } // namespace
 
+EngineModel::Milliseconds EngineModel::prefillTime(std::uint64_t tokens) const
+{
+    return Milliseconds(static_cast<double>(tokens) / m_tokensPerMillisecond);
+}
+
 EngineModel::Milliseconds EngineModel::firstToken(std::uint64_t tokensToPrefill) const
 {
-    return Overhead + Milliseconds(static_cast<double>(tokensToPrefill) / m_tokensPerMillisecond);
+    return Overhead + prefillTime(tokensToPrefill);
 }
 
 void EngineModel::addSample(unsigned prefilledTokens, Milliseconds firstToken)
--- a/Libraries/LibGateway/EngineModel.h
+++ b/Libraries/LibGateway/EngineModel.h
@@ -11,6 +11,8 @@
 public:
     using Milliseconds = std::chrono::duration<double, std::milli>;
 
+    /// Returns the expected time to prefill this many tokens.
+    Milliseconds prefillTime(std::uint64_t tokens) const;
     /// Returns the expected time to the first token of a prompt if the engine has this many tokens
     /// to prefill, those of the prompt included.
     Milliseconds firstToken(std::uint64_t tokensToPrefill) const;
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -151,23 +151,31 @@
   uint64_t upstream_;
   uint32_t waiting_tokens_;
   uint32_t urgent_tokens_;
+  uint32_t ordinary_prompts_;
   uint32_t in_flight_;
   uint32_t memory_tokens_;
+  int32_t padding0__;
 
  public:
   Load()
       : upstream_(0),
         waiting_tokens_(0),
         urgent_tokens_(0),
+        ordinary_prompts_(0),
         in_flight_(0),
-        memory_tokens_(0) {
+        memory_tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
   }
-  Load(uint64_t _upstream, uint32_t _waiting_tokens, uint32_t _urgent_tokens, uint32_t _in_flight, uint32_t _memory_tokens)
+  Load(uint64_t _upstream, uint32_t _waiting_tokens, uint32_t _urgent_tokens, uint32_t _ordinary_prompts, uint32_t _in_flight, uint32_t _memory_tokens)
       : upstream_(flatbuffers::EndianScalar(_upstream)),
         waiting_tokens_(flatbuffers::EndianScalar(_waiting_tokens)),
         urgent_tokens_(flatbuffers::EndianScalar(_urgent_tokens)),
+        ordinary_prompts_(flatbuffers::EndianScalar(_ordinary_prompts)),
         in_flight_(flatbuffers::EndianScalar(_in_flight)),
-        memory_tokens_(flatbuffers::EndianScalar(_memory_tokens)) {
+        memory_tokens_(flatbuffers::EndianScalar(_memory_tokens)),
+        padding0__(0) {
+    (void)padding0__;
   }
   uint64_t upstream() const {
     return flatbuffers::EndianScalar(upstream_);
@@ -178,6 +186,9 @@
   uint32_t urgent_tokens() const {
     return flatbuffers::EndianScalar(urgent_tokens_);
   }
+  uint32_t ordinary_prompts() const {
+    return flatbuffers::EndianScalar(ordinary_prompts_);
+  }
   uint32_t in_flight() const {
     return flatbuffers::EndianScalar(in_flight_);
   }
@@ -185,7 +196,7 @@
     return flatbuffers::EndianScalar(memory_tokens_);
   }
 };
-FLATBUFFERS_STRUCT_END(Load, 24);
+FLATBUFFERS_STRUCT_END(Load, 32);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) KeptPart FLATBUFFERS_FINAL_CLASS {
  private:
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -7,6 +7,7 @@
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/KvCacheStores.h>
 #include <LibGateway/PoisonRequestTable.h>
+#include <LibGateway/PromptAdmission.h>
 #include <LibGateway/RequestDialect.h>
 #include <LibGateway/RetryBudgetShare.h>
 #include <LibGateway/UpstreamFleet.h>
@@ -66,6 +67,7 @@
     PoisonRequestTable &poison() { return m_poison; }
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     RetryBudgetShare &retries(const std::string &service) { return m_retries[service]; }
+    ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
     std::minstd_rand &random() { return m_random; }
 
     /// Called with the digest of a request during which an upstream failed.
@@ -93,6 +95,7 @@
     PoisonRequestTable m_poison;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, RetryBudgetShare> m_retries;
+    std::map<std::string, ReturningCallers> m_returning;
     std::minstd_rand m_random;
     std::optional<unsigned> m_instanceCount;
     bool m_isDraining = false;
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -77,6 +77,9 @@
     /// The address of a KV cache store; a service that has one has no upstreams.
     std::optional<Http::Endpoint> kvCacheStore;
     std::uint64_t kvCacheStoreTokens = 0;
+    std::string kvCacheStoreDataCentre;
+    /// The speed of the KV cache store's link, which all transfers share; 0 if unknown.
+    double kvCacheStoreLinkMegabits = 0;
 };
 
 /// A team and its API keys.
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -232,7 +232,8 @@
     std::vector<KvCacheStores::StoreConfiguration> stores;
     for (const auto &[name, service] : m_configuration.current()->services) {
         if (service.kvCacheStore)
-            stores.push_back({*service.kvCacheStore, service.kvCacheStoreTokens});
+            stores.push_back({*service.kvCacheStore, service.kvCacheStoreTokens,
+                              service.kvCacheStoreDataCentre, service.kvCacheStoreLinkMegabits});
     }
     m_gateway.stores().configure(stores);
 }
--- a/Libraries/LibGateway/KvCacheStore.h
+++ b/Libraries/LibGateway/KvCacheStore.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <LibGateway/PrefixCacheEstimate.h>
+#include <LibGateway/TransferQueue.h>
 #include <LibHttp/Endpoint.h>
 
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace Gateway {
@@ -26,6 +29,13 @@
     std::uint64_t holder() const { return holderOf(m_endpoint); }
     const Http::Endpoint &endpoint() const { return m_endpoint; }
     void setCapacity(std::uint64_t tokens) { m_prefixCache.setCapacity(tokens); }
+    const std::string &dataCentre() const { return m_dataCentre; }
+    void setDataCentre(std::string dataCentre) { m_dataCentre = std::move(dataCentre); }
+    double linkMegabits() const { return m_linkMegabits; }
+    void setLinkMegabits(double megabits) { m_linkMegabits = megabits; }
+    /// The transfers between engines and the store that this instance caused.
+    TransferQueue &transfers() { return m_transfers; }
+    const TransferQueue &transfers() const { return m_transfers; }
     /// Returns whether the store answers. Otherwise, nothing is fetched from it or saved to it.
     bool isAnswering() const { return m_isAnswering; }
     /// Returns the epoch of the last answer; empty before the first one.
@@ -49,7 +59,10 @@
 
 private:
     Http::Endpoint m_endpoint;
+    std::string m_dataCentre;
+    double m_linkMegabits = 0;
     PrefixCacheEstimate m_prefixCache;
+    TransferQueue m_transfers;
     std::optional<std::uint64_t> m_epoch;
     bool m_isAnswering = false;
 };
--- a/Libraries/LibGateway/KvCacheStores.cpp
+++ b/Libraries/LibGateway/KvCacheStores.cpp
@@ -14,6 +14,8 @@
             stores.insert(std::move(known));
         auto &store = stores.try_emplace(holder, configuration.endpoint).first->second;
         store.setCapacity(configuration.capacityTokens);
+        store.setDataCentre(configuration.dataCentre);
+        store.setLinkMegabits(configuration.linkMegabits);
     }
     m_stores = std::move(stores);
     std::erase_if(m_lastSeen, [this](const auto &item) { return !m_stores.contains(item.first); });
--- a/Libraries/LibGateway/KvCacheStores.h
+++ b/Libraries/LibGateway/KvCacheStores.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <string>
 
 namespace Gateway {
 
@@ -17,6 +18,9 @@
     {
         Http::Endpoint endpoint;
         std::uint64_t capacityTokens = 0;
+        std::string dataCentre;
+        /// The speed of the store's link; 0 if unknown.
+        double linkMegabits = 0;
     };
     /// The stores by the identifier that KvCacheStore::holderOf() returns.
     using Stores = std::map<std::uint64_t, KvCacheStore>;
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -1,3 +1,4 @@
+#include <LibGateway/PromptAdmission.h>
 #include <LibGateway/RequestPlan.h>
 #include <LibGateway/Urgency.h>
 
@@ -13,22 +14,22 @@
 namespace {
 
 constexpr auto ShortRetryAfter = 300ms;
-constexpr auto MinRetryAfter = 100ms;
-// Callers cancel a stream after this multiple of the route's target without a first event.
-constexpr double MaxUrgentWaitTargets = 4;
-// The maximum wait of less urgent requests, as a multiple of the target. A longer queue does not
-// increase throughput, and delays urgent requests that share the engines' steps with it.
-constexpr double MaxQueueWaitTargets = 0.5;
-// The share of a request's remaining time that may be spent waiting for the first token.
-constexpr double FirstTokenShare = 0.85;
 // Engines are skipped when their weights have been outdated for longer than this share of the
 // weights bound.
 constexpr double MaxOutdatedShare = 0.65;
 // Instances that may be starting or shutting down, in addition to the known members.
 constexpr unsigned SpareInstances = 1;
+// Transfers that would wait longer are not worth starting. The engines drop them beyond two
+// seconds.
+constexpr EngineModel::Milliseconds MaxWaitForSaving {200};
 constexpr double BytesPerMegabit = 125'000;
 constexpr double MillisecondsPerSecond = 1'000;
 
+std::string formatMilliseconds(EngineModel::Milliseconds time)
+{
+    return std::to_string(static_cast<std::uint64_t>(time.count()));
+}
+
 /// Picks one of the route's services at random, in proportion to their weights.
 std::string pickService(Gateway &gateway, const Route &route)
 {
@@ -39,13 +40,13 @@
     return route.services[pick(gateway.random())].service;
 }
 
-/// Returns the rate at which engines transfer cached parts to each other, in tokens per
-/// millisecond; 0 if they cannot.
-double fetchRate(const EngineLimits &engine)
+/// Returns the rate at which a link transfers cached parts, in tokens per millisecond; 0 if the
+/// speed of the link or the size of a token is unknown.
+double transferRate(double megabits, const EngineLimits &engine)
 {
     if (engine.bytesPerToken == 0)
         return 0;
-    return engine.linkMegabitsPerSecond * BytesPerMegabit / MillisecondsPerSecond
+    return megabits * BytesPerMegabit / MillisecondsPerSecond
            / static_cast<double>(engine.bytesPerToken);
 }
 
@@ -67,27 +68,27 @@
     demand.slots = engine.slots;
     demand.memoryTokens = request.memoryTokens();
     demand.memoryCapacity = engine.cacheTokens;
-    demand.fetchTokensPerMillisecond = fetchRate(engine);
+    demand.fetchTokensPerMillisecond = transferRate(engine.linkMegabitsPerSecond, engine);
     return demand;
 }
 
 std::optional<Refusal> refuseIfTooSlow(const AcceptedRequest &request, const EngineChoice &choice,
                                        Core::Clock::Monotonic now)
 {
-    const auto &route = *request.route;
-    const auto maxTargets =
-        isUrgent(route, request.tenant) ? MaxUrgentWaitTargets : MaxQueueWaitTargets;
-    const auto waitLimit = std::min<EngineModel::Milliseconds>(
-        maxTargets * EngineModel::Milliseconds(route.target),
-        FirstTokenShare * EngineModel::Milliseconds(request.remainingTime(now)));
-    if (choice.expectedFirstToken <= waitLimit)
+    PromptOutlook outlook;
+    outlook.wait = choice.expectedWait;
+    outlook.ownTime = choice.expectedFirstToken - choice.expectedWait;
+    outlook.remaining = request.remainingTime(now);
+    outlook.target = request.route->target;
+    outlook.isUrgent = isUrgent(*request.route, request.tenant);
+    outlook.isReturning = request.isReturning;
+    const auto refusal = refusePrompt(outlook);
+    if (!refusal)
         return std::nullopt;
-    const auto retryAfter = choice.expectedFirstToken - route.target;
-    const auto expected = static_cast<std::uint64_t>(choice.expectedFirstToken.count());
     return Refusal {Core::ErrorKind::Overloaded,
-                    "the expected time to the first token, " + std::to_string(expected)
-                        + " ms, is too long",
-                    std::max<milliseconds>(MinRetryAfter, duration_cast<milliseconds>(retryAfter))};
+                    "the expected wait, " + formatMilliseconds(outlook.wait) + " ms, and prefill, "
+                        + formatMilliseconds(outlook.ownTime) + " ms, are too long",
+                    refusal->retryAfter};
 }
 
 /// Returns whether the prompt's parts should be saved to the store, which does not have all of them
@@ -106,8 +107,13 @@
                                               const Service &service, const ChoiceLimits &limits)
 {
     auto demand = demandOf(gateway, request, *service.engine);
-    const auto *store = gateway.stores().storeFor(demand.affinityKey);
+    auto *store = gateway.stores().storeFor(demand.affinityKey);
     demand.store = store;
+    if (store) {
+        demand.storeTokensPerMillisecond = transferRate(store->linkMegabits(), *service.engine);
+        store->transfers().setRate(
+            demand.storeTokensPerMillisecond / gateway.instanceCount().value_or(1), limits.now);
+    }
     auto chosen = chooseEngine(gateway.dependencies().fleet.members(service.name),
                                gateway.engineModel(service.name), demand, limits);
     if (!chosen)
@@ -122,7 +128,8 @@
     plan.engine = std::move(chosen);
     plan.weights = plan.upstream->weights(request.caller.model);
     plan.storeHolder = store ? store->holder() : 0;
-    plan.isSaving = store && isWorthSaving(*store, request, plan.weights);
+    plan.isSaving = store && isWorthSaving(*store, request, plan.weights)
+                    && store->transfers().wait(limits.now) < MaxWaitForSaving;
     return plan;
 }
 
@@ -134,6 +141,18 @@
     return engine ? total - std::min(total, engine->readyTokens) : 0;
 }
 
+unsigned RequestPlan::storeTransferTokens(const AcceptedRequest &request) const
+{
+    if (!engine)
+        return 0;
+    const auto shared = request.sharedTokens();
+    const auto fetched = engine->isSpeculative ? shared : engine->readyTokens;
+    unsigned tokens = isSaving ? shared : 0;
+    if (engine->isFromStore)
+        tokens += fetched - std::min(fetched, engine->cachedTokens);
+    return tokens;
+}
+
 std::string RequestPlan::fetchSource() const
 {
     if (!engine || (!engine->source && !engine->isFromStore))
--- a/Libraries/LibGateway/RequestPlan.h
+++ b/Libraries/LibGateway/RequestPlan.h
@@ -28,6 +28,8 @@
 
     /// Returns the number of prompt tokens that the engine is expected to prefill.
     std::uint64_t uncachedTokens(const AcceptedRequest &request) const;
+    /// Returns the number of tokens that are transferred between the engine and the KV cache store.
+    unsigned storeTransferTokens(const AcceptedRequest &request) const;
     /// Returns the source that the engine fetches cached parts from, for the log.
     std::string fetchSource() const;
 };
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -209,6 +209,9 @@
             m_request.labels());
         const auto *service = m_request.configuration->findService(m_plan->service);
         m_plan->upstream->prefixCache().setCapacity(service->engine->cacheTokens);
+        if (auto *store = kvCacheStoreOf(m_gateway, *m_plan))
+            store->transfers().add(m_plan->storeTransferTokens(m_request),
+                                   m_gateway.dependencies().clock.now());
     }
     UpstreamLoad load(m_plan->upstream, uncached, m_request.memoryTokens(),
                       isUrgent(*m_request.route, m_request.tenant),
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -49,8 +49,7 @@
 
 void add(SiblingLoad &sum, const SiblingLoad &load)
 {
-    sum.waitingTokens.all += load.waitingTokens.all;
-    sum.waitingTokens.urgent += load.waitingTokens.urgent;
+    sum.waitingTokens += load.waitingTokens;
     sum.inFlight += load.inFlight;
     sum.memoryTokens += load.memoryTokens;
 }
@@ -62,7 +61,8 @@
     entries.reserve(loads.size());
     for (const auto &[upstream, load] : loads)
         entries.emplace_back(upstream, static_cast<std::uint32_t>(load.waitingTokens.all),
-                             static_cast<std::uint32_t>(load.waitingTokens.urgent), load.inFlight,
+                             static_cast<std::uint32_t>(load.waitingTokens.urgent),
+                             load.waitingTokens.ordinaryPrompts, load.inFlight,
                              static_cast<std::uint32_t>(load.memoryTokens));
     return entries;
 }
@@ -401,9 +401,10 @@
     source.loads.clear();
     if (report.loads()) {
         for (const auto *load : *report.loads())
-            source.loads[load->upstream()] = {{load->waiting_tokens(), load->urgent_tokens()},
-                                              load->in_flight(),
-                                              load->memory_tokens()};
+            source.loads[load->upstream()] = {
+                {load->waiting_tokens(), load->urgent_tokens(), load->ordinary_prompts()},
+                load->in_flight(),
+                load->memory_tokens()};
     }
     return true;
 }
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -17,11 +17,17 @@
 // Two siblings that report an upstream as unreachable within this time are unlikely to be both
 // partitioned themselves.
 constexpr std::chrono::milliseconds UnreachableWindow {1'500};
-// Typical size of a prefill chunk.
-constexpr std::uint64_t PrefillChunkTokens = 2'048;
 
 } // namespace
 
+WaitingTokens &WaitingTokens::operator+=(const WaitingTokens &other)
+{
+    all += other.all;
+    urgent += other.urgent;
+    ordinaryPrompts += other.ordinaryPrompts;
+    return *this;
+}
+
 Upstream::Upstream(UpstreamReport report)
     : m_report(std::move(report))
 { }
@@ -52,6 +58,7 @@
     ++m_inFlight;
     m_waitingTokens.all += tokens;
     m_waitingTokens.urgent += isUrgent ? tokens : 0;
+    m_waitingTokens.ordinaryPrompts += isUrgent ? 0 : 1;
 }
 
 void Upstream::noteFirstToken(std::uint64_t tokens, bool isUrgent)
@@ -59,6 +66,8 @@
     m_waitingTokens.all -= std::min(m_waitingTokens.all, tokens);
     if (isUrgent)
         m_waitingTokens.urgent -= std::min(m_waitingTokens.urgent, tokens);
+    else
+        m_waitingTokens.ordinaryPrompts -= m_waitingTokens.ordinaryPrompts > 0 ? 1 : 0;
 }
 
 void Upstream::releaseMemory(std::uint64_t tokens)
@@ -73,12 +82,12 @@
 
 std::uint64_t Upstream::tokensAhead(bool isUrgent) const
 {
-    const auto all = m_waitingTokens.all + m_siblingLoad.waitingTokens.all;
-    if (!isUrgent)
-        return all;
-    const auto urgent = m_waitingTokens.urgent + m_siblingLoad.waitingTokens.urgent;
-    // The chunk that is being prefilled is not preempted by an urgent request.
-    return urgent + std::min(all - urgent, PrefillChunkTokens);
+    auto waiting = m_waitingTokens;
+    waiting += m_siblingLoad.waitingTokens;
+    if (!isUrgent || waiting.ordinaryPrompts == 0)
+        return waiting.all;
+    // One of the ordinary prompts is being prefilled; it is not known which, so their mean counts.
+    return waiting.urgent + waiting.ordinary() / waiting.ordinaryPrompts;
 }
 
 void Upstream::noteOutcome(bool isSuccess, Core::Clock::Monotonic now)
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -13,8 +13,13 @@
 struct WaitingTokens
 {
     std::uint64_t all = 0;
-    /// The part of them that belongs to urgent requests, which are prefilled first.
+    /// The part of them that belongs to urgent requests, which are admitted first.
     std::uint64_t urgent = 0;
+    /// The number of the other prompts.
+    unsigned ordinaryPrompts = 0;
+
+    std::uint64_t ordinary() const { return all - urgent; }
+    WaitingTokens &operator+=(const WaitingTokens &other);
 };
 
 /// The load that the other instances put on an upstream.
@@ -62,7 +67,9 @@
     /// Sets the load that the other instances last reported.
     void setSiblingLoad(const SiblingLoad &load) { m_siblingLoad = load; }
     const SiblingLoad &siblingLoad() const { return m_siblingLoad; }
-    /// Returns the tokens of all instances that are prefilled before those of a new request.
+    /// Returns the tokens of all instances that are prefilled before those of a new request. An
+    /// urgent request precedes the prompts that wait for admission, but an engine completes the
+    /// prefill of the prompt that it has admitted.
     std::uint64_t tokensAhead(bool isUrgent) const;
     /// Returns the number of all instances' requests at the upstream.
     unsigned allInFlight() const { return m_inFlight + m_siblingLoad.inFlight; }
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -24,6 +24,11 @@
 // instances may have sent them there.
 constexpr double AffinityCredit = 0.5;
 constexpr double FailureWeight = 20;
+// Transfers between data centres take this many times as long.
+constexpr double RemoteTransferFactor = 2;
+// The share of beliefs about another engine's cache that are wrong, because it has evicted the
+// parts. A store keeps them for longer.
+constexpr double EvictedShare = 0.4;
 // A fetch costs a call to the source; computing fewer tokens than this is faster.
 constexpr unsigned MinFetchTokens = 128;
 constexpr double MaxSourceFailureShare = 0.3;
@@ -95,39 +100,103 @@
     return MemoryTurnover * (excess / static_cast<double>(demand.memoryCapacity));
 }
 
+/// A way to obtain the leading tokens of a prompt.
+struct PartSource
+{
+    std::shared_ptr<Upstream> engine;
+    bool isStore = false;
+    unsigned tokens = 0;
+    /// The time of the transfer, with the wait for it.
+    Milliseconds transfer {0};
+    /// The transfer and the prefill of the other tokens, with the delay that the prefill causes for
+    /// other requests.
+    Milliseconds cost {0};
+};
+
+double remoteFactor(const std::string &one, const std::string &other)
+{
+    return one.empty() || other.empty() || one == other ? 1 : RemoteTransferFactor;
+}
+
+/// Returns the time to transfer parts between the store and an engine.
+Milliseconds storeTransferTime(const EngineDemand &demand, const Upstream &engine, unsigned tokens,
+                               Core::Clock::Monotonic now)
+{
+    const double rate =
+        demand.storeTokensPerMillisecond > 0
+            ? std::min(demand.storeTokensPerMillisecond, demand.fetchTokensPerMillisecond)
+            : demand.fetchTokensPerMillisecond;
+    return demand.store->transfers().wait(now)
+           + remoteFactor(demand.store->dataCentre(), engine.report().dataCentre)
+                 * Milliseconds(tokens / rate);
+}
+
+/// Returns the fastest way to obtain the prompt's cached parts at the engine: its own cache alone,
+/// the engine with the most of them, or the store. The store's link is shared by all engines, so it
+/// is only used while its queue is short.
+PartSource fastestSource(const Upstream &engine, const EngineModel &model,
+                         const EngineDemand &demand, const BestCache &bestCache, unsigned cached,
+                         Core::Clock::Monotonic now)
+{
+    const auto prefillCost = [&model](unsigned tokens) {
+        return (1 + PrefillDelayWeight) * model.prefillTime(tokens);
+    };
+    PartSource best {nullptr, false, cached, Milliseconds(0),
+                     prefillCost(demand.promptTokens - cached)};
+    if (demand.fetchTokensPerMillisecond <= 0)
+        return best;
+    if (bestCache.engine && bestCache.engine.get() != &engine) {
+        const auto tokens = std::min(bestCache.tokens, demand.promptTokens);
+        if (tokens > cached + MinFetchTokens) {
+            PartSource source {bestCache.engine, false, tokens, Milliseconds(0), Milliseconds(0)};
+            source.transfer =
+                remoteFactor(bestCache.engine->report().dataCentre, engine.report().dataCentre)
+                * Milliseconds((tokens - cached) / demand.fetchTokensPerMillisecond);
+            source.cost = source.transfer + prefillCost(demand.promptTokens - tokens)
+                          + EvictedShare * prefillCost(tokens - cached);
+            if (source.cost < best.cost)
+                best = source;
+        }
+    }
+    const auto stored =
+        demand.store ? demand.store->storedTokens(demand.parts, engine.weights(demand.model)) : 0;
+    const auto tokens = std::min(stored, demand.promptTokens);
+    if (tokens > cached + MinFetchTokens) {
+        PartSource source {nullptr, true, tokens, Milliseconds(0), Milliseconds(0)};
+        source.transfer = storeTransferTime(demand, engine, tokens - cached, now);
+        source.cost = source.transfer + prefillCost(demand.promptTokens - tokens);
+        if (source.cost < best.cost)
+            best = source;
+    }
+    return best;
+}
+
 EngineChoice estimateChoice(const std::shared_ptr<Upstream> &engine, const EngineModel &model,
-                            const EngineDemand &demand, const BestCache &bestCache)
+                            const EngineDemand &demand, const BestCache &bestCache,
+                            Core::Clock::Monotonic now)
 {
     EngineChoice choice;
     choice.upstream = engine;
     choice.cachedTokens =
         std::min(engine->prefixCache().cachedTokens(demand.parts), demand.promptTokens);
-    choice.readyTokens = choice.cachedTokens;
-    Milliseconds fetch {0};
-    // Engines evict parts that the store still has, so the store is preferred if both have them.
-    const auto stored =
-        demand.store ? demand.store->storedTokens(demand.parts, engine->weights(demand.model)) : 0;
-    const bool isFromStore = stored > 0 && stored >= bestCache.tokens;
-    const auto available = std::min(std::max(stored, bestCache.tokens), demand.promptTokens);
-    const bool hasSource = isFromStore || (bestCache.engine && bestCache.engine != engine);
-    if (demand.fetchTokensPerMillisecond > 0 && hasSource
-        && available > choice.cachedTokens + MinFetchTokens) {
-        choice.isFromStore = isFromStore;
-        choice.source = isFromStore ? nullptr : bestCache.engine;
-        choice.readyTokens = available;
-        fetch = Milliseconds((available - choice.cachedTokens) / demand.fetchTokensPerMillisecond);
-    }
-    const auto tokens =
-        engine->tokensAhead(demand.isUrgent) + demand.promptTokens - choice.readyTokens;
+    const auto source = fastestSource(*engine, model, demand, bestCache, choice.cachedTokens, now);
+    choice.source = source.engine;
+    choice.isFromStore = source.isStore;
+    choice.readyTokens = source.tokens;
+    const auto ownTokens = demand.promptTokens - choice.readyTokens;
+    choice.expectedWait =
+        engine->slowness() * model.prefillTime(engine->tokensAhead(demand.isUrgent))
+        + memoryWait(*engine, demand);
     choice.expectedFirstToken =
-        engine->slowness() * model.firstToken(tokens) + fetch + memoryWait(*engine, demand);
+        choice.expectedWait + engine->slowness() * model.firstToken(ownTokens) + source.transfer;
     return choice;
 }
 
 /// Sets a speculative source if no source of the session's parts is known. The expected time does
 /// not depend on it.
-void setSpeculativeSource(EngineChoice &choice, const EngineDemand &demand,
-                          const ChoiceLimits &limits, const std::shared_ptr<Upstream> &preferred)
+void setSpeculativeSource(EngineChoice &choice, const EngineModel &model,
+                          const EngineDemand &demand, const ChoiceLimits &limits,
+                          const std::shared_ptr<Upstream> &preferred)
 {
     const bool isKnown = choice.source || choice.isFromStore;
     if (isKnown || demand.fetchTokensPerMillisecond <= 0
@@ -137,9 +206,12 @@
         preferred && preferred != choice.upstream
         && preferred->weights(demand.model) == choice.upstream->weights(demand.model)
         && preferred->failureShare(limits.now) <= MaxSourceFailureShare;
+    const auto tokens = demand.sharedTokens - choice.cachedTokens;
     if (isRemote)
         choice.source = preferred;
-    else if (demand.store && demand.sharedTokens >= KvCacheStore::MinTokens)
+    else if (demand.store && demand.sharedTokens >= KvCacheStore::MinTokens
+             && storeTransferTime(demand, *choice.upstream, tokens, limits.now)
+                    < (1 + PrefillDelayWeight) * model.prefillTime(tokens))
         choice.isFromStore = true;
     choice.isSpeculative = choice.source || choice.isFromStore;
 }
@@ -151,7 +223,7 @@
     const double rate = model.tokensPerMillisecond();
     auto sum = choice.expectedFirstToken
                + PrefillDelayWeight * upstream.slowness()
-                     * Milliseconds((demand.promptTokens - choice.readyTokens) / rate);
+                     * model.prefillTime(demand.promptTokens - choice.readyTokens);
     sum += upstream.failureShare(limits.now) * FailureCost;
     const auto running = upstream.allInFlight();
     if (running >= demand.slots)
@@ -188,7 +260,7 @@
     Milliseconds bestCost {0};
     for (const auto &candidate : candidates) {
         const auto &bestCache = bestCaches[candidate->weights(demand.model)];
-        auto choice = estimateChoice(candidate, model, demand, bestCache);
+        auto choice = estimateChoice(candidate, model, demand, bestCache, limits.now);
         const auto sum = cost(choice, model, demand, limits, candidate == preferred);
         if (!best || sum < bestCost) {
             best = std::move(choice);
@@ -196,7 +268,7 @@
         }
     }
     if (best)
-        setSpeculativeSource(*best, demand, limits, preferred);
+        setSpeculativeSource(*best, model, demand, limits, preferred);
     return best;
 }
 
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -47,6 +47,9 @@
     const KvCacheStore *store = nullptr;
     /// The rate at which engines transfer cached parts to each other; zero if they cannot.
     double fetchTokensPerMillisecond = 0;
+    /// The rate at which the store transfers parts, without the wait for other transfers; zero if
+    /// it is limited by the engines' links only.
+    double storeTokensPerMillisecond = 0;
 };
 
 /// The chosen engine and the estimates for it.
@@ -64,6 +67,8 @@
     bool isSpeculative = false;
     /// Leading tokens that are not expected to need prefill, including fetched ones.
     unsigned readyTokens = 0;
+    /// The expected wait for the prompts ahead and for memory, without the prompt's own prefill.
+    EngineModel::Milliseconds expectedWait {0};
     EngineModel::Milliseconds expectedFirstToken {0};
 };
 
--- a/Libraries/LibGateway/WeightsRollout.cpp
+++ b/Libraries/LibGateway/WeightsRollout.cpp
@@ -23,19 +23,17 @@
 constexpr auto OrderMargin = 300ms;
 // Instances try to acquire a free lease in turn, at this interval, to avoid conflicts.
 constexpr auto TurnInterval = 60ms;
-// An engine refuses requests while it executes an order, so it is paused, and the requests sent
-// before the order are started first.
+// An engine refuses requests while it executes an order, so it is paused.
 constexpr auto PauseTime = 2'500ms;
-// Bounds on the wait before an order, in which requests that siblings sent before they received the
-// pause start at the engine.
-constexpr std::chrono::milliseconds MinPauseNotice = 20ms;
-constexpr std::chrono::milliseconds MaxPauseNotice = 300ms;
+// In the minimum time, requests that siblings sent before they received the pause arrive.
+constexpr auto MinDrainTime = 20ms;
+constexpr auto MaxDrainTime = 500ms;
+constexpr auto DrainPollInterval = 10ms;
 constexpr auto MaxOrderTime = 3'000ms;
 constexpr auto ConflictBackOff = 250ms;
 constexpr auto FailureBackOff = 1'000ms;
-// At most the number of engines divided by this load weights at the same time. More would leave too
-// few engines to serve requests.
-constexpr std::size_t ConcurrencyDivisor = 2;
+// Engines that finish their requests, in relation to those that load weights.
+constexpr std::size_t UpdatesPerLoad = 2;
 
 } // namespace
 
@@ -81,12 +79,9 @@
         const bool isHolder = co_await ensureLease(targetSince);
         if (!isHolder)
             continue;
-        std::size_t engines = 0;
-        for (const auto &[id, engine] : m_dependencies.fleet.all())
-            engines += engine->report().weights.empty() ? 0 : 1;
-        const auto maxUpdates = std::max<std::size_t>(1, engines / ConcurrencyDivisor);
+        const auto maxUpdates = UpdatesPerLoad * m_pace.limit(engineCount());
         for (auto &task : pending) {
-            if (m_runningUpdates >= maxUpdates)
+            if (m_runningUpdates - m_stuck >= maxUpdates)
                 break;
             ++m_runningUpdates;
             m_isUpdating[task.engine->report().id] = true;
@@ -96,6 +91,14 @@
     }
 }
 
+std::size_t WeightsRollout::engineCount() const
+{
+    const auto &all = m_dependencies.fleet.all();
+    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto &item) {
+        return !item.second->report().weights.empty();
+    }));
+}
+
 bool WeightsRollout::isTurn(Core::Clock::Monotonic targetSince) const
 {
     // Members that do not respond would only delay the others' turns.
@@ -119,9 +122,7 @@
 {
     std::string failure;
     try {
-        const bool isOrdered = co_await sendOrder(task);
-        if (isOrdered)
-            co_await awaitWeights(task);
+        co_await loadWeights(task);
     } catch (const Core::Error &error) {
         failure = error.what();
     }
@@ -170,22 +171,52 @@
     m_isRefreshing.erase(id);
 }
 
-asio::awaitable<bool> WeightsRollout::sendOrder(const Task &task)
+asio::awaitable<void> WeightsRollout::loadWeights(const Task &task)
 {
-    const auto &id = task.engine->report().id;
     const auto state = co_await stateOf(*task.engine);
     if (task.engine->weights(task.model) >= task.version)
-        co_return false;
+        co_return;
     if (state.isBusy) {
         backOff(task, ConflictBackOff);
-        co_return false;
+        co_return;
     }
+    pause(task);
+    co_await awaitIdle(task);
+    co_await awaitTurnToLoad(task);
+    const bool isOrdered = co_await sendOrder(task, state);
+    if (isOrdered)
+        co_await awaitWeights(task);
+}
+
+void WeightsRollout::pause(const Task &task)
+{
     task.engine->pauseUntil(m_dependencies.clock.now() + PauseTime);
     if (onPause)
         onPause(*task.engine, PauseTime);
+}
+
+asio::awaitable<void> WeightsRollout::awaitIdle(const Task &task)
+{
     // An engine drops its queued requests when it receives an order, and they would have to be
     // retried at other engines.
-    co_await sleepFor(timeUntilStarted(*task.engine));
+    const auto start = m_dependencies.clock.now();
+    co_await sleepFor(MinDrainTime);
+    while (task.engine->allInFlight() > 0 && m_dependencies.clock.now() - start < MaxDrainTime)
+        co_await sleepFor(DrainPollInterval);
+}
+
+asio::awaitable<void> WeightsRollout::awaitTurnToLoad(const Task &task)
+{
+    const auto start = m_dependencies.clock.now();
+    while (m_loading >= m_pace.limit(engineCount()))
+        co_await sleepFor(DrainPollInterval);
+    if (m_dependencies.clock.now() - start > PauseTime / 2)
+        pause(task);
+}
+
+asio::awaitable<bool> WeightsRollout::sendOrder(const Task &task, const EngineState &state)
+{
+    const auto &id = task.engine->report().id;
     const auto token =
         m_dependencies.journal.lease().token(m_dependencies.clock.now(), OrderMargin);
     if (!token)
@@ -221,35 +252,43 @@
     co_return false;
 }
 
-std::chrono::milliseconds WeightsRollout::timeUntilStarted(const Upstream &engine) const
-{
-    const auto tokens = engine.tokensAhead(false);
-    const auto prefillTime = m_dependencies.expectedFirstToken
-                                 ? m_dependencies.expectedFirstToken(engine, tokens)
-                                 : EngineModel::Milliseconds(0);
-    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(prefillTime), MinPauseNotice,
-                      MaxPauseNotice);
-}
-
 asio::awaitable<void> WeightsRollout::awaitWeights(const Task &task)
 {
     const auto start = m_dependencies.clock.now();
-    while (m_dependencies.clock.now() - start < MaxOrderTime) {
-        co_await sleepFor(StateInterval);
-        if (task.engine->isRemoved())
-            co_return;
-        co_await stateOf(*task.engine);
-        if (task.engine->weights(task.model) < task.version)
-            continue;
-        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-            m_dependencies.clock.now() - start);
-        Core::logEvent(Core::EventId::WeightsInPlace,
-                       {{"upstream", task.engine->report().id.value()},
-                        {"version", std::to_string(task.version)},
-                        {"took_ms", std::to_string(elapsed.count())}});
+    const auto elapsed = [&] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_dependencies.clock.now()
+                                                                     - start);
+    };
+    ++m_loading;
+    bool isStuck = false;
+    std::optional<Core::Error> failure;
+    try {
+        while (elapsed() < MaxOrderTime && !task.engine->isRemoved()
+               && task.engine->weights(task.model) < task.version) {
+            co_await sleepFor(StateInterval);
+            // An order may be carried out late. The others do not wait for it.
+            if (!isStuck && elapsed() > m_pace.stuckAfter()) {
+                isStuck = true;
+                --m_loading;
+                ++m_stuck;
+            }
+            co_await stateOf(*task.engine);
+        }
+    } catch (const Core::Error &error) {
+        failure = error;
+    }
+    --(isStuck ? m_stuck : m_loading);
+    if (failure)
+        throw *failure;
+    if (task.engine->weights(task.model) < task.version) {
+        backOff(task, ConflictBackOff);
         co_return;
     }
-    backOff(task, ConflictBackOff);
+    m_pace.noteLoad(elapsed(), engineCount(), m_dependencies.clock.now());
+    Core::logEvent(Core::EventId::WeightsInPlace, {{"upstream", task.engine->report().id.value()},
+                                                   {"version", std::to_string(task.version)},
+                                                   {"took_ms", std::to_string(elapsed().count())},
+                                                   {"concurrent", std::to_string(m_loading + 1)}});
 }
 
 void WeightsRollout::backOff(const Task &task, std::chrono::milliseconds time)
--- a/Libraries/LibGateway/WeightsRollout.h
+++ b/Libraries/LibGateway/WeightsRollout.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <LibGateway/EngineControl.h>
-#include <LibGateway/EngineModel.h>
 #include <LibGateway/FleetJournal.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/UpstreamFleet.h>
+#include <LibGateway/WeightsLoadPace.h>
 #include <LibGateway/WeightsTargets.h>
 
 #include <functional>
@@ -13,7 +13,9 @@
 namespace Gateway {
 
 /// Updates engines to the weights that operators configured, a few at a time, while this instance
-/// holds the order lease.
+/// holds the order lease. An engine first finishes its requests while no new ones are sent to it,
+/// so that it is idle when it receives the order and loads at once; the next engines finish theirs
+/// meanwhile.
 class WeightsRollout
 {
 public:
@@ -27,9 +29,6 @@
         const Core::Clock &clock;
         GatewayMetrics &metrics;
         Core::InstanceId self;
-        /// Estimates the time until the upstream has prefilled this many tokens; may be empty.
-        std::function<EngineModel::Milliseconds(const Upstream &, std::uint64_t tokens)>
-            expectedFirstToken;
     };
 
     explicit WeightsRollout(Dependencies dependencies);
@@ -59,12 +58,18 @@
     };
 
     std::vector<Task> tasks() const;
+    std::size_t engineCount() const;
     bool isTurn(Core::Clock::Monotonic targetSince) const;
     boost::asio::awaitable<bool> ensureLease(Core::Clock::Monotonic targetSince);
     boost::asio::awaitable<void> updateEngine(Task task);
-    boost::asio::awaitable<bool> sendOrder(const Task &task);
-    /// Estimates the time until all queued requests have started at the engine.
-    std::chrono::milliseconds timeUntilStarted(const Upstream &engine) const;
+    /// Stops new requests to the engine, waits until it has finished most of the others, orders the
+    /// weights and waits for them.
+    boost::asio::awaitable<void> loadWeights(const Task &task);
+    void pause(const Task &task);
+    boost::asio::awaitable<void> awaitIdle(const Task &task);
+    /// Waits until fewer engines load weights than may do so at the same time.
+    boost::asio::awaitable<void> awaitTurnToLoad(const Task &task);
+    boost::asio::awaitable<bool> sendOrder(const Task &task, const EngineState &state);
     boost::asio::awaitable<void> awaitWeights(const Task &task);
     boost::asio::awaitable<EngineState> stateOf(Upstream &engine);
     void noteWeights(Upstream &engine, const EngineState &state) const;
@@ -75,7 +80,12 @@
     /// The number of orders that each engine is known to have accepted; its last reported count may
     /// be older.
     std::map<Core::UpstreamId, std::uint64_t> m_acceptedOrders;
+    WeightsLoadPace m_pace;
     std::size_t m_runningUpdates = 0;
+    /// Engines that were sent an order and do not have the weights yet: those that are expected to
+    /// load them, and those that take so long that others do not wait for them.
+    std::size_t m_loading = 0;
+    std::size_t m_stuck = 0;
     std::map<Core::UpstreamId, bool> m_isUpdating;
     std::map<Core::UpstreamId, bool> m_isRefreshing;
 };
