LibGateway: Keep each engine's queue at one instance, and long prefills apart from streams

After an upstream had fallen silent, all requests went there again when its pause ended.

Change: EngineQueueExchange keeps the queue of each engine at one instance, found by hashing; others ask it with one datagram before they send, and choose again if the queue is longer than they knew. An upstream that did not answer gets one request at a time until it answers.

Ruled out: shorter report intervals (work grows with the square of the instances).

--- a/Libraries/LibGateway/EngineModel.cpp
+++ b/Libraries/LibGateway/EngineModel.cpp
@@ -14,6 +14,9 @@
 // falls.
 constexpr double RisingGain = 0.2;
 constexpr double FallingGain = 0.02;
+// Most streams run beside no long prefill, so the estimate follows the longer pauses.
+constexpr double RisingPauseGain = 0.1;
+constexpr double FallingPauseGain = 0.01;
 constexpr double MinRate = 1;
 constexpr double MaxRate = 2'000;
 
@@ -39,4 +42,10 @@
     m_tokensPerMillisecond += gain * (sample - m_tokensPerMillisecond);
 }
 
+void EngineModel::addPause(Milliseconds longest)
+{
+    const double gain = longest > m_pauseDuringPrefill ? RisingPauseGain : FallingPauseGain;
+    m_pauseDuringPrefill += gain * (longest - m_pauseDuringPrefill);
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/EngineModel.h
+++ b/Libraries/LibGateway/EngineModel.h
@@ -5,7 +5,8 @@
 
 namespace Gateway {
 
-/// Estimates the prefill rate of a service's engines from their observed times to the first token.
+/// Estimates the prefill rate of a service's engines from their observed times to the first token,
+/// and how long prefill interrupts the streams that run beside it.
 class EngineModel
 {
 public:
@@ -18,6 +19,10 @@
     Milliseconds firstToken(std::uint64_t tokensToPrefill) const;
     /// Updates the rate from an answer whose prompt did not compete with others at its engine.
     void addSample(unsigned prefilledTokens, Milliseconds firstToken);
+    /// Records the longest pause between two events of a stream.
+    void addPause(Milliseconds longest);
+    /// Returns the pause that running streams make while their engine prefills long prompts.
+    Milliseconds pauseDuringPrefill() const { return m_pauseDuringPrefill; }
     double tokensPerMillisecond() const { return m_tokensPerMillisecond; }
 
 private:
@@ -26,6 +31,7 @@
     static constexpr double InitialRate = 50;
 
     double m_tokensPerMillisecond = InitialRate;
+    Milliseconds m_pauseDuringPrefill {0};
 };
 
 } // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/EngineQueue.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibGateway/Upstream.h>
+
+#include <compare>
+#include <map>
+#include <optional>
+
+namespace Gateway {
+
+/// The prompts of all instances at one engine. Knows which prompt is being prefilled and how far,
+/// because an engine prefills one prompt at a time, urgent ones first.
+class EngineQueue
+{
+public:
+    /// Identifies a prompt.
+    struct Key
+    {
+        /// The incarnation of the instance that sent it.
+        std::uint64_t incarnation = 0;
+        std::uint64_t number = 0;
+        auto operator<=>(const Key &) const = default;
+    };
+    struct Prompt
+    {
+        std::uint64_t tokens = 0;
+        std::uint64_t memoryTokens = 0;
+        bool isUrgent = false;
+        /// When the prompt is forgotten if nothing is heard of it.
+        Core::Clock::Monotonic expiry;
+    };
+
+    /// Returns the load of the engine. The tokens that the engine has prefilled of the prompt in
+    /// progress, at the given rate, do not count.
+    SiblingLoad load(double tokensPerMillisecond, Core::Clock::Monotonic now) const;
+    void add(const Key &key, const Prompt &prompt, Core::Clock::Monotonic now);
+    void noteFirstToken(const Key &key, Core::Clock::Monotonic now);
+    void remove(const Key &key, Core::Clock::Monotonic now);
+    void dropExpired(Core::Clock::Monotonic now);
+    bool isEmpty() const { return m_prompts.empty(); }
+
+private:
+    struct Entry
+    {
+        Prompt prompt;
+        std::uint64_t order = 0;
+        bool hasFirstToken = false;
+    };
+    using Prompts = std::map<Key, Entry>;
+
+    void stopWaiting(Entry &entry);
+    Prompts::iterator erase(Prompts::iterator it);
+    void updateCurrent(Core::Clock::Monotonic now);
+
+    Prompts m_prompts;
+    SiblingLoad m_load;
+    std::uint64_t m_lastOrder = 0;
+    /// The prompt that is being prefilled.
+    std::optional<Key> m_current;
+    Core::Clock::Monotonic m_currentSince;
+};
+
+} // namespace Gateway
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -41,6 +41,15 @@
 struct SiblingReport;
 struct SiblingReportBuilder;
 
+struct QueueAsk;
+
+struct QueueAnswer;
+
+struct QueueNote;
+
+struct QueueMessage;
+struct QueueMessageBuilder;
+
 struct PartEntry;
 
 struct HolderBeliefs;
@@ -146,6 +155,36 @@
   return EnumNamesScope()[index];
 }
 
+enum class QueueStep : uint8_t {
+  FirstToken = 0,
+  End = 1,
+  MIN = FirstToken,
+  MAX = End
+};
+
+inline const QueueStep (&EnumValuesQueueStep())[2] {
+  static const QueueStep values[] = {
+    QueueStep::FirstToken,
+    QueueStep::End
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesQueueStep() {
+  static const char * const names[3] = {
+    "FirstToken",
+    "End",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameQueueStep(QueueStep e) {
+  if (flatbuffers::IsOutRange(e, QueueStep::FirstToken, QueueStep::End)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesQueueStep()[index];
+}
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Load FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -312,6 +351,127 @@
 };
 FLATBUFFERS_STRUCT_END(StoreLife, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QueueAsk FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t upstream_;
+  uint32_t tokens_;
+  uint32_t memory_tokens_;
+  uint32_t expires_ms_;
+  uint8_t is_urgent_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  QueueAsk()
+      : number_(0),
+        upstream_(0),
+        tokens_(0),
+        memory_tokens_(0),
+        expires_ms_(0),
+        is_urgent_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  QueueAsk(uint64_t _number, uint64_t _upstream, uint32_t _tokens, uint32_t _memory_tokens, uint32_t _expires_ms, bool _is_urgent)
+      : number_(flatbuffers::EndianScalar(_number)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        memory_tokens_(flatbuffers::EndianScalar(_memory_tokens)),
+        expires_ms_(flatbuffers::EndianScalar(_expires_ms)),
+        is_urgent_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_urgent))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+  uint32_t memory_tokens() const {
+    return flatbuffers::EndianScalar(memory_tokens_);
+  }
+  uint32_t expires_ms() const {
+    return flatbuffers::EndianScalar(expires_ms_);
+  }
+  bool is_urgent() const {
+    return flatbuffers::EndianScalar(is_urgent_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(QueueAsk, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QueueAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  Gateway::Wire::Load load_;
+
+ public:
+  QueueAnswer()
+      : number_(0),
+        load_() {
+  }
+  QueueAnswer(uint64_t _number, const Gateway::Wire::Load &_load)
+      : number_(flatbuffers::EndianScalar(_number)),
+        load_(_load) {
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  const Gateway::Wire::Load &load() const {
+    return load_;
+  }
+};
+FLATBUFFERS_STRUCT_END(QueueAnswer, 40);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QueueNote FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t upstream_;
+  uint8_t step_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  QueueNote()
+      : number_(0),
+        upstream_(0),
+        step_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  QueueNote(uint64_t _number, uint64_t _upstream, Gateway::Wire::QueueStep _step)
+      : number_(flatbuffers::EndianScalar(_number)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        step_(flatbuffers::EndianScalar(static_cast<uint8_t>(_step))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  Gateway::Wire::QueueStep step() const {
+    return static_cast<Gateway::Wire::QueueStep>(flatbuffers::EndianScalar(step_));
+  }
+};
+FLATBUFFERS_STRUCT_END(QueueNote, 24);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartEntry FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t chain_;
@@ -858,6 +1018,97 @@
       unreachable__);
 }
 
+struct QueueMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueMessageBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIFE = 4,
+    VT_ASKS = 6,
+    VT_ANSWERS = 8,
+    VT_NOTES = 10
+  };
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::QueueAsk *> *asks() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::QueueAsk *> *>(VT_ASKS);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::QueueAnswer *> *answers() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::QueueAnswer *> *>(VT_ANSWERS);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::QueueNote *> *notes() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::QueueNote *> *>(VT_NOTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyOffset(verifier, VT_ASKS) &&
+           verifier.VerifyVector(asks()) &&
+           VerifyOffset(verifier, VT_ANSWERS) &&
+           verifier.VerifyVector(answers()) &&
+           VerifyOffset(verifier, VT_NOTES) &&
+           verifier.VerifyVector(notes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QueueMessageBuilder {
+  typedef QueueMessage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(QueueMessage::VT_LIFE, life, 0);
+  }
+  void add_asks(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QueueAsk *>> asks) {
+    fbb_.AddOffset(QueueMessage::VT_ASKS, asks);
+  }
+  void add_answers(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QueueAnswer *>> answers) {
+    fbb_.AddOffset(QueueMessage::VT_ANSWERS, answers);
+  }
+  void add_notes(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QueueNote *>> notes) {
+    fbb_.AddOffset(QueueMessage::VT_NOTES, notes);
+  }
+  explicit QueueMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueueMessage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueueMessage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueueMessage> CreateQueueMessage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t life = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QueueAsk *>> asks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QueueAnswer *>> answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QueueNote *>> notes = 0) {
+  QueueMessageBuilder builder_(_fbb);
+  builder_.add_life(life);
+  builder_.add_notes(notes);
+  builder_.add_answers(answers);
+  builder_.add_asks(asks);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QueueMessage> CreateQueueMessageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t life = 0,
+    const std::vector<Gateway::Wire::QueueAsk> *asks = nullptr,
+    const std::vector<Gateway::Wire::QueueAnswer> *answers = nullptr,
+    const std::vector<Gateway::Wire::QueueNote> *notes = nullptr) {
+  auto asks__ = asks ? _fbb.CreateVectorOfStructs<Gateway::Wire::QueueAsk>(*asks) : 0;
+  auto answers__ = answers ? _fbb.CreateVectorOfStructs<Gateway::Wire::QueueAnswer>(*answers) : 0;
+  auto notes__ = notes ? _fbb.CreateVectorOfStructs<Gateway::Wire::QueueNote>(*notes) : 0;
+  return Gateway::Wire::CreateQueueMessage(
+      _fbb,
+      life,
+      asks__,
+      answers__,
+      notes__);
+}
+
 struct HolderBeliefs FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HolderBeliefsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibGateway/ConfigurationState.h>
 #include <LibGateway/EngineModel.h>
+#include <LibGateway/EngineQueueExchange.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/KvCacheStores.h>
@@ -68,6 +69,9 @@
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     RetryBudgetShare &retries(const std::string &service) { return m_retries[service]; }
     ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
+    /// The queues of engines; null if instances decide by load reports alone.
+    EngineQueueExchange *engineQueues() const { return m_engineQueues; }
+    void setEngineQueues(EngineQueueExchange *queues) { m_engineQueues = queues; }
     std::minstd_rand &random() { return m_random; }
 
     /// Called with the digest of a request during which an upstream failed.
@@ -96,6 +100,7 @@
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, RetryBudgetShare> m_retries;
     std::map<std::string, ReturningCallers> m_returning;
+    EngineQueueExchange *m_engineQueues = nullptr;
     std::minstd_rand m_random;
     std::optional<unsigned> m_instanceCount;
     bool m_isDraining = false;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -51,6 +51,14 @@
           [this] { applyConfiguration(); })
     , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_members)
     , m_siblings(m_threads.at(0), {m_interfaces.clock, m_members, m_fleet, m_gateway.stores()})
+    , m_engineQueues(m_threads.at(0),
+                     {m_interfaces.clock, m_members, m_fleet,
+                      [this](const std::string &service) {
+                          return m_gateway.engineModel(service).tokensPerMillisecond();
+                      },
+                      [this](const Http::Endpoint &sibling, std::string_view datagram) {
+                          m_siblings.sendTo(sibling, datagram);
+                      }})
     , m_storeMonitor({m_gateway.stores(), m_interfaces.engines, m_members, m_interfaces.clock})
     , m_cacheSnapshots({m_log, m_members, m_fleet, m_gateway.stores(), m_interfaces.clock})
     , m_weightsRollout({m_journal, m_members, m_interfaces.engines, m_fleet, m_weights,
@@ -108,6 +116,7 @@
     asio::co_spawn(context, m_siblings.send(), asio::detached);
     asio::co_spawn(context, m_siblings.sendUrgent(), asio::detached);
     asio::co_spawn(context, m_siblings.receive(), asio::detached);
+    asio::co_spawn(context, m_engineQueues.run(), asio::detached);
     asio::co_spawn(context, m_cacheSnapshots.run(), asio::detached);
     asio::co_spawn(context, m_weightsRollout.run(), asio::detached);
     asio::co_spawn(context, countInstances(), asio::detached);
@@ -126,6 +135,10 @@
     m_gateway.onPartsStored = [this](const KvCacheStore &store, std::span<const PromptPart> parts) {
         m_siblings.publishStoredParts(store, parts);
     };
+    m_gateway.setEngineQueues(&m_engineQueues);
+    m_siblings.onQueueMessage = [this](std::string_view datagram, const Http::Endpoint &from) {
+        m_engineQueues.apply(datagram, from);
+    };
     m_storeMonitor.onAnswer = [this](std::uint64_t holder, std::uint64_t epoch) {
         m_siblings.publishStoreEpoch(holder, epoch);
     };
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -3,6 +3,7 @@
 #include <LibCore/IoThreads.h>
 #include <LibGateway/CacheSnapshotService.h>
 #include <LibGateway/EngineControl.h>
+#include <LibGateway/EngineQueueExchange.h>
 #include <LibGateway/FleetJournal.h>
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/Gateway.h>
@@ -81,6 +82,7 @@
     FleetWatcher m_watcher;
     FleetJournal m_journal;
     SiblingExchange m_siblings;
+    EngineQueueExchange m_engineQueues;
     KvCacheStoreMonitor m_storeMonitor;
     CacheSnapshotService m_cacheSnapshots;
     WeightsRollout m_weightsRollout;
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -52,6 +52,7 @@
          {"sends", std::to_string(progress.sends)},
          {"took_ms", formatMilliseconds(now - request.arrival)},
          {"first_ms", formatMilliseconds(progress.firstByte.value_or(now) - request.arrival)},
+         {"pause_ms", formatMilliseconds(progress.longestPause)},
          {"expected_ms", formatMilliseconds(engine.expectedFirstToken)},
          {"ready_tokens", std::to_string(engine.readyTokens)},
          {"kept_tokens", std::to_string(engine.cachedTokens)},
--- a/Libraries/LibGateway/RequestLog.h
+++ b/Libraries/LibGateway/RequestLog.h
@@ -3,6 +3,7 @@
 #include <LibGateway/AcceptedRequest.h>
 #include <LibGateway/RequestPlan.h>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,16 @@
 {
     unsigned sends = 0;
     std::optional<Core::Clock::Monotonic> firstByte;
+    /// When the last events of a stream were relayed, and the longest pause between two of them.
+    std::optional<Core::Clock::Monotonic> lastEvents;
+    std::chrono::nanoseconds longestPause {0};
+
+    void noteEvents(Core::Clock::Monotonic now)
+    {
+        if (lastEvents)
+            longestPause = std::max(longestPause, now - *lastEvents);
+        lastEvents = now;
+    }
 };
 
 /// Functions that log the events of a request. Each event contains the attempt id of the caller.
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -62,6 +62,8 @@
     demand.sharedTokens = request.sharedTokens();
     demand.model = request.caller.model;
     demand.isUrgent = isUrgent(*request.route, request.tenant);
+    if (request.route->kind == RequestKind::Stream)
+        demand.pauseTarget = request.route->gapTarget;
     demand.targets = &dependencies.weights;
     demand.maxOutdatedTime =
         duration_cast<milliseconds>(MaxOutdatedShare * dependencies.settings.weightsBound);
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -31,6 +31,9 @@
 // The list entry of an upstream expires after this many missed reports.
 constexpr int MaxMissedReports = 3;
 constexpr auto BusyPause = 120ms;
+// A queue that is longer than known by fewer tokens does not change the choice.
+constexpr std::uint64_t MaxUnknownTokens = 500;
+constexpr unsigned MaxQueueQueries = 3;
 // If the expected time to the first token is shorter, the measured time says little about the speed
 // of the engine.
 constexpr EngineModel::Milliseconds MinSlownessSampleTime {20};
@@ -116,7 +119,11 @@
 {
     bool isFirst = true;
     for (;;) {
-        auto plan = planRequest(m_gateway, m_request, m_excluded);
+        auto plan = co_await this->plan();
+        if (m_cancelReason != CancelReason::None) {
+            co_await finish(AttemptOutcome::Cancelled);
+            co_return;
+        }
         const auto *refusal = std::get_if<Refusal>(&plan);
         if (refusal && (m_mayHaveExecuted || m_errorResponse || m_exchange.hasStarted())) {
             co_await finish(AttemptOutcome::Interrupted);
@@ -149,6 +156,30 @@
     }
 }
 
+asio::awaitable<std::variant<RequestPlan, Refusal>> RequestRelay::plan()
+{
+    auto *queues = m_gateway.engineQueues();
+    std::shared_ptr<Upstream> entered;
+    for (unsigned queries = 0;;) {
+        auto planned = planRequest(m_gateway, m_request, m_excluded);
+        const auto *plan = std::get_if<RequestPlan>(&planned);
+        if (plan && plan->upstream == entered)
+            co_return planned;
+        m_place.reset();
+        if (!plan || !plan->engine || !queues)
+            co_return planned;
+        entered = plan->upstream;
+        const auto known = entered->tokensAhead(false);
+        m_place = co_await queues->enter(
+            entered, {plan->uncachedTokens(m_request), m_request.memoryTokens(),
+                      isUrgent(*m_request.route, m_request.tenant), remainingTime()});
+        const bool isAsKnown = entered->tokensAhead(false) <= known + MaxUnknownTokens;
+        if (!m_place || isAsKnown || ++queries > MaxQueueQueries
+            || m_cancelReason != CancelReason::None)
+            co_return planned;
+    }
+}
+
 bool RequestRelay::mayStillSend()
 {
     if (m_cancelReason != CancelReason::None)
@@ -215,7 +246,7 @@
     }
     UpstreamLoad load(m_plan->upstream, uncached, m_request.memoryTokens(),
                       isUrgent(*m_request.route, m_request.tenant),
-                      m_gateway.dependencies().clock.now());
+                      m_gateway.dependencies().clock.now(), std::move(m_place));
     const auto end = co_await sendToUpstream(load);
     const auto now = m_gateway.dependencies().clock.now();
     if (end == AttemptOutcome::Answered)
@@ -333,6 +364,7 @@
 asio::awaitable<RequestRelay::AttemptOutcome>
 RequestRelay::relayAnswer(Http::ClientExchange &answer, UpstreamLoad &load)
 {
+    m_plan->upstream->noteReached();
     const auto head = m_gateway.dependencies().dialect.readHead(answer.status(), answer.headers());
     if (!head.attemptId.empty() && head.attemptId != m_request.caller.attemptId) {
         Core::logEvent(Core::EventId::UpstreamAnswerInvalid,
@@ -371,9 +403,7 @@
 
 void RequestRelay::noteUnreachable()
 {
-    const auto now = m_gateway.dependencies().clock.now();
-    m_plan->upstream->pauseUntil(
-        std::max(m_plan->upstream->pausedUntil(), now + Upstream::UnreachablePause));
+    m_plan->upstream->noteUnreachable(m_gateway.dependencies().clock.now());
     if (m_gateway.onUnreachable)
         m_gateway.onUnreachable(*m_plan->upstream);
 }
@@ -436,6 +466,7 @@
         const auto events = m_events.feed(*chunk);
         if (events.empty())
             continue;
+        m_progress.noteEvents(m_gateway.dependencies().clock.now());
         if (load.noteFirstToken())
             noteFirstToken(load);
         if (!m_exchange.hasStarted())
@@ -447,6 +478,8 @@
                                               "the stream ended in the middle of an event"));
     if (!m_exchange.hasStarted())
         co_await m_exchange.startStream(answer.status(), headers);
+    if (m_plan->engine)
+        m_gateway.engineModel(m_plan->service).addPause(m_progress.longestPause);
     co_await m_exchange.finishStream();
     co_return AttemptOutcome::Answered;
 }
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace Gateway {
 
@@ -59,6 +60,9 @@
     void startTimers();
     void cancel(CancelReason reason);
     boost::asio::awaitable<void> runAttempts();
+    /// Plans an attempt. If an engine is chosen, enters the prompt in its queue; if that is longer
+    /// than known, the choice is repeated.
+    boost::asio::awaitable<std::variant<RequestPlan, Refusal>> plan();
     bool mayStillSend();
     bool mayRetry(AttemptOutcome end);
     boost::asio::awaitable<AttemptOutcome> runAttempt();
@@ -88,6 +92,8 @@
     /// The plan of the current or last attempt; empty before the first.
     std::optional<RequestPlan> m_plan;
     std::set<Core::UpstreamId> m_excluded;
+    /// The entry in the queue of the planned engine; null if there is none.
+    std::unique_ptr<QueuePlace> m_place;
     /// Number of attempts that an upstream may have executed.
     unsigned m_executions = 0;
     RequestProgress m_progress;
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
+#include <LibGateway/EngineQueueExchange.h>
 #include <LibGateway/FleetMessages_generated.h>
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/SiblingExchange.h>
@@ -166,12 +167,16 @@
 
 void SiblingExchange::sendTo(const std::vector<FleetMember> &members, const std::string &datagram)
 {
-    for (const auto &member : members) {
-        const asio::ip::udp::endpoint to(member.endpoint.address(), member.endpoint.port());
-        // When the send buffer is full, the datagram is lost like any other.
-        boost::system::error_code ec;
-        m_socket.send_to(asio::buffer(datagram), to, 0, ec);
-    }
+    for (const auto &member : members)
+        sendTo(member.endpoint, datagram);
+}
+
+void SiblingExchange::sendTo(const Http::Endpoint &member, std::string_view datagram)
+{
+    // When the send buffer is full, the datagram is lost like any other.
+    boost::system::error_code ec;
+    m_socket.send_to(asio::buffer(datagram),
+                     asio::ip::udp::endpoint(member.address(), member.port()), 0, ec);
 }
 
 asio::awaitable<void> SiblingExchange::receive()
@@ -183,8 +188,13 @@
             asio::buffer(m_buffer), from, asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted)
             co_return;
-        if (!ec)
-            apply(std::string_view(m_buffer.data(), n));
+        if (ec)
+            continue;
+        const std::string_view datagram(m_buffer.data(), n);
+        if (onQueueMessage && EngineQueueExchange::isQueueMessage(datagram))
+            onQueueMessage(datagram, {from.address(), from.port()});
+        else
+            apply(datagram);
     }
 }
 
@@ -493,7 +503,7 @@
         return !source.isRemote || !receivesDataCentreSums;
     });
     for (const auto &[id, upstream] : m_dependencies.fleet.all())
-        upstream->setSiblingLoad(sums[upstreamHash(*upstream)]);
+        upstream->setReportedLoad(sums[upstreamHash(*upstream)], m_dependencies.clock.now());
 }
 
 void SiblingExchange::dropSilent()
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -58,6 +59,11 @@
     boost::asio::awaitable<void> sendUrgent();
     boost::asio::awaitable<void> receive();
 
+    /// Sends a datagram to a sibling's port.
+    void sendTo(const Http::Endpoint &member, std::string_view datagram);
+    /// Called with a datagram for EngineQueueExchange, and its sender.
+    std::function<void(std::string_view, const Http::Endpoint &)> onQueueMessage;
+
     /// Queues the parts for the next report.
     void publishParts(const Upstream &engine, std::span<const PromptPart> parts);
     /// Queues parts with identifiers from KvCacheStore::storedParts().
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -17,6 +17,11 @@
 // Two siblings that report an upstream as unreachable within this time are unlikely to be both
 // partitioned themselves.
 constexpr std::chrono::milliseconds UnreachableWindow {1'500};
+// An upstream that stays unreachable is tried again at intervals up to this multiple of the first
+// pause.
+constexpr unsigned MaxPauseDoublings = 2;
+// Reports that arrive within this time after the answer of a queue's keeper may be older.
+constexpr std::chrono::milliseconds KeptLoadValidity {200};
 
 } // namespace
 
@@ -38,6 +43,7 @@
         report.startTime != m_report.startTime || report.endpoint != m_report.endpoint;
     const auto previous = std::exchange(m_report, std::move(report));
     if (isNewIncarnation) {
+        m_failedContacts = 0;
         m_prefixCache.clear();
         m_failureShare = 0;
         m_slowness = 1;
@@ -80,6 +86,18 @@
     m_inFlight -= m_inFlight > 0 ? 1 : 0;
 }
 
+void Upstream::setKeptLoad(const SiblingLoad &load, Core::Clock::Monotonic now)
+{
+    m_siblingLoad = load;
+    m_keptLoadAt = now;
+}
+
+void Upstream::setReportedLoad(const SiblingLoad &load, Core::Clock::Monotonic now)
+{
+    if (m_keptLoadAt == Core::Clock::Monotonic::min() || now - m_keptLoadAt > KeptLoadValidity)
+        m_siblingLoad = load;
+}
+
 std::uint64_t Upstream::tokensAhead(bool isUrgent) const
 {
     auto waiting = m_waitingTokens;
@@ -90,6 +108,13 @@
     return waiting.urgent + waiting.ordinary() / waiting.ordinaryPrompts;
 }
 
+unsigned Upstream::runningStreams() const
+{
+    const auto waiting =
+        m_waitingTokens.ordinaryPrompts + m_siblingLoad.waitingTokens.ordinaryPrompts;
+    return allInFlight() - std::min(allInFlight(), waiting);
+}
+
 void Upstream::noteOutcome(bool isSuccess, Core::Clock::Monotonic now)
 {
     m_failureShare = failureShare(now);
@@ -110,6 +135,15 @@
     m_slowness += SlownessGain * (std::clamp(sample, MinSlowness, MaxSlowness) - m_slowness);
 }
 
+void Upstream::noteUnreachable(Core::Clock::Monotonic now)
+{
+    // Requests that were sent together fail together and count once.
+    if (m_pausedUntil <= now)
+        ++m_failedContacts;
+    const auto doublings = std::min(std::max(m_failedContacts, 1U) - 1, MaxPauseDoublings);
+    m_pausedUntil = std::max(m_pausedUntil, now + UnreachablePause * (1U << doublings));
+}
+
 void Upstream::noteUnreachable(const std::string &sibling, std::chrono::milliseconds pause,
                                Core::Clock::Monotonic now)
 {
@@ -118,8 +152,10 @@
                              && m_unreachableReporter != sibling;
     m_unreachableReporter = sibling;
     m_unreachableReportedAt = now;
-    if (isConfirmed)
-        m_pausedUntil = std::max(m_pausedUntil, now + pause);
+    if (!isConfirmed)
+        return;
+    m_pausedUntil = std::max(m_pausedUntil, now + pause);
+    m_failedContacts = std::max(m_failedContacts, 1U);
 }
 
 std::uint64_t Upstream::weights(const std::string &model) const
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -36,7 +36,7 @@
 class Upstream
 {
 public:
-    /// Pause of an upstream that could not be reached.
+    /// Pause of an upstream that could not be reached, the first time.
     static constexpr std::chrono::milliseconds UnreachablePause {1'000};
 
     explicit Upstream(UpstreamReport report);
@@ -64,8 +64,13 @@
     void noteFirstToken(std::uint64_t tokens, bool isUrgent);
     void noteEnd();
 
-    /// Sets the load that the other instances last reported.
+    /// Sets the load that the other instances put on the upstream.
     void setSiblingLoad(const SiblingLoad &load) { m_siblingLoad = load; }
+    /// Sets that load as known by the keeper of the engine's queue.
+    void setKeptLoad(const SiblingLoad &load, Core::Clock::Monotonic now);
+    /// Sets that load as the other instances last reported it, unless it is known from the keeper
+    /// of the queue, whose knowledge is newer.
+    void setReportedLoad(const SiblingLoad &load, Core::Clock::Monotonic now);
     const SiblingLoad &siblingLoad() const { return m_siblingLoad; }
     /// Returns the tokens of all instances that are prefilled before those of a new request. An
     /// urgent request precedes the prompts that wait for admission, but an engine completes the
@@ -73,6 +78,9 @@
     std::uint64_t tokensAhead(bool isUrgent) const;
     /// Returns the number of all instances' requests at the upstream.
     unsigned allInFlight() const { return m_inFlight + m_siblingLoad.inFlight; }
+    /// Returns how many of them are not ordinary prompts that wait for their first token. Urgent
+    /// prompts wait only briefly.
+    unsigned runningStreams() const;
 
     /// Records the outcome of an attempt, so that failing upstreams are detected by their answers
     /// and not only by their reports.
@@ -96,6 +104,15 @@
     /// estimate of its prefix cache.
     void noteWeights(const std::string &model, std::uint64_t version);
 
+    /// Records that this instance could not reach the upstream. It is paused, longer each time, and
+    /// is on probation until it answers.
+    void noteUnreachable(Core::Clock::Monotonic now);
+    /// Records that the upstream answered.
+    void noteReached() { m_failedContacts = 0; }
+    /// Whether the upstream did not answer when it was last tried. It then receives one request at
+    /// a time, since each one may be lost.
+    bool isOnProbation() const { return m_failedContacts > 0; }
+
     /// Records that a sibling could not reach the upstream. A single sibling may be partitioned
     /// itself, so the upstream is paused for the given time only when two siblings report it within
     /// a short time.
@@ -112,11 +129,14 @@
     WaitingTokens m_waitingTokens;
     std::uint64_t m_memoryTokens = 0;
     SiblingLoad m_siblingLoad;
+    Core::Clock::Monotonic m_keptLoadAt = Core::Clock::Monotonic::min();
     unsigned m_inFlight = 0;
     double m_failureShare = 0;
     Core::Clock::Monotonic m_lastOutcome = Core::Clock::Monotonic::min();
     double m_slowness = 1;
     Core::Clock::Monotonic m_pausedUntil = Core::Clock::Monotonic::min();
+    /// How often in a row the upstream could not be reached.
+    unsigned m_failedContacts = 0;
     /// The last sibling that reported the upstream as unreachable, and the time of the report.
     std::string m_unreachableReporter;
     Core::Clock::Monotonic m_unreachableReportedAt = Core::Clock::Monotonic::min();
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -24,6 +24,18 @@
 // instances may have sent them there.
 constexpr double AffinityCredit = 0.5;
 constexpr double FailureWeight = 20;
+// Pauses below this share of the target do not matter.
+constexpr double MinPauseRatio = 0.6;
+// A prefill of this share of the pause target counts as long.
+constexpr double LongPrefillShare = 0.25;
+// The largest cost of an engine at the wrong end of the order. Small against the prefill of a long
+// prompt whose parts are cached there.
+constexpr Milliseconds SeparationCost {80};
+constexpr Milliseconds InterruptedStreamCost {30};
+constexpr Milliseconds OwnPauseCost {150};
+// The upper 32 bits of the hash.
+constexpr unsigned RankShift = 32;
+constexpr double RankRange = 4'294'967'296.0;
 // Transfers between data centres take this many times as long.
 constexpr double RemoteTransferFactor = 2;
 // The share of beliefs about another engine's cache that are wrong, because it has evicted the
@@ -216,6 +228,44 @@
     choice.isSpeculative = choice.source || choice.isFromStore;
 }
 
+/// Returns how much the pauses that prefill causes matter, from 0 (well below the target) to 1.
+double pauseWeight(const EngineModel &model, const EngineDemand &demand)
+{
+    if (demand.pauseTarget <= std::chrono::milliseconds::zero())
+        return 0;
+    const double ratio = model.pauseDuringPrefill() / Milliseconds(demand.pauseTarget);
+    return std::clamp((ratio - MinPauseRatio) / (1 - MinPauseRatio), 0.0, 1.0);
+}
+
+/// Returns the cost of the pauses that the prompt's prefill causes for streams at the engine, and
+/// those that the prefill of others will cause for its own stream.
+///
+/// Answers the load of long prompts beside streams on engines that read slowly: while an engine
+/// prefills for longer than the pause target, all streams that run there are late. Engines are
+/// ranked by hashing, long prefills prefer one end of the order and the others the other end, so
+/// that they meet only when the load requires it.
+Milliseconds pauseCost(const EngineChoice &choice, const EngineModel &model,
+                       const EngineDemand &demand)
+{
+    const double weight = pauseWeight(model, demand);
+    if (weight <= 0)
+        return Milliseconds(0);
+    const auto &upstream = *choice.upstream;
+    const Milliseconds target(demand.pauseTarget);
+    const auto own = model.prefillTime(demand.promptTokens - choice.readyTokens);
+    const auto pending = model.prefillTime(upstream.tokensAhead(false));
+    const auto risk = [target](Milliseconds prefill) {
+        return std::clamp((prefill - target / 2) / (target / 2), 0.0, 1.0);
+    };
+    const double longShare = std::clamp(own / (LongPrefillShare * target), 0.0, 1.0);
+    const double rank =
+        static_cast<double>(UpstreamFleet::hashOf(upstream.report().id) >> RankShift) / RankRange;
+    auto sum = SeparationCost * (longShare * (1 - rank) + (1 - longShare) * rank);
+    sum += risk(pending + own) * upstream.runningStreams() * InterruptedStreamCost;
+    sum += risk(pending) * OwnPauseCost;
+    return weight * sum;
+}
+
 Milliseconds cost(const EngineChoice &choice, const EngineModel &model, const EngineDemand &demand,
                   const ChoiceLimits &limits, bool isPreferred)
 {
@@ -230,6 +280,7 @@
         sum += (running - demand.slots + 1.0) * FullSlotCost;
     if (isOutdated(upstream, demand, OutdatedWeightsGrace, limits.now))
         sum += OutdatedWeightsCost;
+    sum += pauseCost(choice, model, demand);
     if (isPreferred && choice.readyTokens < demand.sharedTokens)
         sum -= AffinityCredit * Milliseconds((demand.sharedTokens - choice.readyTokens) / rate);
     return sum;
@@ -240,7 +291,8 @@
 bool mayReceiveRequests(const Upstream &upstream, const ChoiceLimits &limits)
 {
     return !upstream.isRemoved() && !upstream.report().isDraining
-           && upstream.pausedUntil() <= limits.now && upstream.inFlight() < limits.maxInFlight
+           && upstream.pausedUntil() <= limits.now
+           && upstream.inFlight() < (upstream.isOnProbation() ? 1 : limits.maxInFlight)
            && !limits.excluded.contains(upstream.report().id);
 }
 
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -33,6 +33,9 @@
     unsigned sharedTokens = 0;
     /// Whether engines prefill the prompt before less urgent ones.
     bool isUrgent = false;
+    /// The longest pause between two events for which the answer is on time; zero if it is not a
+    /// stream.
+    std::chrono::milliseconds pauseTarget {0};
     std::string model;
     /// The versions of the weights that engines should have; null if the version does not matter.
     const WeightsTargets *targets = nullptr;
--- a/Libraries/LibGateway/UpstreamLoad.h
+++ b/Libraries/LibGateway/UpstreamLoad.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/EngineQueueExchange.h>
 #include <LibGateway/Upstream.h>
 
 #include <memory>
@@ -11,13 +12,15 @@
 {
 public:
     UpstreamLoad(std::shared_ptr<Upstream> upstream, std::uint64_t tokens,
-                 std::uint64_t memoryTokens, bool isUrgent, Core::Clock::Monotonic now)
+                 std::uint64_t memoryTokens, bool isUrgent, Core::Clock::Monotonic now,
+                 std::unique_ptr<QueuePlace> place = nullptr)
         : m_upstream(std::move(upstream))
         , m_tokens(tokens)
         , m_memoryTokens(memoryTokens)
         , m_isUrgent(isUrgent)
         , m_isOnlyPrompt(m_upstream->tokensAhead(false) == 0)
         , m_sent(now)
+        , m_place(std::move(place))
     {
         m_upstream->noteSent(m_tokens, m_isUrgent);
         m_upstream->reserveMemory(m_memoryTokens);
@@ -38,6 +41,8 @@
             return false;
         m_hasFirstToken = true;
         m_upstream->noteFirstToken(m_tokens, m_isUrgent);
+        if (m_place)
+            m_place->noteFirstToken();
         return true;
     }
     std::uint64_t tokens() const { return m_tokens; }
@@ -53,6 +58,8 @@
     bool m_isOnlyPrompt;
     bool m_hasFirstToken = false;
     Core::Clock::Monotonic m_sent;
+    /// The prompt's entry at the keeper of the engine's queue; may be null.
+    std::unique_ptr<QueuePlace> m_place;
 };
 
 } // namespace Gateway
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -236,6 +236,46 @@
     CHECK(fixture.choose()->isFromStore);
 }
 
+TEST_CASE("long prefills and running streams use different engines while pauses matter")
+{
+    Fixture fixture;
+    fixture.parts = {{13, 11'000}};
+    fixture.demand.parts = fixture.parts;
+    fixture.demand.sharedTokens = 0;
+    fixture.demand.pauseTarget = 400ms;
+    const auto usedBy = [&fixture](unsigned tokens) {
+        std::map<std::string, int> engines;
+        fixture.demand.promptTokens = tokens;
+        for (std::uint64_t session = 0; session < 60; ++session) {
+            fixture.demand.affinityKey = session;
+            ++engines[fixture.chosen()];
+        }
+        return engines;
+    };
+    // Prefill does not interrupt streams noticeably, so any engine will do.
+    for (int n = 0; n < 100; ++n)
+        fixture.model.addPause(EngineModel::Milliseconds(90));
+    CHECK(fixture.choose().has_value());
+    const auto before = fixture.choose()->upstream;
+    before->noteSent(0, true);
+    CHECK(fixture.choose()->upstream == before);
+    before->noteEnd();
+    for (int n = 0; n < 100; ++n)
+        fixture.model.addPause(EngineModel::Milliseconds(480));
+    const auto longOnes = usedBy(11'000);
+    const auto shortOnes = usedBy(600);
+    for (const auto &[id, count] : longOnes)
+        CHECK_FALSE(shortOnes.contains(id));
+    // A stream that runs at the engine of the long prompts drives them away.
+    auto &crowded = fixture.engine(longOnes.begin()->first);
+    for (int n = 0; n < 8; ++n) {
+        crowded.noteSent(0, true);
+        crowded.noteFirstToken(0, true);
+    }
+    crowded.noteSent(8'000, false);
+    CHECK_FALSE(usedBy(11'000).contains(longOnes.begin()->first));
+}
+
 TEST_CASE("a failing engine is avoided, and tried again after a while")
 {
     Fixture fixture;
@@ -247,6 +287,34 @@
     CHECK(fixture.chosen() == first);
 }
 
+TEST_CASE("an upstream that did not answer receives one request at a time until it does")
+{
+    Fixture fixture;
+    const auto first = fixture.chosen();
+    auto &upstream = fixture.engine(first);
+    upstream.noteUnreachable(fixture.limits.now);
+    // A second request that was lost with the first one does not lengthen the pause.
+    upstream.noteUnreachable(fixture.limits.now);
+    CHECK(fixture.chosen() != first);
+    CHECK(upstream.pausedUntil() == fixture.limits.now + 1s);
+    fixture.limits.now += 1s;
+    CHECK(fixture.chosen() == first);
+    upstream.noteSent(0, true);
+    CHECK(fixture.chosen() != first);
+    upstream.noteEnd();
+    upstream.noteUnreachable(fixture.limits.now);
+    CHECK(upstream.pausedUntil() == fixture.limits.now + 2s);
+    for (int n = 0; n < 5; ++n) {
+        fixture.limits.now = upstream.pausedUntil();
+        upstream.noteUnreachable(fixture.limits.now);
+    }
+    CHECK(upstream.pausedUntil() == fixture.limits.now + 4s);
+    fixture.limits.now = upstream.pausedUntil();
+    upstream.noteReached();
+    upstream.noteSent(0, true);
+    CHECK(fixture.chosen() == first);
+}
+
 TEST_CASE("requests without a prompt are spread by load, and failing upstreams are avoided")
 {
     Fixture fixture;
