LibGateway: Let the calls to the store grow with the data centres, not the instances

Change: in a large fleet one reader in each of two data centres reads the store; one or two siblings away, the others query it (ages add up, the shares of the bounds are smaller). The hub of a data centre announces its members in one record; who is not announced in time does it alone. A starting instance takes the newest records from a sibling that has them. Calls are counted by log and kind (metric, event 704). LibHttp: idle upstream connections are probed, so that a server that fell silent before its answer is noticed in seconds instead of at the deadline.

The test 'announces itself again before the log drops its record' ran on a clock that stood still; it now runs on a real one and checks the time as well.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -69,6 +69,7 @@
     PlatformBack = 701,
     LogRecordInvalid = 702,
     LogSourceChanged = 703,
+    StoreCalled = 704,
     UsageAppended = 800,
     UsageLost = 801,
 };
--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -22,6 +22,10 @@
 // other members expire it.
 constexpr double AnnounceRetentionShare = 0.6;
 constexpr std::chrono::milliseconds MaxAnnounceInterval = FleetMembers::MemberTimeout / 3;
+// A member whose hub has not announced it for this multiple of the interval announces itself. The
+// log still has the last announcement then.
+constexpr double HubGraceFactor = 1.4;
+constexpr std::chrono::milliseconds AnnouncePollInterval = 500ms;
 // Failures that occur together, for example when an upstream crashes, are written in one record.
 constexpr auto FailureBatchInterval = 100ms;
 
@@ -50,6 +54,15 @@
     return value ? value->str() : std::string();
 }
 
+flatbuffers::Offset<Wire::Member> wireMember(flatbuffers::FlatBufferBuilder &builder,
+                                             const FleetMember &member,
+                                             const std::vector<std::uint64_t> &poison)
+{
+    return Wire::CreateMemberDirect(
+        builder, member.instance.value().c_str(), member.dataCentre.c_str(),
+        Http::formatEndpoint(member.endpoint).c_str(), &poison, member.linkMegabits);
+}
+
 } // namespace
 
 FleetJournal::FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
@@ -109,19 +122,11 @@
         return;
     }
     const auto *entry = flatbuffers::GetRoot<Wire::JournalRecord>(bytes);
-    if (const auto *member = entry->entry_as_Member()) {
-        auto endpoint = Http::parseEndpoint(text(member->endpoint()));
-        const Core::InstanceId instance(text(member->instance()));
-        if (endpoint)
-            m_members.noteAnnounced(
-                {instance, text(member->data_centre()), endpoint.value(), member->link_megabits()});
-        else
-            Core::logEvent(Core::EventId::LogRecordInvalid,
-                           {{"log", "journal"},
-                            {"offset", std::to_string(record.offset)},
-                            {"reason", endpoint.error().detail()}});
-        for (const auto digest : asSpan(member->poison()))
-            m_poison.notePoison(digest, m_clock.now());
+    if (const auto *member = entry->entry_as_Member())
+        applyMember(*member, record.offset);
+    if (const auto *all = entry->entry_as_Members(); all && all->members()) {
+        for (const auto *member : *all->members())
+            applyMember(*member, record.offset);
     }
     if (const auto *lease = entry->entry_as_Lease())
         m_lease.noteRecord(record.offset, Core::InstanceId(text(lease->holder())), m_clock.now());
@@ -133,6 +138,26 @@
         m_poison.noteUpstreamFailure(digest, m_clock.now());
 }
 
+void FleetJournal::applyMember(const Wire::Member &member, std::uint64_t offset)
+{
+    const Core::InstanceId instance(text(member.instance()));
+    for (const auto digest : asSpan(member.poison()))
+        m_poison.notePoison(digest, m_clock.now());
+    if (instance == m_settings.instance) {
+        m_lastAnnounced = m_clock.now();
+        m_members.noteSelfAnnounced();
+        return;
+    }
+    auto endpoint = Http::parseEndpoint(text(member.endpoint()));
+    if (endpoint)
+        m_members.noteAnnounced(
+            {instance, text(member.data_centre()), endpoint.value(), member.link_megabits()});
+    else
+        Core::logEvent(Core::EventId::LogRecordInvalid, {{"log", "journal"},
+                                                         {"offset", std::to_string(offset)},
+                                                         {"reason", endpoint.error().detail()}});
+}
+
 asio::awaitable<bool> FleetJournal::append(std::string record)
 {
     bool isAppended = false;
@@ -158,20 +183,48 @@
 std::string FleetJournal::announcement() const
 {
     flatbuffers::FlatBufferBuilder builder;
-    const auto poison = m_poison.poisonDigests(m_clock.now());
-    const auto &self = m_members.self();
-    const auto member = Wire::CreateMemberDirect(
-        builder, self.instance.value().c_str(), self.dataCentre.c_str(),
-        Http::formatEndpoint(self.endpoint).c_str(), &poison, self.linkMegabits);
+    const auto member =
+        wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()));
     return journalRecord(builder, Wire::Entry::Member, member);
 }
 
+std::string FleetJournal::announcementForAll() const
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<Wire::Member>> members {
+        wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()))};
+    for (const auto &[instance, sibling] : m_members.siblings()) {
+        if (sibling.member.dataCentre == m_members.self().dataCentre
+            && m_members.isReachable(sibling))
+            members.push_back(wireMember(builder, sibling.member, {}));
+    }
+    return journalRecord(builder, Wire::Entry::Members,
+                         Wire::CreateMembersDirect(builder, &members));
+}
+
+bool FleetJournal::isAnnouncementDue() const
+{
+    if (m_lastAnnounced == Core::Clock::Monotonic::min())
+        return true;
+    const auto age = m_clock.now() - m_lastAnnounced;
+    const bool isForAll = m_members.isLarge() && m_members.isHub();
+    return age >= (m_members.isLarge() && !isForAll ? HubGraceFactor : 1.0) * announceInterval();
+}
+
 asio::awaitable<void> FleetJournal::announce()
 {
     for (;;) {
-        auto record = announcement();
+        if (!isAnnouncementDue()) {
+            co_await sleepFor(std::min(AnnouncePollInterval, announceInterval() / 4));
+            continue;
+        }
+        const bool isForAll = m_members.isLarge() && m_members.isHub();
+        auto record = isForAll ? announcementForAll() : announcement();
         const bool isAnnounced = co_await append(std::move(record));
-        co_await sleepFor(isAnnounced ? announceInterval() : RetryPause);
+        if (isAnnounced)
+            m_lastAnnounced = m_clock.now();
+        else
+            co_await sleepFor(RetryPause);
     }
 }
 
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -12,9 +12,15 @@
 
 namespace Gateway {
 
+namespace Wire {
+struct Member;
+} // namespace Wire
+
 /// The journal that instances share through the store's log: members, the lease for giving orders,
 /// and requests that caused upstream failures. The log retains records for a limited time, so
-/// members and poison requests are announced repeatedly.
+/// members and poison requests are announced repeatedly: in a large fleet by the hub of each data
+/// centre for all its members, so that the calls to the store do not grow with the fleet, and by a
+/// member itself at its start or when its hub does not.
 class FleetJournal
 {
 public:
@@ -40,6 +46,12 @@
 
     /// Returns the record that announces this instance. Public for tests.
     std::string announcement() const;
+    /// Returns the record with which a hub announces itself and the members that it hears. Public
+    /// for tests.
+    std::string announcementForAll() const;
+    /// Returns whether this instance has to announce itself, because no record that was read
+    /// recently names it. Public for tests.
+    bool isAnnouncementDue() const;
     /// Applies one record that was read from the journal. Public for tests.
     void apply(const FleetRecord &record);
 
@@ -48,6 +60,7 @@
     boost::asio::awaitable<void> readNext(std::chrono::milliseconds wait);
     boost::asio::awaitable<bool> append(std::string record);
     std::chrono::milliseconds announceInterval() const;
+    void applyMember(const Wire::Member &member, std::uint64_t offset);
 
     FleetLog &m_log;
     const Core::Clock &m_clock;
@@ -57,6 +70,8 @@
     OrderLease m_lease;
     std::vector<std::uint64_t> m_upstreamFailures;
     std::uint64_t m_nextOffset = 0;
+    /// When a record last announced this instance.
+    Core::Clock::Monotonic m_lastAnnounced = Core::Clock::Monotonic::min();
     bool m_hasRead = false;
 };
 
--- a/Libraries/LibGateway/FleetMembers.cpp
+++ b/Libraries/LibGateway/FleetMembers.cpp
@@ -74,6 +74,20 @@
     return members;
 }
 
+std::vector<FleetMember> FleetMembers::ranked(std::string_view key,
+                                              const std::string &dataCentre) const
+{
+    std::vector<FleetMember> members;
+    for (const auto &[instance, sibling] : m_siblings) {
+        if (sibling.member.dataCentre == dataCentre)
+            members.push_back(sibling.member);
+    }
+    std::sort(members.begin(), members.end(), [key](const auto &left, const auto &right) {
+        return rank(key, left.instance) < rank(key, right.instance);
+    });
+    return members;
+}
+
 std::size_t FleetMembers::reachableBefore(std::string_view key,
                                           const std::optional<std::string> &dataCentre) const
 {
--- a/Libraries/LibGateway/FleetMembers.h
+++ b/Libraries/LibGateway/FleetMembers.h
@@ -45,6 +45,9 @@
     void noteAnnounced(const FleetMember &member);
     /// Records that a datagram of the member arrived.
     void noteDatagram(const FleetMember &member);
+    /// Records that the own announcement was read, so that all earlier ones are known.
+    void noteSelfAnnounced() { m_isSelfAnnounced = true; }
+    bool isSelfAnnounced() const { return m_isSelfAnnounced; }
     void dropExpired();
 
     /// Another instance, and when it was last seen.
@@ -69,6 +72,8 @@
     /// instances. If a data centre is given, returns only its members.
     std::vector<FleetMember> reachable(std::string_view key,
                                        const std::optional<std::string> &dataCentre) const;
+    /// Returns the known members of a data centre in the same order, reachable or not.
+    std::vector<FleetMember> ranked(std::string_view key, const std::string &dataCentre) const;
     /// Returns how many reachable siblings rank before this instance for the key. A duty that needs
     /// a few instances is assigned to the first ones in this order.
     std::size_t reachableBefore(std::string_view key,
@@ -88,6 +93,7 @@
     FleetMember m_self;
     const Core::Clock &m_clock;
     std::map<Core::InstanceId, Sibling> m_siblings;
+    bool m_isSelfAnnounced = false;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -25,6 +25,9 @@
 struct Breaks;
 struct BreaksBuilder;
 
+struct Members;
+struct MembersBuilder;
+
 struct JournalRecord;
 struct JournalRecordBuilder;
 
@@ -72,33 +75,36 @@
   Member = 1,
   Lease = 2,
   Breaks = 3,
+  Members = 4,
   MIN = NONE,
-  MAX = Breaks
+  MAX = Members
 };
 
-inline const Entry (&EnumValuesEntry())[4] {
+inline const Entry (&EnumValuesEntry())[5] {
   static const Entry values[] = {
     Entry::NONE,
     Entry::Member,
     Entry::Lease,
-    Entry::Breaks
+    Entry::Breaks,
+    Entry::Members
   };
   return values;
 }
 
 inline const char * const *EnumNamesEntry() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "NONE",
     "Member",
     "Lease",
     "Breaks",
+    "Members",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameEntry(Entry e) {
-  if (flatbuffers::IsOutRange(e, Entry::NONE, Entry::Breaks)) return "";
+  if (flatbuffers::IsOutRange(e, Entry::NONE, Entry::Members)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesEntry()[index];
 }
@@ -119,6 +125,10 @@
   static const Entry enum_value = Entry::Breaks;
 };
 
+template<> struct EntryTraits<Gateway::Wire::Members> {
+  static const Entry enum_value = Entry::Members;
+};
+
 bool VerifyEntry(flatbuffers::Verifier &verifier, const void *obj, Entry type);
 bool VerifyEntryVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Entry> *types);
 
@@ -721,6 +731,58 @@
       digests__);
 }
 
+struct Members FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MembersBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MEMBERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Member>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Member>> *>(VT_MEMBERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfTables(members()) &&
+           verifier.EndTable();
+  }
+};
+
+struct MembersBuilder {
+  typedef Members Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Member>>> members) {
+    fbb_.AddOffset(Members::VT_MEMBERS, members);
+  }
+  explicit MembersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Members> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Members>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Members> CreateMembers(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Member>>> members = 0) {
+  MembersBuilder builder_(_fbb);
+  builder_.add_members(members);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Members> CreateMembersDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<Gateway::Wire::Member>> *members = nullptr) {
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<Gateway::Wire::Member>>(*members) : 0;
+  return Gateway::Wire::CreateMembers(
+      _fbb,
+      members__);
+}
+
 struct JournalRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JournalRecordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -743,6 +805,9 @@
   const Gateway::Wire::Breaks *entry_as_Breaks() const {
     return entry_type() == Gateway::Wire::Entry::Breaks ? static_cast<const Gateway::Wire::Breaks *>(entry()) : nullptr;
   }
+  const Gateway::Wire::Members *entry_as_Members() const {
+    return entry_type() == Gateway::Wire::Entry::Members ? static_cast<const Gateway::Wire::Members *>(entry()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_ENTRY_TYPE, 1) &&
@@ -764,6 +829,10 @@
   return entry_as_Breaks();
 }
 
+template<> inline const Gateway::Wire::Members *JournalRecord::entry_as<Gateway::Wire::Members>() const {
+  return entry_as_Members();
+}
+
 struct JournalRecordBuilder {
   typedef JournalRecord Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1479,6 +1548,10 @@
       auto ptr = reinterpret_cast<const Gateway::Wire::Breaks *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Entry::Members: {
+      auto ptr = reinterpret_cast<const Gateway::Wire::Members *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -135,6 +135,10 @@
     m_gateway.onPartsStored = [this](const KvCacheStore &store, std::span<const PromptPart> parts) {
         m_siblings.publishStoredParts(store, parts);
     };
+    m_log.onStoreCall = [this](FleetTopic topic, std::string_view call) {
+        m_gateway.metrics().storeCalls.add(1, {},
+                                           std::string(nameOf(topic)) + " " + std::string(call));
+    };
     m_gateway.setEngineQueues(&m_engineQueues);
     m_siblings.onQueueMessage = [this](std::string_view datagram, const Http::Endpoint &from) {
         m_engineQueues.apply(datagram, from);
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -10,6 +10,7 @@
     m_registry.add(promptTokens);
     m_registry.add(cachedTokens);
     m_registry.add(orders);
+    m_registry.add(storeCalls);
     m_registry.add(firstByte);
     m_registry.add(expectedFirstToken);
 }
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -27,6 +27,8 @@
                                    "Prompt tokens estimated to be in the engine's prefix cache."};
     Metrics::Counter orders {"jujube_gateway_orders_total", "Orders to engines by outcome.",
                              "outcome"};
+    Metrics::Counter storeCalls {"jujube_gateway_store_calls_total",
+                                 "Calls to the store, by log and kind.", "call"};
     Metrics::DurationHistogram firstByte {
         "jujube_gateway_first_byte_seconds",
         "Time from the arrival of a request to the start of its answer."};
--- a/Libraries/LibGateway/LogRelay.cpp
+++ b/Libraries/LibGateway/LogRelay.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/LogRelay.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace Gateway {
 
@@ -20,6 +21,8 @@
 // Older data is useless. The limit also bounds the effect of a wrong answer.
 constexpr milliseconds MaxAge = 1h;
 constexpr auto LogPath = "/log";
+// Queries with this offset are for the newest record of each key.
+constexpr std::uint64_t NewestOffset = std::numeric_limits<std::uint64_t>::max();
 // Cache snapshots are not followed.
 constexpr auto LastTopic = FleetTopic::Journal;
 
@@ -63,16 +66,17 @@
     const auto from = logQuery->from();
     const milliseconds wait(logQuery->wait_ms());
     auto &log = tail(static_cast<FleetTopic>(logQuery->topic()));
-    if (log.covers(from))
+    const bool isForNewest = from == NewestOffset;
+    if (!isForNewest && log.covers(from))
         co_await log.awaitRecord(from, std::min(wait, MaxWait));
-    if (!log.covers(from)) {
+    if (isForNewest ? !log.hasNewest() : !log.covers(from)) {
         Http::Response response(404, {}, {});
         co_await exchange.respond(std::move(response));
         co_return;
     }
     const auto now = m_clock.now();
-    Http::Response response(200, {},
-                            encode(log.page(from), now, duration_cast<milliseconds>(now - begin)));
+    const auto page = isForNewest ? log.newest() : log.page(from);
+    Http::Response response(200, {}, encode(page, now, duration_cast<milliseconds>(now - begin)));
     co_await exchange.respond(std::move(response));
 }
 
@@ -95,6 +99,15 @@
     co_return decode(response.body, from, requestTime).value();
 }
 
+asio::awaitable<FleetPage> LogRelay::queryNewest(Http::Endpoint sibling, FleetTopic topic)
+{
+    auto page = co_await query(std::move(sibling), topic, NewestOffset, 0ms);
+    // The offsets of the records themselves are not transferred.
+    for (auto &record : page.records)
+        record.offset = 0;
+    co_return page;
+}
+
 std::string LogRelay::encode(const FleetPage &page, Core::Clock::Monotonic now,
                              milliseconds heldFor)
 {
@@ -128,7 +141,7 @@
         return Core::Error(Core::ErrorKind::PlatformUnavailable,
                            "the sibling's answer is not a valid log page");
     FleetPage page;
-    page.next = std::max(from, answer->next());
+    page.next = from == NewestOffset ? answer->next() : std::max(from, answer->next());
     // The sibling wrote its answer after it had held the call for this time, so the computed time
     // is never later than the query of the store.
     const auto answerTime = requestTime + bounded(answer->waited_ms(), MaxWait);
--- a/Libraries/LibGateway/LogRelay.h
+++ b/Libraries/LibGateway/LogRelay.h
@@ -25,6 +25,8 @@
     /// when the sibling does not have these records.
     boost::asio::awaitable<FleetPage> query(Http::Endpoint sibling, FleetTopic topic,
                                             std::uint64_t from, std::chrono::milliseconds wait);
+    /// Queries a sibling for the newest record of each key. Throws Error likewise.
+    boost::asio::awaitable<FleetPage> queryNewest(Http::Endpoint sibling, FleetTopic topic);
 
     /// Encodes the answer to a sibling's query, written at the given time after the call was held
     /// for a while. Public for tests.
--- a/Libraries/LibGateway/LogTail.cpp
+++ b/Libraries/LibGateway/LogTail.cpp
@@ -19,9 +19,42 @@
 
 } // namespace
 
+void LogTail::restart(const FleetPage &newest)
+{
+    restart(newest.next);
+    for (const auto &record : newest.records)
+        noteNewest(record);
+    m_hasNewest = true;
+    m_asOf = std::max(m_asOf, newest.asOf);
+    m_lastStoreFailure = std::max(m_lastStoreFailure, newest.lastStoreFailure);
+}
+
+void LogTail::noteNewest(const FleetRecord &record)
+{
+    if (record.key.empty())
+        return;
+    if (record.value)
+        m_newest[record.key] = record;
+    else
+        m_newest.erase(record.key);
+}
+
+FleetPage LogTail::newest() const
+{
+    FleetPage page;
+    page.asOf = m_asOf;
+    page.lastStoreFailure = m_lastStoreFailure;
+    page.next = next();
+    for (const auto &[key, record] : m_newest)
+        page.records.push_back(record);
+    return page;
+}
+
 void LogTail::restart(std::uint64_t next)
 {
     m_records.clear();
+    m_newest.clear();
+    m_hasNewest = false;
     m_bytes = 0;
     m_first = next;
     m_isStarted = true;
@@ -38,6 +71,7 @@
             continue;
         m_bytes += sizeOf(record);
         m_records.push_back(record);
+        noteNewest(record);
     }
     dropOldest();
     m_lastStoreFailure = std::max(m_lastStoreFailure, page.lastStoreFailure);
--- a/Libraries/LibGateway/LogTail.h
+++ b/Libraries/LibGateway/LogTail.h
@@ -5,7 +5,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
+#include <map>
 #include <set>
+#include <string>
 
 namespace Gateway {
 
@@ -17,8 +19,8 @@
     /// store.
     static constexpr std::size_t MaxBytes = 512 * 1024;
 
-    /// Clears the records and continues after a read of the newest records.
-    void restart(std::uint64_t next);
+    /// Clears the records and continues after a read of the newest record of each key.
+    void restart(const FleetPage &newest);
     /// Appends a page that was read from the given offset on.
     void extend(std::uint64_t from, const FleetPage &page);
 
@@ -29,6 +31,10 @@
     }
     /// Returns the records from the offset on, and the time of the most recent query of the store.
     FleetPage page(std::uint64_t from) const;
+    /// Returns whether the newest record of each key is known.
+    bool hasNewest() const { return m_hasNewest; }
+    /// Returns the newest record of each key, as of the records that the tail holds.
+    FleetPage newest() const;
     std::uint64_t next() const { return m_first + m_records.size(); }
     Core::Clock::Monotonic asOf() const { return m_asOf; }
 
@@ -36,9 +42,13 @@
     boost::asio::awaitable<void> awaitRecord(std::uint64_t offset, std::chrono::milliseconds time);
 
 private:
+    void restart(std::uint64_t next);
+    void noteNewest(const FleetRecord &record);
     void dropOldest();
 
     std::deque<FleetRecord> m_records;
+    std::map<std::string, FleetRecord> m_newest;
+    bool m_hasNewest = false;
     std::uint64_t m_first = 0;
     std::size_t m_bytes = 0;
     bool m_isStarted = false;
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -29,10 +29,20 @@
 constexpr std::chrono::milliseconds JournalMaxAge = 10'000ms;
 // Fractions of the maximum age of a log. A reader with followers reads the store this often, a
 // follower accepts data up to this age, and a sibling holds a call this long. The rest is left for
-// a read of the store.
+// a read of the store. In a large fleet, data passes two siblings.
 constexpr int ReadsPerMaxAge = 4;
 constexpr double MaxAgeShare = 0.6;
+// Readers leave a stale source before their followers leave them.
+constexpr double ReaderMaxAgeShare = 0.5;
 constexpr int SiblingWaitsPerMaxAge = 8;
+constexpr int LargeFleetSiblingWaitsPerMaxAge = 10;
+// A starting instance asks siblings this often and this long before it reads the store. When all
+// instances start at once, the readers know the records by then.
+constexpr auto StartPollInterval = 100ms;
+constexpr unsigned MaxStartPolls = 10;
+// The members become known when the journal has been read up to the own announcement.
+constexpr auto MembersPollInterval = 20ms;
+constexpr unsigned MaxMembersPolls = 20;
 // An instance that the store rejects accepts older data. The data of a sibling without followers,
 // whose store reads are long polls, occasionally exceeds the maximum age. Keys are checked against
 // the age of the data in any case.
@@ -59,16 +69,62 @@
     : m_dependencies(dependencies)
 { }
 
+std::size_t SharedLog::readersPerDataCentre() const
+{
+    return m_dependencies.members.isLarge() ? LargeFleetReaders : Readers;
+}
+
 bool SharedLog::isReader() const
 {
     return m_dependencies.members.reachableBefore(ReadersKey,
                                                   m_dependencies.members.self().dataCentre)
-           < Readers;
+           < readersPerDataCentre();
+}
+
+std::vector<std::string> SharedLog::readingDataCentres() const
+{
+    std::vector<std::string> names {m_dependencies.members.self().dataCentre};
+    for (const auto &[name, members] : m_dependencies.members.remoteMembers())
+        names.push_back(name);
+    std::sort(names.begin(), names.end(), [](const auto &left, const auto &right) {
+        const auto key = Core::hash64(ReadersKey);
+        return Core::hash64(left, key) < Core::hash64(right, key);
+    });
+    names.resize(std::min(names.size(), ReadingDataCentres));
+    return names;
+}
+
+bool SharedLog::readsStore() const
+{
+    if (!m_dependencies.members.isLarge())
+        return isReader();
+    if (m_dependencies.members.reachableBefore(ReadersKey, m_dependencies.members.self().dataCentre)
+        > 0)
+        return false;
+    const auto names = readingDataCentres();
+    return std::find(names.begin(), names.end(), m_dependencies.members.self().dataCentre)
+           != names.end();
 }
 
 bool SharedLog::mayHaveFollowers() const
 {
-    return m_dependencies.members.localMembers().size() + 1 > Readers;
+    return m_dependencies.members.isLarge()
+           || m_dependencies.members.localMembers().size() + 1 > Readers;
+}
+
+milliseconds SharedLog::siblingWait(FleetTopic topic) const
+{
+    return maxAgeOf(topic)
+           / (m_dependencies.members.isLarge() ? LargeFleetSiblingWaitsPerMaxAge
+                                               : SiblingWaitsPerMaxAge);
+}
+
+void SharedLog::noteStoreCall(FleetTopic topic, std::string_view call) const
+{
+    Core::logEvent(Core::EventId::StoreCalled,
+                   {{"log", std::string(nameOf(topic))}, {"call", std::string(call)}});
+    if (onStoreCall)
+        onStoreCall(topic, call);
 }
 
 milliseconds SharedLog::maxAgeOf(FleetTopic topic) const
@@ -104,27 +160,69 @@
 {
     if (m_topics.at(topic).isStoreFailing)
         return 0ms;
-    return mayHaveFollowers() ? std::min(requested, maxAgeOf(topic) / ReadsPerMaxAge) : requested;
+    if (!mayHaveFollowers())
+        return requested;
+    const auto cycle = maxAgeOf(topic) / ReadsPerMaxAge;
+    // Data that passes two siblings has to be newer, so the pause between reads counts as well.
+    const auto pause = m_dependencies.members.isLarge() ? storeReadPause(topic) : 0ms;
+    return std::min(requested, std::max(0ms, cycle - pause));
 }
 
 asio::awaitable<FleetPage> SharedLog::newest(FleetTopic topic)
 {
+    // Snapshots are large, so siblings do not pass them on.
+    if (topic != FleetTopic::CacheSnapshots) {
+        if (auto page = co_await newestFromSiblings(topic))
+            co_return std::move(*page);
+    }
     const auto requestTime = m_dependencies.clock.now();
+    noteStoreCall(topic, "newest");
     auto page = co_await m_dependencies.store.newest(topic);
     page.asOf = requestTime;
     page.lastStoreFailure = m_topics[topic].lastStoreFailure;
-    m_dependencies.relay.tail(topic).restart(page.next);
+    m_dependencies.relay.tail(topic).restart(page);
     co_return page;
 }
 
+asio::awaitable<std::optional<FleetPage>> SharedLog::newestFromSiblings(FleetTopic topic)
+{
+    for (unsigned n = 0; !m_dependencies.members.isSelfAnnounced() && n < MaxMembersPolls; ++n)
+        co_await sleepFor(MembersPollInterval);
+    for (unsigned n = 0; m_dependencies.members.isLarge() && n < MaxStartPolls; ++n) {
+        if (n > 0)
+            co_await sleepFor(StartPollInterval);
+        auto siblings = preferredSiblings();
+        std::erase_if(siblings, [this](const auto &it) { return isSkipped(it); });
+        if (siblings.empty())
+            co_return std::nullopt;
+        const auto &sibling = siblings[Core::hash64(m_dependencies.members.self().instance.value())
+                                       % siblings.size()];
+        std::string reason;
+        try {
+            auto page = co_await m_dependencies.relay.queryNewest(sibling.endpoint, topic);
+            page.asOf = std::min(page.asOf, m_dependencies.clock.now());
+            if (isUseful(topic, page)) {
+                m_dependencies.relay.tail(topic).restart(page);
+                noteSource(topic, sibling.instance, "the log is read through a sibling");
+                co_return page;
+            }
+        } catch (const Core::Error &error) {
+            reason = error.what();
+        }
+        // A sibling that answers without data is starting, too.
+        if (reason.find("status 404") == std::string::npos)
+            m_skippedUntil[sibling.instance] = m_dependencies.clock.now() + SkipTime;
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<FleetPage> SharedLog::read(FleetTopic topic, std::uint64_t from, milliseconds wait)
 {
     auto &state = m_topics[topic];
     const bool mayWait = wait > 0ms;
     const auto isStoreDue = [&] { return m_dependencies.clock.now() >= state.nextStoreRead; };
-    if (mayWait && (state.isStoreFailing ? !isStoreDue() : !isReader())) {
-        if (auto page = co_await readSiblings(
-                topic, from, std::min(wait, maxAgeOf(topic) / SiblingWaitsPerMaxAge)))
+    if (mayWait && (state.isStoreFailing ? !isStoreDue() : !readsStore())) {
+        if (auto page = co_await readSiblings(topic, from, std::min(wait, siblingWait(topic))))
             co_return std::move(*page);
     }
     if (mayWait && !state.isStoreFailing && !isStoreDue())
@@ -148,6 +246,7 @@
     const auto requestTime = m_dependencies.clock.now();
     std::optional<Core::Error> failure;
     try {
+        noteStoreCall(topic, "read");
         auto page = co_await m_dependencies.store.read(topic, from, wait);
         page.asOf = requestTime;
         page.lastStoreFailure = state.lastStoreFailure;
@@ -208,33 +307,60 @@
     co_return std::nullopt;
 }
 
+std::vector<FleetMember> SharedLog::preferredSiblings() const
+{
+    const auto &members = m_dependencies.members;
+    const auto &self = members.self();
+    const auto names = readingDataCentres();
+    const bool isReading = std::find(names.begin(), names.end(), self.dataCentre) != names.end();
+    if (!members.isLarge() || !isReader() || isReading) {
+        auto readers = members.reachable(ReadersKey, self.dataCentre);
+        // The second reader of a reading data centre queries the first one.
+        const auto count = members.isLarge() && isReader() ? 1 : readersPerDataCentre();
+        readers.resize(std::min(readers.size(), count));
+        return readers;
+    }
+    std::vector<FleetMember> readers;
+    // Whether the members of another data centre are reachable is not known. Any of them has the
+    // records that its own data centre's readers have passed on.
+    for (const auto &name : names) {
+        const auto others = members.ranked(ReadersKey, name);
+        if (!others.empty())
+            readers.push_back(others.front());
+    }
+    return readers;
+}
+
+bool SharedLog::isSkipped(const FleetMember &member) const
+{
+    const auto it = m_skippedUntil.find(member.instance);
+    return it != m_skippedUntil.end() && it->second > m_dependencies.clock.now();
+}
+
 std::optional<FleetMember> SharedLog::chooseSibling(const TopicState &state) const
 {
-    const auto &self = m_dependencies.members.self();
-    // Siblings in the same data centre come first; the others are only used when the store does not
-    // answer.
-    auto members = m_dependencies.members.reachable(ReadersKey, self.dataCentre);
-    members.resize(std::min(members.size(), Readers));
+    // The preferred siblings come first; the others are only used when the store does not answer.
+    auto members = preferredSiblings();
     if (state.isStoreFailing) {
         const auto others = m_dependencies.members.reachable(ReadersKey, std::nullopt);
         members.insert(members.end(), others.begin(), others.end());
     }
-    const auto now = m_dependencies.clock.now();
-    std::erase_if(members, [&](const FleetMember &member) {
-        const auto it = m_skippedUntil.find(member.instance);
-        return it != m_skippedUntil.end() && it->second > now;
-    });
+    std::erase_if(members, [this](const FleetMember &member) { return isSkipped(member); });
     if (members.empty())
         return std::nullopt;
     if (state.isStoreFailing)
         return members[m_siblingIndex % members.size()];
     // Each follower stays with one reader, and the followers are distributed over all readers.
-    return members[Core::hash64(self.instance.value()) % members.size()];
+    return members[Core::hash64(m_dependencies.members.self().instance.value()) % members.size()];
 }
 
 bool SharedLog::isUseful(FleetTopic topic, const FleetPage &page) const
 {
-    const auto share = m_topics.at(topic).isStoreFailing ? MaxAgeShareWithoutStore : MaxAgeShare;
+    const auto it = m_topics.find(topic);
+    const bool isStoreFailing = it != m_topics.end() && it->second.isStoreFailing;
+    auto share = isReader() ? ReaderMaxAgeShare : MaxAgeShare;
+    if (isStoreFailing)
+        share = MaxAgeShareWithoutStore;
     return m_dependencies.clock.now() - page.asOf <= share * maxAgeOf(topic);
 }
 
@@ -257,6 +383,7 @@
 asio::awaitable<AppendOutcome> SharedLog::append(FleetTopic topic, std::string value,
                                                  std::optional<std::uint64_t> expectedEnd)
 {
+    noteStoreCall(topic, "append");
     co_return co_await m_dependencies.store.append(topic, std::move(value), expectedEnd);
 }
 
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -4,23 +4,32 @@
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/LogRelay.h>
 
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Gateway {
 
 /// Reads the logs of the store directly or through a sibling.
 ///
-/// In a data centre with many instances, a few read the store and the others query them, so that
-/// the load of the store does not grow with the fleet. An instance that the store rejects queries
-/// any sibling. An instance reads the store directly as soon as a sibling's data is too old or a
-/// sibling does not answer, so the choice of readers needs no agreement. Appends always go to the
+/// In a data centre with many instances, a few read the store and the others query them. In a large
+/// fleet only those of two data centres do; those of the others query them in turn, so that the
+/// load of the store does not grow with the fleet: the readers form a tree. An instance that the
+/// store rejects queries any sibling. An instance reads the store directly as soon as a sibling's
+/// data is too old or a sibling does not answer, so the choice of readers needs no agreement. An
+/// instance that starts takes the newest records from a sibling that runs. Appends always go to the
 /// store.
 class SharedLog final : public FleetLog
 {
 public:
-    /// The number of instances in a data centre that read the store directly.
+    /// The number of instances in a data centre that read the store. In a large fleet, the number
+    /// that the others query.
     static constexpr std::size_t Readers = 3;
+    static constexpr std::size_t LargeFleetReaders = 2;
+    /// The number of data centres of a large fleet in each of which one reader reads the store.
+    static constexpr std::size_t ReadingDataCentres = 2;
 
     struct Dependencies
     {
@@ -44,6 +53,11 @@
 
     /// Returns whether this instance is one of its data centre's readers.
     bool isReader() const;
+    /// Returns whether it reads the store, rather than the readers of another data centre.
+    bool readsStore() const;
+
+    /// Called with each call to the store: the log and the kind of call.
+    std::function<void(FleetTopic, std::string_view)> onStoreCall;
 
 private:
     struct TopicState
@@ -57,8 +71,17 @@
         Core::InstanceId source;
     };
 
+    std::size_t readersPerDataCentre() const;
+    /// Returns the data centres of a large fleet whose readers read the store.
+    std::vector<std::string> readingDataCentres() const;
+    /// Returns the siblings to query, in order of preference, while the store answers.
+    std::vector<FleetMember> preferredSiblings() const;
+    /// Returns the newest records from a sibling; nothing when none has them.
+    boost::asio::awaitable<std::optional<FleetPage>> newestFromSiblings(FleetTopic topic);
     /// Returns whether other instances of the data centre may read through this instance.
     bool mayHaveFollowers() const;
+    /// Returns how long a sibling may hold a query.
+    std::chrono::milliseconds siblingWait(FleetTopic topic) const;
     /// Returns the pause between two reads of the store.
     std::chrono::milliseconds storeReadPause(FleetTopic topic) const;
     /// Returns how long a read of the store may wait for new records.
@@ -77,6 +100,8 @@
                                                                   std::uint64_t from,
                                                                   std::chrono::milliseconds wait);
     std::optional<FleetMember> chooseSibling(const TopicState &state) const;
+    bool isSkipped(const FleetMember &member) const;
+    void noteStoreCall(FleetTopic topic, std::string_view call) const;
     bool isUseful(FleetTopic topic, const FleetPage &page) const;
     void noteSource(FleetTopic topic, const Core::InstanceId &source, const std::string &reason);
 
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -251,6 +251,23 @@
     });
 }
 
+/// Probes an idle connection, so that a server that has fallen silent is noticed although no sent
+/// bytes are unacknowledged. A server that only takes long to answer acknowledges the probes.
+void enableProbes(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
+{
+    using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    constexpr int ProbeCount = 2;
+    const auto seconds =
+        static_cast<int>(std::chrono::ceil<std::chrono::seconds>(timeout / ProbeCount).count());
+    boost::system::error_code ec;
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    socket.set_option(Idle(seconds), ec);
+    socket.set_option(Interval(seconds), ec);
+    socket.set_option(Count(ProbeCount), ec);
+}
+
 asio::awaitable<ConnectionPtr> connect(const asio::any_io_executor &executor, Endpoint endpoint,
                                        std::chrono::milliseconds limit, const SendOptions &options)
 {
@@ -268,6 +285,7 @@
     if (options.unacknowledged > std::chrono::milliseconds::zero()) {
         using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         socket.set_option(UserTimeout(static_cast<int>(options.unacknowledged.count())), ec);
+        enableProbes(socket, options.unacknowledged);
     }
     co_return connection;
 }
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -58,7 +58,8 @@
     /// UpstreamUnreachable and nothing is sent. May be empty.
     std::function<bool()> maySend;
     /// The TCP user timeout: how long sent bytes may stay unacknowledged before the connection is
-    /// closed. Zero uses the system's default.
+    /// closed. An idle connection is probed, and closed when the probes stay unacknowledged about
+    /// as long. Zero uses the system's default.
     std::chrono::milliseconds unacknowledged {0};
 };
 
--- a/Tests/LibGateway/TestJournal.cpp
+++ b/Tests/LibGateway/TestJournal.cpp
@@ -95,7 +95,7 @@
 
 TEST_CASE("an instance announces itself again before the log drops its record")
 {
-    Core::ManualClock clock;
+    const Core::SuspensionAwareClock clock;
     HangingLog log;
     Gateway::PoisonRequestTable poison;
     Gateway::GatewaySettings settings;
@@ -104,8 +104,10 @@
     Gateway::FleetJournal journal(log, clock, settings, poison, members);
     asio::io_context context;
     asio::co_spawn(context, journal.announce(), asio::detached);
+    const auto begin = clock.now();
     while (log.records.size() < 3 && context.run_one_for(10s) > 0) { }
     CHECK(log.records.size() >= 3);
+    CHECK(clock.now() - begin < 2 * settings.journalRetention);
 }
 
 TEST_CASE("a restarted instance learns members and poison requests from repeated announcements")
@@ -242,3 +244,45 @@
         }
     }
 }
+
+TEST_CASE("a hub announces the members of its data centre, who announce themselves if it does not")
+{
+    Core::ManualClock clock;
+    clock.advance(1h);
+    HangingLog log;
+    Gateway::PoisonRequestTable poison;
+    Gateway::GatewaySettings settings;
+    settings.instance = Core::InstanceId("a0");
+    settings.journalRetention = 20s;
+    Gateway::FleetMembers members({settings.instance, "a", {}, 200}, clock);
+    Gateway::FleetJournal journal(log, clock, settings, poison, members);
+    const auto endpoint = Http::parseEndpoint("10.0.0.1:7000").value();
+    for (int n = 1; n < 20; ++n)
+        members.noteDatagram({Core::InstanceId("a" + std::to_string(n)), "a", endpoint, 20});
+    members.noteAnnounced({Core::InstanceId("a99"), "a", endpoint, 20});
+    members.noteAnnounced({Core::InstanceId("b0"), "b", endpoint, 20});
+    REQUIRE(members.isHub());
+    CHECK(journal.isAnnouncementDue());
+
+    // Another member reads the record of the hub.
+    Gateway::GatewaySettings otherSettings = settings;
+    otherSettings.instance = Core::InstanceId("a7");
+    Gateway::FleetMembers otherMembers({otherSettings.instance, "a", endpoint, 20}, clock);
+    Gateway::FleetJournal other(log, clock, otherSettings, poison, otherMembers);
+    CHECK(other.isAnnouncementDue());
+    other.apply({0, {}, journal.announcementForAll()});
+    // The hub itself and the 18 others that it hears, but not the silent one or the one elsewhere.
+    CHECK(otherMembers.count() == 20);
+    CHECK_FALSE(otherMembers.siblings().contains(Core::InstanceId("a99")));
+    CHECK_FALSE(other.isAnnouncementDue());
+    clock.advance(13s);
+    otherMembers.noteDatagram(members.self());
+    CHECK_FALSE(other.isAnnouncementDue());
+    // The hub does not announce it again, and the log still has the last record.
+    clock.advance(5s);
+    otherMembers.noteDatagram(members.self());
+    CHECK(other.isAnnouncementDue());
+    CHECK(clock.now() - 18s + settings.journalRetention > clock.now());
+    other.apply({1, {}, other.announcement()});
+    CHECK_FALSE(other.isAnnouncementDue());
+}
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -29,6 +29,8 @@
         countCall();
         FleetPage page;
         page.next = m_records.size();
+        if (!m_records.empty())
+            page.records.push_back({m_records.size() - 1, "key", m_records.back()});
         co_return page;
     }
     asio::awaitable<FleetPage> read(FleetTopic, std::uint64_t from,
@@ -355,3 +357,104 @@
     CHECK_FALSE(tail.covers(20));
     CHECK(tail.covers(21));
 }
+
+TEST_CASE("the calls to the store do not grow with a large fleet")
+{
+    for (const unsigned perDataCentre : {6U, 20U, 42U}) {
+        Fleet fleet;
+        const std::vector<std::string> names {"a", "b", "c", "d", "e"};
+        for (unsigned n = 0; n < perDataCentre; ++n) {
+            for (const auto &name : names)
+                fleet.instances.push_back(std::make_unique<Instance>(
+                    name + std::to_string(n), name, fleet.records, fleet.threads, fleet.clock));
+        }
+        fleet.exchangeDatagrams();
+        const auto readAll = [&fleet] {
+            // The readers of the store first, then those that query them, then the followers.
+            const auto rank = [](const Instance &it) {
+                return it.log.readsStore() ? 0 : it.log.isReader() ? 1 : 2;
+            };
+            for (int step = 0; step < 3; ++step) {
+                for (auto &instance : fleet.instances) {
+                    if (rank(*instance) == step)
+                        CHECK(fleet.read(*instance, fleet.records.size() - 1).records.size() == 1);
+                }
+            }
+        };
+        for (int round = 0; round < 3; ++round) {
+            readAll();
+            fleet.records.push_back("record " + std::to_string(round));
+            fleet.clock.advance(900ms);
+            fleet.exchangeDatagrams();
+        }
+        int calls = 0;
+        for (auto &instance : fleet.instances)
+            calls += instance->store.calls;
+        CHECK(calls == 3 * 2);
+    }
+}
+
+TEST_CASE("an instance that starts takes the newest records from a sibling that has them")
+{
+    Fleet fleet;
+    for (int n = 0; n < 10; ++n) {
+        fleet.add("n" + std::to_string(n));
+        fleet.add("s" + std::to_string(n), "south");
+    }
+    const auto newest = [&fleet](Instance &instance) {
+        return asio::co_spawn(fleet.threads.at(0), instance.log.newest(FleetTopic::Operator),
+                              asio::use_future)
+            .get();
+    };
+    const auto begin = fleet.clock.now();
+    for (auto &instance : fleet.instances)
+        instance->members.noteSelfAnnounced();
+    for (const bool readsStore : {true, false}) {
+        for (auto &instance : fleet.instances) {
+            if (instance->log.isReader() && instance->log.readsStore() == readsStore)
+                newest(*instance);
+        }
+    }
+    auto &follower = fleet.firstInstance(false);
+    const auto page = newest(follower);
+    REQUIRE(page.records.size() == 1);
+    CHECK(page.records.front().value == "first");
+    CHECK(page.next == 1);
+    CHECK(page.asOf <= begin);
+    CHECK(follower.store.calls == 0);
+    // The siblings' data is too old.
+    fleet.clock.advance(5s);
+    fleet.exchangeDatagrams();
+    fleet.records.emplace_back("second");
+    CHECK(newest(follower).records.front().value == "second");
+    CHECK(follower.store.calls == 1);
+}
+
+TEST_CASE("a tail knows the newest record of each key after changes and deletions")
+{
+    Core::ManualClock clock;
+    clock.advance(1h);
+    Gateway::LogTail tail;
+    CHECK_FALSE(tail.hasNewest());
+    FleetPage page;
+    page.asOf = clock.now();
+    page.next = 10;
+    page.records = {{3, "a", "1"}, {8, "b", "1"}};
+    tail.restart(page);
+    CHECK(tail.newest().records.size() == 2);
+    FleetPage changes;
+    changes.asOf = clock.now();
+    changes.records = {{10, "a", "2"}, {11, "b", std::nullopt}, {12, "c", "1"}};
+    changes.next = 13;
+    tail.extend(10, changes);
+    const auto newest = tail.newest();
+    REQUIRE(newest.records.size() == 2);
+    CHECK(newest.records[0].value == "2");
+    CHECK(newest.records[1].key == "c");
+    CHECK(newest.next == 13);
+    // After a gap, records may be missing.
+    changes.records = {{20, "d", "1"}};
+    changes.next = 21;
+    tail.extend(20, changes);
+    CHECK_FALSE(tail.hasNewest());
+}
