LibGateway: Learn the waits of ordinary prompts, weigh separation by prefill time

Change: EngineModel learns how many times longer than the prompts ahead ordinary ones wait. The cost of the wrong end of the order is a prefill time. Pauses are assumed to matter until they are known.

--- a/Libraries/LibGateway/EngineModel.cpp
+++ b/Libraries/LibGateway/EngineModel.cpp
@@ -17,6 +17,11 @@
 // Most streams run beside no long prefill, so the estimate follows the longer pauses.
 constexpr double RisingPauseGain = 0.1;
 constexpr double FallingPauseGain = 0.01;
+// Shorter waits say little about the load.
+constexpr EngineModel::Milliseconds MinWaitSample {30};
+constexpr double WaitGain = 0.05;
+constexpr double MaxWaitRatio = 4;
+constexpr double MaxWaitFactor = 5;
 constexpr double MinRate = 1;
 constexpr double MaxRate = 2'000;
 
@@ -42,6 +47,15 @@
     m_tokensPerMillisecond += gain * (sample - m_tokensPerMillisecond);
 }
 
+void EngineModel::addOrdinaryWait(Milliseconds expected, Milliseconds actual)
+{
+    if (expected < MinWaitSample)
+        return;
+    const double ratio = std::clamp(actual / expected, 0.0, MaxWaitRatio);
+    m_ordinaryWaitFactor =
+        std::clamp(m_ordinaryWaitFactor * (1 + WaitGain * (ratio - 1)), 1.0, MaxWaitFactor);
+}
+
 void EngineModel::addPause(Milliseconds longest)
 {
     const double gain = longest > m_pauseDuringPrefill ? RisingPauseGain : FallingPauseGain;
--- a/Libraries/LibGateway/EngineModel.h
+++ b/Libraries/LibGateway/EngineModel.h
@@ -19,6 +19,11 @@
     Milliseconds firstToken(std::uint64_t tokensToPrefill) const;
     /// Updates the rate from an answer whose prompt did not compete with others at its engine.
     void addSample(unsigned prefilledTokens, Milliseconds firstToken);
+    /// Returns how many times longer than the prompts ahead ordinary prompts wait, because urgent
+    /// ones arrive after them and precede them.
+    double ordinaryWaitFactor() const { return m_ordinaryWaitFactor; }
+    /// Records the expected wait of an ordinary prompt, with the factor, and the actual one.
+    void addOrdinaryWait(Milliseconds expected, Milliseconds actual);
     /// Records the longest pause between two events of a stream.
     void addPause(Milliseconds longest);
     /// Returns the pause that running streams make while their engine prefills long prompts.
@@ -29,9 +34,12 @@
     // In tokens per millisecond. Low on purpose, so that an instance without samples spreads its
     // requests.
     static constexpr double InitialRate = 50;
+    // High on purpose, so that long prefills and streams are kept apart until the pauses are known.
+    static constexpr Milliseconds InitialPause {500};
 
     double m_tokensPerMillisecond = InitialRate;
-    Milliseconds m_pauseDuringPrefill {0};
+    double m_ordinaryWaitFactor = 1;
+    Milliseconds m_pauseDuringPrefill = InitialPause;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -249,6 +249,9 @@
                       m_gateway.dependencies().clock.now(), std::move(m_place));
     const auto end = co_await sendToUpstream(load);
     const auto now = m_gateway.dependencies().clock.now();
+    // A prompt that did not start in time has waited at least this long.
+    if (m_plan->engine && !load.hasFirstToken() && m_cancelReason == CancelReason::DeadlineExpired)
+        noteWait(now - load.sent());
     if (end == AttemptOutcome::Answered)
         m_plan->upstream->noteOutcome(true, now);
     else if (end != AttemptOutcome::Cancelled && end != AttemptOutcome::NotExecuted)
@@ -506,11 +509,22 @@
     if (load.isOnlyPrompt())
         m_gateway.engineModel(m_plan->service)
             .addSample(static_cast<unsigned>(load.tokens()), elapsed);
+    noteWait(elapsed);
     const auto expected = m_plan->engine->expectedFirstToken / m_plan->upstream->slowness();
     if (expected >= MinSlownessSampleTime)
         m_plan->upstream->noteSlowness(elapsed / expected);
 }
 
+void RequestRelay::noteWait(EngineModel::Milliseconds untilFirstToken)
+{
+    if (isUrgent(*m_request.route, m_request.tenant))
+        return;
+    const auto &choice = *m_plan->engine;
+    const auto ownTime = choice.expectedFirstToken - choice.expectedWait;
+    m_gateway.engineModel(m_plan->service)
+        .addOrdinaryWait(choice.expectedWait, untilFirstToken - ownTime);
+}
+
 asio::awaitable<void> RequestRelay::finish(AttemptOutcome end)
 {
     if (end == AttemptOutcome::Answered) {
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -74,6 +74,8 @@
     boost::asio::awaitable<AttemptOutcome> relayStream(Http::ClientExchange &answer,
                                                        Http::Headers headers, UpstreamLoad &load);
     void noteFirstToken(const UpstreamLoad &load);
+    /// Records how long the prompt waited at its engine.
+    void noteWait(EngineModel::Milliseconds untilFirstToken);
     AttemptOutcome noteInterrupted(const Core::Error &error);
     Http::Request upstreamRequest() const;
     boost::asio::awaitable<void> finish(AttemptOutcome end);
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -28,9 +28,11 @@
 constexpr double MinPauseRatio = 0.6;
 // A prefill of this share of the pause target counts as long.
 constexpr double LongPrefillShare = 0.25;
-// The largest cost of an engine at the wrong end of the order. Small against the prefill of a long
-// prompt whose parts are cached there.
-constexpr Milliseconds SeparationCost {80};
+// A prefill of this share of the pause target interrupts no stream for too long.
+constexpr double HarmlessPrefillShare = 0.35;
+// The largest cost of an engine at the wrong end of the order is the prefill of so many tokens,
+// less than that of a long prompt whose shared parts are cached there.
+constexpr unsigned SeparationTokens = 5'600;
 constexpr Milliseconds InterruptedStreamCost {30};
 constexpr Milliseconds OwnPauseCost {150};
 // The upper 32 bits of the hash.
@@ -196,8 +198,9 @@
     choice.isFromStore = source.isStore;
     choice.readyTokens = source.tokens;
     const auto ownTokens = demand.promptTokens - choice.readyTokens;
+    const double waitFactor = demand.isUrgent ? 1 : model.ordinaryWaitFactor();
     choice.expectedWait =
-        engine->slowness() * model.prefillTime(engine->tokensAhead(demand.isUrgent))
+        waitFactor * engine->slowness() * model.prefillTime(engine->tokensAhead(demand.isUrgent))
         + memoryWait(*engine, demand);
     choice.expectedFirstToken =
         choice.expectedWait + engine->slowness() * model.firstToken(ownTokens) + source.transfer;
@@ -255,12 +258,13 @@
     const auto own = model.prefillTime(demand.promptTokens - choice.readyTokens);
     const auto pending = model.prefillTime(upstream.tokensAhead(false));
     const auto risk = [target](Milliseconds prefill) {
-        return std::clamp((prefill - target / 2) / (target / 2), 0.0, 1.0);
+        return std::clamp((prefill - HarmlessPrefillShare * target) / (target / 2), 0.0, 1.0);
     };
     const double longShare = std::clamp(own / (LongPrefillShare * target), 0.0, 1.0);
     const double rank =
         static_cast<double>(UpstreamFleet::hashOf(upstream.report().id) >> RankShift) / RankRange;
-    auto sum = SeparationCost * (longShare * (1 - rank) + (1 - longShare) * rank);
+    auto sum =
+        model.prefillTime(SeparationTokens) * (longShare * (1 - rank) + (1 - longShare) * rank);
     sum += risk(pending + own) * upstream.runningStreams() * InterruptedStreamCost;
     sum += risk(pending) * OwnPauseCost;
     return weight * sum;
--- a/Libraries/LibGateway/UpstreamLoad.h
+++ b/Libraries/LibGateway/UpstreamLoad.h
@@ -46,6 +46,7 @@
         return true;
     }
     std::uint64_t tokens() const { return m_tokens; }
+    bool hasFirstToken() const { return m_hasFirstToken; }
     /// Whether no other prompts were queued for prefill when this request was sent.
     bool isOnlyPrompt() const { return m_isOnlyPrompt; }
     Core::Clock::Monotonic sent() const { return m_sent; }
--- a/Tests/LibGateway/FleetSimulation.cpp
+++ b/Tests/LibGateway/FleetSimulation.cpp
@@ -181,7 +181,8 @@
         return;
     engine.current = queue.front();
     queue.pop_front();
-    const auto &prompt = *engine.current;
+    auto &prompt = *engine.current;
+    prompt.started = m_clock.now();
     m_errorSum +=
         std::abs((Milliseconds(m_clock.now() - prompt.sent) - prompt.expectedWait).count());
     ++m_errorCount;
@@ -200,6 +201,9 @@
     auto &instance = *m_instances[prompt->instance];
     const auto engine = upstream(prompt->instance, number);
     engine->noteFirstToken(prompt->believedTokens, prompt->kind->isUrgent);
+    if (!prompt->kind->isUrgent)
+        instance.model.addOrdinaryWait(prompt->expectedWait,
+                                       Milliseconds(prompt->started - prompt->sent));
     instance.model.addSample(static_cast<unsigned>(prompt->believedTokens),
                              Milliseconds(now - prompt->sent));
     for (unsigned n = 0; n < m_shape.instances; ++n)
--- a/Tests/LibGateway/FleetSimulation.h
+++ b/Tests/LibGateway/FleetSimulation.h
@@ -90,6 +90,7 @@
         Milliseconds expectedWait {0};
         Core::Clock::Monotonic firstArrival;
         Core::Clock::Monotonic sent;
+        Core::Clock::Monotonic started;
         bool isReturning = false;
     };
     using PromptPointer = std::shared_ptr<Prompt>;
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -253,7 +253,7 @@
         return engines;
     };
     // Prefill does not interrupt streams noticeably, so any engine will do.
-    for (int n = 0; n < 100; ++n)
+    for (int n = 0; n < 300; ++n)
         fixture.model.addPause(EngineModel::Milliseconds(90));
     CHECK(fixture.choose().has_value());
     const auto before = fixture.choose()->upstream;
@@ -350,6 +350,31 @@
     CHECK(model.tokensPerMillisecond() < 90);
 }
 
+TEST_CASE("ordinary prompts are expected to wait longer while urgent ones overtake them")
+{
+    EngineModel model;
+    for (int n = 0; n < 200; ++n)
+        model.addOrdinaryWait(100 * model.ordinaryWaitFactor() * EngineModel::Milliseconds(1),
+                              EngineModel::Milliseconds(250));
+    CHECK(model.ordinaryWaitFactor() == Approx(2.5).epsilon(0.05));
+    // Short waits say nothing.
+    for (int n = 0; n < 200; ++n)
+        model.addOrdinaryWait(EngineModel::Milliseconds(10), EngineModel::Milliseconds(1));
+    CHECK(model.ordinaryWaitFactor() == Approx(2.5).epsilon(0.05));
+    for (int n = 0; n < 200; ++n)
+        model.addOrdinaryWait(EngineModel::Milliseconds(100), EngineModel::Milliseconds(10));
+    CHECK(model.ordinaryWaitFactor() == 1);
+    Fixture fixture;
+    for (int n = 0; n < 200; ++n)
+        fixture.model.addOrdinaryWait(EngineModel::Milliseconds(100),
+                                      EngineModel::Milliseconds(400));
+    for (const auto &member : fixture.fleet.members("llm"))
+        member->noteSent(10'000, true);
+    const auto ordinary = fixture.choose()->expectedWait;
+    fixture.demand.isUrgent = true;
+    CHECK(ordinary > 2 * fixture.choose()->expectedWait);
+}
+
 TEST_CASE("a team's priority overrides its route's, and requests in time precede late ones")
 {
     Gateway::Route first;
