LibGateway, LibHttp: Bound bytes that never become an answer

Change: an event and an answer have size limits, a discarded body is read for 100 ms or 64 KiB, a fetch ends after the sum of its time limits. Only new bytes are searched for the end of an event.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -23,7 +23,13 @@
 constexpr auto UnacknowledgedTimeout = 1'500ms;
 // The maximum number of attempts for a request that no upstream has executed.
 constexpr unsigned MaxSends = 6;
-constexpr std::size_t AnswerLimitBytes = 64 * 1024 * 1024;
+// Several answers have to fit into the memory of a small instance.
+constexpr std::size_t AnswerLimitBytes = 16 * 1024 * 1024;
+constexpr std::size_t EventLimitBytes = 1024 * 1024;
+// The body of an answer that is discarded is read up to this size and time, so that the connection
+// can be reused.
+constexpr std::size_t DiscardLimitBytes = 64 * 1024;
+constexpr auto DiscardTimeout = 100ms;
 // Callers honour a Retry-After of at most a third of their remaining time.
 constexpr int RetryAfterShare = 3;
 constexpr auto ShortRetryAfter = 300ms;
@@ -381,8 +387,7 @@
     try {
         if (head.isOtherUpstream || head.isNotRun) {
             noteRefusedByUpstream(answer.status(), head);
-            // The connection can be reused only after the whole body has been read.
-            while (co_await answer.readSome()) { }
+            co_await discardBody(answer);
             co_return AttemptOutcome::NotExecuted;
         }
         if (head.weights && *head.weights > m_plan->upstream->weights(m_request.caller.model)) {
@@ -404,6 +409,27 @@
     co_return noteInterrupted(*failure);
 }
 
+asio::awaitable<void> RequestRelay::discardBody(Http::ClientExchange &answer)
+{
+    // The connection can be reused only after the whole body has been read.
+    answer.setBodyTimeout(DiscardTimeout);
+    std::size_t size = 0;
+    bool isComplete = false;
+    try {
+        while (size <= DiscardLimitBytes) {
+            const auto chunk = co_await answer.readSome();
+            isComplete = !chunk;
+            if (isComplete)
+                break;
+            size += chunk->size();
+        }
+    } catch (const Core::Error &error) {
+        noteAttempt("not_run", error.what());
+    }
+    if (!isComplete)
+        answer.abort();
+}
+
 void RequestRelay::noteUnreachable()
 {
     m_plan->upstream->noteUnreachable(m_gateway.dependencies().clock.now());
@@ -467,6 +493,9 @@
     m_events.dropPartialEvent();
     while (auto chunk = co_await answer.readSome()) {
         const auto events = m_events.feed(*chunk);
+        if (m_events.partialEventBytes() > EventLimitBytes)
+            co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                                                  "an event exceeds the size limit"));
         if (events.empty())
             continue;
         m_progress.noteEvents(m_gateway.dependencies().clock.now());
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -73,6 +73,8 @@
                                                       Http::Headers headers);
     boost::asio::awaitable<AttemptOutcome> relayStream(Http::ClientExchange &answer,
                                                        Http::Headers headers, UpstreamLoad &load);
+    /// Reads the rest of an answer that is not relayed, or closes the connection if it is long.
+    boost::asio::awaitable<void> discardBody(Http::ClientExchange &answer);
     void noteFirstToken(const UpstreamLoad &load);
     /// Records how long the prompt waited at its engine.
     void noteWait(EngineModel::Milliseconds untilFirstToken);
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -355,12 +355,20 @@
 asio::awaitable<Response> Client::fetch(Endpoint endpoint, Request request, ClientTimeouts timeouts,
                                         std::size_t bodyLimit, ConnectionUse use)
 {
+    const auto end =
+        std::chrono::steady_clock::now() + timeouts.connect + timeouts.head + timeouts.body;
     auto exchange = co_await open(endpoint, std::move(request), timeouts, use);
     Response response;
     response.status = exchange->status();
     response.headers = exchange->headers();
     while (auto chunk = co_await exchange->readSome()) {
         response.body += *chunk;
+        // A server that sends a byte now and then does not prolong the call.
+        const auto left =
+            std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        if (left <= std::chrono::milliseconds::zero())
+            throw Core::Error(Core::ErrorKind::UpstreamTimedOut, "the answer is not complete");
+        exchange->setBodyTimeout(std::min(left, timeouts.body));
         if (response.body.size() > bodyLimit)
             throw Core::Error(Core::ErrorKind::UpstreamAnswerMalformed, "the answer is too large");
     }
--- a/Libraries/LibHttp/EventSplitter.cpp
+++ b/Libraries/LibHttp/EventSplitter.cpp
@@ -8,14 +8,19 @@
 
 constexpr std::string_view Field = "id:";
 
-/// Returns the offset after the last blank line, or zero.
-std::size_t endOfWholeEvents(std::string_view text)
+// The length of the longest blank line, less one.
+constexpr std::size_t BlankLineOverlap = 3;
+
+/// Returns the offset after the last blank line, or zero. There is none in the first bytes.
+std::size_t endOfWholeEvents(std::string_view text, std::size_t searched)
 {
+    const auto begin = searched - std::min(searched, BlankLineOverlap);
+    const auto unsearched = text.substr(begin);
     std::size_t end = 0;
     for (const std::string_view blank : {"\n\n", "\r\n\r\n", "\r\r"}) {
-        const auto at = text.rfind(blank);
+        const auto at = unsearched.rfind(blank);
         if (at != std::string_view::npos)
-            end = std::max(end, at + blank.size());
+            end = std::max(end, begin + at + blank.size());
     }
     return end;
 }
@@ -24,8 +29,9 @@
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
+    const auto searched = m_pending.size();
     m_pending += bytes;
-    const auto end = endOfWholeEvents(m_pending);
+    const auto end = endOfWholeEvents(m_pending, searched);
     auto whole = m_pending.substr(0, end);
     m_pending.erase(0, end);
     noteIds(whole);
--- a/Tests/LibHttp/TestEventSplitter.cpp
+++ b/Tests/LibHttp/TestEventSplitter.cpp
@@ -36,3 +36,16 @@
     CHECK(splitter.feed("id:3\r\ndata: a\r\n\r\nid: 4\r\n") == "id:3\r\ndata: a\r\n\r\n");
     CHECK(splitter.lastId() == "3");
 }
+
+TEST_CASE("blank lines of any kind are found when they are split over reads")
+{
+    const std::string stream = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+    for (std::size_t step = 1; step <= stream.size(); ++step) {
+        Http::EventSplitter splitter;
+        std::string passed;
+        for (std::size_t at = 0; at < stream.size(); at += step)
+            passed += splitter.feed(stream.substr(at, step));
+        CHECK(passed == stream);
+        CHECK_FALSE(splitter.hasPartialEvent());
+    }
+}
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -226,3 +226,47 @@
         kind = attempt();
     CHECK(kind == Core::ErrorKind::UpstreamUnreachable);
 }
+
+TEST_CASE("a head without end is refused, and a body that trickles does not prolong a call")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, Http::parseEndpoint("127.0.0.1:0").value());
+    // Sends the start of an answer and then more bytes until the connection is closed. Returns the
+    // number of bytes.
+    const auto serve = [&](const std::string &start, const std::string &more,
+                           std::chrono::milliseconds pause) {
+        auto socket = acceptor.accept();
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+        boost::system::error_code ec;
+        std::size_t sent = asio::write(socket, asio::buffer(start), ec);
+        while (!ec) {
+            sent += asio::write(socket, asio::buffer(more), ec);
+            std::this_thread::sleep_for(pause);
+        }
+        return sent;
+    };
+    const auto fetch = [&] {
+        Core::IoThreads threads(1);
+        Http::Client client;
+        Http::ClientTimeouts timeouts;
+        timeouts.connect = 200ms;
+        timeouts.head = 600ms;
+        timeouts.body = 200ms;
+        return asio::co_spawn(
+                   threads.at(0),
+                   client.fetch(acceptor.local_endpoint(), Http::Request("GET", "/"), timeouts),
+                   asio::use_future)
+            .get();
+    };
+    auto head = std::async(std::launch::async, serve,
+                           "HTTP/1.1 200 OK\r\nX-Filler: ", std::string(4'096, 'x'), 0ms);
+    CHECK_THROWS_AS(fetch(), Core::Error);
+    CHECK(head.get() < 8 * 1024 * 1024);
+    auto body = std::async(std::launch::async, serve,
+                           "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", "x", 50ms);
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK_THROWS_AS(fetch(), Core::Error);
+    CHECK(std::chrono::steady_clock::now() - begin < 2s);
+    body.get();
+}
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -61,6 +61,34 @@
     co_return true;
 }
 
+/// Sends bytes that end no event until the connection is closed, and counts the closes.
+struct EndlessAnswer
+{
+    std::atomic<int> closed {0};
+    std::string chunk = std::string(16 * 1024, 'x');
+    Http::Headers extraHeaders;
+    unsigned status = 200;
+
+    WorkerStandIn::Behaviour behaviour()
+    {
+        return [this](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+            auto headers = WorkerStandIn::answerHeaders(exchange.request());
+            for (const auto &field : extraHeaders)
+                headers.add(field.name, field.value);
+            bool isClosed = false;
+            try {
+                co_await exchange.startStream(status, headers);
+                for (;;)
+                    co_await exchange.write(chunk);
+            } catch (const std::exception &) {
+                isClosed = true;
+            }
+            closed += isClosed ? 1 : 0;
+            throw boost::system::system_error(asio::error::connection_reset);
+        };
+    }
+};
+
 } // namespace
 
 TEST_CASE("a request is sent to a worker of its route with the headers that the worker needs")
@@ -408,3 +436,57 @@
     CHECK(answer.get().body == "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n");
     CHECK(gateway.wait() == 0);
 }
+
+TEST_CASE("bytes that never become an answer end with 502, a closed connection and little memory")
+{
+    constexpr std::size_t MaxMemoryBytes = 80 * 1024 * 1024;
+    GatewayFixture fixture;
+    EndlessAnswer endless;
+    fixture.addWorker("w-1", "llm").setBehaviour(endless.behaviour());
+    fixture.addWorker("w-2", "app").setBehaviour(endless.behaviour());
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway();
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(fixture.send(GatewayFixture::streamRequest("/streams/once/a", "id-1")).status == 502);
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-2")).status == 502);
+    CHECK(std::chrono::steady_clock::now() - begin < 4s);
+    CHECK(GatewayFixture::eventually([&] { return endless.closed == 2; }));
+    CHECK(gateway.residentBytes() < MaxMemoryBytes);
+}
+
+TEST_CASE("an answer that says not run counts, although its body never ends")
+{
+    GatewayFixture fixture;
+    EndlessAnswer endless;
+    endless.status = 503;
+    endless.extraHeaders.add("X-Jujubesaddle-Not-Executed", "1");
+    fixture.addWorker("w-1", "app").setBehaviour(endless.behaviour());
+    fixture.configure(1);
+    fixture.startGateway();
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 503);
+    fixture.addWorker("w-2", "app");
+    CHECK(GatewayFixture::eventually(
+        [&] { return fixture.send(GatewayFixture::request("/calls/a", "id-2")).body == "w-2"; }));
+    CHECK(std::chrono::steady_clock::now() - begin < 4s);
+}
+
+TEST_CASE("a late copy of an earlier answer is not taken for the answer to the next request")
+{
+    GatewayFixture fixture;
+    std::optional<Http::Headers> earlier;
+    fixture.addWorker("w-1", "app")
+        .setBehaviour([&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+            if (!earlier)
+                earlier = WorkerStandIn::answerHeaders(exchange.request());
+            Http::Response response(200, *earlier, "for the first");
+            co_await exchange.respond(std::move(response));
+            co_return true;
+        });
+    fixture.configure(1);
+    fixture.startGateway();
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).body == "for the first");
+    const auto answer = fixture.send(GatewayFixture::request("/calls/a", "id-2"));
+    CHECK(answer.status == 502);
+    CHECK(answer.body.find("for the first") == std::string::npos);
+}
--- a/Tests/Processes/Process.cpp
+++ b/Tests/Processes/Process.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
 #include <utility>
 
@@ -90,6 +91,15 @@
     return Http::parseEndpoint(line.substr(start, end - start)).value();
 }
 
+std::size_t Process::residentBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 void Process::signal(int number) const
 {
     if (m_pid > 0)
--- a/Tests/Processes/Process.h
+++ b/Tests/Processes/Process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     /// Waits until the program exits and returns its exit code, or -1 if a signal terminated it.
     /// Keeps reading its output meanwhile.
     int wait();
+    /// Returns the memory that the program occupies.
+    std::size_t residentBytes() const;
     bool isRunning() const { return m_pid > 0; }
 
 private:
