LibGateway: Enforce the teams' usage caps over all instances

Cause: nothing read or enforced the caps of teams (RatePerS, Burst, Unit, PlainTokens).

Change: QuotaLedger gives each instance an equal part of a team's rate and burst; QuotaExchange moves unused units to where they are needed, over the instance that hashing finds for the team. Units leave the donor before they are sent, so the caps hold whatever messages are lost and whoever restarts; no leader, no call to the store. Beyond the cap: 429 with the time in which the cap frees as many units; a request that did not run gives its units back.

Ruled out: leases of rates (LeasedShare): each pair of instances has to renew them, and a chain of two lenders overlaps after a cut.

--- a/Libraries/LibGateway/AcceptedRequest.cpp
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -91,6 +91,17 @@
     return caller.promptTokens + caller.outputTokens / 2;
 }
 
+double AcceptedRequest::quotaUnits() const
+{
+    if (!tenant || tenant->unitsPerSecond <= 0)
+        return 0;
+    if (!tenant->isCappedByTokens)
+        return 1;
+    // As the caller declared them, whatever the engine has cached.
+    const auto declared = caller.promptTokens + caller.outputTokens;
+    return declared > 0 ? declared : tenant->plainTokens;
+}
+
 unsigned AcceptedRequest::promptTokens() const
 {
     return std::max(totalTokens(parts), caller.promptTokens);
--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -54,6 +54,8 @@
     std::string cacheScope() const;
     /// Returns the number of tokens of engine memory that the request is expected to occupy.
     std::uint64_t memoryTokens() const;
+    /// Returns how much of its team's usage cap the request uses; 0 if there is no cap.
+    double quotaUnits() const;
     unsigned promptTokens() const;
     /// Returns the number of tokens in the prompt parts that other requests may share.
     unsigned sharedTokens() const;
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -53,6 +53,11 @@
 struct QueueMessage;
 struct QueueMessageBuilder;
 
+struct QuotaMove;
+
+struct QuotaMessage;
+struct QuotaMessageBuilder;
+
 struct PartEntry;
 
 struct HolderBeliefs;
@@ -195,6 +200,42 @@
   return EnumNamesQueueStep()[index];
 }
 
+enum class QuotaStep : uint8_t {
+  Ask = 0,
+  Grant = 1,
+  Collect = 2,
+  Gift = 3,
+  MIN = Ask,
+  MAX = Gift
+};
+
+inline const QuotaStep (&EnumValuesQuotaStep())[4] {
+  static const QuotaStep values[] = {
+    QuotaStep::Ask,
+    QuotaStep::Grant,
+    QuotaStep::Collect,
+    QuotaStep::Gift
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesQuotaStep() {
+  static const char * const names[5] = {
+    "Ask",
+    "Grant",
+    "Collect",
+    "Gift",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameQuotaStep(QuotaStep e) {
+  if (flatbuffers::IsOutRange(e, QuotaStep::Ask, QuotaStep::Gift)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesQuotaStep()[index];
+}
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Load FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -482,6 +523,54 @@
 };
 FLATBUFFERS_STRUCT_END(QueueNote, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuotaMove FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t team_;
+  double units_;
+  uint8_t step_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  QuotaMove()
+      : number_(0),
+        team_(0),
+        units_(0),
+        step_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  QuotaMove(uint64_t _number, uint64_t _team, double _units, Gateway::Wire::QuotaStep _step)
+      : number_(flatbuffers::EndianScalar(_number)),
+        team_(flatbuffers::EndianScalar(_team)),
+        units_(flatbuffers::EndianScalar(_units)),
+        step_(flatbuffers::EndianScalar(static_cast<uint8_t>(_step))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t team() const {
+    return flatbuffers::EndianScalar(team_);
+  }
+  double units() const {
+    return flatbuffers::EndianScalar(units_);
+  }
+  Gateway::Wire::QuotaStep step() const {
+    return static_cast<Gateway::Wire::QuotaStep>(flatbuffers::EndianScalar(step_));
+  }
+};
+FLATBUFFERS_STRUCT_END(QuotaMove, 32);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartEntry FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t chain_;
@@ -1178,6 +1267,69 @@
       notes__);
 }
 
+struct QuotaMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaMessageBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIFE = 4,
+    VT_MOVES = 6
+  };
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::QuotaMove *> *moves() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::QuotaMove *> *>(VT_MOVES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyOffset(verifier, VT_MOVES) &&
+           verifier.VerifyVector(moves()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaMessageBuilder {
+  typedef QuotaMessage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(QuotaMessage::VT_LIFE, life, 0);
+  }
+  void add_moves(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QuotaMove *>> moves) {
+    fbb_.AddOffset(QuotaMessage::VT_MOVES, moves);
+  }
+  explicit QuotaMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaMessage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaMessage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaMessage> CreateQuotaMessage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t life = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::QuotaMove *>> moves = 0) {
+  QuotaMessageBuilder builder_(_fbb);
+  builder_.add_life(life);
+  builder_.add_moves(moves);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaMessage> CreateQuotaMessageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t life = 0,
+    const std::vector<Gateway::Wire::QuotaMove> *moves = nullptr) {
+  auto moves__ = moves ? _fbb.CreateVectorOfStructs<Gateway::Wire::QuotaMove>(*moves) : 0;
+  return Gateway::Wire::CreateQuotaMessage(
+      _fbb,
+      life,
+      moves__);
+}
+
 struct HolderBeliefs FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HolderBeliefsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -9,6 +9,7 @@
 #include <LibGateway/KvCacheStores.h>
 #include <LibGateway/PoisonRequestTable.h>
 #include <LibGateway/PromptAdmission.h>
+#include <LibGateway/QuotaExchange.h>
 #include <LibGateway/RequestDialect.h>
 #include <LibGateway/RetryBudgetShare.h>
 #include <LibGateway/UpstreamFleet.h>
@@ -72,6 +73,9 @@
     /// The queues of engines; null if instances decide by load reports alone.
     EngineQueueExchange *engineQueues() const { return m_engineQueues; }
     void setEngineQueues(EngineQueueExchange *queues) { m_engineQueues = queues; }
+    /// The usage caps of teams; null if they are not enforced.
+    QuotaExchange *quotas() const { return m_quotas; }
+    void setQuotas(QuotaExchange *quotas) { m_quotas = quotas; }
     std::minstd_rand &random() { return m_random; }
 
     /// Called with the digest of a request during which an upstream failed.
@@ -101,6 +105,7 @@
     std::map<std::string, RetryBudgetShare> m_retries;
     std::map<std::string, ReturningCallers> m_returning;
     EngineQueueExchange *m_engineQueues = nullptr;
+    QuotaExchange *m_quotas = nullptr;
     std::minstd_rand m_random;
     std::optional<unsigned> m_instanceCount;
     bool m_isDraining = false;
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -89,6 +89,13 @@
     std::vector<std::string> keys;
     /// Overrides the priority of the route.
     std::optional<int> priority;
+    /// The usage cap over all instances, in units a second and at once; zero if there is none.
+    double unitsPerSecond = 0;
+    double unitBurst = 0;
+    /// Whether a unit is a token rather than a request, and the tokens that a request without a
+    /// prompt counts as.
+    bool isCappedByTokens = false;
+    unsigned plainTokens = 1;
     /// Whether the team shares no cached prompt parts with other teams.
     bool isIsolated = false;
 };
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -59,6 +59,10 @@
                       [this](const Http::Endpoint &sibling, std::string_view datagram) {
                           m_siblings.sendTo(sibling, datagram);
                       }})
+    , m_quotas(m_threads.at(0), {m_interfaces.clock, m_members,
+                                 [this](const Http::Endpoint &sibling, std::string_view datagram) {
+                                     m_siblings.sendTo(sibling, datagram);
+                                 }})
     , m_storeMonitor({m_gateway.stores(), m_interfaces.engines, m_members, m_interfaces.clock})
     , m_cacheSnapshots({m_log, m_members, m_fleet, m_gateway.stores(), m_interfaces.clock})
     , m_weightsRollout({m_journal, m_members, m_interfaces.engines, m_fleet, m_weights,
@@ -140,8 +144,15 @@
                                            std::string(nameOf(topic)) + " " + std::string(call));
     };
     m_gateway.setEngineQueues(&m_engineQueues);
-    m_siblings.onQueueMessage = [this](std::string_view datagram, const Http::Endpoint &from) {
-        m_engineQueues.apply(datagram, from);
+    m_gateway.setQuotas(&m_quotas);
+    m_siblings.onDatagram = [this](std::string_view datagram, const Http::Endpoint &from) {
+        if (EngineQueueExchange::isQueueMessage(datagram))
+            m_engineQueues.apply(datagram, from);
+        else if (QuotaExchange::isQuotaMessage(datagram))
+            m_quotas.apply(datagram, from);
+        else
+            return false;
+        return true;
     };
     m_storeMonitor.onAnswer = [this](std::uint64_t holder, std::uint64_t epoch) {
         m_siblings.publishStoreEpoch(holder, epoch);
@@ -208,8 +219,11 @@
 asio::awaitable<void> GatewayDaemon::countInstances()
 {
     for (;;) {
-        if (m_journal.hasRead())
-            m_gateway.setInstanceCount(static_cast<unsigned>(m_members.count()));
+        const auto count = static_cast<unsigned>(m_members.count());
+        if (m_journal.hasRead() && m_gateway.instanceCount() != count) {
+            m_gateway.setInstanceCount(count);
+            applyQuotas();
+        }
         co_await sleepFor(m_gateway.instanceCount() ? CountInterval : InitialCountInterval);
     }
 }
@@ -253,6 +267,19 @@
                               service.kvCacheStoreDataCentre, service.kvCacheStoreLinkMegabits});
     }
     m_gateway.stores().configure(stores);
+    applyQuotas();
+}
+
+void GatewayDaemon::applyQuotas()
+{
+    if (!m_configuration.current())
+        return;
+    std::map<std::string, QuotaLimit> limits;
+    for (const auto &tenant : m_configuration.current()->tenants) {
+        if (tenant.unitsPerSecond > 0)
+            limits[tenant.name] = {tenant.unitsPerSecond, tenant.unitBurst};
+    }
+    m_quotas.configure(limits, m_gateway.instanceCount().value_or(1));
 }
 
 asio::awaitable<void> GatewayDaemon::answerOperator(Http::ServerExchange &exchange)
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -8,6 +8,7 @@
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/KvCacheStoreMonitor.h>
+#include <LibGateway/QuotaExchange.h>
 #include <LibGateway/SharedLog.h>
 #include <LibGateway/SiblingExchange.h>
 #include <LibGateway/WeightsRollout.h>
@@ -57,6 +58,8 @@
 private:
     void startLoops();
     void applyConfiguration();
+    /// Applies the usage caps of the configuration, and the number of instances that share them.
+    void applyQuotas();
     void connectCallbacks();
     void addGauges();
     /// Keeps the number of instances that share budgets up to date.
@@ -83,6 +86,7 @@
     FleetJournal m_journal;
     SiblingExchange m_siblings;
     EngineQueueExchange m_engineQueues;
+    QuotaExchange m_quotas;
     KvCacheStoreMonitor m_storeMonitor;
     CacheSnapshotService m_cacheSnapshots;
     WeightsRollout m_weightsRollout;
--- /dev/null
+++ b/Libraries/LibGateway/QuotaLedger.cpp
@@ -0,0 +1,120 @@
+#include <LibGateway/QuotaLedger.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace Gateway {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// The time over which demand is averaged, and for which a donor retains its own.
+constexpr Seconds DemandTime {2};
+constexpr Seconds RetainedTime {0.1};
+// The buckets hold half of the burst and a pool the other half, or one large request.
+constexpr double BucketShare = 0.5;
+constexpr double PoolShare = 0.5;
+constexpr Seconds PoolLifetime {3};
+// The sums of many moves are not exact.
+constexpr double Exactness = 0.999;
+
+} // namespace
+
+void QuotaLedger::configure(const std::unordered_map<std::uint64_t, QuotaLimit> &limits,
+                            unsigned instances, Core::Clock::Monotonic now)
+{
+    for (const auto &[name, limit] : limits) {
+        const auto known = refilled(name, now);
+        auto &team = known ? *known : m_teams[name];
+        team.limit = limit;
+        team.updated = now;
+        team.units = std::min(team.units, BucketShare * limit.burst / std::max(1U, instances));
+        team.poolCapacity = PoolShare * limit.burst;
+        team.pool = std::min(team.pool, team.poolCapacity);
+    }
+    std::erase_if(m_teams, [&limits](const auto &item) { return !limits.contains(item.first); });
+    m_instances = std::max(1U, instances);
+}
+
+QuotaLedger::Team *QuotaLedger::refilled(std::uint64_t name, Core::Clock::Monotonic now)
+{
+    const auto it = m_teams.find(name);
+    if (it == m_teams.end())
+        return nullptr;
+    auto &team = it->second;
+    const Seconds elapsed = now - team.updated;
+    team.updated = now;
+    const double capacity = BucketShare * team.limit.burst / m_instances;
+    // Received units may exceed the capacity, and are not earned on top of.
+    if (team.units < capacity)
+        team.units =
+            std::min(capacity, team.units + elapsed.count() * team.limit.perSecond / m_instances);
+    team.demand *= std::exp(-elapsed / DemandTime);
+    if (now - team.poolUpdated > PoolLifetime)
+        team.pool = 0;
+    return &team;
+}
+
+bool QuotaLedger::take(std::uint64_t name, double units, Core::Clock::Monotonic now)
+{
+    auto *team = refilled(name, now);
+    if (!team)
+        return true;
+    if (team->units < Exactness * units)
+        return false;
+    team->units = std::max(0.0, team->units - units);
+    team->demand += units / DemandTime.count();
+    return true;
+}
+
+double QuotaLedger::missing(std::uint64_t name, double units, Core::Clock::Monotonic now)
+{
+    const auto *team = refilled(name, now);
+    return team ? std::max(0.0, units - team->units) : 0;
+}
+
+void QuotaLedger::put(std::uint64_t name, double units, Core::Clock::Monotonic now)
+{
+    if (auto *team = refilled(name, now))
+        team->units += std::max(0.0, units);
+}
+
+double QuotaLedger::donate(std::uint64_t name, double wanted, Core::Clock::Monotonic now)
+{
+    auto *team = refilled(name, now);
+    if (!team)
+        return 0;
+    const double spare = team->units - team->demand * RetainedTime.count();
+    const double given = std::clamp(wanted, 0.0, std::max(0.0, spare));
+    team->units -= given;
+    return given;
+}
+
+void QuotaLedger::expectInPool(std::uint64_t name, double units, Core::Clock::Monotonic now)
+{
+    if (auto *team = refilled(name, now))
+        team->poolCapacity = std::max(PoolShare * team->limit.burst, units);
+}
+
+void QuotaLedger::addToPool(std::uint64_t name, double units, Core::Clock::Monotonic now)
+{
+    auto *team = refilled(name, now);
+    if (!team)
+        return;
+    team->pool = std::min(team->pool + std::max(0.0, units), team->poolCapacity);
+    team->poolUpdated = now;
+}
+
+double QuotaLedger::takeFromPool(std::uint64_t name, double wanted, Core::Clock::Monotonic now)
+{
+    auto *team = refilled(name, now);
+    if (!team)
+        return 0;
+    const double given = std::clamp(wanted, 0.0, team->pool);
+    team->pool -= given;
+    return given;
+}
+
+} // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -67,6 +67,7 @@
 
 RequestRelay::~RequestRelay()
 {
+    returnUnusedQuota();
     *m_isAlive = false;
 }
 
@@ -84,9 +85,39 @@
     }
     m_timer = std::make_unique<asio::steady_timer>(co_await asio::this_coro::executor);
     startTimers();
+    refusal = co_await spendQuota();
+    if (refusal) {
+        co_await refuse(*refusal);
+        co_return;
+    }
     co_await runAttempts();
 }
 
+asio::awaitable<std::optional<Refusal>> RequestRelay::spendQuota()
+{
+    const auto units = m_request.quotaUnits();
+    auto *quotas = m_gateway.quotas();
+    if (units <= 0 || !quotas)
+        co_return std::nullopt;
+    const auto team = m_request.tenantName();
+    const auto retryAfter = co_await quotas->take(team, units);
+    if (!retryAfter) {
+        m_quotaTeam = team;
+        m_quotaUnits = units;
+        co_return std::nullopt;
+    }
+    co_return Refusal {Core::ErrorKind::TeamLimitReached,
+                       "the usage cap of team " + team + " does not allow "
+                           + text(static_cast<std::uint64_t>(units)) + " more now",
+                       *retryAfter};
+}
+
+void RequestRelay::returnUnusedQuota()
+{
+    if (m_quotaUnits > 0 && !m_mayHaveExecuted && m_gateway.quotas())
+        m_gateway.quotas()->giveBack(m_quotaTeam, std::exchange(m_quotaUnits, 0));
+}
+
 std::optional<Refusal> RequestRelay::reauthorize()
 {
     const auto before = m_request;
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -57,6 +57,10 @@
     /// Authorizes the request again before another attempt. If that is denied, the previous route
     /// and tenant stay set.
     std::optional<Refusal> reauthorize();
+    /// Spends the request's part of its team's usage cap. Returns a refusal if the cap is reached.
+    boost::asio::awaitable<std::optional<Refusal>> spendQuota();
+    /// Gives that part back if no upstream may have executed the request.
+    void returnUnusedQuota();
     void startTimers();
     void cancel(CancelReason reason);
     boost::asio::awaitable<void> runAttempts();
@@ -101,6 +105,9 @@
     /// Number of attempts that an upstream may have executed.
     unsigned m_executions = 0;
     RequestProgress m_progress;
+    /// The part of the team's usage cap that was spent.
+    std::string m_quotaTeam;
+    double m_quotaUnits = 0;
     bool m_mayHaveExecuted = false;
     std::optional<Http::Response> m_errorResponse;
     Http::EventSplitter m_events;
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -1,6 +1,5 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
-#include <LibGateway/EngineQueueExchange.h>
 #include <LibGateway/FleetMessages_generated.h>
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/SiblingExchange.h>
@@ -191,9 +190,7 @@
         if (ec)
             continue;
         const std::string_view datagram(m_buffer.data(), n);
-        if (onQueueMessage && EngineQueueExchange::isQueueMessage(datagram))
-            onQueueMessage(datagram, {from.address(), from.port()});
-        else
+        if (!onDatagram || !onDatagram(datagram, {from.address(), from.port()}))
             apply(datagram);
     }
 }
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -61,8 +61,8 @@
 
     /// Sends a datagram to a sibling's port.
     void sendTo(const Http::Endpoint &member, std::string_view datagram);
-    /// Called with a datagram for EngineQueueExchange, and its sender.
-    std::function<void(std::string_view, const Http::Endpoint &)> onQueueMessage;
+    /// Called with each datagram and its sender. Returns whether it was for another class.
+    std::function<bool(std::string_view, const Http::Endpoint &)> onDatagram;
 
     /// Queues the parts for the next report.
     void publishParts(const Upstream &engine, std::span<const PromptPart> parts);
