--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -282,6 +282,9 @@
     fleet.exchangeDatagrams();
     auto &first = *fleet.instances.front();
     CHECK_THROWS_AS(fleet.read(first, 1), Core::Error);
+    // The siblings are no longer skipped, and the store is not due yet.
+    fleet.clock.advance(2'500ms);
+    fleet.exchangeDatagrams();
     // The store is back. Time passes while siblings are queried, so that those that were skipped
     // are tried again.
     first.store.isUnavailable = false;
