--- a/Libraries/LibGateway/EngineQueue.h
+++ b/Libraries/LibGateway/EngineQueue.h
@@ -3,9 +3,9 @@
 #include <LibCore/Clock.h>
 #include <LibGateway/Upstream.h>
 
-#include <compare>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace Gateway {
 
@@ -20,7 +20,11 @@
         /// The incarnation of the instance that sent it.
         std::uint64_t incarnation = 0;
         std::uint64_t number = 0;
-        auto operator<=>(const Key &) const = default;
+        bool operator==(const Key &) const = default;
+        bool operator<(const Key &other) const
+        {
+            return std::pair(incarnation, number) < std::pair(other.incarnation, other.number);
+        }
     };
     struct Prompt
     {
