--- a/Libraries/LibGateway/QuotaExchange.cpp
+++ b/Libraries/LibGateway/QuotaExchange.cpp
@@ -112,7 +112,7 @@
     m_ledger.put(hashOf(team), units, m_dependencies.clock.now());
 }
 
-void QuotaExchange::sendMove(const Http::Endpoint &to, const Wire::QuotaMove &move)
+void QuotaExchange::sendMove(const Http::Endpoint &to, const Wire::QuotaMove &move) const
 {
     flatbuffers::FlatBufferBuilder builder;
     const auto moves = builder.CreateVectorOfStructs(&move, 1);
--- a/Libraries/LibGateway/QuotaExchange.h
+++ b/Libraries/LibGateway/QuotaExchange.h
@@ -72,7 +72,7 @@
     };
 
     FleetMember poolOf(std::uint64_t team, const Core::InstanceId &passedOver) const;
-    void sendMove(const Http::Endpoint &to, const Wire::QuotaMove &move);
+    void sendMove(const Http::Endpoint &to, const Wire::QuotaMove &move) const;
     void receiveAsk(const WaitingAsk &ask);
     /// Removes units that this instance does not need, and returns their number.
     double donate(std::uint64_t team, double wanted);
