LibGateway: Let a cap without a burst be used

Change: half a second of the rate can be stored in any case.

The new test failed before (nothing spent).

--- a/Libraries/LibGateway/QuotaLedger.cpp
+++ b/Libraries/LibGateway/QuotaLedger.cpp
@@ -14,6 +14,9 @@
 // The time over which demand is averaged, and for which a donor retains its own.
 constexpr Seconds DemandTime {2};
 constexpr Seconds RetainedTime {0.1};
+// A request spends many units at once, so as much as is earned in this time can be stored although
+// the cap has a smaller burst.
+constexpr Seconds MinBurstTime {0.5};
 // The buckets hold half of the burst and a pool the other half, or one large request.
 constexpr double BucketShare = 0.5;
 constexpr double PoolShare = 0.5;
@@ -23,6 +26,11 @@
 // The sums of many moves are not exact.
 constexpr double Exactness = 0.999;
 
+double effectiveBurst(const QuotaLimit &limit)
+{
+    return std::max(limit.burst, limit.perSecond * MinBurstTime.count());
+}
+
 } // namespace
 
 void QuotaLedger::configure(const std::unordered_map<std::uint64_t, QuotaLimit> &limits,
@@ -38,7 +46,7 @@
         team.limit = limit;
         team.updated = now;
         team.units = std::min(team.units, capacity(team));
-        team.poolCapacity = PoolShare * limit.burst;
+        team.poolCapacity = PoolShare * effectiveBurst(limit);
         team.pool = std::min(team.pool, team.poolCapacity);
     }
     std::erase_if(m_teams, [&limits](const auto &item) { return !limits.contains(item.first); });
@@ -47,7 +55,7 @@
 
 double QuotaLedger::capacity(const Team &team) const
 {
-    return m_instances > 0 ? BucketShare * team.limit.burst / m_instances : 0;
+    return m_instances > 0 ? BucketShare * effectiveBurst(team.limit) / m_instances : 0;
 }
 
 QuotaLedger::Team *QuotaLedger::refilled(std::uint64_t name, Core::Clock::Monotonic now)
@@ -117,7 +125,7 @@
 void QuotaLedger::expectInPool(std::uint64_t name, double units, Core::Clock::Monotonic now)
 {
     if (auto *team = refilled(name, now))
-        team->poolCapacity = std::max(PoolShare * team->limit.burst, units);
+        team->poolCapacity = std::max(PoolShare * effectiveBurst(team->limit), units);
 }
 
 void QuotaLedger::addToPool(std::uint64_t name, double units, Core::Clock::Monotonic now)
--- a/Tests/LibGateway/TestQuota.cpp
+++ b/Tests/LibGateway/TestQuota.cpp
@@ -428,3 +428,19 @@
     network.clock.advance(5min);
     CHECK_FALSE(network.take(0, 9'000));
 }
+
+TEST_CASE("a cap without a burst still lets the rate be used, in requests of many units")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        History history(seed, 12, {60'000, 0});
+        history.play(5s, true);
+        const auto begin = history.now();
+        history.play(10s, true);
+        CHECK(history.spentSince(begin) > 0.8 * 60'000 * 10);
+        CHECK(history.worstExcess(8s) <= 0.1);
+    }
+    Network network(20, {60'000, 0});
+    network.clock.advance(2s);
+    CHECK_FALSE(network.take(3, 12'000));
+    CHECK(network.take(4, 90'000));
+}
