LibGateway: Vary the choice among engines that are about equally good

The rank that keeps long prefills and streams apart makes them agree even more.

Change: each choice adds up to the prefill of 1,000 tokens to an engine's cost, at random.

--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -178,6 +178,7 @@
                                           / (gateway.instanceCount().value_or(1) + SpareInstances));
     limits.excluded = excluded;
     limits.now = gateway.dependencies().clock.now();
+    limits.random = &gateway.random();
     if (service->engine && !request.caller.model.empty())
         return planEngine(gateway, request, *service, limits);
     RequestPlan plan;
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -33,6 +33,9 @@
 // The largest cost of an engine at the wrong end of the order is the prefill of so many tokens,
 // less than that of a long prompt whose shared parts are cached there.
 constexpr unsigned SeparationTokens = 5'600;
+// Costs that differ by less than the prefill of so many tokens are about equal: loads are not known
+// more exactly.
+constexpr double VariationTokens = 1'000;
 constexpr Milliseconds InterruptedStreamCost {30};
 constexpr Milliseconds OwnPauseCost {150};
 // The upper 32 bits of the hash.
@@ -312,12 +315,15 @@
     }
     const auto preferred = preferredUpstreamOf(candidates, demand.affinityKey);
     auto bestCaches = findBestCaches(members, demand, limits);
+    std::uniform_real_distribution<double> variation(0, VariationTokens);
     std::optional<EngineChoice> best;
     Milliseconds bestCost {0};
     for (const auto &candidate : candidates) {
         const auto &bestCache = bestCaches[candidate->weights(demand.model)];
         auto choice = estimateChoice(candidate, model, demand, bestCache, limits.now);
-        const auto sum = cost(choice, model, demand, limits, candidate == preferred);
+        auto sum = cost(choice, model, demand, limits, candidate == preferred);
+        if (limits.random)
+            sum += model.prefillTime(static_cast<std::uint64_t>(variation(*limits.random)));
         if (!best || sum < bestCost) {
             best = std::move(choice);
             bestCost = sum;
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -21,6 +21,9 @@
     /// Upstreams that the request has already been tried at.
     std::set<Core::UpstreamId> excluded;
     Core::Clock::Monotonic now;
+    /// Varies the choice among engines that are about equally good, so that instances with the same
+    /// load reports do not all choose the same one; null for the best one.
+    std::minstd_rand *random = nullptr;
 };
 
 /// The requirements of a prompt that an engine is chosen for.
--- a/Tests/LibGateway/FleetSimulation.cpp
+++ b/Tests/LibGateway/FleetSimulation.cpp
@@ -37,6 +37,7 @@
         engine.cache.setCapacity(m_shape.cacheTokens);
     for (unsigned n = 0; n < m_shape.instances; ++n) {
         auto &instance = *m_instances.emplace_back(std::make_unique<Instance>());
+        instance.random.seed(static_cast<unsigned>(m_shape.seed * m_shape.instances + n + 1));
         for (unsigned engine = 0; engine < m_shape.engines; ++engine) {
             Gateway::UpstreamReport report;
             report.id = Core::UpstreamId(engineName(engine));
@@ -112,23 +113,60 @@
     return prompt;
 }
 
-void FleetSimulation::arrive(const PromptPointer &prompt)
+std::optional<Gateway::EngineChoice> FleetSimulation::choose(const Prompt &prompt)
 {
-    auto &instance = *m_instances[prompt->instance];
-    const auto &kind = *prompt->kind;
-    const auto now = m_clock.now();
+    auto &instance = *m_instances[prompt.instance];
+    const auto &kind = *prompt.kind;
     Gateway::EngineDemand demand;
-    demand.parts = prompt->parts;
-    demand.promptTokens = prompt->tokens;
+    demand.parts = prompt.parts;
+    demand.promptTokens = prompt.tokens;
     demand.sharedTokens = kind.sharedTokens;
-    demand.affinityKey = prompt->parts.front().prefixHash;
+    demand.affinityKey = prompt.parts.front().prefixHash;
     demand.model = "m";
     demand.isUrgent = kind.isUrgent;
     demand.slots = 64;
     Gateway::ChoiceLimits limits;
     limits.maxInFlight = 64;
-    limits.now = now;
-    const auto choice = chooseEngine(instance.fleet.members("llm"), instance.model, demand, limits);
+    limits.now = m_clock.now();
+    limits.random = m_shape.variesChoice ? &instance.random : nullptr;
+    return chooseEngine(instance.fleet.members("llm"), instance.model, demand, limits);
+}
+
+bool FleetSimulation::learnLoad(unsigned instance, Gateway::Upstream &engine)
+{
+    const auto id = engine.report().id;
+    Gateway::SiblingLoad others;
+    for (unsigned n = 0; n < m_shape.instances; ++n) {
+        if (n == instance)
+            continue;
+        const auto other = m_instances[n]->fleet.find(id);
+        others.waitingTokens += other->waitingTokens();
+        others.inFlight += other->inFlight();
+    }
+    constexpr std::uint64_t MaxUnknownTokens = 500;
+    const auto known = engine.tokensAhead(false);
+    auto actual = others.waitingTokens;
+    actual += engine.waitingTokens();
+    const bool isLonger = actual.all > known + MaxUnknownTokens;
+    if (m_shape.keepsQueues)
+        engine.setKeptLoad(others, m_clock.now());
+    return isLonger;
+}
+
+void FleetSimulation::arrive(const PromptPointer &prompt)
+{
+    auto &instance = *m_instances[prompt->instance];
+    const auto &kind = *prompt->kind;
+    const auto now = m_clock.now();
+    auto choice = choose(*prompt);
+    bool isLonger = learnLoad(prompt->instance, *choice->upstream);
+    constexpr int MaxQueries = 3;
+    for (int n = 0; m_shape.keepsQueues && isLonger && n < MaxQueries; ++n) {
+        const auto before = choice->upstream;
+        choice = choose(*prompt);
+        isLonger = choice->upstream != before && learnLoad(prompt->instance, *choice->upstream);
+    }
+    m_collisions += isLonger ? 1 : 0;
     Gateway::PromptOutlook outlook;
     outlook.wait = choice->expectedWait;
     outlook.ownTime = choice->expectedFirstToken - choice->expectedWait;
@@ -230,7 +268,7 @@
                 others.waitingTokens.urgent -= own[n].waitingTokens.urgent;
                 others.waitingTokens.ordinaryPrompts -= own[n].waitingTokens.ordinaryPrompts;
                 others.inFlight -= own[n].inFlight;
-                upstream(n, number)->setSiblingLoad(others);
+                upstream(n, number)->setReportedLoad(others, m_clock.now());
             }
         });
     }
--- a/Tests/LibGateway/FleetSimulation.h
+++ b/Tests/LibGateway/FleetSimulation.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -44,6 +45,11 @@
     /// The interval and the age of the load reports between instances.
     std::chrono::milliseconds reportInterval {100};
     std::chrono::milliseconds reportDelay {5};
+    /// Whether instances learn the exact load of an engine before they send to it, as from the
+    /// keeper of its queue, and choose again if it is longer than they knew.
+    bool keepsQueues = false;
+    /// Whether instances vary their choice among engines that are about equally good.
+    bool variesChoice = true;
     std::chrono::seconds length {20};
     std::uint64_t seed = 1;
 };
@@ -73,6 +79,9 @@
     const CallerTally &tally(const std::string &kind, const std::string &group = "all");
     /// The mean absolute error of the expected wait.
     Milliseconds meanWaitError() const;
+    /// The number of prompts that were sent to an engine that had become busier than the instance
+    /// knew, because others had sent there since their last report.
+    unsigned collisions() const { return m_collisions; }
 
     /// The factor by which more requests arrive at a time; constant unless set.
     std::function<double(Core::Clock::Monotonic)> loadFactor;
@@ -105,6 +114,7 @@
     {
         Gateway::UpstreamFleet fleet;
         Gateway::EngineModel model;
+        std::minstd_rand random;
         std::map<const PromptKind *, Gateway::ReturningCallers> returning;
     };
     using Event = std::pair<Core::Clock::Monotonic, std::function<void()>>;
@@ -113,6 +123,10 @@
     void scheduleArrival(const PromptKind &kind);
     PromptPointer newPrompt(const PromptKind &kind);
     void arrive(const PromptPointer &prompt);
+    std::optional<Gateway::EngineChoice> choose(const Prompt &prompt);
+    /// Sets what the instance knows of the engine's load to the actual one. Returns whether it is
+    /// longer than known.
+    bool learnLoad(unsigned instance, Gateway::Upstream &engine);
     void send(const PromptPointer &prompt, const Gateway::EngineChoice &choice);
     void refuse(const PromptPointer &prompt, const Gateway::PromptRefusal &refusal);
     void startNext(unsigned engine);
@@ -137,6 +151,7 @@
     std::map<std::string, CallerTally> m_tallies;
     double m_errorSum = 0;
     unsigned m_errorCount = 0;
+    unsigned m_collisions = 0;
 };
 
 } // namespace GatewayTests
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -276,6 +276,27 @@
     CHECK_FALSE(usedBy(11'000).contains(longOnes.begin()->first));
 }
 
+TEST_CASE("instances with the same reports choose different engines, unless one is clearly better")
+{
+    Fixture fixture;
+    fixture.demand.promptTokens = 600;
+    fixture.demand.sharedTokens = 0;
+    std::minstd_rand random(3);
+    fixture.limits.random = &random;
+    std::map<std::string, int> counts;
+    for (int n = 0; n < 120; ++n)
+        ++counts[fixture.chosen()];
+    CHECK(counts.size() == 6);
+    for (const auto &[id, count] : counts)
+        CHECK(count < 40);
+    for (const auto &member : fixture.fleet.members("llm")) {
+        if (member->report().id.value() != "w4")
+            member->noteSent(4'000, true);
+    }
+    for (int n = 0; n < 120; ++n)
+        CHECK(fixture.chosen() == "w4");
+}
+
 TEST_CASE("a failing engine is avoided, and tried again after a while")
 {
     Fixture fixture;
--- a/Tests/LibGateway/TestPromptAdmission.cpp
+++ b/Tests/LibGateway/TestPromptAdmission.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace std::chrono_literals;
 using Gateway::PromptOutlook;
 using GatewayTests::FleetShape;
@@ -116,3 +118,48 @@
         CHECK(simulation.tally("answer").inTimeShare() > 0.85);
     }
 }
+
+TEST_CASE("many instances with old reports share engines by varied choices and kept queues")
+{
+    struct Fleet
+    {
+        unsigned instances;
+        unsigned engines;
+        std::chrono::milliseconds reportInterval;
+        double load;
+    };
+    struct Result
+    {
+        double inTime = 0;
+        double error = 0;
+        unsigned collisions = 0;
+    };
+    for (const auto &fleet : {Fleet {8, 18, 100ms, 2.2}, Fleet {300, 60, 400ms, 7}}) {
+        const auto play = [&fleet](bool variesChoice, bool keepsQueues) {
+            FleetShape shape;
+            shape.instances = fleet.instances;
+            shape.engines = fleet.engines;
+            shape.reportInterval = fleet.reportInterval;
+            shape.variesChoice = variesChoice;
+            shape.keepsQueues = keepsQueues;
+            shape.length = 8s;
+            FleetSimulation simulation(shape, slowEngineKinds(fleet.load));
+            simulation.run();
+            return Result {std::min(simulation.tally("verdict").inTimeShare(),
+                                    simulation.tally("answer").inTimeShare()),
+                           simulation.meanWaitError().count(), simulation.collisions()};
+        };
+        const auto before = play(false, false);
+        const auto varied = play(true, false);
+        const auto kept = play(true, true);
+        INFO("in time " << before.inTime << ", " << varied.inTime << ", " << kept.inTime
+                        << ", error " << before.error << ", " << varied.error << ", " << kept.error
+                        << " ms, collisions " << before.collisions << ", " << varied.collisions
+                        << ", " << kept.collisions);
+        CHECK(varied.inTime >= before.inTime);
+        CHECK(varied.error < before.error);
+        CHECK(kept.inTime >= varied.inTime);
+        CHECK(kept.error < varied.error / 2);
+        CHECK(kept.collisions < varied.collisions / 2);
+    }
+}
