LibGateway: Log the weights that prompts begin on, and how outdated they are

Cause: requests were reported to begin on weights 6 s and more after newer ones were named. The log showed neither the version that a prompt was sent for nor when the weights counted as outdated, so a prompt planned late, one that waited long at its engine, and an instance that learned of the weights late looked alike.

Change: 205 has weights and weights_outdated_ms, 206 has weights, 309 has previous_read_ms, the bound on how long ago the weights can have been named; a histogram of prompts on outdated weights. A plan's version is fixed when the prompt is sent.

--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -36,6 +36,13 @@
     return std::chrono::milliseconds(pause(random));
 }
 
+std::string text(std::chrono::nanoseconds age)
+{
+    if (age == std::chrono::nanoseconds::max())
+        return "none";
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
 } // namespace
 
 asio::awaitable<void> sleepFor(std::chrono::milliseconds time)
@@ -125,11 +132,12 @@
         return;
     }
     if (auto *target = std::get_if<WeightsTarget>(&decoded.value())) {
-        if (m_dependencies.weights.addTarget(target->model, target->version,
-                                             m_dependencies.clock.now()))
-            Core::logEvent(
-                Core::EventId::WeightsNamed,
-                {{"model", target->model}, {"version", std::to_string(target->version)}});
+        const auto now = m_dependencies.clock.now();
+        if (m_dependencies.weights.addTarget(target->model, target->version, now))
+            Core::logEvent(Core::EventId::WeightsNamed,
+                           {{"model", target->model},
+                            {"version", std::to_string(target->version)},
+                            {"previous_read_ms", text(m_dependencies.configuration.age(now))}});
         return;
     }
     auto *configuration = std::get_if<GatewayConfiguration>(&decoded.value());
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -13,6 +13,7 @@
     m_registry.add(storeCalls);
     m_registry.add(firstByte);
     m_registry.add(expectedFirstToken);
+    m_registry.add(weightsOutdated);
 }
 
 void GatewayMetrics::addGauge(std::string name, std::string help, std::string labelName,
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -35,6 +35,9 @@
     Metrics::DurationHistogram expectedFirstToken {
         "jujube_gateway_expected_first_token_seconds",
         "Expected time to the first token when the engine was chosen."};
+    Metrics::DurationHistogram weightsOutdated {
+        "jujube_gateway_outdated_weights_seconds",
+        "Time since newer weights were named, of prompts that began on outdated ones."};
 
     /// Registers a gauge whose values are read at each scrape.
     void addGauge(std::string name, std::string help, std::string labelName,
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -58,6 +58,8 @@
          {"kept_tokens", std::to_string(engine.cachedTokens)},
          {"shared_tokens", std::to_string(request.sharedTokens())},
          {"prompt_tokens", std::to_string(request.caller.promptTokens)},
+         {"weights", std::to_string(progress.weights)},
+         {"weights_outdated_ms", formatMilliseconds(progress.weightsOutdatedFor)},
          {"source", plan.fetchSource()},
          {"tokens_per_ms", formatInteger(gateway.engineModel(plan.service).tokensPerMillisecond())},
          {"slowness_percent", formatInteger(plan.upstream->slowness() * Percent)}});
@@ -72,6 +74,7 @@
                     {"upstream", plan.upstream->report().id.value()},
                     {"end", std::string(end)},
                     {"reason", reason},
+                    {"weights", std::to_string(plan.weights)},
                     {"send", std::to_string(progress.sends)},
                     {"left_ms", formatMilliseconds(
                                     request.remainingTime(gateway.dependencies().clock.now()))}});
--- a/Libraries/LibGateway/RequestLog.h
+++ b/Libraries/LibGateway/RequestLog.h
@@ -14,6 +14,10 @@
 {
     unsigned sends = 0;
     std::optional<Core::Clock::Monotonic> firstByte;
+    /// The weights that the engine had when it began to answer, and for how long newer ones had
+    /// been named then; zero if they were the newest.
+    std::uint64_t weights = 0;
+    std::chrono::nanoseconds weightsOutdatedFor {0};
     /// When the last events of a stream were relayed, and the longest pause between two of them.
     std::optional<Core::Clock::Monotonic> lastEvents;
     std::chrono::nanoseconds longestPause {0};
--- a/Libraries/LibGateway/RequestPlan.h
+++ b/Libraries/LibGateway/RequestPlan.h
@@ -19,7 +19,7 @@
     std::shared_ptr<Upstream> upstream;
     /// Set only for prompts that are sent to engines.
     std::optional<EngineChoice> engine;
-    /// The last known version of the engine's weights.
+    /// The version of the weights that the engine is expected to have.
     std::uint64_t weights = 0;
     /// Identifies the KV cache store of the session's parts; 0 if no store answers.
     std::uint64_t storeHolder = 0;
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -311,7 +311,7 @@
         // Cached parts are looked up by scope, so including the version of the weights prevents the
         // use of parts that other weights computed, wherever they are cached. The upstream refuses
         // the request if its weights differ.
-        const auto weights = m_plan->upstream->weights(m_request.caller.model);
+        const auto weights = m_plan->weights;
         dispatch.weights = weights;
         dispatch.cacheScope += ".weights-" + text(weights);
         const auto *store = kvCacheStoreOf(m_gateway, *m_plan);
@@ -342,6 +342,7 @@
     options.abort = m_abort;
     options.unacknowledged = UnacknowledgedTimeout;
     m_isPlanOutdated = false;
+    m_plan->weights = m_plan->upstream->weights(m_request.caller.model);
     options.maySend = [this] {
         m_isPlanOutdated = !mayStillSend();
         return !m_isPlanOutdated;
@@ -473,7 +474,7 @@
     const auto now = m_gateway.dependencies().clock.now();
     noteAttempt(head.isOtherUpstream ? "other_upstream" : "not_run",
                 std::to_string(status) + " from " + head.upstream.value() + ", expected weights "
-                    + text(m_plan->upstream->weights(m_request.caller.model)));
+                    + text(m_plan->weights));
     if (head.isOtherUpstream && head.upstream != m_plan->upstream->report().id) {
         // Another incarnation uses the address; the list entry of the previous one has not expired
         // yet.
@@ -556,6 +557,7 @@
     }
     if (!m_plan->engine)
         return;
+    noteWeightsUsed();
     m_plan->upstream->noteCached(m_request.parts);
     if (m_gateway.onPartsRead)
         m_gateway.onPartsRead(*m_plan->upstream, m_request.parts);
@@ -575,6 +577,19 @@
         m_plan->upstream->noteSlowness(elapsed / expected);
 }
 
+void RequestRelay::noteWeightsUsed()
+{
+    const auto &dependencies = m_gateway.dependencies();
+    m_progress.weights = m_plan->weights;
+    const auto outdatedSince =
+        dependencies.weights.outdatedSince(m_request.caller.model, m_progress.weights);
+    m_progress.weightsOutdatedFor =
+        outdatedSince ? dependencies.clock.now() - *outdatedSince : std::chrono::nanoseconds(0);
+    if (outdatedSince)
+        m_gateway.metrics().weightsOutdated.observe(m_progress.weightsOutdatedFor,
+                                                    m_request.labels());
+}
+
 void RequestRelay::noteWait(EngineModel::Milliseconds untilFirstToken)
 {
     if (isUrgent(*m_request.route, m_request.tenant))
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -80,6 +80,8 @@
     /// Reads the rest of an answer that is not relayed, or closes the connection if it is long.
     boost::asio::awaitable<void> discardBody(Http::ClientExchange &answer);
     void noteFirstToken(const UpstreamLoad &load);
+    /// Records the weights on which the engine began to answer, and their age.
+    void noteWeightsUsed();
     /// Records how long the prompt waited at its engine.
     void noteWait(EngineModel::Milliseconds untilFirstToken);
     AttemptOutcome noteInterrupted(const Core::Error &error);
