LibGateway: Let no prompt begin on weights that are too old by then

Cause: the age of an engine's weights was checked when a prompt was planned, against 0.65 of the bound, whatever the engine's queue. The bound is for the moment when the engine begins. A traced prompt: sent 3.79 s after the new version was named, expected to begin 3.17 s later, begun at 6.10 s. Neither the time until the bytes left nor the queue was checked again.

Change: an engine is chosen only if it is expected to begin in time, with the expectation doubled; the age is checked right before the first byte; a stream's prompt that still waits at its engine when its weights run out of time is withdrawn and sent to another engine where the route allows it. Weights that are named while it waits count, too. A prompt whose answer is not a stream is not withdrawn, since its begin is not seen.

Why this works: the same limit is now applied at each moment up to the begin itself; the estimate only decides how often a prompt has to be withdrawn.

--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 constexpr auto ShortRetryAfter = 300ms;
-// Engines are skipped when their weights have been outdated for longer than this share of the
-// weights bound.
-constexpr double MaxOutdatedShare = 0.65;
+// Prompts must begin before their engine's weights have been outdated for this share of the weights
+// bound. In the rest, a prompt that is withdrawn leaves the engine's queue.
+constexpr double MaxOutdatedShare = 0.95;
 // Instances that may be starting or shutting down, in addition to the known members.
 constexpr unsigned SpareInstances = 1;
 // Transfers that would wait longer are not worth starting. The engines drop them beyond two
@@ -50,6 +50,13 @@
            / static_cast<double>(engine.bytesPerToken);
 }
 
+/// Returns the time for which engines may begin prompts on outdated weights.
+milliseconds maxOutdatedTime(const Gateway &gateway)
+{
+    return duration_cast<milliseconds>(MaxOutdatedShare
+                                       * gateway.dependencies().settings.weightsBound);
+}
+
 EngineDemand demandOf(const Gateway &gateway, const AcceptedRequest &request,
                       const EngineLimits &engine)
 {
@@ -65,8 +72,7 @@
     if (request.route->kind == RequestKind::Stream)
         demand.pauseTarget = request.route->gapTarget;
     demand.targets = &dependencies.weights;
-    demand.maxOutdatedTime =
-        duration_cast<milliseconds>(MaxOutdatedShare * dependencies.settings.weightsBound);
+    demand.maxOutdatedTime = maxOutdatedTime(gateway);
     demand.slots = engine.slots;
     demand.memoryTokens = request.memoryTokens();
     demand.memoryCapacity = engine.cacheTokens;
@@ -191,6 +197,15 @@
     return plan;
 }
 
+std::optional<Core::Clock::Monotonic> latestBegin(const Gateway &gateway, const RequestPlan &plan,
+                                                  const std::string &model)
+{
+    if (!plan.engine)
+        return std::nullopt;
+    const auto since = gateway.dependencies().weights.outdatedSince(model, plan.weights);
+    return since ? std::optional(*since + maxOutdatedTime(gateway)) : std::nullopt;
+}
+
 KvCacheStore *kvCacheStoreOf(Gateway &gateway, const RequestPlan &plan)
 {
     auto *store = gateway.stores().find(plan.storeHolder);
--- a/Libraries/LibGateway/RequestPlan.h
+++ b/Libraries/LibGateway/RequestPlan.h
@@ -40,6 +40,11 @@
 std::variant<RequestPlan, Refusal> planRequest(Gateway &gateway, const AcceptedRequest &request,
                                                const std::set<Core::UpstreamId> &excluded);
 
+/// Returns the time after which the engine must not begin to answer the prompt, because its weights
+/// are too old by then; empty if they are the newest.
+std::optional<Core::Clock::Monotonic> latestBegin(const Gateway &gateway, const RequestPlan &plan,
+                                                  const std::string &model);
+
 /// Returns the KV cache store of the plan; null if it has none or the store does not answer.
 KvCacheStore *kvCacheStoreOf(Gateway &gateway, const RequestPlan &plan);
 
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -23,6 +23,8 @@
 constexpr auto UnacknowledgedTimeout = 1'500ms;
 // The maximum number of attempts for a request that no upstream has executed.
 constexpr unsigned MaxSends = 6;
+// How often a prompt that waits at its engine looks for weights that were named meanwhile.
+constexpr auto BeginCheckInterval = 500ms;
 // Several answers have to fit into the memory of a small instance.
 constexpr std::size_t AnswerLimitBytes = 16 * 1024 * 1024;
 constexpr std::size_t EventLimitBytes = 1024 * 1024;
@@ -223,7 +225,7 @@
         return false;
     const auto &dependencies = m_gateway.dependencies();
     if (m_plan->upstream->isRemoved() || m_plan->upstream->report().isDraining
-        || m_plan->upstream->pausedUntil() > dependencies.clock.now())
+        || m_plan->upstream->pausedUntil() > dependencies.clock.now() || isTooLateToBegin())
         return false;
     const auto &current = dependencies.configuration.current();
     if (current == m_request.configuration)
@@ -232,6 +234,36 @@
     return false;
 }
 
+bool RequestRelay::isTooLateToBegin() const
+{
+    const auto limit = latestBegin(m_gateway, *m_plan, m_request.caller.model);
+    return limit && *limit <= m_gateway.dependencies().clock.now();
+}
+
+void RequestRelay::watchBegin()
+{
+    const auto now = m_gateway.dependencies().clock.now();
+    const auto nextCheck = now + BeginCheckInterval;
+    const auto limit = latestBegin(m_gateway, *m_plan, m_request.caller.model).value_or(nextCheck);
+    if (limit <= now) {
+        withdraw();
+        return;
+    }
+    m_beginTimer->expires_after(std::min(limit, nextCheck) - now);
+    m_beginTimer->async_wait([this, guard = std::weak_ptr(m_isAlive)](const auto &ec) {
+        const auto alive = guard.lock();
+        if (!ec && alive && *alive && m_beginTimer)
+            watchBegin();
+    });
+}
+
+void RequestRelay::withdraw()
+{
+    noteAttempt("withdrawn", "the engine did not begin before its weights were too old");
+    m_isPlanOutdated = true;
+    m_abort->abort();
+}
+
 bool RequestRelay::mayRetry(AttemptOutcome end)
 {
     if (m_cancelReason != CancelReason::None || remainingTime() <= 0ms)
@@ -248,6 +280,7 @@
     case AttemptOutcome::NotExecuted:
         return m_progress.sends < MaxSends && mayRepeat();
     case AttemptOutcome::Interrupted:
+    case AttemptOutcome::Withdrawn:
     case AttemptOutcome::ServerError:
         return m_request.route->mayRunAgain() && m_executions < m_request.route->maxAttempts
                && !m_gateway.poison().isPoison(m_request.digest, dependencies.clock.now())
@@ -285,13 +318,15 @@
                       isUrgent(*m_request.route, m_request.tenant),
                       m_gateway.dependencies().clock.now(), std::move(m_place));
     const auto end = co_await sendToUpstream(load);
+    m_beginTimer.reset();
     const auto now = m_gateway.dependencies().clock.now();
     // A prompt that did not start in time has waited at least this long.
     if (m_plan->engine && !load.hasFirstToken() && m_cancelReason == CancelReason::DeadlineExpired)
         noteWait(now - load.sent());
     if (end == AttemptOutcome::Answered)
         m_plan->upstream->noteOutcome(true, now);
-    else if (end != AttemptOutcome::Cancelled && end != AttemptOutcome::NotExecuted)
+    else if (end != AttemptOutcome::Cancelled && end != AttemptOutcome::NotExecuted
+             && end != AttemptOutcome::Withdrawn)
         m_plan->upstream->noteOutcome(false, now);
     co_return end;
 }
@@ -347,6 +382,10 @@
         m_isPlanOutdated = !mayStillSend();
         return !m_isPlanOutdated;
     };
+    if (m_plan->engine && m_request.route->kind == RequestKind::Stream) {
+        m_beginTimer = std::make_unique<asio::steady_timer>(co_await asio::this_coro::executor);
+        watchBegin();
+    }
     // The deadline timer ends the call; these timeouts only guard against a call that it misses.
     Http::ClientTimeouts timeouts;
     timeouts.connect = std::min<milliseconds>(ConnectTimeout, remainingTime());
@@ -387,6 +426,9 @@
 {
     if (m_cancelReason != CancelReason::None)
         return AttemptOutcome::Cancelled;
+    if (m_isPlanOutdated)
+        return m_exchange.hasStarted() ? AttemptOutcome::StreamInterrupted
+                                       : AttemptOutcome::Withdrawn;
     m_hasTimedOut = error.kind() == Core::ErrorKind::UpstreamTimedOut;
     noteAttempt("broken", error.what());
     // Unacknowledged data means that the upstream is unreachable.
@@ -555,6 +597,7 @@
         m_progress.firstByte = now;
         m_gateway.metrics().firstByte.observe(now - m_request.arrival, m_request.labels());
     }
+    m_beginTimer.reset();
     if (!m_plan->engine)
         return;
     noteWeightsUsed();
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -44,6 +44,8 @@
         NotExecuted,
         /// The upstream failed before any part of the answer was relayed.
         Interrupted,
+        /// The prompt was taken out of the engine's queue, because it would have begun too late.
+        Withdrawn,
         /// The upstream failed after part of the answer was relayed.
         StreamInterrupted,
         /// The caller disconnected or the deadline expired.
@@ -68,6 +70,12 @@
     /// than known, the choice is repeated.
     boost::asio::awaitable<std::variant<RequestPlan, Refusal>> plan();
     bool mayStillSend();
+    /// Returns whether the engine's weights are too old to begin to answer now.
+    bool isTooLateToBegin() const;
+    /// Withdraws the request when its engine has not begun in time. Newer weights may be named
+    /// while it waits, so this checks again until the first token.
+    void watchBegin();
+    void withdraw();
     bool mayRetry(AttemptOutcome end);
     boost::asio::awaitable<AttemptOutcome> runAttempt();
     boost::asio::awaitable<AttemptOutcome> sendToUpstream(UpstreamLoad &load);
@@ -114,9 +122,11 @@
     std::optional<Http::Response> m_errorResponse;
     Http::EventSplitter m_events;
     bool m_hasTimedOut = false;
-    /// Whether the last attempt was cancelled before its first byte was sent because the plan was
-    /// outdated.
+    /// Whether the last attempt was cancelled because the plan was outdated, before its first byte
+    /// was sent or before the engine began to answer.
     bool m_isPlanOutdated = false;
+    /// Runs while the prompt waits at its engine; null otherwise.
+    std::unique_ptr<boost::asio::steady_timer> m_beginTimer;
     CancelReason m_cancelReason = CancelReason::None;
 
     std::shared_ptr<Http::CallAbort> m_abort;
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -18,6 +18,8 @@
 // computed with them is worth less.
 constexpr Milliseconds OutdatedWeightsCost {300};
 constexpr std::chrono::milliseconds OutdatedWeightsGrace {1'000};
+// A prompt may begin this many times as late as expected, when others overtake it.
+constexpr double BeginErrorFactor = 2;
 // The weight of the delay that a prompt's prefill causes for other requests at the engine.
 constexpr double PrefillDelayWeight = 1.0;
 // The share of a session's parts that is assumed to be cached at the preferred engine, since other
@@ -52,14 +54,24 @@
 // Long-running requests finish and free their memory within about this time.
 constexpr Milliseconds MemoryTurnover {3'000};
 
-/// Returns whether the upstream's weights have been outdated for longer than the given time.
+/// Returns whether the upstream's weights will have been outdated for longer than the given time.
 bool isOutdated(const Upstream &upstream, const EngineDemand &demand,
-                std::chrono::milliseconds time, Core::Clock::Monotonic now)
+                std::chrono::milliseconds time, Core::Clock::Monotonic at)
 {
     if (!demand.targets)
         return false;
     const auto since = demand.targets->outdatedSince(demand.model, upstream.weights(demand.model));
-    return since && now - *since > time;
+    return since && at - *since > time;
+}
+
+/// Returns whether the engine would begin to answer on weights that are too old by then.
+bool beginsTooLate(const EngineChoice &choice, const EngineDemand &demand,
+                   Core::Clock::Monotonic now)
+{
+    const auto begin = now
+                       + std::chrono::duration_cast<Core::Clock::Monotonic::duration>(
+                           BeginErrorFactor * choice.expectedFirstToken);
+    return isOutdated(*choice.upstream, demand, demand.maxOutdatedTime, begin);
 }
 
 /// Returns the candidate that rendezvous hashing assigns to the session; null if there are none.
@@ -321,6 +333,8 @@
     for (const auto &candidate : candidates) {
         const auto &bestCache = bestCaches[candidate->weights(demand.model)];
         auto choice = estimateChoice(candidate, model, demand, bestCache, limits.now);
+        if (beginsTooLate(choice, demand, limits.now))
+            continue;
         auto sum = cost(choice, model, demand, limits, candidate == preferred);
         if (limits.random)
             sum += model.prefillTime(static_cast<std::uint64_t>(variation(*limits.random)));
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -42,7 +42,8 @@
     std::string model;
     /// The versions of the weights that engines should have; null if the version does not matter.
     const WeightsTargets *targets = nullptr;
-    /// Engines whose weights have been outdated for longer than this are skipped.
+    /// Engines are skipped if their weights would have been outdated for longer than this when they
+    /// begin to answer.
     std::chrono::milliseconds maxOutdatedTime {0};
     unsigned slots = 1;
     /// Engine memory that the request is expected to occupy, and the total memory of an engine, in
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -179,6 +179,24 @@
     CHECK(fixture.chosen() == "new");
 }
 
+TEST_CASE(
+    "a prompt is not sent where the queue outlasts the time for which old weights may be used")
+{
+    Fixture fixture;
+    Gateway::WeightsTargets targets;
+    targets.addTarget("m", 2, fixture.clock.now());
+    fixture.demand.targets = &targets;
+    fixture.demand.maxOutdatedTime = 5'700ms;
+    fixture.limits.now += 3s;
+    const auto waiting = static_cast<std::uint64_t>(3'000 * fixture.model.tokensPerMillisecond());
+    for (const auto &engine : fixture.fleet.members("llm"))
+        engine->noteSent(waiting, false);
+    CHECK_FALSE(fixture.choose().has_value());
+    // An engine without a queue can begin in time.
+    fixture.add("idle", 1);
+    CHECK(fixture.chosen() == "idle");
+}
+
 TEST_CASE("urgent prompts precede waiting ones but not the one that is being prefilled")
 {
     Fixture fixture;
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -86,7 +86,7 @@
                         << (lines.empty() ? "PortRange = [0,0]\n" : "") << "HeartbeatMs = 1200\n"
                         << "[Listen]\nFront = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n"
                         << "[Bounds]\nRevokeMs = " << options.revokeMs
-                        << "\nGraceS = " << options.graceS
+                        << "\nGraceS = " << options.graceS << "\nVersionMs = " << options.versionMs
                         << "\nRetryBudgetRatio = 0.2\nBudgetSlack = 52\n[Platform]\nAddress = \""
                         << Http::formatEndpoint(store.endpoint()) << "\"\n";
     return path;
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -19,6 +19,7 @@
     std::string name = "edge-1";
     unsigned revokeMs = 5'000;
     unsigned graceS = 8;
+    unsigned versionMs = 6'000;
 };
 
 /// A store, workers and gateway processes.
--- a/Tests/Platform/TestFleet.cpp
+++ b/Tests/Platform/TestFleet.cpp
@@ -1,12 +1,21 @@
 #include "GatewayFixture.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <future>
+#include <map>
 #include <thread>
 
+namespace asio = boost::asio;
 using namespace std::chrono_literals;
 using PlatformTests::GatewayFixture;
+using StandIns::WorkerStandIn;
 
 namespace {
 
@@ -15,6 +24,44 @@
     return std::string(request.headers.find(name).value_or(std::string_view()));
 }
 
+/// Lets the first request of all workers wait, as in the queue of an engine, until its caller
+/// leaves.
+class QueuedRequest
+{
+public:
+    WorkerStandIn::Behaviour behaviour(const std::string &worker)
+    {
+        return [this, worker](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+            if (!m_isFirst.exchange(false))
+                co_return false;
+            asio::steady_timer timer(co_await asio::this_coro::executor, 10s);
+            exchange.setCallerGoneHook([&] {
+                m_withdrawn.set_value(std::chrono::steady_clock::now());
+                timer.cancel();
+            });
+            m_worker.set_value(worker);
+            boost::system::error_code ec;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            co_return true;
+        };
+    }
+    /// Waits for the request and returns the worker that received it.
+    std::string worker() { return m_worker.get_future().get(); }
+    /// Waits until the request is withdrawn. Returns the time, or nothing after a timeout.
+    std::optional<std::chrono::steady_clock::time_point> withdrawn()
+    {
+        auto time = m_withdrawn.get_future();
+        if (time.wait_for(6s) != std::future_status::ready)
+            return std::nullopt;
+        return time.get();
+    }
+
+private:
+    std::atomic<bool> m_isFirst {true};
+    std::promise<std::string> m_worker;
+    std::promise<std::chrono::steady_clock::time_point> m_withdrawn;
+};
+
 } // namespace
 
 TEST_CASE("no requests are sent to a worker that drains, is not listed or has an unreadable entry")
@@ -84,6 +131,31 @@
     CHECK(served.find("\"kept_tokens\":\"1000\"") != std::string::npos);
 }
 
+TEST_CASE("a prompt that waits at an engine does not begin there after its weights are too old")
+{
+    constexpr auto Bound = 2'000ms;
+    GatewayFixture fixture;
+    QueuedRequest queued;
+    std::map<std::string, WorkerStandIn *> workers;
+    for (const std::string id : {"w-1", "w-2"}) {
+        workers[id] = &fixture.addWorker(id, "llm");
+        workers[id]->setBehaviour(queued.behaviour(id));
+    }
+    fixture.configure(1);
+    fixture.startGateway({"edge-1", 5'000, 8, static_cast<unsigned>(Bound.count())});
+    auto answer = std::async(std::launch::async, [&] {
+        return fixture.send(GatewayFixture::streamRequest("/streams/a", "id-1"));
+    });
+    // The engine at which the prompt waits does not carry out its order in time.
+    workers.at(queued.worker())->setOrderTime(10s);
+    fixture.store.put("keyed.op", "version/model", R"({"Model":"model","Version":2})");
+    const auto named = std::chrono::steady_clock::now();
+    const auto withdrawn = queued.withdrawn();
+    REQUIRE(withdrawn.has_value());
+    CHECK(*withdrawn - named < Bound);
+    CHECK(answer.get().status == 200);
+}
+
 TEST_CASE("requests of isolated tenants and of other weights share no cached parts")
 {
     GatewayFixture fixture;
