LibGateway: Count the age of weights from when they may have been named

What callers saw: an instance that learned of new weights late used the old ones for as much longer.

Cause: a target counted from the moment when this process read the record. The previous read of the operators' log, which did not contain it, can be a second old, and several seconds where the log is read through siblings.

Change: a target counts from the time that the previous complete read was asked for. The turns in which instances try for the order lease still count from when the target was learned, so that they do not all try at once.

The test failed before (the target counted from the clock's time, 900 ms after the previous read).

--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -131,13 +131,8 @@
                        {{"key", record.key}, {"reason", decoded.error().detail()}});
         return;
     }
-    if (auto *target = std::get_if<WeightsTarget>(&decoded.value())) {
-        const auto now = m_dependencies.clock.now();
-        if (m_dependencies.weights.addTarget(target->model, target->version, now))
-            Core::logEvent(Core::EventId::WeightsNamed,
-                           {{"model", target->model},
-                            {"version", std::to_string(target->version)},
-                            {"previous_read_ms", text(m_dependencies.configuration.age(now))}});
+    if (const auto *target = std::get_if<WeightsTarget>(&decoded.value())) {
+        applyTarget(*target);
         return;
     }
     auto *configuration = std::get_if<GatewayConfiguration>(&decoded.value());
@@ -151,6 +146,19 @@
     m_onConfigurationChanged();
 }
 
+void FleetWatcher::applyTarget(const WeightsTarget &target)
+{
+    // The record was accepted after the previous read, which did not contain it.
+    const auto now = m_dependencies.clock.now();
+    const auto age = m_dependencies.configuration.age(now);
+    const auto namedAt = age == std::chrono::nanoseconds::max() ? now : now - age;
+    if (!m_dependencies.weights.addTarget(target.model, {target.version, namedAt, now}))
+        return;
+    Core::logEvent(Core::EventId::WeightsNamed, {{"model", target.model},
+                                                 {"version", std::to_string(target.version)},
+                                                 {"previous_read_ms", text(age)}});
+}
+
 asio::awaitable<void> FleetWatcher::watchUpstreams()
 {
     for (;;) {
--- a/Libraries/LibGateway/FleetWatcher.h
+++ b/Libraries/LibGateway/FleetWatcher.h
@@ -56,6 +56,7 @@
     boost::asio::awaitable<void> followOperator();
     boost::asio::awaitable<void> followUpstreams();
     void applyOperatorPage(const FleetPage &page);
+    void applyTarget(const WeightsTarget &target);
     void applyUpstreamsPage(const FleetPage &page);
     /// Removes the upstreams that are missing in a newly read list.
     void dropUnlisted(const FleetPage &page);
--- a/Libraries/LibGateway/WeightsRollout.cpp
+++ b/Libraries/LibGateway/WeightsRollout.cpp
@@ -55,14 +55,15 @@
             if (it == m_notBefore.end() || it->second <= now)
                 result.push_back(
                     {engine, model, target.version,
-                     m_dependencies.targets.outdatedSince(model, known).value_or(now)});
+                     m_dependencies.targets.firstNewer(model, known).value_or(target)});
         }
     }
     // Engines with the longest outdated weights come first; among them, those with the fewest
     // requests in flight are ready soonest.
     std::sort(result.begin(), result.end(), [](const Task &left, const Task &right) {
         const auto work = [](const Task &task) { return task.engine->allInFlight(); };
-        return std::pair(left.since, work(left)) < std::pair(right.since, work(right));
+        return std::pair(left.firstNewer.namedAt, work(left))
+               < std::pair(right.firstNewer.namedAt, work(right));
     });
     return result;
 }
@@ -75,7 +76,7 @@
         if (pending.empty() && m_runningUpdates == 0)
             continue;
         const auto targetSince =
-            pending.empty() ? m_dependencies.clock.now() : pending.front().since;
+            pending.empty() ? m_dependencies.clock.now() : pending.front().firstNewer.learnedAt;
         const bool isHolder = co_await ensureLease(targetSince);
         if (!isHolder)
             continue;
--- a/Libraries/LibGateway/WeightsRollout.h
+++ b/Libraries/LibGateway/WeightsRollout.h
@@ -53,8 +53,8 @@
         std::shared_ptr<Upstream> engine;
         std::string model;
         std::uint64_t version = 0;
-        /// The time since which the engine's weights have been outdated.
-        Core::Clock::Monotonic since;
+        /// The first target that is newer than the engine's weights.
+        WeightsTargets::Target firstNewer;
     };
 
     std::vector<Task> tasks() const;
--- a/Libraries/LibGateway/WeightsTargets.cpp
+++ b/Libraries/LibGateway/WeightsTargets.cpp
@@ -11,13 +11,12 @@
 
 } // namespace
 
-bool WeightsTargets::addTarget(const std::string &model, std::uint64_t version,
-                               Core::Clock::Monotonic now)
+bool WeightsTargets::addTarget(const std::string &model, const Target &target)
 {
     auto &targets = m_targets[model];
-    if (!targets.empty() && version <= targets.back().version)
+    if (!targets.empty() && target.version <= targets.back().version)
         return false;
-    targets.push_back({version, now});
+    targets.push_back(target);
     if (targets.size() > MaxTargets)
         targets.erase(targets.begin());
     return true;
@@ -31,17 +30,22 @@
     return result;
 }
 
-std::optional<Core::Clock::Monotonic> WeightsTargets::outdatedSince(const std::string &model,
-                                                                    std::uint64_t version) const
+std::optional<WeightsTargets::Target> WeightsTargets::firstNewer(const std::string &model,
+                                                                 std::uint64_t version) const
 {
     const auto it = m_targets.find(model);
     if (it == m_targets.end())
         return std::nullopt;
     const auto newer = std::find_if(it->second.begin(), it->second.end(),
                                     [version](const Target &t) { return t.version > version; });
-    if (newer == it->second.end())
-        return std::nullopt;
-    return newer->learnedAt;
+    return newer == it->second.end() ? std::nullopt : std::optional(*newer);
+}
+
+std::optional<Core::Clock::Monotonic> WeightsTargets::outdatedSince(const std::string &model,
+                                                                    std::uint64_t version) const
+{
+    const auto newer = firstNewer(model, version);
+    return newer ? std::optional(newer->namedAt) : std::nullopt;
 }
 
 } // namespace Gateway
--- a/Tests/LibGateway/TestConfiguration.cpp
+++ b/Tests/LibGateway/TestConfiguration.cpp
@@ -90,11 +90,11 @@
     Core::ManualClock clock;
     Gateway::WeightsTargets targets;
     CHECK_FALSE(targets.outdatedSince("m", 1).has_value());
-    targets.addTarget("m", 2, clock.now());
+    targets.addTarget("m", {2, clock.now(), clock.now()});
     const auto second = clock.now();
     clock.advance(3s);
-    targets.addTarget("m", 3, clock.now());
-    CHECK_FALSE(targets.addTarget("m", 2, clock.now()));
+    targets.addTarget("m", {3, clock.now(), clock.now()});
+    CHECK_FALSE(targets.addTarget("m", {2, clock.now(), clock.now()}));
     CHECK(targets.outdatedSince("m", 1) == second);
     CHECK(targets.outdatedSince("m", 2) == clock.now());
     CHECK_FALSE(targets.outdatedSince("m", 3).has_value());
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -103,6 +103,16 @@
     CHECK(fixture.weights.newest().at("m").version == 2);
 }
 
+TEST_CASE("weights are outdated since newer ones may have been named, not since that was read")
+{
+    Fixture fixture;
+    const auto previousRead = fixture.clock.now();
+    fixture.configuration.confirm(previousRead);
+    fixture.clock.advance(900ms);
+    fixture.watcher.applyOperator({0, "version/m", "m=2"});
+    CHECK(fixture.weights.outdatedSince("m", 1) == previousRead);
+}
+
 TEST_CASE("an upstream's older report is ignored, and a new incarnation clears its cached parts")
 {
     Fixture fixture;
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -169,7 +169,7 @@
     fixture.fleet.apply(report);
     CHECK(fixture.chosen() != first);
     Gateway::WeightsTargets targets;
-    targets.addTarget("m", 2, fixture.clock.now());
+    targets.addTarget("m", {2, fixture.clock.now(), fixture.clock.now()});
     fixture.demand.targets = &targets;
     fixture.demand.maxOutdatedTime = 4'000ms;
     CHECK(fixture.choose().has_value());
@@ -184,7 +184,7 @@
 {
     Fixture fixture;
     Gateway::WeightsTargets targets;
-    targets.addTarget("m", 2, fixture.clock.now());
+    targets.addTarget("m", {2, fixture.clock.now(), fixture.clock.now()});
     fixture.demand.targets = &targets;
     fixture.demand.maxOutdatedTime = 5'700ms;
     fixture.limits.now += 3s;
