LibGateway: Load weights at the pace that the weights bound requires

Cause: the number of concurrent loads follows only what the source of the weights is thought to bear. After loads of 1.3 to 2.7 s, behind running streams, it fell to 1 of 18 engines; loads of 0.52 s then never raised it, because one idle engine had once loaded in 0.37 s. A roll of 18 engines took 9.4 s, and nothing compared that with the bound.

Change: the pace is exceeded as far as the remaining engines need to be in time, by the average load, up to half of the engines. An engine whose weights are too old serves nothing, so it does not wait for others; one that never gets its weights adds one. At most half of the engines are paused ahead of their loads.

The test failed before: 9.36 s for a roll within 6 s.

--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -66,7 +66,7 @@
     , m_storeMonitor({m_gateway.stores(), m_interfaces.engines, m_members, m_interfaces.clock})
     , m_cacheSnapshots({m_log, m_members, m_fleet, m_gateway.stores(), m_interfaces.clock})
     , m_weightsRollout({m_journal, m_members, m_interfaces.engines, m_fleet, m_weights,
-                        m_interfaces.clock, m_gateway.metrics(), m_settings.instance})
+                        m_interfaces.clock, m_gateway.metrics(), m_settings})
 {
     connectCallbacks();
     addGauges();
--- a/Libraries/LibGateway/WeightsLoadPace.cpp
+++ b/Libraries/LibGateway/WeightsLoadPace.cpp
@@ -17,6 +17,7 @@
 constexpr double SlowFactor = 2.0;
 constexpr double FastFactor = 1.3;
 constexpr double Decrease = 0.8;
+constexpr double AverageGain = 0.25;
 // Loads that ran at the same time are slow together and count once.
 constexpr auto DecreaseInterval = 600ms;
 constexpr auto DefaultStuckTime = 1'000ms;
@@ -30,9 +31,30 @@
     return static_cast<std::size_t>(std::max(1L, share));
 }
 
+std::size_t WeightsLoadPace::limit(std::size_t engines,
+                                   std::vector<std::chrono::milliseconds> timesLeft) const
+{
+    const auto learned = limit(engines);
+    if (!m_average)
+        return learned;
+    std::sort(timesLeft.begin(), timesLeft.end());
+    std::size_t needed = 0;
+    for (std::size_t n = 1; n <= timesLeft.size(); ++n) {
+        // The last load has to start when one load's time is left.
+        const auto startTime = timesLeft[n - 1] - *m_average;
+        const double concurrent = static_cast<double>(n) * (*m_average / startTime);
+        const bool isLate = startTime <= 0ms || concurrent > static_cast<double>(n);
+        needed = std::max(needed, isLate ? n : static_cast<std::size_t>(std::ceil(concurrent)));
+    }
+    const auto most = std::lround(MaxShare * static_cast<double>(engines));
+    return std::max(learned, std::min(needed, static_cast<std::size_t>(most)));
+}
+
 void WeightsLoadPace::noteLoad(std::chrono::milliseconds duration, std::size_t engines,
                                Core::Clock::Monotonic now)
 {
+    const std::chrono::duration<double, std::milli> sample = duration;
+    m_average = m_average.value_or(sample) + AverageGain * (sample - m_average.value_or(sample));
     m_fastest = std::min(m_fastest.value_or(duration), duration);
     if (duration > SlowFactor * *m_fastest) {
         if (m_lastDecrease != Core::Clock::Monotonic::min()
--- a/Libraries/LibGateway/WeightsRollout.cpp
+++ b/Libraries/LibGateway/WeightsRollout.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 WeightsRollout::WeightsRollout(Dependencies dependencies)
-    : m_dependencies(std::move(dependencies))
+    : m_dependencies(dependencies)
 { }
 
 std::vector<WeightsRollout::Task> WeightsRollout::tasks() const
@@ -80,7 +80,10 @@
         const bool isHolder = co_await ensureLease(targetSince);
         if (!isHolder)
             continue;
-        const auto maxUpdates = UpdatesPerLoad * m_pace.limit(engineCount());
+        m_loadLimit = loadLimit();
+        // At most half of the engines finish their requests ahead of their loads.
+        const auto maxUpdates =
+            std::max(m_loadLimit, std::min(UpdatesPerLoad * m_loadLimit, engineCount() / 2));
         for (auto &task : pending) {
             if (m_runningUpdates - m_stuck >= maxUpdates)
                 break;
@@ -100,6 +103,23 @@
     }));
 }
 
+std::size_t WeightsRollout::loadLimit() const
+{
+    const auto now = m_dependencies.clock.now();
+    std::vector<std::chrono::milliseconds> timesLeft;
+    for (const auto &[model, target] : m_dependencies.targets.newest()) {
+        for (const auto &[id, engine] : m_dependencies.fleet.all()) {
+            const auto known = engine->weights(model);
+            const auto since = m_dependencies.targets.outdatedSince(model, known);
+            if (known == 0 || !since || engine->report().isDraining)
+                continue;
+            const auto end = *since + m_dependencies.settings.weightsBound;
+            timesLeft.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(end - now));
+        }
+    }
+    return m_pace.limit(engineCount(), std::move(timesLeft));
+}
+
 bool WeightsRollout::isTurn(Core::Clock::Monotonic targetSince) const
 {
     // Members that do not respond would only delay the others' turns.
@@ -113,7 +133,7 @@
     const auto &lease = m_dependencies.journal.lease();
     if (lease.token(now, RenewMargin))
         co_return true;
-    const bool isOwn = lease.lastHolder() == m_dependencies.self;
+    const bool isOwn = lease.lastHolder() == m_dependencies.settings.instance;
     if (!lease.mayTake(now) || (!isOwn && !isTurn(targetSince)))
         co_return false;
     co_return co_await m_dependencies.journal.takeLease();
@@ -209,7 +229,7 @@
 asio::awaitable<void> WeightsRollout::awaitTurnToLoad(const Task &task)
 {
     const auto start = m_dependencies.clock.now();
-    while (m_loading >= m_pace.limit(engineCount()))
+    while (m_loading >= m_loadLimit)
         co_await sleepFor(DrainPollInterval);
     if (m_dependencies.clock.now() - start > PauseTime / 2)
         pause(task);
@@ -225,7 +245,7 @@
     WeightsOrder order;
     order.model = task.model;
     order.version = task.version;
-    order.holder = m_dependencies.self.value();
+    order.holder = m_dependencies.settings.instance.value();
     order.fencingToken = *token;
     order.expectedOrders = std::max(state.ordersAccepted, m_acceptedOrders[id]);
     const auto outcome = co_await m_dependencies.engines.order(task.engine->report(), order);
--- a/Libraries/LibGateway/WeightsRollout.h
+++ b/Libraries/LibGateway/WeightsRollout.h
@@ -28,7 +28,7 @@
         WeightsTargets &targets;
         const Core::Clock &clock;
         GatewayMetrics &metrics;
-        Core::InstanceId self;
+        const GatewaySettings &settings;
     };
 
     explicit WeightsRollout(Dependencies dependencies);
@@ -59,6 +59,8 @@
 
     std::vector<Task> tasks() const;
     std::size_t engineCount() const;
+    /// Returns the number of engines that may load weights at the same time.
+    std::size_t loadLimit() const;
     bool isTurn(Core::Clock::Monotonic targetSince) const;
     boost::asio::awaitable<bool> ensureLease(Core::Clock::Monotonic targetSince);
     boost::asio::awaitable<void> updateEngine(Task task);
@@ -81,6 +83,8 @@
     /// be older.
     std::map<Core::UpstreamId, std::uint64_t> m_acceptedOrders;
     WeightsLoadPace m_pace;
+    /// The number of engines that may load weights at the same time, as of the last round of run().
+    std::size_t m_loadLimit = 1;
     std::size_t m_runningUpdates = 0;
     /// Engines that were sent an order and do not have the weights yet: those that are expected to
     /// load them, and those that take so long that others do not wait for them.
--- a/Tests/LibGateway/TestWeightsLoadPace.cpp
+++ b/Tests/LibGateway/TestWeightsLoadPace.cpp
@@ -11,11 +11,13 @@
 namespace {
 
 /// Rolls weights over engines that share the bandwidth for `unhindered` concurrent loads, and
-/// returns the time that engines spent loading.
+/// returns the time that engines spent loading. The roll has to end within the time limit.
 std::chrono::milliseconds roll(Gateway::WeightsLoadPace &pace, Core::ManualClock &clock,
-                               std::size_t engines, std::size_t unhindered)
+                               std::size_t engines, std::size_t unhindered,
+                               double loadMilliseconds = 320,
+                               std::chrono::milliseconds timeLimit = 1h)
 {
-    constexpr double LoadMilliseconds = 320;
+    const auto end = clock.now() + timeLimit;
     struct Load
     {
         double left;
@@ -24,9 +26,12 @@
     std::vector<Load> loads;
     std::size_t started = 0;
     std::chrono::milliseconds total {0};
+    const auto outdated = [&] { return engines - started + loads.size(); };
     while (started < engines || !loads.empty()) {
-        while (started < engines && loads.size() < pace.limit(engines)) {
-            loads.push_back({LoadMilliseconds, 0ms});
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - clock.now());
+        while (started < engines
+               && loads.size() < pace.limit(engines, std::vector(outdated(), left))) {
+            loads.push_back({loadMilliseconds, 0ms});
             ++started;
         }
         constexpr auto Step = 10ms;
@@ -91,3 +96,34 @@
     CHECK(pace.limit(100) < before);
     CHECK(pace.stuckAfter() >= 600ms);
 }
+
+TEST_CASE("a roll ends within the weights bound although earlier loads were slow")
+{
+    Core::ManualClock clock;
+    clock.advance(1h);
+    Gateway::WeightsLoadPace pace;
+    // An idle engine loads fast; those that finish their streams first take long.
+    pace.noteLoad(370ms, 18, clock.now());
+    for (int n = 0; n < 8; ++n) {
+        clock.advance(1s);
+        pace.noteLoad(2'500ms, 18, clock.now());
+    }
+    const auto start = clock.now();
+    roll(pace, clock, 18, 18, 520, 6s);
+    CHECK(clock.now() - start < 6s);
+}
+
+TEST_CASE("an engine that never gets its weights does not make half of the others load at once")
+{
+    Core::ManualClock clock;
+    clock.advance(1h);
+    Gateway::WeightsLoadPace pace;
+    for (int n = 0; n < 4; ++n)
+        pace.noteLoad(300ms, 18, clock.now());
+    std::vector<std::chrono::milliseconds> timesLeft(18, 6s);
+    const auto before = pace.limit(18, timesLeft);
+    timesLeft.front() = -60s;
+    CHECK(pace.limit(18, timesLeft) == before);
+    // Engines whose weights are too old serve nothing, so they need not wait for each other.
+    CHECK(pace.limit(18, std::vector<std::chrono::milliseconds>(18, 0ms)) == 9);
+}
