LibGateway: Let a starting instance ask its siblings how old weights are

What callers saw: an instance that restarts during a roll treated weights that were replaced seconds before as just replaced, and used the old ones for the whole bound again.

Cause: the time of a target is known only to instances that read the log before it was named. It was in no message.

Change: full reports carry the age of the targets of the last minute. An instance that has not seen the log without a target takes it from its siblings; until then it assumes half of the bound. What an instance has read itself is never replaced, so a datagram that is late makes nothing younger.

--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -37,6 +37,8 @@
 
 struct Weights;
 
+struct NamedWeights;
+
 struct Hold;
 
 struct StoreLife;
@@ -351,6 +353,40 @@
 };
 FLATBUFFERS_STRUCT_END(Weights, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) NamedWeights FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t model_;
+  uint64_t version_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  NamedWeights()
+      : model_(0),
+        version_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  NamedWeights(uint64_t _model, uint64_t _version, uint32_t _age_ms)
+      : model_(flatbuffers::EndianScalar(_model)),
+        version_(flatbuffers::EndianScalar(_version)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t model() const {
+    return flatbuffers::EndianScalar(model_);
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(NamedWeights, 24);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Hold FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -969,7 +1005,8 @@
     VT_IS_URGENT = 24,
     VT_SCOPE = 26,
     VT_LINK_MEGABITS = 28,
-    VT_UNREACHABLE = 30
+    VT_UNREACHABLE = 30,
+    VT_NAMED_WEIGHTS = 32
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1013,6 +1050,9 @@
   const flatbuffers::Vector<uint64_t> *unreachable() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UNREACHABLE);
   }
+  const flatbuffers::Vector<const Gateway::Wire::NamedWeights *> *named_weights() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::NamedWeights *> *>(VT_NAMED_WEIGHTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -1038,6 +1078,8 @@
            VerifyField<uint32_t>(verifier, VT_LINK_MEGABITS, 4) &&
            VerifyOffset(verifier, VT_UNREACHABLE) &&
            verifier.VerifyVector(unreachable()) &&
+           VerifyOffset(verifier, VT_NAMED_WEIGHTS) &&
+           verifier.VerifyVector(named_weights()) &&
            verifier.EndTable();
   }
 };
@@ -1088,6 +1130,9 @@
   void add_unreachable(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable) {
     fbb_.AddOffset(SiblingReport::VT_UNREACHABLE, unreachable);
   }
+  void add_named_weights(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::NamedWeights *>> named_weights) {
+    fbb_.AddOffset(SiblingReport::VT_NAMED_WEIGHTS, named_weights);
+  }
   explicit SiblingReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1114,10 +1159,12 @@
     bool is_urgent = false,
     Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
     uint32_t link_megabits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::NamedWeights *>> named_weights = 0) {
   SiblingReportBuilder builder_(_fbb);
   builder_.add_life(life);
   builder_.add_number(number);
+  builder_.add_named_weights(named_weights);
   builder_.add_unreachable(unreachable);
   builder_.add_link_megabits(link_megabits);
   builder_.add_endpoint(endpoint);
@@ -1148,7 +1195,8 @@
     bool is_urgent = false,
     Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
     uint32_t link_megabits = 0,
-    const std::vector<uint64_t> *unreachable = nullptr) {
+    const std::vector<uint64_t> *unreachable = nullptr,
+    const std::vector<Gateway::Wire::NamedWeights> *named_weights = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<Gateway::Wire::Load>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::KeptPart>(*parts) : 0;
@@ -1158,6 +1206,7 @@
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto unreachable__ = unreachable ? _fbb.CreateVector<uint64_t>(*unreachable) : 0;
+  auto named_weights__ = named_weights ? _fbb.CreateVectorOfStructs<Gateway::Wire::NamedWeights>(*named_weights) : 0;
   return Gateway::Wire::CreateSiblingReport(
       _fbb,
       instance__,
@@ -1173,7 +1222,8 @@
       is_urgent,
       scope,
       link_megabits,
-      unreachable__);
+      unreachable__,
+      named_weights__);
 }
 
 struct QueueMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -151,8 +151,13 @@
     // The record was accepted after the previous read, which did not contain it.
     const auto now = m_dependencies.clock.now();
     const auto age = m_dependencies.configuration.age(now);
-    const auto namedAt = age == std::chrono::nanoseconds::max() ? now : now - age;
-    if (!m_dependencies.weights.addTarget(target.model, {target.version, namedAt, now}))
+    WeightsTargets::Target entry {target.version, now - age, now};
+    if (age == std::chrono::nanoseconds::max()) {
+        // It may have been named at any time before this instance started.
+        entry.namedAt = now - m_dependencies.assumedWeightsAge;
+        entry.evidence = WeightsTargets::Evidence::Assumed;
+    }
+    if (!m_dependencies.weights.addTarget(target.model, entry))
         return;
     Core::logEvent(Core::EventId::WeightsNamed, {{"model", target.model},
                                                  {"version", std::to_string(target.version)},
--- a/Libraries/LibGateway/FleetWatcher.h
+++ b/Libraries/LibGateway/FleetWatcher.h
@@ -31,6 +31,9 @@
         ConfigurationState &configuration;
         WeightsTargets &weights;
         UpstreamFleet &fleet;
+        /// The assumed age of weights that were named before the instance started, until a sibling
+        /// tells it.
+        std::chrono::milliseconds assumedWeightsAge {0};
     };
 
     FleetWatcher(Dependencies dependencies, std::function<void()> onConfigurationChanged);
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -46,11 +46,12 @@
                 m_interfaces.clock)
     , m_relay(m_interfaces.clock)
     , m_log({m_interfaces.log, m_relay, m_members, m_interfaces.clock, m_settings})
-    , m_watcher(
-          {m_log, m_interfaces.decoder, m_interfaces.clock, m_configuration, m_weights, m_fleet},
-          [this] { applyConfiguration(); })
+    , m_watcher({m_log, m_interfaces.decoder, m_interfaces.clock, m_configuration, m_weights,
+                 m_fleet, m_settings.weightsBound / 2},
+                [this] { applyConfiguration(); })
     , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_members)
-    , m_siblings(m_threads.at(0), {m_interfaces.clock, m_members, m_fleet, m_gateway.stores()})
+    , m_siblings(m_threads.at(0),
+                 {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(), m_weights})
     , m_engineQueues(m_threads.at(0),
                      {m_interfaces.clock, m_members, m_fleet,
                       [this](const std::string &service) {
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -261,13 +261,14 @@
     for (const auto &[holder, epoch] : std::exchange(m_storeEpochs, {}))
         stores.emplace_back(holder, epoch);
     const auto [pauses, weights] = wireUpdates(std::exchange(m_reportUpdates, {}));
+    const auto namedWeights = wireNamedWeights();
     const auto &self = m_dependencies.members.self();
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(Wire::CreateSiblingReportDirect(
         builder, self.instance.value().c_str(), ++m_reportNumber, m_incarnation, &loads, &parts,
         &weights, &pauses, &stores, self.dataCentre.c_str(),
         Http::formatEndpoint(self.endpoint).c_str(), false, Wire::Scope::Instance,
-        self.linkMegabits));
+        self.linkMegabits, nullptr, &namedWeights));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -291,11 +292,13 @@
     const auto &self = m_dependencies.members.self();
     const auto sums = wireLoads(loads);
     const auto cachedParts = wireParts(parts);
+    const auto namedWeights = wireNamedWeights();
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(Wire::CreateSiblingReportDirect(
         builder, self.instance.value().c_str(), ++m_reportNumber, m_incarnation, &sums,
         &cachedParts, nullptr, nullptr, nullptr, self.dataCentre.c_str(),
-        Http::formatEndpoint(self.endpoint).c_str(), false, scope, self.linkMegabits));
+        Http::formatEndpoint(self.endpoint).c_str(), false, scope, self.linkMegabits, nullptr,
+        &namedWeights));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -361,6 +364,7 @@
     // Weights are applied before parts, because new weights clear the prefix-cache estimate of an
     // engine.
     applyWeights(*report);
+    applyNamedWeights(*report);
     applyPauses(*report);
     applyUnreachable(*report);
     applyParts(*report);
@@ -431,6 +435,25 @@
     }
 }
 
+std::vector<Wire::NamedWeights> SiblingExchange::wireNamedWeights() const
+{
+    std::vector<Wire::NamedWeights> entries;
+    for (const auto &entry : m_dependencies.weights.reports(m_dependencies.clock.now()))
+        entries.emplace_back(entry.model, entry.version,
+                             static_cast<std::uint32_t>(entry.age.count()));
+    return entries;
+}
+
+void SiblingExchange::applyNamedWeights(const Wire::SiblingReport &report) const
+{
+    if (!report.named_weights())
+        return;
+    for (const auto *entry : *report.named_weights())
+        m_dependencies.weights.noteReport(
+            {entry->model(), entry->version(), std::chrono::milliseconds(entry->age_ms())},
+            m_dependencies.clock.now());
+}
+
 void SiblingExchange::applyUnreachable(const Wire::SiblingReport &report) const
 {
     if (!report.unreachable())
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -3,6 +3,7 @@
 #include <LibGateway/FleetMembers.h>
 #include <LibGateway/KvCacheStores.h>
 #include <LibGateway/UpstreamFleet.h>
+#include <LibGateway/WeightsTargets.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,7 @@
 
 namespace Wire {
 struct Hold;
+struct NamedWeights;
 struct SiblingReport;
 struct Weights;
 enum class Scope : std::uint8_t;
@@ -46,6 +48,7 @@
         FleetMembers &members;
         UpstreamFleet &fleet;
         KvCacheStores &stores;
+        WeightsTargets &weights;
     };
 
     SiblingExchange(boost::asio::io_context &context, Dependencies dependencies);
@@ -156,6 +159,8 @@
     /// Records the report as the latest of its source. Returns false when it is out of date.
     bool noteReport(const Wire::SiblingReport &report, Source &source);
     void applyWeights(const Wire::SiblingReport &report) const;
+    void applyNamedWeights(const Wire::SiblingReport &report) const;
+    std::vector<Wire::NamedWeights> wireNamedWeights() const;
     void applyUnreachable(const Wire::SiblingReport &report) const;
     void applyPauses(const Wire::SiblingReport &report) const;
     void applyParts(const Wire::SiblingReport &report);
--- a/Libraries/LibGateway/WeightsTargets.cpp
+++ b/Libraries/LibGateway/WeightsTargets.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Hash.h>
 #include <LibGateway/WeightsTargets.h>
 
 #include <algorithm>
@@ -8,6 +9,9 @@
 
 // Older targets are dropped; no engine runs weights that old.
 constexpr std::size_t MaxTargets = 64;
+// Engines have the weights of older targets, so their age no longer matters.
+constexpr std::chrono::seconds ReportedTime {60};
+constexpr std::size_t MaxReports = 32;
 
 } // namespace
 
@@ -22,6 +26,38 @@
     return true;
 }
 
+void WeightsTargets::noteReport(const Report &report, Core::Clock::Monotonic now)
+{
+    const auto namedAt = now - report.age;
+    for (auto &[model, targets] : m_targets) {
+        if (Core::hash64(model) != report.model)
+            continue;
+        for (auto &target : targets) {
+            if (target.version != report.version || target.evidence == Evidence::Read)
+                continue;
+            // A datagram that was delayed makes a target appear younger, so the oldest counts.
+            if (target.evidence == Evidence::Assumed || namedAt < target.namedAt)
+                target.namedAt = namedAt;
+            target.evidence = Evidence::Sibling;
+        }
+    }
+}
+
+std::vector<WeightsTargets::Report> WeightsTargets::reports(Core::Clock::Monotonic now) const
+{
+    std::vector<Report> result;
+    for (const auto &[model, targets] : m_targets) {
+        for (const auto &target : targets) {
+            if (target.evidence != Evidence::Assumed && now - target.namedAt < ReportedTime
+                && result.size() < MaxReports)
+                result.push_back(
+                    {Core::hash64(model), target.version,
+                     std::chrono::ceil<std::chrono::milliseconds>(now - target.namedAt)});
+        }
+    }
+    return result;
+}
+
 std::map<std::string, WeightsTargets::Target> WeightsTargets::newest() const
 {
     std::map<std::string, Target> result;
--- a/Libraries/LibGateway/WeightsTargets.h
+++ b/Libraries/LibGateway/WeightsTargets.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,6 +15,14 @@
 class WeightsTargets
 {
 public:
+    /// What the time of a target rests on.
+    enum class Evidence {
+        /// The target was there when this instance started to read, so the time is an assumption.
+        Assumed,
+        Sibling,
+        /// An earlier read did not contain the target.
+        Read,
+    };
     struct Target
     {
         std::uint64_t version = 0;
@@ -22,10 +31,24 @@
         Core::Clock::Monotonic namedAt;
         /// When this instance learned of it.
         Core::Clock::Monotonic learnedAt;
+        Evidence evidence = Evidence::Read;
+    };
+    /// A target as instances report it to each other.
+    struct Report
+    {
+        /// Hash of the model's name.
+        std::uint64_t model = 0;
+        std::uint64_t version = 0;
+        /// The time since the target was named, at most.
+        std::chrono::milliseconds age {0};
     };
 
     /// Adds a target. Returns false if the version is not higher than the newest one.
     bool addTarget(const std::string &model, const Target &target);
+    /// Applies a sibling's report of a target that this instance cannot date itself.
+    void noteReport(const Report &report, Core::Clock::Monotonic now);
+    /// Returns the recent targets whose time does not rest on an assumption.
+    std::vector<Report> reports(Core::Clock::Monotonic now) const;
     /// Returns the newest target of each model.
     std::map<std::string, Target> newest() const;
     /// Returns the first target that is newer than the version; empty if there is none.
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -72,7 +72,7 @@
     Gateway::WeightsTargets weights;
     Gateway::UpstreamFleet fleet;
     int changes = 0;
-    Gateway::FleetWatcher watcher {{log, decoder, clock, configuration, weights, fleet},
+    Gateway::FleetWatcher watcher {{log, decoder, clock, configuration, weights, fleet, 3s},
                                    [this] { ++changes; }};
 
     Fixture() { clock.advance(1h); }
@@ -113,6 +113,13 @@
     CHECK(fixture.weights.outdatedSince("m", 1) == previousRead);
 }
 
+TEST_CASE("an instance that starts does not count weights as just named")
+{
+    Fixture fixture;
+    fixture.watcher.applyOperator({0, "version/m", "m=2"});
+    CHECK(fixture.weights.outdatedSince("m", 1) == fixture.clock.now() - 3s);
+}
+
 TEST_CASE("an upstream's older report is ignored, and a new incarnation clears its cached parts")
 {
     Fixture fixture;
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -26,7 +26,8 @@
                                   linkMegabits},
             clock);
         exchange = std::make_unique<Gateway::SiblingExchange>(
-            context, Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores});
+            context,
+            Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores, weights});
         clock.advance(1h);
         Gateway::UpstreamReport report;
         report.id = Core::UpstreamId("w1");
@@ -42,6 +43,7 @@
     Core::ManualClock clock;
     Gateway::UpstreamFleet fleet;
     Gateway::KvCacheStores stores;
+    Gateway::WeightsTargets weights;
     std::unique_ptr<Gateway::FleetMembers> members;
     std::unique_ptr<Gateway::SiblingExchange> exchange;
 };
@@ -267,3 +269,29 @@
     other.exchange->apply(one.exchange->encodeUrgent());
     CHECK(other.engine().pausedUntil() < other.clock.now());
 }
+
+TEST_CASE("an instance that starts uses old weights for no longer than its siblings")
+{
+    using Evidence = Gateway::WeightsTargets::Evidence;
+    Instance sibling("one");
+    Instance starting("other");
+    const auto named = sibling.clock.now();
+    sibling.weights.addTarget("m", {2, named, named});
+    sibling.clock.advance(4s);
+    starting.clock.advance(4s);
+    const auto now = starting.clock.now();
+    starting.weights.addTarget("m", {2, now - 1s, now, Evidence::Assumed});
+    const auto report = sibling.exchange->encode();
+    starting.exchange->apply(report);
+    CHECK(starting.weights.outdatedSince("m", 1) == named);
+    // A datagram that arrives late makes nothing younger.
+    starting.clock.advance(10s);
+    sibling.clock.advance(1ms);
+    starting.exchange->apply(sibling.exchange->encode());
+    CHECK(starting.weights.outdatedSince("m", 1) == named);
+    // An assumption is not passed on, and does not replace what an instance has read.
+    Instance third("third");
+    third.weights.addTarget("m", {2, named - 3s, named, Evidence::Assumed});
+    sibling.exchange->apply(third.exchange->encode());
+    CHECK(sibling.weights.outdatedSince("m", 1) == named);
+}
