LibGateway: Vary the choice of engines by the number of instances

Cause: since each choice adds up to the prefill of 1,000 tokens to an engine's cost, at random, however many instances there are.

Change: 25 tokens for each instance, at most 1,000. The test of varied choices sets 40 instances, which is the variation that it had before.

Measured: the test passes 100 of 100 times; TestLibGateway passes with its simulated fleets of 8 and 300 instances.

--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -185,6 +185,7 @@
     limits.excluded = excluded;
     limits.now = gateway.dependencies().clock.now();
     limits.random = &gateway.random();
+    limits.instances = gateway.instanceCount().value_or(1);
     if (service->engine && !request.caller.model.empty())
         return planEngine(gateway, request, *service, limits);
     RequestPlan plan;
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -35,9 +35,10 @@
 // The largest cost of an engine at the wrong end of the order is the prefill of so many tokens,
 // less than that of a long prompt whose shared parts are cached there.
 constexpr unsigned SeparationTokens = 5'600;
-// Costs that differ by less than the prefill of so many tokens are about equal: loads are not known
-// more exactly.
-constexpr double VariationTokens = 1'000;
+// Costs that differ by less than the prefill of so many tokens for each instance, up to a limit,
+// are about equal: so much may have been sent since the last reports.
+constexpr double VariationTokensPerInstance = 25;
+constexpr double MaxVariationTokens = 1'000;
 constexpr Milliseconds InterruptedStreamCost {30};
 constexpr Milliseconds OwnPauseCost {150};
 // The upper 32 bits of the hash.
@@ -327,7 +328,8 @@
     }
     const auto preferred = preferredUpstreamOf(candidates, demand.affinityKey);
     auto bestCaches = findBestCaches(members, demand, limits);
-    std::uniform_real_distribution<double> variation(0, VariationTokens);
+    std::uniform_real_distribution<double> variation(
+        0, std::min(MaxVariationTokens, VariationTokensPerInstance * limits.instances));
     std::optional<EngineChoice> best;
     Milliseconds bestCost {0};
     for (const auto &candidate : candidates) {
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -24,6 +24,8 @@
     /// Varies the choice among engines that are about equally good, so that instances with the same
     /// load reports do not all choose the same one; null for the best one.
     std::minstd_rand *random = nullptr;
+    /// The number of instances that choose by the same reports.
+    unsigned instances = 1;
 };
 
 /// The requirements of a prompt that an engine is chosen for.
--- a/Tests/LibGateway/FleetSimulation.cpp
+++ b/Tests/LibGateway/FleetSimulation.cpp
@@ -128,6 +128,7 @@
     Gateway::ChoiceLimits limits;
     limits.maxInFlight = 64;
     limits.now = m_clock.now();
+    limits.instances = m_shape.instances;
     limits.random = m_shape.variesChoice ? &instance.random : nullptr;
     return chooseEngine(instance.fleet.members("llm"), instance.model, demand, limits);
 }
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -301,6 +301,7 @@
     fixture.demand.sharedTokens = 0;
     std::minstd_rand random(3);
     fixture.limits.random = &random;
+    fixture.limits.instances = 40;
     std::map<std::string, int> counts;
     for (int n = 0; n < 120; ++n)
         ++counts[fixture.chosen()];
