--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -45,6 +45,8 @@
     WeightsInPlace = 311,
     PartStoreBack = 312,
     PartStoreLost = 313,
+    PoisonPartFound = 314,
+    PoisonPartAcquitted = 315,
     ConfigurationInForce = 400,
     ConfigurationRefused = 401,
     ConfigurationFromSibling = 402,
