LibGateway: Add the failing test of a prompt part that crashes engines

Requests that share nothing but one part reach engines without an end, because the poison request table counts by path, team and body. The test runs two gateway processes and four engines that close the connection on that part, before or after the first event, with sound requests that share tenant and first part in between; it also restarts an instance, with and without siblings. The worker stand-in's entries now have a start time, so that a crashed one can appear as restarted.

--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -1,6 +1,9 @@
 #include "GatewayFixture.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include <filesystem>
@@ -54,6 +57,12 @@
     return *m_workers.back();
 }
 
+void GatewayFixture::restartWorker(StandIns::WorkerStandIn &worker)
+{
+    worker.restart();
+    store.put("keyed.servers", worker.id(), worker.entry());
+}
+
 std::string GatewayFixture::defaultRoutes()
 {
     return R"([
@@ -82,8 +91,11 @@
                                           const std::string &lines) const
 {
     auto path = m_folder + "/" + options.name + ".toml";
+    const auto port = std::to_string(options.siblingsPort);
+    const auto ports = port + "," + port;
     std::ofstream(path) << lines << "NodeName = \"" << options.name << "\"\nZone = \"a\"\n"
-                        << (lines.empty() ? "PortRange = [0,0]\n" : "") << "HeartbeatMs = 1200\n"
+                        << (lines.empty() ? "PortRange = [" + ports + "]\n" : "")
+                        << "HeartbeatMs = 1200\n"
                         << "[Listen]\nFront = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n"
                         << "[Bounds]\nRevokeMs = " << options.revokeMs
                         << "\nGraceS = " << options.graceS
@@ -108,11 +120,25 @@
 
 Http::Response GatewayFixture::send(Http::Request request) const
 {
-    return asio::co_spawn(m_threads.next(), m_client.fetch(m_callers, std::move(request), {}),
+    return send(m_callers, std::move(request));
+}
+
+Http::Response GatewayFixture::send(const Http::Endpoint &gateway, Http::Request request) const
+{
+    return asio::co_spawn(m_threads.next(), m_client.fetch(gateway, std::move(request), {}),
                           asio::use_future)
         .get();
 }
 
+std::uint16_t GatewayFixture::freePort()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    const asio::ip::udp::socket datagrams(
+        context, {asio::ip::address_v4::loopback(), acceptor.local_endpoint().port()});
+    return acceptor.local_endpoint().port();
+}
+
 unsigned GatewayFixture::readiness() const
 {
     return asio::co_spawn(m_threads.next(),
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -19,6 +19,8 @@
     std::string name = "edge-1";
     unsigned revokeMs = 5'000;
     unsigned graceS = 8;
+    /// The port for datagrams of siblings; without one, gateways only share the store.
+    std::uint16_t siblingsPort = 0;
 };
 
 /// A store, workers and gateway processes.
@@ -32,6 +34,8 @@
 
     /// Starts a worker and registers it in the store.
     StandIns::WorkerStandIn &addWorker(const std::string &id, const std::string &service);
+    /// Writes the worker's entry again, as a worker that restarted.
+    void restartWorker(StandIns::WorkerStandIn &worker);
     /// Writes a configuration with the given version and the JSON of routes and tenants.
     void configure(unsigned version, const std::string &routes = defaultRoutes(),
                    const std::string &tenants = defaultTenants());
@@ -44,6 +48,8 @@
 
     /// Sends a request to the most recently started gateway.
     Http::Response send(Http::Request request) const;
+    /// Sends a request to the given gateway.
+    Http::Response send(const Http::Endpoint &gateway, Http::Request request) const;
     /// Returns the readiness status of the most recently started gateway.
     unsigned readiness() const;
     Http::Endpoint callers() const { return m_callers; }
@@ -56,6 +62,8 @@
 
     static std::string defaultRoutes();
     static std::string defaultTenants();
+    /// Returns a port that is currently free for datagrams and connections.
+    static std::uint16_t freePort();
     /// Waits until the condition holds. Returns false after a timeout.
     static bool eventually(const std::function<bool()> &condition);
 
--- /dev/null
+++ b/Tests/Platform/TestPoisonParts.cpp
@@ -0,0 +1,201 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/system/system_error.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using PlatformTests::GatewayFixture;
+using StandIns::WorkerStandIn;
+
+namespace {
+
+constexpr auto DeadlyPart = "dead0001";
+// As long as an engine takes to be back, so that its crashes are told apart.
+constexpr auto RestartTime = 500ms;
+constexpr int MaxDeadlyRequests = 14;
+
+template <typename Message>
+std::string header(const Message &message, std::string_view name)
+{
+    return std::string(message.headers.find(name).value_or(std::string_view()));
+}
+
+bool isDeadly(const Http::Request &request)
+{
+    return header(request, "X-Jujubesaddle-Prompt-Prefix").find(DeadlyPart) != std::string::npos;
+}
+
+/// Closes the connection whenever a prompt contains the deadly part.
+asio::awaitable<bool> crashOnDeadlyPart(Http::ServerExchange &exchange)
+{
+    if (!isDeadly(exchange.request()))
+        co_return false;
+    throw boost::system::system_error(asio::error::connection_reset);
+}
+
+/// Does the same after the first event of the answer.
+asio::awaitable<bool> crashAfterFirstEvent(Http::ServerExchange &exchange)
+{
+    if (!isDeadly(exchange.request()))
+        co_return false;
+    co_await exchange.startStream(200, WorkerStandIn::answerHeaders(exchange.request()));
+    co_await exchange.write("id: 1\ndata: 1\n\n");
+    throw boost::system::system_error(asio::error::connection_reset);
+}
+
+/// A request that has no id, body or last part in common with another one.
+Http::Request promptWith(const std::string &parts, int number, const std::string &target)
+{
+    const auto text = std::to_string(number);
+    auto request = GatewayFixture::streamRequest(target, "id-" + parts.substr(0, 4) + text);
+    request.headers.remove("X-Jujubesaddle-Prompt-Prefix");
+    request.headers.add("X-Jujubesaddle-Prompt-Prefix", parts + ",e" + text + ":100");
+    return request;
+}
+
+/// Two gateways, and four engines that crash on one part.
+struct Fleet
+{
+    explicit Fleet(WorkerStandIn::Behaviour behaviour)
+    {
+        for (int n = 1; n <= 4; ++n) {
+            workers.push_back(&fixture.addWorker("w-" + std::to_string(n), "llm"));
+            workers.back()->setBehaviour(behaviour);
+        }
+        fixture.configure(1);
+        fixture.startGateway({"edge-1", 5'000, 8, GatewayFixture::freePort()});
+        first = fixture.callers();
+        secondProcess = &fixture.startGateway(secondOptions);
+        second = fixture.callers();
+    }
+
+    /// Sends a prompt with the deadly part to the gateway. Returns the answer's status; 0 if the
+    /// answer was interrupted.
+    unsigned sendDeadly(const Http::Endpoint &gateway)
+    {
+        lastReason.clear();
+        lastRetryAfter.clear();
+        const auto target = "/streams/once/" + std::to_string(++number);
+        const auto parts = "aa:300," + std::string(DeadlyPart) + ":200";
+        try {
+            const auto answer = fixture.send(gateway, promptWith(parts, number, target));
+            lastReason = answer.body;
+            lastRetryAfter = header(answer, "Retry-After");
+            return answer.status;
+        } catch (const Core::Error &) {
+            return 0;
+        }
+    }
+
+    /// Sends a prompt with the same first part as the deadly ones.
+    unsigned sendSound(const Http::Endpoint &gateway)
+    {
+        return fixture.send(gateway, promptWith("aa:300,bb:200", ++number, "/streams/a")).status;
+    }
+
+    /// Returns the number of deadly prompts that engines received.
+    std::size_t received() const
+    {
+        std::size_t count = 0;
+        for (const auto *worker : workers) {
+            const auto requests = worker->requests();
+            count += std::count_if(requests.begin(), requests.end(), isDeadly);
+        }
+        return count;
+    }
+
+    /// Gives the engines that crashed since the last call a new incarnation.
+    void restartCrashed()
+    {
+        crashed.resize(workers.size());
+        for (std::size_t n = 0; n < workers.size(); ++n) {
+            const auto requests = workers[n]->requests();
+            const auto count = std::count_if(requests.begin(), requests.end(), isDeadly);
+            if (count > std::exchange(crashed[n], count))
+                fixture.restartWorker(*workers[n]);
+        }
+    }
+
+    /// Sends deadly and sound prompts to both gateways until the first refuses the deadly ones.
+    /// Returns whether it did, and checks that the sound ones are served.
+    bool becomesRefused()
+    {
+        for (int n = 0; n < MaxDeadlyRequests; ++n) {
+            if (sendDeadly(n % 2 == 0 ? first : second) == 503 && !lastReason.empty()
+                && lastReason.find("poison_request") != std::string::npos)
+                return true;
+            restartCrashed();
+            std::this_thread::sleep_for(RestartTime);
+            CHECK(sendSound(first) == 200);
+            CHECK(sendSound(second) == 200);
+        }
+        return false;
+    }
+
+    GatewayFixture fixture;
+    PlatformTests::GatewayOptions secondOptions {"edge-2", 5'000, 8, GatewayFixture::freePort()};
+    std::vector<WorkerStandIn *> workers;
+    std::vector<std::ptrdiff_t> crashed;
+    Http::Endpoint first;
+    Http::Endpoint second;
+    Processes::Process *secondProcess = nullptr;
+    std::string lastReason;
+    std::string lastRetryAfter;
+    int number = 0;
+};
+
+void checkRefusedEverywhere(Fleet &fleet)
+{
+    REQUIRE(fleet.becomesRefused());
+    // Each instance decides by itself, some hundred milliseconds apart.
+    std::this_thread::sleep_for(RestartTime);
+    const auto before = fleet.received();
+    for (int n = 0; n < 4; ++n) {
+        CHECK(fleet.sendDeadly(n % 2 == 0 ? fleet.first : fleet.second) == 503);
+        CHECK(fleet.lastReason.find("poison_request") != std::string::npos);
+        CHECK(fleet.lastRetryAfter.empty());
+        CHECK(fleet.sendSound(n % 2 == 0 ? fleet.first : fleet.second) == 200);
+    }
+    CHECK(fleet.received() == before);
+}
+
+} // namespace
+
+TEST_CASE("a prompt part that crashes every engine is refused by all instances, sound ones are not")
+{
+    Fleet fleet(crashOnDeadlyPart);
+    checkRefusedEverywhere(fleet);
+    CHECK(fleet.received() <= 10);
+}
+
+TEST_CASE("a part that crashes engines after the first event is refused, also after a restart")
+{
+    Fleet fleet(crashAfterFirstEvent);
+    checkRefusedEverywhere(fleet);
+    const auto before = fleet.received();
+    fleet.secondProcess->kill();
+    fleet.fixture.startGateway(fleet.secondOptions);
+    fleet.second = fleet.fixture.callers();
+    CHECK(fleet.sendDeadly(fleet.second) == 503);
+    CHECK(fleet.lastReason.find("poison_request") != std::string::npos);
+    CHECK(fleet.sendSound(fleet.second) == 200);
+    CHECK(fleet.received() == before);
+}
+
+TEST_CASE("an instance that restarts without siblings still refuses a part that crashes engines")
+{
+    Fleet fleet(crashOnDeadlyPart);
+    checkRefusedEverywhere(fleet);
+    const auto before = fleet.received();
+    fleet.secondProcess->kill();
+    fleet.fixture.startGateway({"edge-3", 5'000, 8});
+    CHECK(fleet.sendDeadly(fleet.fixture.callers()) == 503);
+    CHECK(fleet.lastReason.find("poison_request") != std::string::npos);
+    CHECK(fleet.received() == before);
+}
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -52,6 +52,7 @@
                              {"State", state},
                              {"ColdLeftMs", 0},
                              {"Models", models},
+                             {"born", m_incarnation.load()},
                              {"Seq", 1}});
 }
 
--- a/Tests/StandIns/WorkerStandIn.h
+++ b/Tests/StandIns/WorkerStandIn.h
@@ -32,6 +32,9 @@
     /// Returns the worker's entry in the store's list.
     std::string entry(const std::string &state = "ready") const;
 
+    /// Lets the worker's next entries name a new incarnation, as after a restart.
+    void restart() { ++m_incarnation; }
+
     /// Installs a handler that is tried before the default behaviour.
     void setBehaviour(Behaviour behaviour);
     /// Sets the number of events in a stream.
@@ -66,6 +69,7 @@
     std::atomic<std::size_t> m_runs {0};
     std::atomic<std::uint64_t> m_weights {1};
     std::atomic<bool> m_isBusy {false};
+    std::atomic<std::uint64_t> m_incarnation {1};
     std::chrono::milliseconds m_orderTime {10};
     std::unique_ptr<Http::Server> m_server;
 };
