--- a/Libraries/LibGateway/AcceptedRequest.cpp
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Hash.h>
 #include <LibGateway/AcceptedRequest.h>
 #include <LibGateway/Gateway.h>
+#include <LibGateway/RequestLog.h>
 
 #include <algorithm>
 
@@ -25,6 +26,8 @@
     if (!decoded)
         return Refusal {Core::ErrorKind::MalformedRequest, decoded.error().detail(), {}};
     caller = std::move(decoded.value());
+    for (std::size_t n = 0; n + 1 < caller.parts.size(); ++n)
+        partHashes.push_back(Core::hash64(caller.parts[n].id));
     return std::nullopt;
 }
 
@@ -59,10 +62,8 @@
                        : outOfDate;
     }
     digest = requestDigest(target, tenantName(), request.body);
-    if (gateway.poison().isPoison(digest, now))
-        return Refusal {Core::ErrorKind::PoisonRequest,
-                        "several upstreams failed while they executed this request",
-                        {}};
+    if (auto refusal = refusePoison(gateway))
+        return refusal;
     deadline = arrival + std::min(caller.callerTimeout.value_or(route->timeout), route->timeout);
     if (caller.callerTimeout)
         isReturning = gateway.returningCallers(route->name).noteArrival(*caller.callerTimeout);
@@ -75,6 +76,31 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> AcceptedRequest::refusePoison(Gateway &gateway)
+{
+    if (gateway.poison().isPoison(digest, gateway.dependencies().clock.now()))
+        return Refusal {Core::ErrorKind::PoisonRequest,
+                        "several upstreams failed while they executed this request",
+                        {}};
+    const auto part = poisonPart(gateway);
+    if (!part)
+        return std::nullopt;
+    if (gateway.mayTryPart(*part)) {
+        triedPart = part;
+        return std::nullopt;
+    }
+    return Refusal {Core::ErrorKind::PoisonRequest,
+                    "part " + formatHash(*part) + " of the prompt crashes engines",
+                    {}};
+}
+
+std::optional<std::uint64_t> AcceptedRequest::poisonPart(Gateway &gateway) const
+{
+    const auto part =
+        gateway.poisonParts().findPoison(partHashes, gateway.dependencies().clock.now());
+    return part == triedPart ? std::nullopt : part;
+}
+
 milliseconds AcceptedRequest::remainingTime(Core::Clock::Monotonic now) const
 {
     return std::max(0ms, duration_cast<milliseconds>(deadline - now));
--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -41,6 +41,10 @@
     bool isReturning = false;
     /// Identifies the request in the poison request table; equal for all attempts of one request.
     std::uint64_t digest = 0;
+    /// Hashes of the ids of the prompt's parts, without the last one, which is specific to it.
+    std::vector<std::uint64_t> partHashes;
+    /// The poison part that this request may try.
+    std::optional<std::uint64_t> triedPart;
 
     /// Decodes the request. Returns a refusal if it is malformed.
     std::optional<Refusal> decode(const RequestDialect &dialect, const Http::Request &request);
@@ -48,6 +52,9 @@
     /// not allowed, or if the configuration may be too old to decide.
     std::optional<Refusal> authorize(Gateway &gateway, const Http::Request &request);
 
+    /// Returns the part of the prompt that crashes engines, if it has one that it may not try.
+    std::optional<std::uint64_t> poisonPart(Gateway &gateway) const;
+
     std::chrono::milliseconds remainingTime(Core::Clock::Monotonic now) const;
     /// Returns the name of the cache scope. Only requests of the same scope share cached prompt
     /// parts.
@@ -61,6 +68,10 @@
     unsigned sharedTokens() const;
     std::string tenantName() const { return tenant ? tenant->name : ""; }
     Metrics::Labels labels() const;
+
+private:
+    /// Returns a refusal if the request, or a part of its prompt, is known to crash upstreams.
+    std::optional<Refusal> refusePoison(Gateway &gateway);
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -2,6 +2,7 @@
 #include <LibGateway/FleetJournal.h>
 #include <LibGateway/FleetMessages_generated.h>
 #include <LibGateway/FleetWatcher.h>
+#include <LibGateway/PoisonNews.h>
 
 #include <algorithm>
 #include <span>
@@ -57,21 +58,24 @@
 
 flatbuffers::Offset<Wire::Member> wireMember(flatbuffers::FlatBufferBuilder &builder,
                                              const FleetMember &member,
-                                             const std::vector<std::uint64_t> &poison)
+                                             const std::vector<std::uint64_t> &poison,
+                                             flatbuffers::Offset<Wire::PoisonParts> poisonParts)
 {
     return Wire::CreateMemberDirect(
         builder, member.instance.value().c_str(), member.dataCentre.c_str(),
-        Http::formatEndpoint(member.endpoint).c_str(), &poison, member.linkMegabits);
+        Http::formatEndpoint(member.endpoint).c_str(), &poison, member.linkMegabits, poisonParts);
 }
 
 } // namespace
 
 FleetJournal::FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
-                           PoisonRequestTable &poison, FleetMembers &members)
+                           PoisonRequestTable &poison, PoisonPartTable &poisonParts,
+                           FleetMembers &members)
     : m_log(log)
     , m_clock(clock)
     , m_settings(settings)
     , m_poison(poison)
+    , m_poisonParts(poisonParts)
     , m_members(members)
     , m_lease(settings.instance, settings.leaseTime)
 { }
@@ -131,6 +135,8 @@
     }
     if (const auto *lease = entry->entry_as_Lease())
         m_lease.noteRecord(record.offset, Core::InstanceId(text(lease->holder())), m_clock.now());
+    if (const auto *parts = entry->entry_as_PoisonParts())
+        applyPoisonParts(*parts);
     const auto *failures = entry->entry_as_Breaks();
     if (!failures || !failures->digests()
         || text(failures->instance()) == m_settings.instance.value())
@@ -144,6 +150,8 @@
     const Core::InstanceId instance(text(member.instance()));
     for (const auto digest : asSpan(member.poison()))
         m_poison.notePoison(digest, m_clock.now());
+    if (member.poison_parts())
+        applyPoisonParts(*member.poison_parts());
     if (instance == m_settings.instance) {
         m_lastAnnounced = m_clock.now();
         m_members.noteSelfAnnounced();
@@ -159,6 +167,43 @@
                                                          {"reason", endpoint.error().detail()}});
 }
 
+std::uint64_t FleetJournal::calendarMs() const
+{
+    const auto time = m_clock.wallNow().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+flatbuffers::Offset<Wire::PoisonParts>
+FleetJournal::wirePoisonRecord(flatbuffers::FlatBufferBuilder &builder) const
+{
+    const auto parts = wirePoisonParts(m_poisonParts, m_clock.now());
+    return parts.empty() ? flatbuffers::Offset<Wire::PoisonParts>()
+                         : Wire::CreatePoisonPartsDirect(builder, &parts, calendarMs());
+}
+
+void FleetJournal::applyPoisonParts(const Wire::PoisonParts &record)
+{
+    if (!record.parts())
+        return;
+    if (record.parts()->size() > PoisonNews::MaxPoisonParts) {
+        Core::logEvent(
+            Core::EventId::LogRecordInvalid,
+            {{"log", "journal"}, {"poison_parts", std::to_string(record.parts()->size())}});
+        return;
+    }
+    const auto now = calendarMs();
+    const std::chrono::milliseconds age(now - std::min(now, record.written_ms()));
+    // Announcements have repeated since then what is still valid.
+    if (age > FleetMembers::MemberTimeout)
+        return;
+    for (const auto *entry : *record.parts()) {
+        auto poison = readPoisonPart(*entry);
+        poison.remaining -= age;
+        m_poisonParts.notePoison(poison, m_clock.now());
+    }
+}
+
 asio::awaitable<bool> FleetJournal::append(std::string record)
 {
     bool isAppended = false;
@@ -184,8 +229,8 @@
 std::string FleetJournal::announcement() const
 {
     flatbuffers::FlatBufferBuilder builder;
-    const auto member =
-        wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()));
+    const auto member = wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()),
+                                   wirePoisonRecord(builder));
     return journalRecord(builder, Wire::Entry::Member, member);
 }
 
@@ -193,11 +238,12 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<flatbuffers::Offset<Wire::Member>> members {
-        wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()))};
+        wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()),
+                   wirePoisonRecord(builder))};
     for (const auto &[instance, sibling] : m_members.siblings()) {
         if (sibling.member.dataCentre == m_members.self().dataCentre
             && m_members.isReachable(sibling))
-            members.push_back(wireMember(builder, sibling.member, {}));
+            members.push_back(wireMember(builder, sibling.member, {}, {}));
     }
     return journalRecord(builder, Wire::Entry::Members,
                          Wire::CreateMembersDirect(builder, &members));
@@ -249,6 +295,30 @@
     }
 }
 
+std::string FleetJournal::poisonPartsRecord() const
+{
+    flatbuffers::FlatBufferBuilder builder;
+    return journalRecord(builder, Wire::Entry::PoisonParts, wirePoisonRecord(builder));
+}
+
+asio::awaitable<void> FleetJournal::writePoisonParts()
+{
+    for (;;) {
+        co_await sleepFor(FailureBatchInterval);
+        if (!m_hasNewPoisonPart)
+            continue;
+        m_hasNewPoisonPart = false;
+        // The conviction may have been withdrawn since.
+        if (m_poisonParts.poisonParts(m_clock.now()).empty())
+            continue;
+        const bool isWritten = co_await append(poisonPartsRecord());
+        if (isWritten)
+            continue;
+        m_hasNewPoisonPart = true;
+        co_await sleepFor(RetryPause);
+    }
+}
+
 asio::awaitable<bool> FleetJournal::takeLease()
 {
     const auto requestTime = m_clock.now();
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -5,8 +5,11 @@
 #include <LibGateway/FleetMembers.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/OrderLease.h>
+#include <LibGateway/PoisonPartTable.h>
 #include <LibGateway/PoisonRequestTable.h>
 
+#include <flatbuffers/flatbuffers.h>
+
 #include <string>
 #include <vector>
 
@@ -14,18 +17,19 @@
 
 namespace Wire {
 struct Member;
+struct PoisonParts;
 } // namespace Wire
 
 /// The journal that instances share through the store's log: members, the lease for giving orders,
-/// and requests that caused upstream failures. The log retains records for a limited time, so
-/// members and poison requests are announced repeatedly: in a large fleet by the hub of each data
-/// centre for all its members, so that the calls to the store do not grow with the fleet, and by a
-/// member itself at its start or when its hub does not.
+/// requests that caused upstream failures, and prompt parts that crash engines. The log retains
+/// records for a limited time, so members and what is poison are announced repeatedly: in a large
+/// fleet by the hub of each data centre for all its members, so that the calls to the store do not
+/// grow with the fleet, and by a member itself at its start or when its hub does not.
 class FleetJournal
 {
 public:
     FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
-                 PoisonRequestTable &poison, FleetMembers &members);
+                 PoisonRequestTable &poison, PoisonPartTable &poisonParts, FleetMembers &members);
 
     /// Reads the journal until the process ends.
     boost::asio::awaitable<void> watch();
@@ -33,6 +37,8 @@
     boost::asio::awaitable<void> announce();
     /// Writes the recorded upstream failures until the process ends.
     boost::asio::awaitable<void> writeUpstreamFailures();
+    /// Writes the poison parts after each notePoisonPart() until the process ends.
+    boost::asio::awaitable<void> writePoisonParts();
 
     /// Acquires or renews the lease for giving orders. Returns whether this instance holds the
     /// lease afterwards.
@@ -41,6 +47,8 @@
 
     /// Records that an upstream failed during a request of this instance.
     void noteUpstreamFailure(std::uint64_t digest) { m_upstreamFailures.push_back(digest); }
+    /// Requests a record of the poison parts, because there is a new one.
+    void notePoisonPart() { m_hasNewPoisonPart = true; }
     /// Returns whether all retained records were read, so that the members are known.
     bool hasRead() const { return m_hasRead; }
 
@@ -49,6 +57,8 @@
     /// Returns the record with which a hub announces itself and the members that it hears. Public
     /// for tests.
     std::string announcementForAll() const;
+    /// Returns the record of the poison parts. Public for tests.
+    std::string poisonPartsRecord() const;
     /// Returns whether this instance has to announce itself, because no record that was read
     /// recently names it. Public for tests.
     bool isAnnouncementDue() const;
@@ -60,12 +70,18 @@
     boost::asio::awaitable<void> readNext(std::chrono::milliseconds wait);
     boost::asio::awaitable<bool> append(std::string record);
     std::chrono::milliseconds announceInterval() const;
+    /// Returns the poison parts for a record; a null offset if there are none.
+    flatbuffers::Offset<Wire::PoisonParts>
+    wirePoisonRecord(flatbuffers::FlatBufferBuilder &builder) const;
+    std::uint64_t calendarMs() const;
+    void applyPoisonParts(const Wire::PoisonParts &record);
     void applyMember(const Wire::Member &member, std::uint64_t offset);
 
     FleetLog &m_log;
     const Core::Clock &m_clock;
     const GatewaySettings &m_settings;
     PoisonRequestTable &m_poison;
+    PoisonPartTable &m_poisonParts;
     FleetMembers &m_members;
     OrderLease m_lease;
     std::vector<std::uint64_t> m_upstreamFailures;
@@ -73,6 +89,7 @@
     /// When a record last announced this instance.
     Core::Clock::Monotonic m_lastAnnounced = Core::Clock::Monotonic::min();
     bool m_hasRead = false;
+    bool m_hasNewPoisonPart = false;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetMembers.cpp
+++ b/Libraries/LibGateway/FleetMembers.cpp
@@ -100,6 +100,20 @@
         }));
 }
 
+bool FleetMembers::isFirst(std::string_view key) const
+{
+    if (!isLarge())
+        return reachableBefore(key) == 0;
+    const auto rankOf = [key](const std::string &dataCentre) {
+        return Core::hash64(dataCentre, Core::hash64(key));
+    };
+    const auto own = rankOf(m_self.dataCentre);
+    const auto others = remoteMembers();
+    const bool isFirstDataCentre = std::all_of(
+        others.begin(), others.end(), [&](const auto &item) { return own < rankOf(item.first); });
+    return isFirstDataCentre && reachableBefore(key, m_self.dataCentre) == 0;
+}
+
 bool FleetMembers::isHub() const
 {
     return std::none_of(m_siblings.begin(), m_siblings.end(), [this](const auto &item) {
--- a/Libraries/LibGateway/FleetMembers.h
+++ b/Libraries/LibGateway/FleetMembers.h
@@ -79,6 +79,11 @@
     std::size_t reachableBefore(std::string_view key,
                                 const std::optional<std::string> &dataCentre = {}) const;
 
+    /// Returns whether this instance, as far as it knows, is the only one that has the duty of the
+    /// key. In a large fleet that is the first instance of one data centre, because instances do
+    /// not receive datagrams of those in other data centres.
+    bool isFirst(std::string_view key) const;
+
     /// Returns whether this instance forwards updates between its data centre and the others. The
     /// hub is the instance with the fastest link among those that are reachable.
     bool isHub() const;
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -16,6 +16,11 @@
 namespace Gateway {
 namespace Wire {
 
+struct PoisonPart;
+
+struct PoisonParts;
+struct PoisonPartsBuilder;
+
 struct Member;
 struct MemberBuilder;
 
@@ -41,6 +46,14 @@
 
 struct StoreLife;
 
+struct Casualty;
+struct CasualtyBuilder;
+
+struct AnsweredPart;
+
+struct PoisonNews;
+struct PoisonNewsBuilder;
+
 struct SiblingReport;
 struct SiblingReportBuilder;
 
@@ -81,35 +94,38 @@
   Lease = 2,
   Breaks = 3,
   Members = 4,
+  PoisonParts = 5,
   MIN = NONE,
-  MAX = Members
+  MAX = PoisonParts
 };
 
-inline const Entry (&EnumValuesEntry())[5] {
+inline const Entry (&EnumValuesEntry())[6] {
   static const Entry values[] = {
     Entry::NONE,
     Entry::Member,
     Entry::Lease,
     Entry::Breaks,
-    Entry::Members
+    Entry::Members,
+    Entry::PoisonParts
   };
   return values;
 }
 
 inline const char * const *EnumNamesEntry() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "NONE",
     "Member",
     "Lease",
     "Breaks",
     "Members",
+    "PoisonParts",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameEntry(Entry e) {
-  if (flatbuffers::IsOutRange(e, Entry::NONE, Entry::Members)) return "";
+  if (flatbuffers::IsOutRange(e, Entry::NONE, Entry::PoisonParts)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesEntry()[index];
 }
@@ -134,6 +150,10 @@
   static const Entry enum_value = Entry::Members;
 };
 
+template<> struct EntryTraits<Gateway::Wire::PoisonParts> {
+  static const Entry enum_value = Entry::PoisonParts;
+};
+
 bool VerifyEntry(flatbuffers::Verifier &verifier, const void *obj, Entry type);
 bool VerifyEntryVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Entry> *types);
 
@@ -236,6 +256,35 @@
   return EnumNamesQuotaStep()[index];
 }
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PoisonPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  int32_t remaining_ms_;
+  uint32_t convictions_;
+
+ public:
+  PoisonPart()
+      : part_(0),
+        remaining_ms_(0),
+        convictions_(0) {
+  }
+  PoisonPart(uint64_t _part, int32_t _remaining_ms, uint32_t _convictions)
+      : part_(flatbuffers::EndianScalar(_part)),
+        remaining_ms_(flatbuffers::EndianScalar(_remaining_ms)),
+        convictions_(flatbuffers::EndianScalar(_convictions)) {
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  int32_t remaining_ms() const {
+    return flatbuffers::EndianScalar(remaining_ms_);
+  }
+  uint32_t convictions() const {
+    return flatbuffers::EndianScalar(convictions_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PoisonPart, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Load FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -402,6 +451,34 @@
 };
 FLATBUFFERS_STRUCT_END(StoreLife, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) AnsweredPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  AnsweredPart()
+      : part_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  AnsweredPart(uint64_t _part, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(AnsweredPart, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QueueAsk FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t number_;
@@ -599,6 +676,69 @@
 };
 FLATBUFFERS_STRUCT_END(PartEntry, 16);
 
+struct PoisonParts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PoisonPartsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PARTS = 4,
+    VT_WRITTEN_MS = 6
+  };
+  const flatbuffers::Vector<const Gateway::Wire::PoisonPart *> *parts() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::PoisonPart *> *>(VT_PARTS);
+  }
+  uint64_t written_ms() const {
+    return GetField<uint64_t>(VT_WRITTEN_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyField<uint64_t>(verifier, VT_WRITTEN_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PoisonPartsBuilder {
+  typedef PoisonParts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::PoisonPart *>> parts) {
+    fbb_.AddOffset(PoisonParts::VT_PARTS, parts);
+  }
+  void add_written_ms(uint64_t written_ms) {
+    fbb_.AddElement<uint64_t>(PoisonParts::VT_WRITTEN_MS, written_ms, 0);
+  }
+  explicit PoisonPartsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PoisonParts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PoisonParts>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PoisonParts> CreatePoisonParts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::PoisonPart *>> parts = 0,
+    uint64_t written_ms = 0) {
+  PoisonPartsBuilder builder_(_fbb);
+  builder_.add_written_ms(written_ms);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PoisonParts> CreatePoisonPartsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<Gateway::Wire::PoisonPart> *parts = nullptr,
+    uint64_t written_ms = 0) {
+  auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::PoisonPart>(*parts) : 0;
+  return Gateway::Wire::CreatePoisonParts(
+      _fbb,
+      parts__,
+      written_ms);
+}
+
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MemberBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -606,7 +746,8 @@
     VT_DATA_CENTRE = 6,
     VT_ENDPOINT = 8,
     VT_POISON = 10,
-    VT_LINK_MEGABITS = 12
+    VT_LINK_MEGABITS = 12,
+    VT_POISON_PARTS = 14
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -623,6 +764,9 @@
   uint32_t link_megabits() const {
     return GetField<uint32_t>(VT_LINK_MEGABITS, 0);
   }
+  const Gateway::Wire::PoisonParts *poison_parts() const {
+    return GetPointer<const Gateway::Wire::PoisonParts *>(VT_POISON_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -634,6 +778,8 @@
            VerifyOffset(verifier, VT_POISON) &&
            verifier.VerifyVector(poison()) &&
            VerifyField<uint32_t>(verifier, VT_LINK_MEGABITS, 4) &&
+           VerifyOffset(verifier, VT_POISON_PARTS) &&
+           verifier.VerifyTable(poison_parts()) &&
            verifier.EndTable();
   }
 };
@@ -657,6 +803,9 @@
   void add_link_megabits(uint32_t link_megabits) {
     fbb_.AddElement<uint32_t>(Member::VT_LINK_MEGABITS, link_megabits, 0);
   }
+  void add_poison_parts(flatbuffers::Offset<Gateway::Wire::PoisonParts> poison_parts) {
+    fbb_.AddOffset(Member::VT_POISON_PARTS, poison_parts);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -674,8 +823,10 @@
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> poison = 0,
-    uint32_t link_megabits = 0) {
+    uint32_t link_megabits = 0,
+    flatbuffers::Offset<Gateway::Wire::PoisonParts> poison_parts = 0) {
   MemberBuilder builder_(_fbb);
+  builder_.add_poison_parts(poison_parts);
   builder_.add_link_megabits(link_megabits);
   builder_.add_poison(poison);
   builder_.add_endpoint(endpoint);
@@ -690,7 +841,8 @@
     const char *data_centre = nullptr,
     const char *endpoint = nullptr,
     const std::vector<uint64_t> *poison = nullptr,
-    uint32_t link_megabits = 0) {
+    uint32_t link_megabits = 0,
+    flatbuffers::Offset<Gateway::Wire::PoisonParts> poison_parts = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
@@ -701,7 +853,8 @@
       data_centre__,
       endpoint__,
       poison__,
-      link_megabits);
+      link_megabits,
+      poison_parts);
 }
 
 struct Lease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -897,6 +1050,9 @@
   const Gateway::Wire::Members *entry_as_Members() const {
     return entry_type() == Gateway::Wire::Entry::Members ? static_cast<const Gateway::Wire::Members *>(entry()) : nullptr;
   }
+  const Gateway::Wire::PoisonParts *entry_as_PoisonParts() const {
+    return entry_type() == Gateway::Wire::Entry::PoisonParts ? static_cast<const Gateway::Wire::PoisonParts *>(entry()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_ENTRY_TYPE, 1) &&
@@ -922,6 +1078,10 @@
   return entry_as_Members();
 }
 
+template<> inline const Gateway::Wire::PoisonParts *JournalRecord::entry_as<Gateway::Wire::PoisonParts>() const {
+  return entry_as_PoisonParts();
+}
+
 struct JournalRecordBuilder {
   typedef JournalRecord Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -953,6 +1113,173 @@
   return builder_.Finish();
 }
 
+struct Casualty FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CasualtyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CRASH = 4,
+    VT_REQUEST = 6,
+    VT_PARTS = 8,
+    VT_AGE_MS = 10
+  };
+  uint64_t crash() const {
+    return GetField<uint64_t>(VT_CRASH, 0);
+  }
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CRASH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct CasualtyBuilder {
+  typedef Casualty Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_crash(uint64_t crash) {
+    fbb_.AddElement<uint64_t>(Casualty::VT_CRASH, crash, 0);
+  }
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(Casualty::VT_REQUEST, request, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(Casualty::VT_PARTS, parts);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(Casualty::VT_AGE_MS, age_ms, 0);
+  }
+  explicit CasualtyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Casualty> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Casualty>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Casualty> CreateCasualty(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t crash = 0,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint32_t age_ms = 0) {
+  CasualtyBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_crash(crash);
+  builder_.add_age_ms(age_ms);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Casualty> CreateCasualtyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t crash = 0,
+    uint64_t request = 0,
+    const std::vector<uint64_t> *parts = nullptr,
+    uint32_t age_ms = 0) {
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return Gateway::Wire::CreateCasualty(
+      _fbb,
+      crash,
+      request,
+      parts__,
+      age_ms);
+}
+
+struct PoisonNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PoisonNewsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CASUALTIES = 4,
+    VT_ANSWERED = 6,
+    VT_POISON = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Casualty>> *casualties() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Casualty>> *>(VT_CASUALTIES);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::AnsweredPart *> *answered() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::AnsweredPart *> *>(VT_ANSWERED);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::PoisonPart *> *poison() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::PoisonPart *> *>(VT_POISON);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CASUALTIES) &&
+           verifier.VerifyVector(casualties()) &&
+           verifier.VerifyVectorOfTables(casualties()) &&
+           VerifyOffset(verifier, VT_ANSWERED) &&
+           verifier.VerifyVector(answered()) &&
+           VerifyOffset(verifier, VT_POISON) &&
+           verifier.VerifyVector(poison()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PoisonNewsBuilder {
+  typedef PoisonNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_casualties(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Casualty>>> casualties) {
+    fbb_.AddOffset(PoisonNews::VT_CASUALTIES, casualties);
+  }
+  void add_answered(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::AnsweredPart *>> answered) {
+    fbb_.AddOffset(PoisonNews::VT_ANSWERED, answered);
+  }
+  void add_poison(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::PoisonPart *>> poison) {
+    fbb_.AddOffset(PoisonNews::VT_POISON, poison);
+  }
+  explicit PoisonNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PoisonNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PoisonNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PoisonNews> CreatePoisonNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Gateway::Wire::Casualty>>> casualties = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::AnsweredPart *>> answered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::PoisonPart *>> poison = 0) {
+  PoisonNewsBuilder builder_(_fbb);
+  builder_.add_poison(poison);
+  builder_.add_answered(answered);
+  builder_.add_casualties(casualties);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PoisonNews> CreatePoisonNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<Gateway::Wire::Casualty>> *casualties = nullptr,
+    const std::vector<Gateway::Wire::AnsweredPart> *answered = nullptr,
+    const std::vector<Gateway::Wire::PoisonPart> *poison = nullptr) {
+  auto casualties__ = casualties ? _fbb.CreateVector<flatbuffers::Offset<Gateway::Wire::Casualty>>(*casualties) : 0;
+  auto answered__ = answered ? _fbb.CreateVectorOfStructs<Gateway::Wire::AnsweredPart>(*answered) : 0;
+  auto poison__ = poison ? _fbb.CreateVectorOfStructs<Gateway::Wire::PoisonPart>(*poison) : 0;
+  return Gateway::Wire::CreatePoisonNews(
+      _fbb,
+      casualties__,
+      answered__,
+      poison__);
+}
+
 struct SiblingReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SiblingReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -969,7 +1296,8 @@
     VT_IS_URGENT = 24,
     VT_SCOPE = 26,
     VT_LINK_MEGABITS = 28,
-    VT_UNREACHABLE = 30
+    VT_UNREACHABLE = 30,
+    VT_POISON_NEWS = 32
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1013,6 +1341,9 @@
   const flatbuffers::Vector<uint64_t> *unreachable() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UNREACHABLE);
   }
+  const Gateway::Wire::PoisonNews *poison_news() const {
+    return GetPointer<const Gateway::Wire::PoisonNews *>(VT_POISON_NEWS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -1038,6 +1369,8 @@
            VerifyField<uint32_t>(verifier, VT_LINK_MEGABITS, 4) &&
            VerifyOffset(verifier, VT_UNREACHABLE) &&
            verifier.VerifyVector(unreachable()) &&
+           VerifyOffset(verifier, VT_POISON_NEWS) &&
+           verifier.VerifyTable(poison_news()) &&
            verifier.EndTable();
   }
 };
@@ -1088,6 +1421,9 @@
   void add_unreachable(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable) {
     fbb_.AddOffset(SiblingReport::VT_UNREACHABLE, unreachable);
   }
+  void add_poison_news(flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news) {
+    fbb_.AddOffset(SiblingReport::VT_POISON_NEWS, poison_news);
+  }
   explicit SiblingReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1114,10 +1450,12 @@
     bool is_urgent = false,
     Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
     uint32_t link_megabits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable = 0,
+    flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news = 0) {
   SiblingReportBuilder builder_(_fbb);
   builder_.add_life(life);
   builder_.add_number(number);
+  builder_.add_poison_news(poison_news);
   builder_.add_unreachable(unreachable);
   builder_.add_link_megabits(link_megabits);
   builder_.add_endpoint(endpoint);
@@ -1148,7 +1486,8 @@
     bool is_urgent = false,
     Gateway::Wire::Scope scope = Gateway::Wire::Scope::Instance,
     uint32_t link_megabits = 0,
-    const std::vector<uint64_t> *unreachable = nullptr) {
+    const std::vector<uint64_t> *unreachable = nullptr,
+    flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<Gateway::Wire::Load>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::KeptPart>(*parts) : 0;
@@ -1173,7 +1512,8 @@
       is_urgent,
       scope,
       link_megabits,
-      unreachable__);
+      unreachable__,
+      poison_news);
 }
 
 struct QueueMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1704,6 +2044,10 @@
       auto ptr = reinterpret_cast<const Gateway::Wire::Members *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Entry::PoisonParts: {
+      auto ptr = reinterpret_cast<const Gateway::Wire::PoisonParts *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -27,6 +27,12 @@
            < m_dependencies.settings.revocationBound - RevocationMargin;
 }
 
+bool Gateway::mayTryPart(std::uint64_t part)
+{
+    return (!isTryingPart || isTryingPart(part))
+           && m_poisonParts.mayTry(part, m_dependencies.clock.now());
+}
+
 bool Gateway::isReady() const
 {
     // While the number of members is unknown, the retry budget has no slack, so a failed request
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -7,6 +7,7 @@
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/KvCacheStores.h>
+#include <LibGateway/PoisonPartTable.h>
 #include <LibGateway/PoisonRequestTable.h>
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/QuotaExchange.h>
@@ -38,7 +39,7 @@
 };
 
 /// Handles callers' requests, and owns the state that their decisions share: prefill rates of
-/// engines, retry budgets and the poison request table.
+/// engines, retry budgets, the poison request table and the poison part table.
 class Gateway
 {
 public:
@@ -67,6 +68,10 @@
     GatewayMetrics &metrics() { return m_metrics; }
     KvCacheStores &stores() { return m_stores; }
     PoisonRequestTable &poison() { return m_poison; }
+    PoisonPartTable &poisonParts() { return m_poisonParts; }
+    /// Returns whether this instance may send one prompt with the poison part, to find out whether
+    /// it still crashes engines.
+    bool mayTryPart(std::uint64_t part);
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     RetryBudgetShare &retries(const std::string &service) { return m_retries[service]; }
     ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
@@ -80,6 +85,11 @@
 
     /// Called with the digest of a request during which an upstream failed.
     std::function<void(std::uint64_t)> onUpstreamFailure;
+    /// Called when a prompt of this instance was lost because its engine crashed.
+    std::function<void(const PromptCasualty &)> onCasualty;
+    /// Returns whether this instance is the one that tries a poison part. If it is empty, there are
+    /// no others.
+    std::function<bool(std::uint64_t part)> isTryingPart;
     /// Called when an engine has prefilled the parts of a prompt.
     std::function<void(const Upstream &, std::span<const PromptPart>)> onPartsRead;
     /// Called when an engine has saved prompt parts to a store. The parts are as
@@ -101,6 +111,7 @@
     GatewayMetrics m_metrics;
     KvCacheStores m_stores;
     PoisonRequestTable m_poison;
+    PoisonPartTable m_poisonParts;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, RetryBudgetShare> m_retries;
     std::map<std::string, ReturningCallers> m_returning;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibGateway/GatewayDaemon.h>
+#include <LibGateway/RequestLog.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -32,6 +33,14 @@
 // Shorter until the members are known, because the instance is not ready before.
 constexpr auto InitialCountInterval = 20ms;
 constexpr auto SettingsPollInterval = 1'000ms;
+// One may be cut off from the store.
+constexpr std::size_t PoisonPartWriters = 2;
+
+/// Returns the key of the duties of a poison part: to record it and to try it again.
+std::string dutyOf(std::uint64_t part)
+{
+    return "poison part " + formatHash(part);
+}
 
 } // namespace
 
@@ -49,8 +58,11 @@
     , m_watcher(
           {m_log, m_interfaces.decoder, m_interfaces.clock, m_configuration, m_weights, m_fleet},
           [this] { applyConfiguration(); })
-    , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_members)
-    , m_siblings(m_threads.at(0), {m_interfaces.clock, m_members, m_fleet, m_gateway.stores()})
+    , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_gateway.poisonParts(),
+                m_members)
+    , m_poisonNews(m_gateway.poisonParts(), m_interfaces.clock)
+    , m_siblings(m_threads.at(0),
+                 {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(), m_poisonNews})
     , m_engineQueues(m_threads.at(0),
                      {m_interfaces.clock, m_members, m_fleet,
                       [this](const std::string &service) {
@@ -69,6 +81,7 @@
                         m_interfaces.clock, m_gateway.metrics(), m_settings.instance})
 {
     connectCallbacks();
+    connectPoisonParts();
     addGauges();
 }
 
@@ -117,6 +130,7 @@
     asio::co_spawn(context, m_journal.watch(), asio::detached);
     asio::co_spawn(context, m_journal.announce(), asio::detached);
     asio::co_spawn(context, m_journal.writeUpstreamFailures(), asio::detached);
+    asio::co_spawn(context, m_journal.writePoisonParts(), asio::detached);
     asio::co_spawn(context, m_siblings.send(), asio::detached);
     asio::co_spawn(context, m_siblings.sendUrgent(), asio::detached);
     asio::co_spawn(context, m_siblings.receive(), asio::detached);
@@ -173,6 +187,25 @@
         };
 }
 
+void GatewayDaemon::connectPoisonParts()
+{
+    auto &table = m_gateway.poisonParts();
+    m_gateway.onCasualty = [this](const PromptCasualty &casualty) {
+        m_poisonNews.publish(casualty);
+    };
+    m_gateway.isTryingPart = [this](std::uint64_t part) { return m_members.isFirst(dutyOf(part)); };
+    table.onPoison = [this](std::uint64_t part, unsigned crashes, unsigned requests) {
+        Core::logEvent(Core::EventId::PoisonPartFound, {{"part", formatHash(part)},
+                                                        {"crashes", std::to_string(crashes)},
+                                                        {"requests", std::to_string(requests)}});
+        if (m_members.reachableBefore(dutyOf(part)) < PoisonPartWriters)
+            m_journal.notePoisonPart();
+    };
+    table.onAcquitted = [](std::uint64_t part) {
+        Core::logEvent(Core::EventId::PoisonPartAcquitted, {{"part", formatHash(part)}});
+    };
+}
+
 void GatewayDaemon::addGauges()
 {
     using Samples = std::vector<Metrics::Gauge::Sample>;
@@ -214,6 +247,12 @@
                                          {"log_reader", m_log.isReader() ? 1.0 : 0.0},
                                          {"hub", m_members.isHub() ? 1.0 : 0.0}};
                      });
+    metrics.addGauge("jujube_gateway_poison_parts",
+                     "Parts of prompts that are known to crash engines.", "", [this] {
+                         const auto parts =
+                             m_gateway.poisonParts().poisonParts(m_interfaces.clock.now());
+                         return Samples {{"", static_cast<double>(parts.size())}};
+                     });
 }
 
 asio::awaitable<void> GatewayDaemon::countInstances()
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -8,6 +8,7 @@
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/KvCacheStoreMonitor.h>
+#include <LibGateway/PoisonNews.h>
 #include <LibGateway/QuotaExchange.h>
 #include <LibGateway/SharedLog.h>
 #include <LibGateway/SiblingExchange.h>
@@ -61,6 +62,8 @@
     /// Applies the usage caps of the configuration, and the number of instances that share them.
     void applyQuotas();
     void connectCallbacks();
+    /// Connects the poison part table to siblings, journal and log.
+    void connectPoisonParts();
     void addGauges();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
@@ -84,6 +87,7 @@
     SharedLog m_log;
     FleetWatcher m_watcher;
     FleetJournal m_journal;
+    PoisonNews m_poisonNews;
     SiblingExchange m_siblings;
     EngineQueueExchange m_engineQueues;
     QuotaExchange m_quotas;
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -2,11 +2,17 @@
 #include <LibGateway/Gateway.h>
 #include <LibGateway/RequestLog.h>
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
 namespace Gateway {
 
 namespace {
 
 constexpr double Percent = 100;
+// Keeps the line of a prompt with many parts short.
+constexpr std::size_t MaxLoggedParts = 32;
 
 template <typename Duration>
 std::string formatMilliseconds(Duration time)
@@ -77,4 +83,28 @@
                                     request.remainingTime(gateway.dependencies().clock.now()))}});
 }
 
+void logCasualty(const AcceptedRequest &request, const Core::UpstreamId &engine,
+                 std::chrono::milliseconds startTime, const PromptCasualty &casualty)
+{
+    std::string parts;
+    const auto logged = std::min(casualty.parts.size(), MaxLoggedParts);
+    for (std::size_t n = 0; n < logged; ++n)
+        parts += (n > 0 ? "," : "") + formatHash(casualty.parts[n]);
+    Core::logEvent(Core::EventId::PoisonSuspected,
+                   {{"request", request.caller.attemptId},
+                    {"upstream", engine.value()},
+                    {"start_ms", std::to_string(startTime.count())},
+                    {"crash", formatHash(casualty.crash)},
+                    {"digest", formatHash(casualty.request)},
+                    {"parts", parts},
+                    {"part_count", std::to_string(casualty.parts.size())}});
+}
+
+std::string formatHash(std::uint64_t hash)
+{
+    std::array<char, 17> text {};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, hash);
+    return text.data();
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/RequestLog.h
+++ b/Libraries/LibGateway/RequestLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/AcceptedRequest.h>
+#include <LibGateway/PoisonPartTable.h>
 #include <LibGateway/RequestPlan.h>
 
 #include <algorithm>
@@ -33,4 +34,11 @@
 void logAttempt(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
                 const RequestProgress &progress, std::string_view end, const std::string &reason);
 
+/// Logs that the prompt was lost because its engine, of the given start time, crashed.
+void logCasualty(const AcceptedRequest &request, const Core::UpstreamId &engine,
+                 std::chrono::milliseconds startTime, const PromptCasualty &casualty);
+
+/// Returns a hash of a request, part or crash as log and refusals show it.
+std::string formatHash(std::uint64_t hash);
+
 } // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -225,6 +225,8 @@
     if (m_plan->upstream->isRemoved() || m_plan->upstream->report().isDraining
         || m_plan->upstream->pausedUntil() > dependencies.clock.now())
         return false;
+    if (m_request.poisonPart(m_gateway))
+        return false;
     const auto &current = dependencies.configuration.current();
     if (current == m_request.configuration)
         return m_request.route->isPublic || current->tenants.empty() || m_gateway.hasUpToDateKeys();
@@ -267,7 +269,9 @@
     ++m_progress.sends;
     m_excluded.insert(m_plan->upstream->report().id);
     const auto uncached = m_plan->uncachedTokens(m_request);
+    m_evidence.reset();
     if (m_plan->engine) {
+        m_evidence.emplace(m_gateway, m_request, m_plan->upstream->report());
         const auto total = totalTokens(m_request.parts);
         auto &metrics = m_gateway.metrics();
         metrics.promptTokens.add(total, m_request.labels());
@@ -396,6 +400,9 @@
                                                m_gateway.dependencies().clock.now());
         if (m_gateway.onUpstreamFailure)
             m_gateway.onUpstreamFailure(m_request.digest);
+        if (m_evidence)
+            m_evidence->noteCrash();
+        m_request.triedPart.reset();
     }
     return m_exchange.hasStarted() ? AttemptOutcome::StreamInterrupted
                                    : AttemptOutcome::Interrupted;
@@ -514,6 +521,8 @@
         co_return AttemptOutcome::Cancelled;
     m_gateway.metrics().firstByte.observe(m_gateway.dependencies().clock.now() - m_request.arrival,
                                           m_request.labels());
+    if (m_evidence && response.status < 300)
+        m_evidence->noteAnswered();
     co_await m_exchange.respond(std::move(response));
     co_return AttemptOutcome::Answered;
 }
@@ -530,6 +539,8 @@
         if (events.empty())
             continue;
         m_progress.noteEvents(m_gateway.dependencies().clock.now());
+        if (m_evidence)
+            m_evidence->noteEvents();
         if (load.noteFirstToken())
             noteFirstToken(load);
         if (!m_exchange.hasStarted())
@@ -539,6 +550,8 @@
     if (m_events.hasPartialEvent())
         co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamFailed,
                                               "the stream ended in the middle of an event"));
+    if (m_evidence)
+        m_evidence->noteAnswered();
     if (!m_exchange.hasStarted())
         co_await m_exchange.startStream(answer.status(), headers);
     if (m_plan->engine)
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibGateway/AnswerEvidence.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/RequestLog.h>
 #include <LibGateway/RequestPlan.h>
@@ -105,6 +106,8 @@
     /// Number of attempts that an upstream may have executed.
     unsigned m_executions = 0;
     RequestProgress m_progress;
+    /// Set while the prompt is at an engine, and after that.
+    std::optional<AnswerEvidence> m_evidence;
     /// The part of the team's usage cap that was spent.
     std::string m_quotaTeam;
     double m_quotaUnits = 0;
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -263,11 +263,12 @@
     const auto [pauses, weights] = wireUpdates(std::exchange(m_reportUpdates, {}));
     const auto &self = m_dependencies.members.self();
     flatbuffers::FlatBufferBuilder builder;
+    const auto news = m_dependencies.poisonNews.encode(builder, Wire::Scope::Instance);
     builder.Finish(Wire::CreateSiblingReportDirect(
         builder, self.instance.value().c_str(), ++m_reportNumber, m_incarnation, &loads, &parts,
         &weights, &pauses, &stores, self.dataCentre.c_str(),
         Http::formatEndpoint(self.endpoint).c_str(), false, Wire::Scope::Instance,
-        self.linkMegabits));
+        self.linkMegabits, nullptr, news));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -292,10 +293,12 @@
     const auto sums = wireLoads(loads);
     const auto cachedParts = wireParts(parts);
     flatbuffers::FlatBufferBuilder builder;
+    const auto news = m_dependencies.poisonNews.encode(builder, scope);
     builder.Finish(Wire::CreateSiblingReportDirect(
         builder, self.instance.value().c_str(), ++m_reportNumber, m_incarnation, &sums,
         &cachedParts, nullptr, nullptr, nullptr, self.dataCentre.c_str(),
-        Http::formatEndpoint(self.endpoint).c_str(), false, scope, self.linkMegabits));
+        Http::formatEndpoint(self.endpoint).c_str(), false, scope, self.linkMegabits, nullptr,
+        news));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -364,6 +367,7 @@
     applyPauses(*report);
     applyUnreachable(*report);
     applyParts(*report);
+    m_dependencies.poisonNews.apply(report->poison_news(), report->scope());
     if (!report->is_urgent())
         applySums();
 }
@@ -518,6 +522,7 @@
     if (!m_dependencies.members.isLarge() || !m_dependencies.members.isHub()) {
         m_dataCentreParts.clear();
         m_remoteParts.clear();
+        m_dependencies.poisonNews.dropForwarded();
     }
 }
 
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/FleetMembers.h>
 #include <LibGateway/KvCacheStores.h>
+#include <LibGateway/PoisonNews.h>
 #include <LibGateway/UpstreamFleet.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -28,9 +29,9 @@
 } // namespace Wire
 
 /// Publishes to siblings, in datagrams, the load that this instance puts on each upstream, the
-/// prompt parts that engines and KV cache stores hold, and the weights that engines have loaded;
-/// and applies the reports of siblings. The data only improves placement: losing a datagram or a
-/// sibling is harmless.
+/// prompt parts that engines and KV cache stores hold, the weights that engines have loaded, and
+/// the news about prompt parts that crash engines; and applies the reports of siblings. The data
+/// only improves placement: losing a datagram or a sibling is harmless.
 ///
 /// In a small fleet each instance sends reports to all others. In a large fleet it sends them
 /// within its data centre; one hub of each data centre sends the sum to the hubs of the others, and
@@ -46,6 +47,7 @@
         FleetMembers &members;
         UpstreamFleet &fleet;
         KvCacheStores &stores;
+        PoisonNews &poisonNews;
     };
 
     SiblingExchange(boost::asio::io_context &context, Dependencies dependencies);
--- a/Tests/LibGateway/TestJournal.cpp
+++ b/Tests/LibGateway/TestJournal.cpp
@@ -65,10 +65,11 @@
     clock.advance(1h);
     HangingLog log;
     Gateway::PoisonRequestTable poison;
+    Gateway::PoisonPartTable poisonParts;
     Gateway::GatewaySettings settings;
     settings.instance = Core::InstanceId("a");
     Gateway::FleetMembers members({settings.instance, "a", {}}, clock);
-    Gateway::FleetJournal journal(log, clock, settings, poison, members);
+    Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
     asio::io_context context;
     asio::co_spawn(context, journal.watch(), asio::detached);
     bool isTaken = false;
@@ -98,10 +99,11 @@
     const Core::SuspensionAwareClock clock;
     HangingLog log;
     Gateway::PoisonRequestTable poison;
+    Gateway::PoisonPartTable poisonParts;
     Gateway::GatewaySettings settings;
     settings.journalRetention = 100ms;
     Gateway::FleetMembers members({Core::InstanceId("a"), "north", {}}, clock);
-    Gateway::FleetJournal journal(log, clock, settings, poison, members);
+    Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
     asio::io_context context;
     asio::co_spawn(context, journal.announce(), asio::detached);
     const auto begin = clock.now();
@@ -117,16 +119,19 @@
     HangingLog log;
     Gateway::GatewaySettings settings;
     Gateway::PoisonRequestTable poison;
+    Gateway::PoisonPartTable poisonParts;
     const Http::Endpoint endpoint(asio::ip::make_address("10.0.0.1"), 700);
     Gateway::FleetMembers members({Core::InstanceId("a"), "north", endpoint}, clock);
-    Gateway::FleetJournal journal(log, clock, settings, poison, members);
+    Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
     for (int n = 0; n < 3; ++n)
         poison.noteUpstreamFailure(42, clock.now());
     poison.noteUpstreamFailure(43, clock.now());
 
     Gateway::PoisonRequestTable otherPoison;
+    Gateway::PoisonPartTable otherPoisonParts;
     Gateway::FleetMembers otherMembers({Core::InstanceId("b"), "south", endpoint}, clock);
-    Gateway::FleetJournal otherJournal(log, clock, settings, otherPoison, otherMembers);
+    Gateway::FleetJournal otherJournal(log, clock, settings, otherPoison, otherPoisonParts,
+                                       otherMembers);
     otherJournal.apply({9, {}, journal.announcement()});
     CHECK(otherMembers.count() == 2);
     CHECK(otherMembers.siblings().begin()->second.member.dataCentre == "north");
@@ -251,11 +256,12 @@
     clock.advance(1h);
     HangingLog log;
     Gateway::PoisonRequestTable poison;
+    Gateway::PoisonPartTable poisonParts;
     Gateway::GatewaySettings settings;
     settings.instance = Core::InstanceId("a0");
     settings.journalRetention = 20s;
     Gateway::FleetMembers members({settings.instance, "a", {}, 200}, clock);
-    Gateway::FleetJournal journal(log, clock, settings, poison, members);
+    Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
     const auto endpoint = Http::parseEndpoint("10.0.0.1:7000").value();
     for (int n = 1; n < 20; ++n)
         members.noteDatagram({Core::InstanceId("a" + std::to_string(n)), "a", endpoint, 20});
@@ -268,7 +274,7 @@
     Gateway::GatewaySettings otherSettings = settings;
     otherSettings.instance = Core::InstanceId("a7");
     Gateway::FleetMembers otherMembers({otherSettings.instance, "a", endpoint, 20}, clock);
-    Gateway::FleetJournal other(log, clock, otherSettings, poison, otherMembers);
+    Gateway::FleetJournal other(log, clock, otherSettings, poison, poisonParts, otherMembers);
     CHECK(other.isAnnouncementDue());
     other.apply({0, {}, journal.announcementForAll()});
     // The hub itself and the 18 others that it hears, but not the silent one or the one elsewhere.
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -26,7 +26,8 @@
                                   linkMegabits},
             clock);
         exchange = std::make_unique<Gateway::SiblingExchange>(
-            context, Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores});
+            context,
+            Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores, poisonNews});
         clock.advance(1h);
         Gateway::UpstreamReport report;
         report.id = Core::UpstreamId("w1");
@@ -42,6 +43,8 @@
     Core::ManualClock clock;
     Gateway::UpstreamFleet fleet;
     Gateway::KvCacheStores stores;
+    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonNews poisonNews {poisonParts, clock};
     std::unique_ptr<Gateway::FleetMembers> members;
     std::unique_ptr<Gateway::SiblingExchange> exchange;
 };
