--- a/Tests/LibGateway/TestPoisonNews.cpp
+++ b/Tests/LibGateway/TestPoisonNews.cpp
@@ -313,6 +313,7 @@
         Core::ManualClock clock;
         clock.advance(1h);
         std::vector<Gateway::FleetMember> all;
+        all.reserve(static_cast<std::size_t>(count));
         for (int n = 0; n < count; ++n)
             all.push_back({Core::InstanceId("i" + std::to_string(n)), n % 2 == 0 ? "n" : "s", {}});
         for (int part = 0; part < 20; ++part) {
--- a/Tests/Platform/TestPoisonParts.cpp
+++ b/Tests/Platform/TestPoisonParts.cpp
@@ -1,10 +1,14 @@
 #include "GatewayFixture.h"
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <regex>
 #include <thread>
 #include <utility>
 
@@ -49,6 +53,20 @@
     throw boost::system::system_error(asio::error::connection_reset);
 }
 
+/// Closes the connection when events have come for longer than a prompt needs to crash an engine.
+asio::awaitable<bool> crashLate(Http::ServerExchange &exchange)
+{
+    if (!isDeadly(exchange.request()))
+        co_return false;
+    co_await exchange.startStream(200, WorkerStandIn::answerHeaders(exchange.request()));
+    for (int n = 1; n <= 7; ++n) {
+        co_await exchange.write("id: " + std::to_string(n) + "\ndata: 1\n\n");
+        asio::steady_timer timer(co_await asio::this_coro::executor, 100ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    throw boost::system::system_error(asio::error::connection_reset);
+}
+
 /// A request that has no id, body or last part in common with another one.
 Http::Request promptWith(const std::string &parts, int number, const std::string &target)
 {
@@ -69,7 +87,7 @@
             workers.back()->setBehaviour(behaviour);
         }
         fixture.configure(1);
-        fixture.startGateway({"edge-1", 5'000, 8, GatewayFixture::freePort()});
+        firstProcess = &fixture.startGateway({"edge-1", 5'000, 8, GatewayFixture::freePort()});
         first = fixture.callers();
         secondProcess = &fixture.startGateway(secondOptions);
         second = fixture.callers();
@@ -122,11 +140,12 @@
         }
     }
 
-    /// Sends deadly and sound prompts to both gateways until the first refuses the deadly ones.
-    /// Returns whether it did, and checks that the sound ones are served.
-    bool becomesRefused()
+    /// Sends prompts with the deadly part to both gateways in turn, and sound ones to both after
+    /// each, until a deadly one is refused. Returns whether that happened, and checks that the
+    /// sound ones are served.
+    bool becomesRefused(int requests = MaxDeadlyRequests)
     {
-        for (int n = 0; n < MaxDeadlyRequests; ++n) {
+        for (int n = 0; n < requests; ++n) {
             if (sendDeadly(n % 2 == 0 ? first : second) == 503 && !lastReason.empty()
                 && lastReason.find("poison_request") != std::string::npos)
                 return true;
@@ -144,6 +163,7 @@
     std::vector<std::ptrdiff_t> crashed;
     Http::Endpoint first;
     Http::Endpoint second;
+    Processes::Process *firstProcess = nullptr;
     Processes::Process *secondProcess = nullptr;
     std::string lastReason;
     std::string lastRetryAfter;
@@ -174,6 +194,29 @@
     CHECK(fleet.received() <= 10);
 }
 
+TEST_CASE("the log leads from a refused request to the part and to the requests that were lost")
+{
+    Fleet fleet(crashOnDeadlyPart);
+    REQUIRE(fleet.becomesRefused());
+    const std::regex named("part ([0-9a-f]{16}) of the prompt");
+    std::smatch match;
+    REQUIRE(std::regex_search(fleet.lastReason, match, named));
+    const auto part = match[1].str();
+    const auto lost = fleet.firstProcess->awaitLine("poison_suspected");
+    CHECK(lost.find(part) != std::string::npos);
+    CHECK(lost.find("\"part_count\":\"2\"") != std::string::npos);
+    const auto found = fleet.firstProcess->awaitLine("poison_part_found");
+    CHECK(found.find(part) != std::string::npos);
+    CHECK(fleet.firstProcess->awaitLine("request_refused").find(part) != std::string::npos);
+}
+
+TEST_CASE("a part whose answers were under way when engines crashed is not refused")
+{
+    Fleet fleet(crashLate);
+    CHECK_FALSE(fleet.becomesRefused(8));
+    CHECK(fleet.received() == 8);
+}
+
 TEST_CASE("a part that crashes engines after the first event is refused, also after a restart")
 {
     Fleet fleet(crashAfterFirstEvent);
