--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -26,8 +26,8 @@
                                   linkMegabits},
             clock);
         exchange = std::make_unique<Gateway::SiblingExchange>(
-            context,
-            Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores, weights});
+            context, Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores,
+                                                             weights, poisonNews});
         clock.advance(1h);
         Gateway::UpstreamReport report;
         report.id = Core::UpstreamId("w1");
@@ -44,6 +44,8 @@
     Gateway::UpstreamFleet fleet;
     Gateway::KvCacheStores stores;
     Gateway::WeightsTargets weights;
+    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonNews poisonNews {poisonParts, clock};
     std::unique_ptr<Gateway::FleetMembers> members;
     std::unique_ptr<Gateway::SiblingExchange> exchange;
 };
--- a/Tests/Platform/TestFleet.cpp
+++ b/Tests/Platform/TestFleet.cpp
@@ -142,7 +142,9 @@
         workers[id]->setBehaviour(queued.behaviour(id));
     }
     fixture.configure(1);
-    fixture.startGateway({"edge-1", 5'000, 8, static_cast<unsigned>(Bound.count())});
+    PlatformTests::GatewayOptions options;
+    options.versionMs = Bound.count();
+    fixture.startGateway(options);
     auto answer = std::async(std::launch::async, [&] {
         return fixture.send(GatewayFixture::streamRequest("/streams/a", "id-1"));
     });
