LibGateway: Find prompt parts that crash engines (in progress)

Cause: requests that share a deadly part crash engine after engine, and no two are alike to PoisonRequestTable. Change: rules of evidence over casualties and answered parts.

--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -1,34 +1,427 @@
 #include <LibGateway/PoisonPartTable.h>
 
+#include <algorithm>
+#include <tuple>
+#include <unordered_set>
+
 namespace Gateway {
 
-void PoisonPartTable::noteCasualty(const PromptCasualty &, Core::Clock::Monotonic) { }
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto RetentionTime = 60s;
+// Engines that fail together do so within this time, including the delay of the reports.
+constexpr auto MomentLength = 400ms;
+// Evidence of a crash and answers that disprove it arrive within this time.
+constexpr auto SettlingTime = 800ms;
+constexpr auto JudgementInterval = 100ms;
+constexpr auto MaxReportDelay = 1'300ms;
+// Popular parts were answered within this time after a start.
+constexpr auto LearningTime = 5s;
+constexpr unsigned MinMoments = 3;
+constexpr unsigned MinRequests = 3;
+// For parts that are or may be known to be sound.
+constexpr unsigned MinMomentsStrict = 5;
+constexpr unsigned MinRequestsStrict = 4;
+constexpr auto WithdrawalTime = 30s;
+constexpr auto ConvictionTime = 60s;
+constexpr unsigned MaxConvictionFactor = 16;
+constexpr unsigned KeptConvictionTimes = 10;
+constexpr auto TrialInterval = 10s;
+constexpr auto MaxDrift = 2s;
+constexpr auto PublishInterval = 500ms;
+constexpr std::size_t MaxPoisonParts = 64;
+constexpr std::size_t MaxPublishedParts = 10'000;
+constexpr std::size_t MaxSuspectsPerReport = 64;
+
+std::chrono::seconds convictionTime(unsigned convictions)
+{
+    unsigned factor = 1;
+    for (unsigned n = 1; n < convictions && factor < MaxConvictionFactor; ++n)
+        factor *= 2;
+    return ConvictionTime * factor;
+}
+
+bool isExpired(Core::Clock::Monotonic until, unsigned convictions, Core::Clock::Monotonic now)
+{
+    return now >= until + convictionTime(convictions) * (KeptConvictionTimes - 1);
+}
+
+bool anyCrash(const EngineCrash &)
+{
+    return true;
+}
+
+bool containsAny(const EngineCrash &crash, const std::vector<std::uint64_t> &parts)
+{
+    return std::any_of(parts.begin(), parts.end(),
+                       [&crash](std::uint64_t part) { return crash.parts.contains(part); });
+}
+
+} // namespace
+
+void PoisonPartTable::noteCasualty(const PromptCasualty &casualty, Core::Clock::Monotonic now)
+{
+    if (m_evidence.note(casualty, now)) {
+        m_lastCasualty = now;
+        m_isUndecided = true;
+        renew(casualty, now);
+    }
+    judgeIfDue(now);
+}
+
+void PoisonPartTable::renew(const PromptCasualty &casualty, Core::Clock::Monotonic now)
+{
+    const auto isActive = [&](std::uint64_t part) {
+        const auto it = m_poison.find(part);
+        return it != m_poison.end() && now < it->second.until;
+    };
+    // The prompts of a part that is tried again may be lost in another part's crash.
+    const auto &crash =
+        *std::find_if(m_evidence.crashes().rbegin(), m_evidence.crashes().rend(),
+                      [&casualty](const EngineCrash &item) { return item.id == casualty.crash; });
+    const bool isExplained =
+        std::any_of(crash.parts.begin(), crash.parts.end(),
+                    [&isActive](const auto &item) { return isActive(item.first); });
+    for (const auto part : casualty.parts) {
+        const auto it = m_poison.find(part);
+        if (it == m_poison.end() || (isExplained && !isActive(part)))
+            continue;
+        auto &conviction = it->second;
+        if (now >= conviction.until)
+            ++conviction.convictions;
+        conviction.lastCasualty = now;
+        conviction.until = std::max(conviction.until, now + convictionTime(conviction.convictions));
+    }
+}
 
-void PoisonPartTable::noteAnswered(std::span<const std::uint64_t>, Core::Clock::Monotonic) { }
+void PoisonPartTable::noteAnswered(std::span<const std::uint64_t> parts, Core::Clock::Monotonic now)
+{
+    if (!m_firstAnswer)
+        m_firstAnswer = now;
+    for (const auto part : parts)
+        noteAnswer(part, now);
+    judgeIfDue(now);
+}
 
-void PoisonPartTable::noteAnsweredBySibling(const AnsweredPart &, Core::Clock::Monotonic) { }
+void PoisonPartTable::noteAnsweredBySibling(const AnsweredPart &answered,
+                                            Core::Clock::Monotonic now)
+{
+    noteAnswer(answered.part, now - answered.age);
+    judgeIfDue(now);
+}
 
-void PoisonPartTable::notePoison(const PoisonPart &, Core::Clock::Monotonic) { }
+void PoisonPartTable::noteAnswer(std::uint64_t part, Core::Clock::Monotonic time)
+{
+    m_answered.note(part, time);
+    m_lastAnswer = std::max(m_lastAnswer, time);
+    if (m_poison.empty())
+        return;
+    const auto it = m_poison.find(part);
+    if (it != m_poison.end() && time > it->second.lastCasualty)
+        acquit(part);
+}
 
-std::optional<std::uint64_t> PoisonPartTable::findPoison(std::span<const std::uint64_t>,
-                                                         Core::Clock::Monotonic) const
+void PoisonPartTable::acquit(std::uint64_t part)
 {
+    m_poison.erase(part);
+    if (onAcquitted)
+        onAcquitted(part);
+}
+
+std::optional<Core::Clock::Monotonic>
+PoisonPartTable::recentAnswer(std::uint64_t part, Core::Clock::Monotonic now) const
+{
+    const auto time = m_answered.lastAnswer(part);
+    return time && now - *time < RetentionTime ? time : std::nullopt;
+}
+
+void PoisonPartTable::notePoison(const PoisonPart &poison, Core::Clock::Monotonic now)
+{
+    removeExpired(now);
+    const auto length = convictionTime(poison.convictions);
+    const auto until = now + std::min<Core::Clock::Monotonic::duration>(poison.remaining, length);
+    if (isExpired(until, poison.convictions, now))
+        return;
+    const auto lastAnswer = m_answered.lastAnswer(poison.part);
+    if (lastAnswer && *lastAnswer + MaxReportDelay >= until - length)
+        return;
+    const auto it = m_poison.find(poison.part);
+    if (it == m_poison.end()) {
+        if (isExplained(poison.part, m_evidence.suspects(1)))
+            return;
+        makeRoom();
+        m_poison[poison.part] = {now, until - length, until, {}, poison.convictions};
+        return;
+    }
+    // Instances would otherwise extend each other's convictions by the delay of their reports.
+    auto &own = it->second;
+    if (poison.convictions < own.convictions
+        || (poison.convictions == own.convictions && until <= own.until + MaxDrift))
+        return;
+    own.convictions = poison.convictions;
+    own.until = std::max(own.until, until);
+    own.lastCasualty = std::max(own.lastCasualty, until - length);
+}
+
+std::optional<std::uint64_t> PoisonPartTable::findPoison(std::span<const std::uint64_t> parts,
+                                                         Core::Clock::Monotonic now) const
+{
+    if (m_poison.empty())
+        return std::nullopt;
+    for (const auto part : parts) {
+        const auto it = m_poison.find(part);
+        if (it != m_poison.end() && !isExpired(it->second.until, it->second.convictions, now))
+            return part;
+    }
     return std::nullopt;
 }
 
-bool PoisonPartTable::mayTry(std::uint64_t, Core::Clock::Monotonic)
+bool PoisonPartTable::mayTry(std::uint64_t part, Core::Clock::Monotonic now)
+{
+    const auto it = m_poison.find(part);
+    if (it == m_poison.end())
+        return true;
+    if (now < it->second.until || now < it->second.nextTrial)
+        return false;
+    it->second.nextTrial = now + TrialInterval;
+    return true;
+}
+
+std::vector<AnsweredPart> PoisonPartTable::takeAnsweredSuspects(Core::Clock::Monotonic now)
+{
+    judgeIfDue(now);
+    removeExpired(now);
+    if (now - m_lastCasualty >= RetentionTime || m_evidence.crashes().empty()) {
+        m_published.clear();
+        return {};
+    }
+    if (m_published.size() > MaxPublishedParts)
+        m_published.clear();
+    std::vector<std::pair<std::size_t, AnsweredPart>> news;
+    for (const auto &[part, crashes] : m_evidence.suspects(1)) {
+        const auto answer = recentAnswer(part, now);
+        if (answer && isNews(part, *answer, crashes)) {
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *answer);
+            news.emplace_back(crashes.size(), AnsweredPart {part, age});
+        }
+    }
+    // Those in most crashes are closest to a conviction.
+    std::sort(news.begin(), news.end(), [](const auto &left, const auto &right) {
+        return std::pair(left.first, left.second.part) > std::pair(right.first, right.second.part);
+    });
+    std::vector<AnsweredPart> result;
+    for (std::size_t n = 0; n < std::min(news.size(), MaxSuspectsPerReport); ++n) {
+        const auto &item = result.emplace_back(news[n].second);
+        m_published[item.part] = now - item.age;
+    }
+    return result;
+}
+
+bool PoisonPartTable::isNews(std::uint64_t part, Core::Clock::Monotonic answer,
+                             const CrashEvidence::Crashes &crashes) const
+{
+    const auto it = m_published.find(part);
+    if (it == m_published.end())
+        return true;
+    // A sibling may have learned of the crash later.
+    return it->second < crashes.back()->time + MaxReportDelay
+           && answer >= it->second + PublishInterval;
+}
+
+std::vector<PoisonPart> PoisonPartTable::poisonParts(Core::Clock::Monotonic now) const
+{
+    std::vector<PoisonPart> result;
+    for (const auto &[part, conviction] : m_poison) {
+        if (isExpired(conviction.until, conviction.convictions, now))
+            continue;
+        const auto remaining =
+            std::chrono::duration_cast<std::chrono::milliseconds>(conviction.until - now);
+        result.push_back({part, remaining, conviction.convictions});
+    }
+    return result;
+}
+
+void PoisonPartTable::judgeIfDue(Core::Clock::Monotonic now)
+{
+    if (!m_isUndecided || now < m_nextJudgement)
+        return;
+    m_nextJudgement = now + JudgementInterval;
+    m_isUndecided = now - m_lastCasualty < SettlingTime + MaxReportDelay;
+    removeExpired(now);
+    judge(now);
+}
+
+void PoisonPartTable::judge(Core::Clock::Monotonic now)
+{
+    const auto suspects = m_evidence.suspects(1);
+    for (std::size_t n = 0; n < MaxPoisonParts; ++n) {
+        const auto charge = strongestCharge(suspects, now);
+        if (!charge)
+            break;
+        convict(*charge, now);
+    }
+    withdrawExplained(suspects, now);
+}
+
+std::optional<PoisonPartTable::Charge>
+PoisonPartTable::strongestCharge(const Suspects &suspects, Core::Clock::Monotonic now) const
+{
+    std::vector<Charge> proven;
+    for (const auto &[part, crashes] : suspects) {
+        if (crashes.size() < MinMoments || m_poison.contains(part))
+            continue;
+        const auto total = charge(part, crashes, anyCrash);
+        if (total.moments < MinMoments)
+            continue;
+        const auto others = explanations(part, total.moments, suspects, false);
+        const auto open = charge(part, crashes, [&](const EngineCrash &crash) {
+            return now - crash.time >= SettlingTime && !containsAny(crash, others);
+        });
+        if (isProven(open, now))
+            proven.push_back(open);
+    }
+    unsigned most = 0;
+    for (const auto &item : proven)
+        most = std::max(most, item.moments);
+    // A popular sound part shares all crashes of a poison part, and others, but was answered later.
+    std::erase_if(proven, [most](const Charge &item) { return item.moments * 3 < most * 2; });
+    const auto rank = [](const Charge &item) {
+        const auto answer = item.lastAnswer.value_or(Core::Clock::Monotonic::min());
+        return std::tuple(-answer.time_since_epoch(), item.moments, item.requests, item.depth,
+                          item.part);
+    };
+    const auto it = std::max_element(
+        proven.begin(), proven.end(),
+        [&rank](const Charge &left, const Charge &right) { return rank(left) < rank(right); });
+    return it == proven.end() ? std::nullopt : std::optional(*it);
+}
+
+PoisonPartTable::Charge PoisonPartTable::charge(std::uint64_t part,
+                                                const CrashEvidence::Crashes &crashes,
+                                                const Counts &counts) const
+{
+    Charge result;
+    result.part = part;
+    result.lastAnswer = m_answered.lastAnswer(part);
+    Core::Clock::Monotonic moment;
+    std::unordered_set<std::uint64_t> requests;
+    for (const auto *crash : crashes) {
+        if ((result.lastAnswer && crash->time <= *result.lastAnswer) || !counts(*crash))
+            continue;
+        if (!result.crashes++)
+            result.firstCrash = crash->time;
+        result.lastCrash = crash->time;
+        if (!result.moments || crash->time - moment >= MomentLength) {
+            ++result.moments;
+            moment = crash->time;
+        }
+        const auto &item = crash->parts.at(part);
+        requests.insert(item.requests.begin(), item.requests.end());
+        result.depth = std::max(result.depth, item.depth);
+    }
+    result.requests = static_cast<unsigned>(requests.size());
+    return result;
+}
+
+bool PoisonPartTable::isProven(const Charge &charge, Core::Clock::Monotonic now) const
+{
+    const bool isKnownSound = recentAnswer(charge.part, now).has_value();
+    const bool hasLearned = m_firstAnswer && now - *m_firstAnswer >= LearningTime;
+    if (!isKnownSound && hasLearned && charge.moments >= MinMoments
+        && charge.requests >= MinRequests && isInMostCrashes(charge, 2, now))
+        return true;
+    // While nothing is answered, popular parts are not either.
+    if (isKnownSound && m_lastAnswer < *charge.lastAnswer + MaxReportDelay)
+        return false;
+    return charge.moments >= MinMomentsStrict && charge.requests >= MinRequestsStrict
+           && isInMostCrashes(charge, 4, now);
+}
+
+bool PoisonPartTable::isInMostCrashes(const Charge &charge, unsigned divisor,
+                                      Core::Clock::Monotonic now) const
+{
+    unsigned crashes = 0;
+    for (const auto &crash : m_evidence.crashes()) {
+        const bool isExplained = std::any_of(m_poison.begin(), m_poison.end(), [&](const auto &it) {
+            return crash.parts.contains(it.first);
+        });
+        if (crash.time >= charge.firstCrash && now - crash.time >= SettlingTime
+            && (!isExplained || crash.parts.contains(charge.part)))
+            ++crashes;
+    }
+    return charge.crashes * divisor >= crashes;
+}
+
+std::vector<std::uint64_t> PoisonPartTable::explanations(std::uint64_t part, unsigned moments,
+                                                         const Suspects &suspects,
+                                                         bool hasMoreCrashes) const
+{
+    std::vector<std::uint64_t> result;
+    for (const auto &[other, conviction] : m_poison) {
+        const auto it = suspects.find(other);
+        if (other == part || it == suspects.end())
+            continue;
+        const auto own = charge(other, it->second, anyCrash).moments;
+        if (hasMoreCrashes ? own > moments : own * 3 >= moments * 2)
+            result.push_back(other);
+    }
+    return result;
+}
+
+void PoisonPartTable::convict(const Charge &charge, Core::Clock::Monotonic now)
+{
+    makeRoom();
+    m_poison[charge.part] = {now, charge.lastCrash, charge.lastCrash + ConvictionTime, {}, 1};
+    if (onPoison)
+        onPoison(charge.part, charge.crashes, charge.requests);
+}
+
+bool PoisonPartTable::isExplained(std::uint64_t part, const Suspects &suspects) const
+{
+    const auto it = suspects.find(part);
+    if (it == suspects.end())
+        return false;
+    const auto total = charge(part, it->second, anyCrash);
+    const auto others = explanations(part, total.moments, suspects, true);
+    const auto open = charge(part, it->second, [&others](const EngineCrash &crash) {
+        return !containsAny(crash, others);
+    });
+    return open.crashes < total.crashes && open.moments < MinMoments;
+}
+
+void PoisonPartTable::withdrawExplained(const Suspects &suspects, Core::Clock::Monotonic now)
 {
-    return false;
+    std::vector<std::uint64_t> withdrawn;
+    for (const auto &[part, conviction] : m_poison) {
+        if (now - conviction.since < WithdrawalTime && isExplained(part, suspects))
+            withdrawn.push_back(part);
+    }
+    for (const auto part : withdrawn)
+        acquit(part);
 }
 
-std::vector<AnsweredPart> PoisonPartTable::takeAnsweredSuspects(Core::Clock::Monotonic)
+void PoisonPartTable::removeExpired(Core::Clock::Monotonic now)
 {
-    return {};
+    std::vector<std::uint64_t> expired;
+    for (const auto &[part, conviction] : m_poison) {
+        if (isExpired(conviction.until, conviction.convictions, now))
+            expired.push_back(part);
+    }
+    for (const auto part : expired)
+        acquit(part);
 }
 
-std::vector<PoisonPart> PoisonPartTable::poisonParts(Core::Clock::Monotonic) const
+void PoisonPartTable::makeRoom()
 {
-    return {};
+    if (m_poison.size() < MaxPoisonParts)
+        return;
+    const auto oldest =
+        std::min_element(m_poison.begin(), m_poison.end(), [](const auto &a, const auto &b) {
+            return a.second.lastCasualty < b.second.lastCasualty;
+        });
+    acquit(oldest->first);
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibGateway/AnsweredParts.h>
+#include <LibGateway/CrashEvidence.h>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace Gateway {
@@ -76,6 +79,71 @@
     std::function<void(std::uint64_t part, unsigned crashes, unsigned requests)> onPoison;
     /// Called when a poison part is no longer considered one.
     std::function<void(std::uint64_t part)> onAcquitted;
+
+private:
+    struct Conviction
+    {
+        Core::Clock::Monotonic since;
+        Core::Clock::Monotonic lastCasualty;
+        Core::Clock::Monotonic until;
+        Core::Clock::Monotonic nextTrial;
+        unsigned convictions = 1;
+    };
+    /// What speaks against a part since its last answer.
+    struct Charge
+    {
+        std::uint64_t part = 0;
+        std::optional<Core::Clock::Monotonic> lastAnswer;
+        /// Crashes shortly after each other count as one moment.
+        unsigned moments = 0;
+        unsigned crashes = 0;
+        unsigned requests = 0;
+        std::size_t depth = 0;
+        Core::Clock::Monotonic firstCrash;
+        Core::Clock::Monotonic lastCrash;
+    };
+    using Suspects = std::unordered_map<std::uint64_t, CrashEvidence::Crashes>;
+    using Counts = std::function<bool(const EngineCrash &)>;
+
+    void judgeIfDue(Core::Clock::Monotonic now);
+    /// Convicts the parts that the evidence proves to be poison, and withdraws convictions that
+    /// later evidence explains otherwise.
+    void judge(Core::Clock::Monotonic now);
+    std::optional<Charge> strongestCharge(const Suspects &suspects,
+                                          Core::Clock::Monotonic now) const;
+    Charge charge(std::uint64_t part, const CrashEvidence::Crashes &crashes,
+                  const Counts &counts) const;
+    bool isProven(const Charge &charge, Core::Clock::Monotonic now) const;
+    bool isInMostCrashes(const Charge &charge, unsigned divisor, Core::Clock::Monotonic now) const;
+    /// Returns the poison parts that may explain crashes of the given part, which are those with
+    /// enough crashes compared to it.
+    std::vector<std::uint64_t> explanations(std::uint64_t part, unsigned moments,
+                                            const Suspects &suspects, bool hasMoreCrashes) const;
+    void convict(const Charge &charge, Core::Clock::Monotonic now);
+    /// Returns whether poison parts with more crashes explain the evidence against the part.
+    bool isExplained(std::uint64_t part, const Suspects &suspects) const;
+    void withdrawExplained(const Suspects &suspects, Core::Clock::Monotonic now);
+    void renew(const PromptCasualty &casualty, Core::Clock::Monotonic now);
+    void noteAnswer(std::uint64_t part, Core::Clock::Monotonic time);
+    /// Returns whether siblings may need to know of the answer to judge these crashes.
+    bool isNews(std::uint64_t part, Core::Clock::Monotonic answer,
+                const CrashEvidence::Crashes &crashes) const;
+    void acquit(std::uint64_t part);
+    std::optional<Core::Clock::Monotonic> recentAnswer(std::uint64_t part,
+                                                       Core::Clock::Monotonic now) const;
+    void removeExpired(Core::Clock::Monotonic now);
+    void makeRoom();
+
+    CrashEvidence m_evidence;
+    AnsweredParts m_answered;
+    std::unordered_map<std::uint64_t, Conviction> m_poison;
+    /// When the published answers were, by part with casualties.
+    std::unordered_map<std::uint64_t, Core::Clock::Monotonic> m_published;
+    std::optional<Core::Clock::Monotonic> m_firstAnswer;
+    Core::Clock::Monotonic m_lastAnswer;
+    Core::Clock::Monotonic m_lastCasualty;
+    Core::Clock::Monotonic m_nextJudgement;
+    bool m_isUndecided = false;
 };
 
 } // namespace Gateway
