--- /dev/null
+++ b/Libraries/LibGateway/CrashOdds.cpp
@@ -0,0 +1,54 @@
+#include <LibGateway/CrashOdds.h>
+
+#include <cmath>
+
+namespace Gateway {
+
+namespace {
+
+/// Returns the probability that at least `count` of the events occur.
+double atLeast(std::size_t count, const std::vector<double> &probabilities)
+{
+    // The probabilities of exactly 0, 1, ... events; the last one is of all higher numbers.
+    std::vector<double> exactly(count + 1, 0);
+    exactly[0] = 1;
+    for (const double p : probabilities) {
+        if (count)
+            exactly[count] += exactly[count - 1] * p;
+        for (std::size_t n = count; n-- > 0;)
+            exactly[n] = exactly[n] * (1 - p) + (n ? exactly[n - 1] * p : 0);
+    }
+    return exactly[count];
+}
+
+} // namespace
+
+CrashOdds crashOdds(std::uint64_t part, const CrashEvidence::Crashes &crashes, double answers)
+{
+    // One prompt of each crash is the one to explain; the others show the part's share.
+    double prompts = 1;
+    double withPart = 0.5;
+    std::size_t count = 0;
+    for (const auto *crash : crashes) {
+        prompts += double(crash->requests.size()) - 1;
+        const auto it = crash->parts.find(part);
+        if (it == crash->parts.end())
+            continue;
+        ++count;
+        withPart += double(it->second.requests.size()) - 1;
+    }
+    CrashOdds odds;
+    if (!count)
+        return odds;
+    odds.crashShare = double(count) / double(crashes.size());
+    odds.promptShare = withPart / prompts;
+    // The first crash was chosen because it has the part.
+    std::vector<double> probabilities;
+    for (std::size_t n = 1; n < crashes.size(); ++n)
+        probabilities.push_back(
+            1 - std::pow(1 - odds.promptShare, double(crashes[n]->requests.size())));
+    odds.chance = atLeast(count - 1, probabilities) * std::pow(1 - odds.promptShare, answers);
+    return odds;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/CrashOdds.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibGateway/CrashEvidence.h>
+
+namespace Gateway {
+
+/// Tells how likely a sound part is to be in as many crashes as a given one.
+struct CrashOdds
+{
+    /// The share of the crashes that the part is in.
+    double crashShare = 0;
+    /// The share of the prompts that contain the part, as seen in what else was lost.
+    double promptShare = 0;
+    /// The probability that a sound part with this share of the prompts is in at least so many
+    /// crashes and in no answer.
+    double chance = 1;
+};
+
+/// Returns the odds of a part over these crashes, the first of which has the part, and over this
+/// many answers to prompts without it.
+CrashOdds crashOdds(std::uint64_t part, const CrashEvidence::Crashes &crashes, double answers);
+
+} // namespace Gateway
--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/PoisonPartTable.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <tuple>
 #include <unordered_set>
 
@@ -21,9 +22,16 @@
 constexpr auto LearningTime = 5s;
 constexpr unsigned MinMoments = 3;
 constexpr unsigned MinRequests = 3;
-// For parts that are or may be known to be sound.
+constexpr double MinCrashShare = 0.4;
+constexpr double MaxChance = 0.01;
+// For parts that were sound, and for those that may have been as far as this instance knows.
 constexpr unsigned MinMomentsStrict = 5;
 constexpr unsigned MinRequestsStrict = 4;
+constexpr unsigned MinCrashesMassive = 8;
+constexpr unsigned MinRequestsMassive = 6;
+constexpr double MaxChanceStrict = 0.0001;
+constexpr double CommonShare = 0.1;
+constexpr double CommonCrashShare = 0.75;
 constexpr auto WithdrawalTime = 30s;
 constexpr auto ConvictionTime = 60s;
 constexpr unsigned MaxConvictionFactor = 16;
@@ -100,6 +108,11 @@
 {
     if (!m_firstAnswer)
         m_firstAnswer = now;
+    if (m_answerCounts.empty() || now - m_answerCounts.back().first >= JudgementInterval)
+        m_answerCounts.emplace_back(now, 0);
+    ++m_answerCounts.back().second;
+    while (now - m_answerCounts.front().first >= RetentionTime)
+        m_answerCounts.pop_front();
     for (const auto part : parts)
         noteAnswer(part, now);
     judgeIfDue(now);
@@ -115,7 +128,6 @@
 void PoisonPartTable::noteAnswer(std::uint64_t part, Core::Clock::Monotonic time)
 {
     m_answered.note(part, time);
-    m_lastAnswer = std::max(m_lastAnswer, time);
     if (m_poison.empty())
         return;
     const auto it = m_poison.find(part);
@@ -327,31 +339,41 @@
 
 bool PoisonPartTable::isProven(const Charge &charge, Core::Clock::Monotonic now) const
 {
-    const bool isKnownSound = recentAnswer(charge.part, now).has_value();
+    if (charge.moments < MinMoments || charge.requests < MinRequests)
+        return false;
+    const auto odds = this->odds(charge, now);
+    if (odds.crashShare < MinCrashShare)
+        return false;
+    const bool isLasting
+        = charge.moments >= MinMomentsStrict && charge.requests >= MinRequestsStrict;
+    const bool isMassive
+        = charge.crashes >= MinCrashesMassive && charge.requests >= MinRequestsMassive;
     const bool hasLearned = m_firstAnswer && now - *m_firstAnswer >= LearningTime;
-    if (!isKnownSound && hasLearned && charge.moments >= MinMoments
-        && charge.requests >= MinRequests && isInMostCrashes(charge, 2, now))
+    if (recentAnswer(charge.part, now) || !hasLearned)
+        return (isLasting || isMassive) && odds.chance <= MaxChanceStrict;
+    if (odds.chance <= MaxChance)
         return true;
-    // While nothing is answered, popular parts are not either.
-    if (isKnownSound && m_lastAnswer < *charge.lastAnswer + MaxReportDelay)
-        return false;
-    return charge.moments >= MinMomentsStrict && charge.requests >= MinRequestsStrict
-           && isInMostCrashes(charge, 4, now);
+    // A sound part in so many prompts would have been answered before.
+    return odds.promptShare >= CommonShare && odds.crashShare >= CommonCrashShare
+           && (isLasting || isMassive);
 }
 
-bool PoisonPartTable::isInMostCrashes(const Charge &charge, unsigned divisor,
-                                      Core::Clock::Monotonic now) const
+CrashOdds PoisonPartTable::odds(const Charge &charge, Core::Clock::Monotonic now) const
 {
-    unsigned crashes = 0;
+    CrashEvidence::Crashes crashes;
     for (const auto &crash : m_evidence.crashes()) {
         const bool isExplained = std::any_of(m_poison.begin(), m_poison.end(), [&](const auto &it) {
             return crash.parts.contains(it.first);
         });
-        if (crash.time >= charge.firstCrash && now - crash.time >= SettlingTime
-            && (!isExplained || crash.parts.contains(charge.part)))
-            ++crashes;
+        if (crash.time >= charge.firstCrash && now - crash.time >= SettlingTime && !isExplained)
+            crashes.push_back(&crash);
+    }
+    double answers = 0;
+    for (const auto &[time, count] : m_answerCounts) {
+        if (time > charge.firstCrash && now - time >= MaxReportDelay)
+            answers += count;
     }
-    return charge.crashes * divisor >= crashes;
+    return crashOdds(charge.part, crashes, answers);
 }
 
 std::vector<std::uint64_t> PoisonPartTable::explanations(std::uint64_t part, unsigned moments,
@@ -372,6 +394,8 @@
 
 void PoisonPartTable::convict(const Charge &charge, Core::Clock::Monotonic now)
 {
+    const auto o = odds(charge, now);
+    fprintf(stderr, "CONV %s m=%u c=%u r=%u share=%g chance=%g ps=%g known=%d part=%lu t=%g\n", charge.part==1?"P":charge.part<=1002?"F":charge.part<10000000?"D":"S", charge.moments, charge.crashes, charge.requests, o.crashShare, o.chance, o.promptShare, (int)recentAnswer(charge.part, now).has_value(), charge.part, std::chrono::duration<double>(now-charge.firstCrash).count());
     makeRoom();
     m_poison[charge.part] = {now, charge.lastCrash, charge.lastCrash + ConvictionTime, {}, 1};
     if (onPoison)
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -3,13 +3,16 @@
 #include <LibCore/Clock.h>
 #include <LibGateway/AnsweredParts.h>
 #include <LibGateway/CrashEvidence.h>
+#include <LibGateway/CrashOdds.h>
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Gateway {
@@ -114,7 +117,7 @@
     Charge charge(std::uint64_t part, const CrashEvidence::Crashes &crashes,
                   const Counts &counts) const;
     bool isProven(const Charge &charge, Core::Clock::Monotonic now) const;
-    bool isInMostCrashes(const Charge &charge, unsigned divisor, Core::Clock::Monotonic now) const;
+    CrashOdds odds(const Charge &charge, Core::Clock::Monotonic now) const;
     /// Returns the poison parts that may explain crashes of the given part, which are those with
     /// enough crashes compared to it.
     std::vector<std::uint64_t> explanations(std::uint64_t part, unsigned moments,
@@ -140,7 +143,8 @@
     /// When the published answers were, by part with casualties.
     std::unordered_map<std::uint64_t, Core::Clock::Monotonic> m_published;
     std::optional<Core::Clock::Monotonic> m_firstAnswer;
-    Core::Clock::Monotonic m_lastAnswer;
+    /// The numbers of own answers, by time.
+    std::deque<std::pair<Core::Clock::Monotonic, unsigned>> m_answerCounts;
     Core::Clock::Monotonic m_lastCasualty;
     Core::Clock::Monotonic m_nextJudgement;
     bool m_isUndecided = false;
