--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -16,6 +16,8 @@
 constexpr auto MomentLength = 400ms;
 // Evidence of a crash and answers that disprove it arrive within this time.
 constexpr auto SettlingTime = 800ms;
+// An answer is reported this long after the engine began it, which is when it would have crashed.
+constexpr auto AnswerTime = 500ms;
 constexpr auto JudgementInterval = 100ms;
 constexpr auto MaxReportDelay = 1'300ms;
 // Popular parts were answered within this time after a start.
@@ -24,14 +26,13 @@
 constexpr unsigned MinRequests = 3;
 constexpr double MinCrashShare = 0.4;
 constexpr double MaxChance = 0.01;
+constexpr unsigned MinCrashesQuick = 5;
 // For parts that were sound, and for those that may have been as far as this instance knows.
-constexpr unsigned MinMomentsStrict = 5;
-constexpr unsigned MinRequestsStrict = 4;
-constexpr unsigned MinCrashesMassive = 8;
-constexpr unsigned MinRequestsMassive = 6;
-constexpr double MaxChanceStrict = 0.0001;
+constexpr double MaxChanceStrict = 0.0003;
+constexpr unsigned MinCrashesCommon = 8;
+constexpr unsigned MinRequestsCommon = 6;
 constexpr double CommonShare = 0.1;
-constexpr double CommonCrashShare = 0.75;
+constexpr double CommonCrashShare = 0.85;
 constexpr auto WithdrawalTime = 30s;
 constexpr auto ConvictionTime = 60s;
 constexpr unsigned MaxConvictionFactor = 16;
@@ -114,7 +115,7 @@
     while (now - m_answerCounts.front().first >= RetentionTime)
         m_answerCounts.pop_front();
     for (const auto part : parts)
-        noteAnswer(part, now);
+        noteAnswer(part, now - AnswerTime);
     judgeIfDue(now);
 }
 
@@ -128,6 +129,7 @@
 void PoisonPartTable::noteAnswer(std::uint64_t part, Core::Clock::Monotonic time)
 {
     m_answered.note(part, time);
+    m_lastAnswer = std::max(m_lastAnswer, time);
     if (m_poison.empty())
         return;
     const auto it = m_poison.find(part);
@@ -285,8 +287,6 @@
         if (crashes.size() < MinMoments || m_poison.contains(part))
             continue;
         const auto total = charge(part, crashes, anyCrash);
-        if (total.moments < MinMoments)
-            continue;
         const auto others = explanations(part, total.moments, suspects, false);
         const auto open = charge(part, crashes, [&](const EngineCrash &crash) {
             return now - crash.time >= SettlingTime && !containsAny(crash, others);
@@ -339,23 +339,20 @@
 
 bool PoisonPartTable::isProven(const Charge &charge, Core::Clock::Monotonic now) const
 {
-    if (charge.moments < MinMoments || charge.requests < MinRequests)
+    const bool isSeveralTimes = charge.moments >= MinMoments
+                                || (charge.moments >= 2 && charge.crashes >= MinCrashesQuick);
+    if (!isSeveralTimes || charge.requests < MinRequests)
         return false;
     const auto odds = this->odds(charge, now);
-    if (odds.crashShare < MinCrashShare)
-        return false;
-    const bool isLasting
-        = charge.moments >= MinMomentsStrict && charge.requests >= MinRequestsStrict;
-    const bool isMassive
-        = charge.crashes >= MinCrashesMassive && charge.requests >= MinRequestsMassive;
     const bool hasLearned = m_firstAnswer && now - *m_firstAnswer >= LearningTime;
-    if (recentAnswer(charge.part, now) || !hasLearned)
-        return (isLasting || isMassive) && odds.chance <= MaxChanceStrict;
-    if (odds.chance <= MaxChance)
+    const bool mayBeSound = recentAnswer(charge.part, now) || !hasLearned;
+    if (odds.crashShare >= MinCrashShare
+        && odds.chance <= (mayBeSound ? MaxChanceStrict : MaxChance))
         return true;
-    // A sound part in so many prompts would have been answered before.
-    return odds.promptShare >= CommonShare && odds.crashShare >= CommonCrashShare
-           && (isLasting || isMassive);
+    // Chance explains little about parts in many prompts, but those are also answered all the time.
+    const bool isSpared = mayBeSound && m_lastAnswer < charge.firstCrash + MaxReportDelay;
+    return charge.crashes >= MinCrashesCommon && charge.requests >= MinRequestsCommon
+           && odds.promptShare >= CommonShare && odds.crashShare >= CommonCrashShare && !isSpared;
 }
 
 CrashOdds PoisonPartTable::odds(const Charge &charge, Core::Clock::Monotonic now) const
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -143,6 +143,7 @@
     /// When the published answers were, by part with casualties.
     std::unordered_map<std::uint64_t, Core::Clock::Monotonic> m_published;
     std::optional<Core::Clock::Monotonic> m_firstAnswer;
+    Core::Clock::Monotonic m_lastAnswer;
     /// The numbers of own answers, by time.
     std::deque<std::pair<Core::Clock::Monotonic, unsigned>> m_answerCounts;
     Core::Clock::Monotonic m_lastCasualty;
--- a/Tests/LibGateway/TestPoisonParts.cpp
+++ b/Tests/LibGateway/TestPoisonParts.cpp
@@ -19,7 +19,7 @@
             shape.restartsInstance = seed % 4 == 0;
             shape.failuresPerSecond = seed % 2 ? 0 : 0.5;
             const auto outcome = PoisonSimulation(shape).run();
-            std::cout << perSecond << ' ' << seed << ": " << outcome.crashes << " late " << outcome.deadlySentLate << " share " << outcome.soundShare << " refused " << outcome.soundRefused << '\n';
+            std::cerr << perSecond << ' ' << seed << ": " << outcome.crashes << " late " << outcome.deadlySentLate << " share " << outcome.soundShare << " refused " << outcome.soundRefused << '\n';
             CAPTURE(perSecond, seed, outcome.crashes, outcome.soundRefused);
             CHECK(outcome.deadlySentLate <= 3);
             CHECK(outcome.soundShare >= 0.5);
@@ -36,7 +36,7 @@
             shape.failuresPerSecond = failuresPerSecond;
             shape.enginesPerFailure = seed % 2 ? 1 : 4;
             const auto outcome = PoisonSimulation(shape).run();
-            std::cout << failuresPerSecond << ' ' << seed << ": " << outcome.crashes << " refused " << outcome.soundRefused << '\n';
+            std::cerr << failuresPerSecond << ' ' << seed << ": " << outcome.crashes << " refused " << outcome.soundRefused << '\n';
             CAPTURE(failuresPerSecond, seed, outcome.crashes);
             CHECK(outcome.soundRefused == 0);
         }
