--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -351,10 +351,36 @@
         return true;
     // Chance explains little about parts in many prompts, but those are also answered all the time.
     const bool isSpared = mayBeSound && m_lastAnswer < charge.firstCrash + MaxReportDelay;
-    return charge.crashes >= MinCrashesCommon && charge.requests >= MinRequestsCommon
-           && odds.promptShare >= CommonShare && odds.crashShare >= CommonCrashShare && !isSpared;
+    return charge.moments >= MinMoments && charge.crashes >= MinCrashesCommon
+           && charge.requests >= MinRequestsCommon && odds.promptShare >= CommonShare
+           && odds.crashShare >= CommonCrashShare && !isSpared && !hasRarerSuspect(charge, now);
 }
 
+bool PoisonPartTable::hasRarerSuspect(const Charge &charge, Core::Clock::Monotonic now) const
+{
+    struct Count
+    {
+        unsigned crashes = 0;
+        std::size_t requests = 0;
+    };
+    std::unordered_map<std::uint64_t, Count> counts;
+    for (const auto &crash : m_evidence.crashes()) {
+        if (crash.time < charge.firstCrash || now - crash.time < SettlingTime
+            || !crash.parts.contains(charge.part))
+            continue;
+        for (const auto &[part, item] : crash.parts) {
+            ++counts[part].crashes;
+            counts[part].requests += item.requests.size();
+        }
+    }
+    const auto own = counts[charge.part];
+    return std::any_of(counts.begin(), counts.end(), [&own](const auto &item) {
+        return item.second.crashes * 5 >= own.crashes * 4
+               && item.second.requests * 2 <= own.requests;
+    });
+}
+
+
 CrashOdds PoisonPartTable::odds(const Charge &charge, Core::Clock::Monotonic now) const
 {
     CrashEvidence::Crashes crashes;
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -118,6 +118,8 @@
                   const Counts &counts) const;
     bool isProven(const Charge &charge, Core::Clock::Monotonic now) const;
     CrashOdds odds(const Charge &charge, Core::Clock::Monotonic now) const;
+    /// Returns whether a part of fewer prompts is in about as many of the crashes.
+    bool hasRarerSuspect(const Charge &charge, Core::Clock::Monotonic now) const;
     /// Returns the poison parts that may explain crashes of the given part, which are those with
     /// enough crashes compared to it.
     std::vector<std::uint64_t> explanations(std::uint64_t part, unsigned moments,
