--- a/Libraries/LibGateway/CrashOdds.cpp
+++ b/Libraries/LibGateway/CrashOdds.cpp
@@ -47,7 +47,13 @@
     for (std::size_t n = 1; n < crashes.size(); ++n)
         probabilities.push_back(
             1 - std::pow(1 - odds.promptShare, double(crashes[n]->requests.size())));
-    odds.chance = atLeast(count - 1, probabilities) * std::pow(1 - odds.promptShare, answers);
+    std::unordered_set<std::uint64_t> parts;
+    for (const auto *crash : crashes) {
+        for (const auto &[id, item] : crash->parts)
+            parts.insert(id);
+    }
+    odds.chance = atLeast(count - 1, probabilities) * std::pow(1 - odds.promptShare, answers)
+                  * double(parts.size());
     return odds;
 }
 
--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -1,7 +1,6 @@
 #include <LibGateway/PoisonPartTable.h>
 
 #include <algorithm>
-#include <cstdio>
 #include <tuple>
 #include <unordered_set>
 
@@ -19,16 +18,17 @@
 // An answer is reported this long after the engine began it, which is when it would have crashed.
 constexpr auto AnswerTime = 500ms;
 constexpr auto JudgementInterval = 100ms;
+constexpr auto UsualReportDelay = 500ms;
 constexpr auto MaxReportDelay = 1'300ms;
 // Popular parts were answered within this time after a start.
 constexpr auto LearningTime = 5s;
 constexpr unsigned MinMoments = 3;
 constexpr unsigned MinRequests = 3;
 constexpr double MinCrashShare = 0.4;
-constexpr double MaxChance = 0.01;
+constexpr double MaxChance = 0.1;
 constexpr unsigned MinCrashesQuick = 5;
 // For parts that were sound, and for those that may have been as far as this instance knows.
-constexpr double MaxChanceStrict = 0.0003;
+constexpr double MaxChanceStrict = 0.01;
 constexpr unsigned MinCrashesCommon = 8;
 constexpr unsigned MinRequestsCommon = 6;
 constexpr double CommonShare = 0.1;
@@ -122,7 +122,7 @@
 void PoisonPartTable::noteAnsweredBySibling(const AnsweredPart &answered,
                                             Core::Clock::Monotonic now)
 {
-    noteAnswer(answered.part, now - answered.age);
+    noteAnswer(answered.part, now - answered.age - UsualReportDelay);
     judgeIfDue(now);
 }
 
@@ -339,8 +339,8 @@
 
 bool PoisonPartTable::isProven(const Charge &charge, Core::Clock::Monotonic now) const
 {
-    const bool isSeveralTimes = charge.moments >= MinMoments
-                                || (charge.moments >= 2 && charge.crashes >= MinCrashesQuick);
+    const bool isSeveralTimes =
+        charge.moments >= MinMoments || (charge.moments >= 2 && charge.crashes >= MinCrashesQuick);
     if (!isSeveralTimes || charge.requests < MinRequests)
         return false;
     const auto odds = this->odds(charge, now);
@@ -349,11 +349,15 @@
     if (odds.crashShare >= MinCrashShare
         && odds.chance <= (mayBeSound ? MaxChanceStrict : MaxChance))
         return true;
+    if (odds.promptShare < CommonShare || odds.crashShare < CommonCrashShare
+        || charge.requests < MinRequestsCommon)
+        return false;
     // Chance explains little about parts in many prompts, but those are also answered all the time.
-    const bool isSpared = mayBeSound && m_lastAnswer < charge.firstCrash + MaxReportDelay;
-    return charge.moments >= MinMoments && charge.crashes >= MinCrashesCommon
-           && charge.requests >= MinRequestsCommon && odds.promptShare >= CommonShare
-           && odds.crashShare >= CommonCrashShare && !isSpared && !hasRarerSuspect(charge, now);
+    if (!mayBeSound)
+        return charge.crashes >= MinCrashesQuick;
+    const bool isOnlyUnanswered = m_lastAnswer >= charge.firstCrash + MaxReportDelay;
+    return isOnlyUnanswered && charge.moments >= MinMoments && charge.crashes >= MinCrashesCommon
+           && !hasRarerSuspect(charge, now);
 }
 
 bool PoisonPartTable::hasRarerSuspect(const Charge &charge, Core::Clock::Monotonic now) const
@@ -380,7 +384,6 @@
     });
 }
 
-
 CrashOdds PoisonPartTable::odds(const Charge &charge, Core::Clock::Monotonic now) const
 {
     CrashEvidence::Crashes crashes;
@@ -417,8 +420,6 @@
 
 void PoisonPartTable::convict(const Charge &charge, Core::Clock::Monotonic now)
 {
-    const auto o = odds(charge, now);
-    fprintf(stderr, "CONV %s m=%u c=%u r=%u share=%g chance=%g ps=%g known=%d part=%lu t=%g\n", charge.part==1?"P":charge.part<=1002?"F":charge.part<10000000?"D":"S", charge.moments, charge.crashes, charge.requests, o.crashShare, o.chance, o.promptShare, (int)recentAnswer(charge.part, now).has_value(), charge.part, std::chrono::duration<double>(now-charge.firstCrash).count());
     makeRoom();
     m_poison[charge.part] = {now, charge.lastCrash, charge.lastCrash + ConvictionTime, {}, 1};
     if (onPoison)
