--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -156,7 +156,8 @@
     removeExpired(now);
     const auto length = convictionTime(poison.convictions);
     const auto until = now + std::min<Core::Clock::Monotonic::duration>(poison.remaining, length);
-    if (isExpired(until, poison.convictions, now))
+    // What one instance has forgotten does not come back from one that forgets it a little later.
+    if (isExpired(until, poison.convictions, now + MaxDrift))
         return;
     const auto lastAnswer = m_answered.lastAnswer(poison.part);
     if (lastAnswer && *lastAnswer + MaxReportDelay >= until - length)
@@ -287,10 +288,11 @@
         if (crashes.size() < MinMoments || m_poison.contains(part))
             continue;
         const auto total = charge(part, crashes, anyCrash);
-        const auto others = explanations(part, total.moments, suspects, false);
-        const auto open = charge(part, crashes, [&](const EngineCrash &crash) {
+        const auto others = explanations(total, suspects);
+        auto open = charge(part, crashes, [&](const EngineCrash &crash) {
             return now - crash.time >= SettlingTime && !containsAny(crash, others);
         });
+        open.others = others;
         if (isProven(open, now))
             proven.push_back(open);
     }
@@ -388,10 +390,8 @@
 {
     CrashEvidence::Crashes crashes;
     for (const auto &crash : m_evidence.crashes()) {
-        const bool isExplained = std::any_of(m_poison.begin(), m_poison.end(), [&](const auto &it) {
-            return crash.parts.contains(it.first);
-        });
-        if (crash.time >= charge.firstCrash && now - crash.time >= SettlingTime && !isExplained)
+        if (crash.time >= charge.firstCrash && now - crash.time >= SettlingTime
+            && !containsAny(crash, charge.others))
             crashes.push_back(&crash);
     }
     double answers = 0;
@@ -402,17 +402,22 @@
     return crashOdds(charge.part, crashes, answers);
 }
 
-std::vector<std::uint64_t> PoisonPartTable::explanations(std::uint64_t part, unsigned moments,
-                                                         const Suspects &suspects,
-                                                         bool hasMoreCrashes) const
+std::vector<std::uint64_t> PoisonPartTable::explanations(const Charge &charge,
+                                                         const Suspects &suspects) const
 {
     std::vector<std::uint64_t> result;
     for (const auto &[other, conviction] : m_poison) {
         const auto it = suspects.find(other);
-        if (other == part || it == suspects.end())
+        if (other == charge.part || it == suspects.end())
             continue;
-        const auto own = charge(other, it->second, anyCrash).moments;
-        if (hasMoreCrashes ? own > moments : own * 3 >= moments * 2)
+        const auto total = this->charge(other, it->second, anyCrash);
+        // An empty answer is the earliest.
+        const bool isStronger =
+            total.crashes > charge.crashes || total.lastAnswer < charge.lastAnswer;
+        const bool isComparable = total.crashes * 3 >= charge.crashes * 2;
+        if (m_poison.contains(charge.part)
+                ? total.crashes > charge.crashes
+                : isComparable && (isStronger || total.crashes == charge.crashes))
             result.push_back(other);
     }
     return result;
@@ -432,7 +437,7 @@
     if (it == suspects.end())
         return false;
     const auto total = charge(part, it->second, anyCrash);
-    const auto others = explanations(part, total.moments, suspects, true);
+    const auto others = explanations(total, suspects);
     const auto open = charge(part, it->second, [&others](const EngineCrash &crash) {
         return !containsAny(crash, others);
     });
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -104,6 +104,8 @@
         std::size_t depth = 0;
         Core::Clock::Monotonic firstCrash;
         Core::Clock::Monotonic lastCrash;
+        /// The poison parts that explain other crashes.
+        std::vector<std::uint64_t> others;
     };
     using Suspects = std::unordered_map<std::uint64_t, CrashEvidence::Crashes>;
     using Counts = std::function<bool(const EngineCrash &)>;
@@ -120,10 +122,8 @@
     CrashOdds odds(const Charge &charge, Core::Clock::Monotonic now) const;
     /// Returns whether a part of fewer prompts is in about as many of the crashes.
     bool hasRarerSuspect(const Charge &charge, Core::Clock::Monotonic now) const;
-    /// Returns the poison parts that may explain crashes of the given part, which are those with
-    /// enough crashes compared to it.
-    std::vector<std::uint64_t> explanations(std::uint64_t part, unsigned moments,
-                                            const Suspects &suspects, bool hasMoreCrashes) const;
+    /// Returns the poison parts that may explain crashes of the charged part.
+    std::vector<std::uint64_t> explanations(const Charge &charge, const Suspects &suspects) const;
     void convict(const Charge &charge, Core::Clock::Monotonic now);
     /// Returns whether poison parts with more crashes explain the evidence against the part.
     bool isExplained(std::uint64_t part, const Suspects &suspects) const;
