--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -31,6 +31,7 @@
 constexpr double MaxChanceStrict = 0.01;
 constexpr unsigned MinCrashesCommon = 8;
 constexpr unsigned MinRequestsCommon = 6;
+constexpr double MaxChanceCommon = 1;
 constexpr double CommonShare = 0.1;
 constexpr double CommonCrashShare = 0.85;
 constexpr auto WithdrawalTime = 30s;
@@ -351,15 +352,16 @@
     if (odds.crashShare >= MinCrashShare
         && odds.chance <= (mayBeSound ? MaxChanceStrict : MaxChance))
         return true;
-    if (odds.promptShare < CommonShare || odds.crashShare < CommonCrashShare
-        || charge.requests < MinRequestsCommon)
+    const bool isUnlikely = odds.chance <= MaxChanceCommon;
+    if (odds.crashShare < CommonCrashShare || charge.requests < MinRequestsCommon
+        || (odds.promptShare < CommonShare && !isUnlikely))
         return false;
     // Chance explains little about parts in many prompts, but those are also answered all the time.
     if (!mayBeSound)
         return charge.crashes >= MinCrashesQuick;
     const bool isOnlyUnanswered = m_lastAnswer >= charge.firstCrash + MaxReportDelay;
-    return isOnlyUnanswered && charge.moments >= MinMoments && charge.crashes >= MinCrashesCommon
-           && !hasRarerSuspect(charge, now);
+    return isOnlyUnanswered && (isUnlikely || charge.moments >= MinMoments)
+           && charge.crashes >= MinCrashesCommon && !hasRarerSuspect(charge, now);
 }
 
 bool PoisonPartTable::hasRarerSuspect(const Charge &charge, Core::Clock::Monotonic now) const
