--- a/Libraries/LibGateway/CrashEvidence.cpp
+++ b/Libraries/LibGateway/CrashEvidence.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::chrono::seconds RetentionTime {60};
-constexpr std::size_t MaxCrashes = 128;
+constexpr std::size_t MaxCrashes = 64;
 constexpr std::size_t MaxRequestsPerCrash = 128;
 constexpr std::size_t MaxPartsPerPrompt = 32;
 
--- a/Libraries/LibGateway/CrashOdds.cpp
+++ b/Libraries/LibGateway/CrashOdds.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/CrashOdds.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace Gateway {
@@ -23,14 +24,18 @@
 
 } // namespace
 
-CrashOdds crashOdds(std::uint64_t part, const CrashEvidence::Crashes &crashes, double answers)
+CrashOdds crashOdds(std::uint64_t part, const CrashEvidence::Crashes &crashes, std::size_t maxParts,
+                    double answers)
 {
     // One prompt of each crash is the one to explain; the others show the part's share. Before any
     // others were lost, the part is taken for a rare one.
     double prompts = 4;
     double withPart = 0.5;
     std::size_t count = 0;
+    // The more parts there are, the more of them are in many crashes by chance.
+    std::size_t parts = 0;
     for (const auto *crash : crashes) {
+        parts += crash->parts.size();
         prompts += double(crash->requests.size()) - 1;
         const auto it = crash->parts.find(part);
         if (it == crash->parts.end())
@@ -43,19 +48,15 @@
         return odds;
     odds.crashShare = double(count) / double(crashes.size());
     odds.promptShare = withPart / prompts;
+    if (odds.crashShare < CrashOdds::MinCrashShare)
+        return odds;
     // The first crash was chosen because it has the part.
     std::vector<double> probabilities;
     for (std::size_t n = 1; n < crashes.size(); ++n)
         probabilities.push_back(
             1 - std::pow(1 - odds.promptShare, double(crashes[n]->requests.size())));
-    // The more parts there are, the more of them are in many crashes by chance.
-    std::unordered_set<std::uint64_t> parts;
-    for (const auto *crash : crashes) {
-        for (const auto &[id, item] : crash->parts)
-            parts.insert(id);
-    }
     odds.chance = atLeast(count - 1, probabilities) * std::pow(1 - odds.promptShare, answers)
-                  * double(parts.size());
+                  * double(std::min(parts, maxParts));
     return odds;
 }
 
--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -24,7 +24,6 @@
 constexpr auto LearningTime = 5s;
 constexpr unsigned MinMoments = 3;
 constexpr unsigned MinRequests = 3;
-constexpr double MinCrashShare = 0.4;
 constexpr double MaxChance = 0.1;
 constexpr unsigned MinCrashesQuick = 5;
 // For parts that were sound, and for those that may have been as far as this instance knows.
@@ -294,7 +293,7 @@
             return now - crash.time >= SettlingTime && !containsAny(crash, others);
         });
         open.others = others;
-        if (isProven(open, now))
+        if (isProven(open, suspects, now))
             proven.push_back(open);
     }
     unsigned most = 0;
@@ -340,17 +339,17 @@
     return result;
 }
 
-bool PoisonPartTable::isProven(const Charge &charge, Core::Clock::Monotonic now) const
+bool PoisonPartTable::isProven(const Charge &charge, const Suspects &suspects,
+                               Core::Clock::Monotonic now) const
 {
     const bool isSeveralTimes =
         charge.moments >= MinMoments || (charge.moments >= 2 && charge.crashes >= MinCrashesQuick);
     if (!isSeveralTimes || charge.requests < MinRequests)
         return false;
-    const auto odds = this->odds(charge, now);
+    const auto odds = this->odds(charge, suspects, now);
     const bool hasLearned = m_firstAnswer && now - *m_firstAnswer >= LearningTime;
     const bool mayBeSound = recentAnswer(charge.part, now) || !hasLearned;
-    if (odds.crashShare >= MinCrashShare
-        && odds.chance <= (mayBeSound ? MaxChanceStrict : MaxChance))
+    if (odds.chance <= (mayBeSound ? MaxChanceStrict : MaxChance))
         return true;
     const bool isUnlikely = odds.chance <= MaxChanceCommon;
     if (odds.crashShare < CommonCrashShare || charge.requests < MinRequestsCommon
@@ -361,34 +360,37 @@
         return charge.crashes >= MinCrashesQuick;
     const bool isOnlyUnanswered = m_lastAnswer >= charge.firstCrash + MaxReportDelay;
     return isOnlyUnanswered && (isUnlikely || charge.moments >= MinMoments)
-           && charge.crashes >= MinCrashesCommon && !hasRarerSuspect(charge, now);
+           && charge.crashes >= MinCrashesCommon && !hasRarerSuspect(charge, suspects, now);
 }
 
-bool PoisonPartTable::hasRarerSuspect(const Charge &charge, Core::Clock::Monotonic now) const
+bool PoisonPartTable::hasRarerSuspect(const Charge &charge, const Suspects &suspects,
+                                      Core::Clock::Monotonic now) const
 {
-    struct Count
-    {
-        unsigned crashes = 0;
-        std::size_t requests = 0;
+    const auto isCounted = [&](const EngineCrash &crash) {
+        return crash.time >= charge.firstCrash && now - crash.time >= SettlingTime
+               && crash.parts.contains(charge.part);
     };
-    std::unordered_map<std::uint64_t, Count> counts;
-    for (const auto &crash : m_evidence.crashes()) {
-        if (crash.time < charge.firstCrash || now - crash.time < SettlingTime
-            || !crash.parts.contains(charge.part))
-            continue;
-        for (const auto &[part, item] : crash.parts) {
-            ++counts[part].crashes;
-            counts[part].requests += item.requests.size();
+    const auto count = [&](std::uint64_t part, const CrashEvidence::Crashes &crashes) {
+        std::pair<std::size_t, std::size_t> result;
+        for (const auto *crash : crashes) {
+            if (!isCounted(*crash))
+                continue;
+            ++result.first;
+            result.second += crash->parts.at(part).requests.size();
         }
-    }
-    const auto own = counts[charge.part];
-    return std::any_of(counts.begin(), counts.end(), [&own](const auto &item) {
-        return item.second.crashes * 5 >= own.crashes * 4
-               && item.second.requests * 2 <= own.requests;
+        return result;
+    };
+    const auto own = count(charge.part, suspects.at(charge.part));
+    return std::any_of(suspects.begin(), suspects.end(), [&](const auto &item) {
+        if (item.second.size() * 5 < own.first * 4)
+            return false;
+        const auto other = count(item.first, item.second);
+        return other.first * 5 >= own.first * 4 && other.second * 2 <= own.second;
     });
 }
 
-CrashOdds PoisonPartTable::odds(const Charge &charge, Core::Clock::Monotonic now) const
+CrashOdds PoisonPartTable::odds(const Charge &charge, const Suspects &suspects,
+                                Core::Clock::Monotonic now) const
 {
     CrashEvidence::Crashes crashes;
     for (const auto &crash : m_evidence.crashes()) {
@@ -401,7 +403,7 @@
         if (time > charge.firstCrash && now - time >= MaxReportDelay)
             answers += count;
     }
-    return crashOdds(charge.part, crashes, answers);
+    return crashOdds(charge.part, crashes, suspects.size(), answers);
 }
 
 std::vector<std::uint64_t> PoisonPartTable::explanations(const Charge &charge,
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -118,10 +118,12 @@
                                           Core::Clock::Monotonic now) const;
     Charge charge(std::uint64_t part, const CrashEvidence::Crashes &crashes,
                   const Counts &counts) const;
-    bool isProven(const Charge &charge, Core::Clock::Monotonic now) const;
-    CrashOdds odds(const Charge &charge, Core::Clock::Monotonic now) const;
+    bool isProven(const Charge &charge, const Suspects &suspects, Core::Clock::Monotonic now) const;
+    CrashOdds odds(const Charge &charge, const Suspects &suspects,
+                   Core::Clock::Monotonic now) const;
     /// Returns whether a part of fewer prompts is in about as many of the crashes.
-    bool hasRarerSuspect(const Charge &charge, Core::Clock::Monotonic now) const;
+    bool hasRarerSuspect(const Charge &charge, const Suspects &suspects,
+                         Core::Clock::Monotonic now) const;
     /// Returns the poison parts that may explain crashes of the charged part.
     std::vector<std::uint64_t> explanations(const Charge &charge, const Suspects &suspects) const;
     void convict(const Charge &charge, Core::Clock::Monotonic now);
