Tests: Follow the report's new field

Change: the hand-made report of TestPoisonNews leaves the first one out.

Measured: TestPoisonNews passes.

--- a/Tests/LibGateway/TestPoisonNews.cpp
+++ b/Tests/LibGateway/TestPoisonNews.cpp
@@ -135,7 +135,7 @@
         const auto news = Wire::CreatePoisonNewsDirect(builder, &lost, &answers, &poisonParts);
         builder.Finish(Wire::CreateSiblingReportDirect(
             builder, "foreign", 1, 1, nullptr, nullptr, nullptr, nullptr, nullptr, nullptr, nullptr,
-            false, Wire::Scope::Instance, 0, nullptr, news));
+            false, Wire::Scope::Instance, 0, nullptr, nullptr, news));
         return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
     }
 };
