--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -33,6 +33,8 @@
 constexpr double MaxChanceCommon = 1;
 constexpr double CommonShare = 0.1;
 constexpr double CommonCrashShare = 0.85;
+// Each takes some milliseconds when there is much evidence.
+constexpr std::size_t MaxRarityChecks = 8;
 constexpr auto WithdrawalTime = 30s;
 constexpr auto ConvictionTime = 60s;
 constexpr unsigned MaxConvictionFactor = 16;
@@ -293,7 +295,8 @@
             return now - crash.time >= SettlingTime && !containsAny(crash, others);
         });
         open.others = others;
-        if (isProven(open, suspects, now))
+        open.proof = proof(open, suspects, now);
+        if (open.proof != Proof::None)
             proven.push_back(open);
     }
     unsigned most = 0;
@@ -306,10 +309,16 @@
         return std::tuple(-answer.time_since_epoch(), item.moments, item.requests, item.depth,
                           item.part);
     };
-    const auto it = std::max_element(
-        proven.begin(), proven.end(),
-        [&rank](const Charge &left, const Charge &right) { return rank(left) < rank(right); });
-    return it == proven.end() ? std::nullopt : std::optional(*it);
+    std::sort(proven.begin(), proven.end(), [&rank](const Charge &left, const Charge &right) {
+        return rank(left) > rank(right);
+    });
+    std::size_t checks = 0;
+    for (const auto &item : proven) {
+        if (item.proof == Proof::Certain
+            || (++checks <= MaxRarityChecks && !hasRarerSuspect(item, suspects, now)))
+            return item;
+    }
+    return std::nullopt;
 }
 
 PoisonPartTable::Charge PoisonPartTable::charge(std::uint64_t part,
@@ -339,28 +348,29 @@
     return result;
 }
 
-bool PoisonPartTable::isProven(const Charge &charge, const Suspects &suspects,
-                               Core::Clock::Monotonic now) const
+PoisonPartTable::Proof PoisonPartTable::proof(const Charge &charge, const Suspects &suspects,
+                                              Core::Clock::Monotonic now) const
 {
     const bool isSeveralTimes =
         charge.moments >= MinMoments || (charge.moments >= 2 && charge.crashes >= MinCrashesQuick);
     if (!isSeveralTimes || charge.requests < MinRequests)
-        return false;
+        return Proof::None;
     const auto odds = this->odds(charge, suspects, now);
     const bool hasLearned = m_firstAnswer && now - *m_firstAnswer >= LearningTime;
     const bool mayBeSound = recentAnswer(charge.part, now) || !hasLearned;
     if (odds.chance <= (mayBeSound ? MaxChanceStrict : MaxChance))
-        return true;
+        return Proof::Certain;
     const bool isUnlikely = odds.chance <= MaxChanceCommon;
     if (odds.crashShare < CommonCrashShare || charge.requests < MinRequestsCommon
         || (odds.promptShare < CommonShare && !isUnlikely))
-        return false;
+        return Proof::None;
     // Chance explains little about parts in many prompts, but those are also answered all the time.
     if (!mayBeSound)
-        return charge.crashes >= MinCrashesQuick;
+        return charge.crashes >= MinCrashesQuick ? Proof::Certain : Proof::None;
     const bool isOnlyUnanswered = m_lastAnswer >= charge.firstCrash + MaxReportDelay;
-    return isOnlyUnanswered && (isUnlikely || charge.moments >= MinMoments)
-           && charge.crashes >= MinCrashesCommon && !hasRarerSuspect(charge, suspects, now);
+    const bool isOutstanding = isOnlyUnanswered && charge.crashes >= MinCrashesCommon
+                               && (isUnlikely || charge.moments >= MinMoments);
+    return isOutstanding ? Proof::UnlessRarer : Proof::None;
 }
 
 bool PoisonPartTable::hasRarerSuspect(const Charge &charge, const Suspects &suspects,
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -92,6 +92,12 @@
         Core::Clock::Monotonic nextTrial;
         unsigned convictions = 1;
     };
+    enum class Proof {
+        None,
+        /// If no part of fewer prompts is in as many crashes.
+        UnlessRarer,
+        Certain,
+    };
     /// What speaks against a part since its last answer.
     struct Charge
     {
@@ -102,6 +108,7 @@
         unsigned crashes = 0;
         unsigned requests = 0;
         std::size_t depth = 0;
+        Proof proof = Proof::None;
         Core::Clock::Monotonic firstCrash;
         Core::Clock::Monotonic lastCrash;
         /// The poison parts that explain other crashes.
@@ -118,7 +125,7 @@
                                           Core::Clock::Monotonic now) const;
     Charge charge(std::uint64_t part, const CrashEvidence::Crashes &crashes,
                   const Counts &counts) const;
-    bool isProven(const Charge &charge, const Suspects &suspects, Core::Clock::Monotonic now) const;
+    Proof proof(const Charge &charge, const Suspects &suspects, Core::Clock::Monotonic now) const;
     CrashOdds odds(const Charge &charge, const Suspects &suspects,
                    Core::Clock::Monotonic now) const;
     /// Returns whether a part of fewer prompts is in about as many of the crashes.
