--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -41,7 +41,8 @@
 struct PoisonPart
 {
     std::uint64_t part = 0;
-    /// How long prompts with the part are still refused.
+    /// How long prompts with the part are still refused; negative after that, until it is
+    /// forgotten.
     std::chrono::milliseconds remaining {0};
     /// How often in a row it was convicted; the time grows with it.
     unsigned convictions = 1;
