--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -41,7 +41,8 @@
 struct PoisonPart
 {
     std::uint64_t part = 0;
-    /// How long prompts with the part are still refused.
+    /// How long prompts with the part are still refused; negative after that, until it is
+    /// forgotten.
     std::chrono::milliseconds remaining {0};
     /// How often in a row it was convicted; the time grows with it.
     unsigned convictions = 1;
@@ -92,6 +93,12 @@
         Core::Clock::Monotonic nextTrial;
         unsigned convictions = 1;
     };
+    enum class Proof {
+        None,
+        /// If no part of fewer prompts is in as many crashes.
+        UnlessRarer,
+        Certain,
+    };
     /// What speaks against a part since its last answer.
     struct Charge
     {
@@ -102,6 +109,7 @@
         unsigned crashes = 0;
         unsigned requests = 0;
         std::size_t depth = 0;
+        Proof proof = Proof::None;
         Core::Clock::Monotonic firstCrash;
         Core::Clock::Monotonic lastCrash;
         /// The poison parts that explain other crashes.
@@ -118,7 +126,7 @@
                                           Core::Clock::Monotonic now) const;
     Charge charge(std::uint64_t part, const CrashEvidence::Crashes &crashes,
                   const Counts &counts) const;
-    bool isProven(const Charge &charge, const Suspects &suspects, Core::Clock::Monotonic now) const;
+    Proof proof(const Charge &charge, const Suspects &suspects, Core::Clock::Monotonic now) const;
     CrashOdds odds(const Charge &charge, const Suspects &suspects,
                    Core::Clock::Monotonic now) const;
     /// Returns whether a part of fewer prompts is in about as many of the crashes.
