LibGateway: Suspect only prompts that a crashed engine had begun to answer

Two requests alone had crashed eight engines.

Cause: a deadly part crashes an engine that begins to answer. The prompts that waited there are bystanders. The log shows the difference: the head of the answer had arrived for the one that crashed the engine, and for none that waited.

Change: a casualty tells whether the answer had begun. Of a crash with such casualties only these are evidence; of a crash without, as before, all. There is less to judge, too. The simulation lets engines begin answers likewise.

--- a/Libraries/LibGateway/AnswerEvidence.cpp
+++ b/Libraries/LibGateway/AnswerEvidence.cpp
@@ -43,7 +43,7 @@
         return;
     const PromptCasualty casualty {
         Core::hash64(m_engine.value(), static_cast<std::uint64_t>(m_startTime.count())),
-        m_request.digest, m_request.partHashes};
+        m_request.digest, m_request.partHashes, m_hasBegun};
     logCasualty(m_request, m_engine, m_startTime, casualty);
     if (casualty.parts.empty())
         return;
--- a/Libraries/LibGateway/AnswerEvidence.h
+++ b/Libraries/LibGateway/AnswerEvidence.h
@@ -20,6 +20,8 @@
 
     AnswerEvidence(Gateway &gateway, const AcceptedRequest &request, const UpstreamReport &engine);
 
+    /// Records that the engine has begun to answer.
+    void noteBegin() { m_hasBegun = true; }
     /// Records that events of the answer have arrived.
     void noteEvents();
     /// Records that the whole answer has arrived.
@@ -37,6 +39,7 @@
     /// The incarnation of the engine that the prompt was sent to.
     Core::UpstreamId m_engine;
     std::chrono::milliseconds m_startTime;
+    bool m_hasBegun = false;
     std::optional<Core::Clock::Monotonic> m_firstEvents;
     bool m_isAnswered = false;
 };
--- a/Libraries/LibGateway/CrashEvidence.cpp
+++ b/Libraries/LibGateway/CrashEvidence.cpp
@@ -26,6 +26,13 @@
         crash->id = casualty.crash;
         crash->time = now;
     }
+    if (crash->hasBegun && !casualty.hasBegun)
+        return false;
+    if (casualty.hasBegun && !crash->hasBegun) {
+        crash->hasBegun = true;
+        crash->requests.clear();
+        crash->parts.clear();
+    }
     if (crash->requests.size() >= MaxRequestsPerCrash
         || !crash->requests.insert(casualty.request).second)
         return false;
--- a/Libraries/LibGateway/CrashEvidence.h
+++ b/Libraries/LibGateway/CrashEvidence.h
@@ -23,6 +23,8 @@
     };
 
     std::uint64_t id = 0;
+    /// Whether the engine had begun to answer some of the prompts. Only these count then.
+    bool hasBegun = false;
     /// When its first casualty was reported.
     Core::Clock::Monotonic time;
     std::unordered_set<std::uint64_t> requests;
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -1155,7 +1155,8 @@
     VT_CRASH = 4,
     VT_REQUEST = 6,
     VT_PARTS = 8,
-    VT_AGE_MS = 10
+    VT_AGE_MS = 10,
+    VT_HAS_BEGUN = 12
   };
   uint64_t crash() const {
     return GetField<uint64_t>(VT_CRASH, 0);
@@ -1169,6 +1170,9 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  bool has_begun() const {
+    return GetField<uint8_t>(VT_HAS_BEGUN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CRASH, 8) &&
@@ -1176,6 +1180,7 @@
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_BEGUN, 1) &&
            verifier.EndTable();
   }
 };
@@ -1196,6 +1201,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(Casualty::VT_AGE_MS, age_ms, 0);
   }
+  void add_has_begun(bool has_begun) {
+    fbb_.AddElement<uint8_t>(Casualty::VT_HAS_BEGUN, static_cast<uint8_t>(has_begun), 0);
+  }
   explicit CasualtyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1212,12 +1220,14 @@
     uint64_t crash = 0,
     uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    bool has_begun = false) {
   CasualtyBuilder builder_(_fbb);
   builder_.add_request(request);
   builder_.add_crash(crash);
   builder_.add_age_ms(age_ms);
   builder_.add_parts(parts);
+  builder_.add_has_begun(has_begun);
   return builder_.Finish();
 }
 
@@ -1226,14 +1236,16 @@
     uint64_t crash = 0,
     uint64_t request = 0,
     const std::vector<uint64_t> *parts = nullptr,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    bool has_begun = false) {
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return Gateway::Wire::CreateCasualty(
       _fbb,
       crash,
       request,
       parts__,
-      age_ms);
+      age_ms,
+      has_begun);
 }
 
 struct PoisonNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibGateway/PoisonNews.cpp
+++ b/Libraries/LibGateway/PoisonNews.cpp
@@ -111,9 +111,9 @@
     auto &queue = queueFor(scope);
     std::vector<flatbuffers::Offset<Wire::Casualty>> casualties;
     for (const auto &entry : takeCasualties(queue))
-        casualties.push_back(
-            Wire::CreateCasualtyDirect(builder, entry.casualty.crash, entry.casualty.request,
-                                       &entry.casualty.parts, ageMs(entry.time, now)));
+        casualties.push_back(Wire::CreateCasualtyDirect(
+            builder, entry.casualty.crash, entry.casualty.request, &entry.casualty.parts,
+            ageMs(entry.time, now), entry.casualty.hasBegun));
     std::vector<Wire::AnsweredPart> answers;
     for (const auto &entry : takeAnswers(queue))
         answers.emplace_back(entry.part, ageMs(entry.time, now));
@@ -208,9 +208,11 @@
     const milliseconds age(entry.age_ms());
     if (age >= MaxAge || sizeOf(entry.parts()) == 0)
         return;
-    QueuedCasualty queued {
-        {entry.crash(), entry.request(), {entry.parts()->begin(), entry.parts()->end()}},
-        m_clock.now() - age};
+    QueuedCasualty queued {{entry.crash(),
+                            entry.request(),
+                            {entry.parts()->begin(), entry.parts()->end()},
+                            entry.has_begun()},
+                           m_clock.now() - age};
     if (!isNew(queued.casualty))
         return;
     // Crashes at the same moment arrive at different times, so the time of the crash counts.
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -27,6 +27,9 @@
     std::uint64_t request = 0;
     /// Hashes of the ids of the prompt's parts, without the last one.
     std::vector<std::uint64_t> parts;
+    /// Whether the engine had begun to answer the prompt. Those that it had not begun did not make
+    /// it crash.
+    bool hasBegun = false;
 };
 
 /// A part of a prompt that an engine answered.
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -99,6 +99,7 @@
                     {"start_ms", std::to_string(startTime.count())},
                     {"crash", formatHash(casualty.crash)},
                     {"digest", formatHash(casualty.request)},
+                    {"begun", casualty.hasBegun ? "true" : "false"},
                     {"parts", parts},
                     {"part_count", std::to_string(casualty.parts.size())}});
 }
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -476,6 +476,8 @@
             if (m_gateway.onWeightsSeen)
                 m_gateway.onWeightsSeen(*m_plan->upstream, m_request.caller.model, *head.weights);
         }
+        if (m_evidence)
+            m_evidence->noteBegin();
         auto headers = Http::withoutConnectionFields(answer.headers());
         const bool isSuccess = answer.status() < 300;
         if (!head.isSealed)
--- a/Tests/LibGateway/PoisonSimulation.cpp
+++ b/Tests/LibGateway/PoisonSimulation.cpp
@@ -139,6 +139,8 @@
     if (now < engine.prefilled)
         return;
     if (engine.waiting.front().isDeadly && isStarted()) {
+        engine.begun.push_back(std::move(engine.waiting.front()));
+        engine.waiting.pop_front();
         if (++m_deadlyCrashes == 5)
             m_fifthCrash = now;
         if (m_deadlyCrashes == 3 && m_shape.restartsInstance)
@@ -163,11 +165,13 @@
     const auto id = std::uint64_t(number) * 1'000 + engine.incarnation++;
     std::deque<Prompt> lost;
     lost.swap(engine.waiting);
+    const auto waiting = lost.size();
     lost.insert(lost.end(), engine.begun.begin(), engine.begun.end());
     engine.begun.clear();
-    for (auto &prompt : lost) {
+    for (std::size_t n = 0; n < lost.size(); ++n) {
+        auto &prompt = lost[n];
         auto &instance = m_instances[prompt.instance];
-        const Gateway::PromptCasualty casualty {id, prompt.request, prompt.parts};
+        const Gateway::PromptCasualty casualty {id, prompt.request, prompt.parts, n >= waiting};
         instance.table->noteCasualty(casualty, now);
         if (instance.casualties.empty())
             instance.casualties.emplace_back();
