LibGateway: Read the log of poison parts from a single gateway

Of two gateways one may learn of the part from the other before it has convicted it, and then has no event 314; the refusal may come from either.

--- a/Tests/Platform/TestPoisonParts.cpp
+++ b/Tests/Platform/TestPoisonParts.cpp
@@ -77,10 +77,10 @@
     return request;
 }
 
-/// Two gateways, and four engines that crash on one part.
+/// Two gateways, or one, and four engines that crash on one part.
 struct Fleet
 {
-    explicit Fleet(WorkerStandIn::Behaviour behaviour)
+    explicit Fleet(WorkerStandIn::Behaviour behaviour, bool hasSecond = true)
     {
         for (int n = 1; n <= 4; ++n) {
             workers.push_back(&fixture.addWorker("w-" + std::to_string(n), "llm"));
@@ -89,6 +89,9 @@
         fixture.configure(1);
         firstProcess = &fixture.startGateway({"edge-1", 5'000, 8, GatewayFixture::freePort()});
         first = fixture.callers();
+        second = first;
+        if (!hasSecond)
+            return;
         secondProcess = &fixture.startGateway(secondOptions);
         second = fixture.callers();
     }
@@ -196,7 +199,8 @@
 
 TEST_CASE("the log leads from a refused request to the part and to the requests that were lost")
 {
-    Fleet fleet(crashOnDeadlyPart);
+    // Of two, one may learn of the part from the other, and log less.
+    Fleet fleet(crashOnDeadlyPart, false);
     REQUIRE(fleet.becomesRefused());
     const std::regex named("part ([0-9a-f]{16}) of the prompt");
     std::smatch match;
