Tests: Answer requests without a length or chunks

The users' pages allow an answer, also a stream, that has neither and ends with its connection; one that is reset, or ends inside an event, is not complete. No test sent one.

--- /dev/null
+++ b/Tests/StandIns/RawServer.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <LibHttp/Endpoint.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace StandIns {
+
+/// A connection whose server writes the bytes of its answer itself.
+class RawConnection
+{
+public:
+    explicit RawConnection(boost::asio::ip::tcp::socket &socket);
+
+    void send(std::string_view bytes);
+    /// Sends each byte on its own.
+    void sendSlowly(std::string_view bytes);
+    /// Closes the sending side.
+    void end();
+    void reset();
+    bool isReset() const { return m_isReset; }
+
+private:
+    boost::asio::ip::tcp::socket &m_socket;
+    bool m_isReset = false;
+};
+
+/// An HTTP server that answers one request on each connection with bytes of the test's choice.
+class RawServer
+{
+public:
+    /// Answers a request; called on the thread of its connection. The connection is ended
+    /// afterwards.
+    using Script = std::function<void(RawConnection &, const Http::Request &)>;
+
+    explicit RawServer(Script script);
+    ~RawServer();
+    RawServer(const RawServer &) = delete;
+    RawServer &operator=(const RawServer &) = delete;
+
+    Http::Endpoint endpoint() const { return m_endpoint; }
+    std::vector<Http::Request> requests() const;
+    /// Returns the number of bytes that clients sent after the end of an answer.
+    std::size_t bytesAfterEnd() const { return m_bytesAfterEnd; }
+    /// Returns the number of connections that clients have not closed.
+    std::size_t openConnections() const { return m_openConnections; }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    void accept();
+    void serve(Socket &socket);
+    void awaitClose(Socket &socket);
+
+    Script m_script;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Http::Endpoint m_endpoint;
+    mutable std::mutex m_mutex;
+    std::vector<Http::Request> m_requests;
+    std::list<Socket> m_sockets;
+    std::vector<std::thread> m_connections;
+    std::atomic<std::size_t> m_bytesAfterEnd {0};
+    std::atomic<std::size_t> m_openConnections {0};
+    std::thread m_thread;
+};
+
+} // namespace StandIns
