LibGateway: Check the lease right before an order's first byte

Operators saw (in a drill with a frozen process) an order with the token of a lease that had ended 2 s before.

Cause: WeightsRollout checked the lease, with its margin of 300 ms, before PlatformEngines made the connection. Client::fetch() did not pass SendOptions::maySend on, so a process that was frozen meanwhile sent the order when it went on. A pooled connection that failed was also replaced, and the order sent once more up to 1 s after the check.

The hook compares the token of the order with the one that the lease gives then, by the clock that counts suspension and with the margin. An order under a lease that ended, or was renewed, is not sent, and the engine gets the next one under the new token.

HangingLog of TestJournal has its own file, unchanged.

--- a/Libraries/LibGateway/EngineControl.h
+++ b/Libraries/LibGateway/EngineControl.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -56,8 +57,11 @@
     /// Returns the epoch of the store process.
     virtual boost::asio::awaitable<std::uint64_t> storeEpoch(Http::Endpoint store,
                                                              std::uint64_t &position) = 0;
+    /// Sends the order only if maySend, called right before its first byte is written, returns
+    /// true; otherwise throws Core::Error. An order is sent at most once.
     virtual boost::asio::awaitable<OrderOutcome> order(const UpstreamReport &engine,
-                                                       const WeightsOrder &order) = 0;
+                                                       const WeightsOrder &order,
+                                                       std::function<bool()> maySend) = 0;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/WeightsRollout.cpp
+++ b/Libraries/LibGateway/WeightsRollout.cpp
@@ -214,11 +214,15 @@
         pause(task);
 }
 
+std::optional<std::uint64_t> WeightsRollout::orderToken() const
+{
+    return m_dependencies.journal.lease().token(m_dependencies.clock.now(), OrderMargin);
+}
+
 asio::awaitable<bool> WeightsRollout::sendOrder(const Task &task, const EngineState &state)
 {
     const auto &id = task.engine->report().id;
-    const auto token =
-        m_dependencies.journal.lease().token(m_dependencies.clock.now(), OrderMargin);
+    const auto token = orderToken();
     if (!token)
         co_return false;
     WeightsOrder order;
@@ -227,7 +231,26 @@
     order.holder = m_dependencies.self.value();
     order.fencingToken = *token;
     order.expectedOrders = std::max(state.ordersAccepted, m_acceptedOrders[id]);
-    const auto outcome = co_await m_dependencies.engines.order(task.engine->report(), order);
+    // The lease may end or be renewed while the connection is made.
+    bool isOutdated = false;
+    const auto maySend = [this, &isOutdated, token] {
+        isOutdated = orderToken() != token;
+        return !isOutdated;
+    };
+    OrderOutcome outcome {};
+    try {
+        outcome = co_await m_dependencies.engines.order(task.engine->report(), order, maySend);
+    } catch (const Core::Error &) {
+        if (!isOutdated)
+            throw;
+    }
+    if (isOutdated) {
+        Core::logEvent(Core::EventId::LeaseLost,
+                       {{"upstream", id.value()},
+                        {"token", std::to_string(*token)},
+                        {"reason", "the lease ended or was renewed before an order was sent"}});
+        co_return false;
+    }
     Core::logEvent(Core::EventId::OrderSent,
                    {{"upstream", id.value()},
                     {"model", task.model},
--- a/Libraries/LibGateway/WeightsRollout.h
+++ b/Libraries/LibGateway/WeightsRollout.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace Gateway {
 
@@ -69,6 +70,8 @@
     boost::asio::awaitable<void> awaitIdle(const Task &task);
     /// Waits until fewer engines load weights than may do so at the same time.
     boost::asio::awaitable<void> awaitTurnToLoad(const Task &task);
+    /// Returns the fencing token of an order that is sent now; empty if none may be sent.
+    std::optional<std::uint64_t> orderToken() const;
     boost::asio::awaitable<bool> sendOrder(const Task &task, const EngineState &state);
     boost::asio::awaitable<void> awaitWeights(const Task &task);
     boost::asio::awaitable<EngineState> stateOf(Upstream &engine);
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -354,10 +354,20 @@
 
 asio::awaitable<Response> Client::fetch(Endpoint endpoint, Request request, ClientTimeouts timeouts,
                                         std::size_t bodyLimit, ConnectionUse use)
+{
+    SendOptions options;
+    options.use = use;
+    co_return co_await fetch(std::move(endpoint), std::move(request), timeouts, std::move(options),
+                             bodyLimit);
+}
+
+asio::awaitable<Response> Client::fetch(Endpoint endpoint, Request request, ClientTimeouts timeouts,
+                                        SendOptions options, std::size_t bodyLimit)
 {
     const auto end =
         std::chrono::steady_clock::now() + timeouts.connect + timeouts.head + timeouts.body;
-    auto exchange = co_await open(endpoint, std::move(request), timeouts, use);
+    auto exchange =
+        co_await open(std::move(endpoint), std::move(request), timeouts, std::move(options));
     Response response;
     response.status = exchange->status();
     response.headers = exchange->headers();
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -88,6 +88,11 @@
                                            std::size_t bodyLimit = DefaultBodyLimit,
                                            ConnectionUse use = ConnectionUse::PooledOrNew);
 
+    /// Overload with further options.
+    boost::asio::awaitable<Response> fetch(Endpoint endpoint, Request request,
+                                           ClientTimeouts timeouts, SendOptions options,
+                                           std::size_t bodyLimit = DefaultBodyLimit);
+
     static constexpr std::size_t DefaultBodyLimit = 64 * 1024 * 1024;
 
     struct Shared;
--- /dev/null
+++ b/Tests/LibGateway/HangingLog.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibGateway/FleetLog.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace GatewayTests {
+
+/// A log whose long polls never return, like those of a store that has lost its list of waiting
+/// readers.
+class HangingLog final : public Gateway::FleetLog
+{
+public:
+    boost::asio::awaitable<Gateway::FleetPage> newest(Gateway::FleetTopic) override
+    {
+        co_return Gateway::FleetPage();
+    }
+    boost::asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, std::uint64_t from,
+                                                    std::chrono::milliseconds wait) override
+    {
+        if (wait > std::chrono::milliseconds::zero()) {
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                            std::chrono::hours(1));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        Gateway::FleetPage page;
+        page.next = records.size();
+        for (auto n = from; n < records.size(); ++n)
+            page.records.push_back({n, {}, records[n]});
+        co_return page;
+    }
+    boost::asio::awaitable<Gateway::AppendOutcome>
+    append(Gateway::FleetTopic, std::string value,
+           std::optional<std::uint64_t> expectedEnd) override
+    {
+        Gateway::AppendOutcome outcome;
+        outcome.offset = records.size();
+        outcome.isAppended = !expectedEnd || *expectedEnd == records.size();
+        if (outcome.isAppended)
+            records.push_back(std::move(value));
+        co_return outcome;
+    }
+
+    std::vector<std::string> records;
+};
+
+} // namespace GatewayTests
--- a/Tests/LibGateway/TestJournal.cpp
+++ b/Tests/LibGateway/TestJournal.cpp
@@ -1,3 +1,5 @@
+#include "HangingLog.h"
+
 #include <LibCore/ManualClock.h>
 #include <LibGateway/FleetJournal.h>
 #include <LibGateway/OrderLease.h>
@@ -17,47 +19,7 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 using Gateway::OrderLease;
-
-namespace {
-
-/// A log whose long polls never return, like those of a store that has lost its list of waiting
-/// readers.
-class HangingLog final : public Gateway::FleetLog
-{
-public:
-    asio::awaitable<Gateway::FleetPage> newest(Gateway::FleetTopic) override
-    {
-        co_return Gateway::FleetPage();
-    }
-    asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, std::uint64_t from,
-                                             std::chrono::milliseconds wait) override
-    {
-        if (wait > 0ms) {
-            asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
-        Gateway::FleetPage page;
-        page.next = records.size();
-        for (auto n = from; n < records.size(); ++n)
-            page.records.push_back({n, {}, records[n]});
-        co_return page;
-    }
-    asio::awaitable<Gateway::AppendOutcome>
-    append(Gateway::FleetTopic, std::string value,
-           std::optional<std::uint64_t> expectedEnd) override
-    {
-        Gateway::AppendOutcome outcome;
-        outcome.offset = records.size();
-        outcome.isAppended = !expectedEnd || *expectedEnd == records.size();
-        if (outcome.isAppended)
-            records.push_back(std::move(value));
-        co_return outcome;
-    }
-
-    std::vector<std::string> records;
-};
-
-} // namespace
+using GatewayTests::HangingLog;
 
 TEST_CASE("the lease is renewed although the journal's long poll hangs while others write")
 {
