LibGateway: Hand workers the time that is left when their request leaves

A caller got 504 for a call that may run only once, and a worker had received it 1.5 s after the deadline with "1,999 ms left".

Cause: the headers, with the remaining time, were made before the connection, which may take 500 ms, and much longer for a process that is frozen meanwhile. When that goes on, the established connection is handled before the timer of the deadline, and mayStillSend() did not look at the deadline.

Change: SendOptions::onSend, called after maySend and right before the first byte, makes the headers; mayStillSend() ends a request whose deadline has passed.

Evidence: TestFrozenGateway stops the process while it connects to a worker and lets it go on 3.5 s later.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -219,6 +219,9 @@
 
 bool RequestRelay::mayStillSend()
 {
+    // The timer may not have been served yet if the process was frozen.
+    if (remainingTime() <= 0ms)
+        cancel(CancelReason::DeadlineExpired);
     if (m_cancelReason != CancelReason::None)
         return false;
     const auto &dependencies = m_gateway.dependencies();
@@ -296,9 +299,8 @@
     co_return end;
 }
 
-Http::Request RequestRelay::upstreamRequest() const
+Http::Headers RequestRelay::upstreamHeaders() const
 {
-    const auto &request = m_exchange.request();
     Dispatch dispatch;
     dispatch.upstream = m_plan->upstream->report().id;
     dispatch.remainingTime = remainingTime();
@@ -325,9 +327,7 @@
     }
     dispatch.resumeAfter =
         m_events.lastId().empty() ? m_request.caller.resumeAfter : m_events.lastId();
-    return Http::Request(request.method, request.target,
-                         m_gateway.dependencies().dialect.upstreamHeaders(request, dispatch),
-                         request.body);
+    return m_gateway.dependencies().dialect.upstreamHeaders(m_exchange.request(), dispatch);
 }
 
 asio::awaitable<RequestRelay::AttemptOutcome> RequestRelay::sendToUpstream(UpstreamLoad &load)
@@ -346,16 +346,20 @@
         m_isPlanOutdated = !mayStillSend();
         return !m_isPlanOutdated;
     };
+    // Making the connection takes some of the time that is left.
+    options.onSend = [this](Http::Request &request) { request.headers = upstreamHeaders(); };
     // The deadline timer ends the call; these timeouts only guard against a call that it misses.
     Http::ClientTimeouts timeouts;
     timeouts.connect = std::min<milliseconds>(ConnectTimeout, remainingTime());
     timeouts.head = remainingTime() + 1s;
     timeouts.body = remainingTime() + 1s;
+    const auto &received = m_exchange.request();
+    Http::Request request(received.method, received.target, {}, received.body);
     std::unique_ptr<Http::ClientExchange> answer;
     std::optional<Core::Error> failure;
     try {
         answer = co_await m_gateway.dependencies().client.open(
-            m_plan->upstream->report().endpoint, upstreamRequest(), timeouts, options);
+            m_plan->upstream->report().endpoint, std::move(request), timeouts, options);
     } catch (const Core::Error &error) {
         failure = error;
     }
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -83,7 +83,8 @@
     /// Records how long the prompt waited at its engine.
     void noteWait(EngineModel::Milliseconds untilFirstToken);
     AttemptOutcome noteInterrupted(const Core::Error &error);
-    Http::Request upstreamRequest() const;
+    /// Returns the headers of a request that is sent now.
+    Http::Headers upstreamHeaders() const;
     boost::asio::awaitable<void> finish(AttemptOutcome end);
     boost::asio::awaitable<void> refuse(const Refusal &refusal);
     boost::asio::awaitable<void> respondError(Core::ErrorKind kind, const std::string &reason,
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -325,13 +325,15 @@
 {
     const auto executor = co_await asio::this_coro::executor;
     const Shared::Key key {&asio::query(executor, asio::execution::context), endpoint};
-    const auto ensureMaySend = [&options] {
+    const auto prepareToSend = [&options, &request] {
         if ((options.abort && options.abort->isAborted())
             || (options.maySend && !options.maySend()))
             throw Core::Error(Core::ErrorKind::UpstreamUnreachable, "cancelled before sending");
+        if (options.onSend)
+            options.onSend(request);
     };
     if (auto pooled = options.use == ConnectionUse::PooledOrNew ? m_shared->take(key) : nullptr) {
-        ensureMaySend();
+        prepareToSend();
         bindAbort(options, pooled);
         auto exchange =
             std::make_unique<PooledExchange>(m_shared, key, std::move(pooled), timeouts);
@@ -344,7 +346,7 @@
         // The idle connection failed, and the request may be repeated on a new one.
     }
     auto connection = co_await connect(executor, endpoint, timeouts.connect, options);
-    ensureMaySend();
+    prepareToSend();
     auto exchange =
         std::make_unique<PooledExchange>(m_shared, key, std::move(connection), timeouts);
     if (const auto ec = co_await exchange->sendAndReadHeaders(endpoint, std::move(request)); ec)
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -57,6 +57,8 @@
     /// Called right before the first byte is written; when it returns false, the call fails with
     /// UpstreamUnreachable and nothing is sent. May be empty.
     std::function<bool()> maySend;
+    /// Called after that, to set what depends on the time of sending. May be empty.
+    std::function<void(Request &)> onSend;
     /// The TCP user timeout: how long sent bytes may stay unacknowledged before the connection is
     /// closed. An idle connection is probed, and closed when the probes stay unacknowledged about
     /// as long. Zero uses the system's default.
--- a/Tests/Platform/TestFrozenGateway.cpp
+++ b/Tests/Platform/TestFrozenGateway.cpp
@@ -9,6 +9,7 @@
 #include <poll.h>
 
 #include <csignal>
+#include <future>
 #include <stdexcept>
 #include <thread>
 
@@ -29,6 +30,10 @@
 constexpr auto Report =
     R"({"Stage":"colocated","Models":[{"Name":"model","Version":1}],"Busy":false,"Seq":0})";
 
+constexpr auto Routes =
+    R"([{"Name":"calls","Host":"a.example","PathPrefix":"/calls/","Kind":"non_idempotent",)"
+    R"("TimeoutMs":10000,"TargetLatencyMs":300,"Priority":2,"Service":"app","MaxAttempts":1}])";
+
 /// A server whose connections are established only while no connection waits to be accepted.
 class SlowlyConnectingServer
 {
@@ -103,6 +108,12 @@
     }
 }
 
+std::chrono::milliseconds handedTime(const std::string &request)
+{
+    constexpr std::string_view Field = "X-Jujubesaddle-Deadline-Ms: ";
+    return std::chrono::milliseconds(std::stol(request.substr(request.find(Field) + Field.size())));
+}
+
 } // namespace
 
 TEST_CASE("an order is not sent under a lease that ended while its connection was made")
@@ -127,3 +138,32 @@
     const auto order = awaitOrder(engine);
     CHECK(order.at("Fence").to_number<std::size_t>() > records);
 }
+
+TEST_CASE("a request is handed the time that is left when its connection has been made")
+{
+    const auto deadline = GENERATE(8'000ms, 2'000ms);
+    GatewayFixture fixture;
+    SlowlyConnectingServer worker;
+    fixture.store.put("keyed.servers", "w-1", worker.entry("app"));
+    fixture.configure(1, Routes);
+    auto &gateway = fixture.startGateway();
+    const auto occupied = worker.occupy();
+    auto request = GatewayFixture::request("/calls/a", "id-1", "GET");
+    request.headers.remove("X-Jujubesaddle-Deadline-Ms");
+    request.headers.add("X-Jujubesaddle-Deadline-Ms", std::to_string(deadline.count()));
+    auto answer =
+        std::async(std::launch::async, [&] { return fixture.send(std::move(request)).status; });
+    std::this_thread::sleep_for(UntilFrozen);
+    gateway.signal(SIGSTOP);
+    worker.accept();
+    std::this_thread::sleep_for(FrozenTime);
+    gateway.signal(SIGCONT);
+    auto socket = worker.accept();
+    const auto received = readRequest(socket);
+    // Whether the connection counts as made in time depends on the event that is handled first.
+    if (!received.empty()) {
+        CHECK(handedTime(received) <= deadline - FrozenTime);
+        respond(socket, "200 OK", "not sealed");
+    }
+    CHECK(answer.get() == (received.empty() ? 503 : 502));
+}
