--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -23,7 +23,7 @@
 // Popular parts were answered within this time after a start.
 constexpr auto LearningTime = 5s;
 constexpr unsigned MinMoments = 3;
-constexpr unsigned MinRequests = 3;
+constexpr unsigned MinRequests = 2;
 constexpr double MaxChance = 0.1;
 constexpr unsigned MinCrashesQuick = 5;
 // For parts that were sound, and for those that may have been as far as this instance knows.
