--- a/Libraries/LibGateway/CrashEvidence.cpp
+++ b/Libraries/LibGateway/CrashEvidence.cpp
@@ -22,7 +22,11 @@
     if (!crash) {
         if (m_crashes.size() >= MaxCrashes)
             m_crashes.pop_front();
-        crash = &m_crashes.emplace_back();
+        // Casualties that pass hubs arrive later than newer ones.
+        const auto next = std::upper_bound(
+            m_crashes.begin(), m_crashes.end(), now,
+            [](const auto &time, const EngineCrash &item) { return time < item.time; });
+        crash = &*m_crashes.insert(next, EngineCrash {});
         crash->id = casualty.crash;
         crash->time = now;
     }
--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -75,7 +75,7 @@
 void PoisonPartTable::noteCasualty(const PromptCasualty &casualty, Core::Clock::Monotonic now)
 {
     if (m_evidence.note(casualty, now)) {
-        m_lastCasualty = now;
+        m_lastCasualty = std::max(m_lastCasualty, now);
         m_isUndecided = true;
         renew(casualty, now);
     }
--- a/Tests/LibGateway/TestPoisonParts.cpp
+++ b/Tests/LibGateway/TestPoisonParts.cpp
@@ -230,6 +230,31 @@
     }
 }
 
+TEST_CASE("a crash that becomes known after a later one is not counted")
+{
+    Instance it;
+    const auto start = it.clock.now();
+    it.pass(2s);
+    for (const std::uint64_t crash : {5, 4, 3, 2, 1})
+        it.table.noteCasualty({crash, crash, {First, Deadly}}, start + crash * 400ms);
+    it.pass(1s);
+    CHECK(it.isPoison(Deadly));
+}
+
+TEST_CASE("a prompt that waited at the engine is suspected with the one that crashed it")
+{
+    Instance it;
+    for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+        it.table.noteCasualty({crash, crash, {First, Session}}, it.clock.now());
+        it.table.noteCasualty({crash, crash + 100, {First, Deadly}, true}, it.clock.now());
+        it.table.noteCasualty({crash, crash + 200, {First, Session}}, it.clock.now());
+        it.pass(500ms);
+    }
+    it.pass(1s);
+    CHECK(it.isPoison(Deadly));
+    CHECK_FALSE(it.isPoison(Session));
+}
+
 TEST_CASE("a poison part whose time is over is sent more often than once, or is forgotten")
 {
     Instance it;
