Tests: Freeze the gateway when its connection is seen to be pending

Supposed cause, not shown: TestFrozenGateway waited 150 ms until the gateway connects, which a loaded machine may exceed. It now waits until the kernel lists the connection as pending. The checks are the same.

--- a/Tests/Platform/TestFrozenGateway.cpp
+++ b/Tests/Platform/TestFrozenGateway.cpp
@@ -9,7 +9,9 @@
 #include <poll.h>
 
 #include <csignal>
+#include <fstream>
 #include <future>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -21,8 +23,6 @@
 
 using Socket = asio::ip::tcp::socket;
 
-// Shorter than the shortest limit for a connection, and longer than the gateway takes to start one.
-constexpr auto UntilFrozen = 150ms;
 // Longer than a lease, and than until the connection is tried again.
 constexpr auto FrozenTime = 3'500ms;
 
@@ -69,6 +69,27 @@
         return socket;
     }
 
+    /// Whether a client waits for its connection to be established.
+    bool isAwaited() const
+    {
+        constexpr std::string_view SynSent = "02";
+        std::ifstream connections("/proc/net/tcp");
+        std::string line;
+        while (std::getline(connections, line)) {
+            std::istringstream fields(line);
+            std::string number;
+            std::string local;
+            std::string remote;
+            std::string state;
+            fields >> number >> local >> remote >> state;
+            const auto port = remote.substr(remote.find(':') + 1);
+            if (state == SynSent
+                && std::stoi(port, nullptr, 16) == m_acceptor.local_endpoint().port())
+                return true;
+        }
+        return false;
+    }
+
 private:
     asio::io_context m_context;
     asio::ip::tcp::acceptor m_acceptor;
@@ -128,7 +149,7 @@
     REQUIRE(readRequest(query).starts_with("GET /report "));
     const auto occupied = engine.occupy();
     respond(query, "200 OK", Report);
-    std::this_thread::sleep_for(UntilFrozen);
+    REQUIRE(GatewayFixture::eventually([&] { return engine.isAwaited(); }));
     gateway.signal(SIGSTOP);
     const auto records = fixture.store.count("journal");
     engine.accept();
@@ -153,7 +174,7 @@
     request.headers.add("X-Jujubesaddle-Deadline-Ms", std::to_string(deadline.count()));
     auto answer =
         std::async(std::launch::async, [&] { return fixture.send(std::move(request)).status; });
-    std::this_thread::sleep_for(UntilFrozen);
+    REQUIRE(GatewayFixture::eventually([&] { return worker.isAwaited(); }));
     gateway.signal(SIGSTOP);
     worker.accept();
     std::this_thread::sleep_for(FrozenTime);
