LibGateway: Learn from siblings of weights that the log has replaced

When N+1 and N+2 are named 5 s apart, an instance that starts then sends prompts to engines with N for a further 5.7 s, up to about 10 s after N+1 was named (bound 6 s).

Cause: the operators' log keeps the newest record of a key, so the instance reads only N+2. Siblings report the ages of both. The age of N+1 was dropped as unknown, and that of N+2 replaced the assumed age, which made the engines with N younger.

Change: a reported version that is older than one that was read is added to the targets. One that is newer than all that were read is not, so the newest target, and with it the orders, still comes from the log only. It never counts as named after a newer one whose time is known.

Evidence: the new test failed before (weights 1 were outdated since version 3 was named instead of version 2); TestLibGateway passes.

--- a/Libraries/LibGateway/WeightsTargets.cpp
+++ b/Libraries/LibGateway/WeightsTargets.cpp
@@ -32,14 +32,28 @@
     for (auto &[model, targets] : m_targets) {
         if (Core::hash64(model) != report.model)
             continue;
-        for (auto &target : targets) {
-            if (target.version != report.version || target.evidence == Evidence::Read)
-                continue;
-            // A datagram that was delayed makes a target appear younger, so the oldest counts.
-            if (target.evidence == Evidence::Assumed || namedAt < target.namedAt)
-                target.namedAt = namedAt;
-            target.evidence = Evidence::Sibling;
-        }
+        const auto target = std::find_if(targets.begin(), targets.end(), [&](const Target &it) {
+            return it.version >= report.version;
+        });
+        if (target != targets.end())
+            noteReport(targets, target, {report.version, namedAt, now, Evidence::Sibling});
+    }
+}
+
+void WeightsTargets::noteReport(std::vector<Target> &targets, std::vector<Target>::iterator target,
+                                Target reported)
+{
+    // A datagram that was delayed makes a target appear younger, so the oldest counts.
+    if (target->evidence != Evidence::Assumed)
+        reported.namedAt = std::min(reported.namedAt, target->namedAt);
+    if (target->version != reported.version) {
+        // The log keeps only the newest record of a key, so this version was not read.
+        targets.insert(target, reported);
+        if (targets.size() > MaxTargets)
+            targets.erase(targets.begin());
+    } else if (target->evidence != Evidence::Read) {
+        target->namedAt = reported.namedAt;
+        target->evidence = Evidence::Sibling;
     }
 }
 
--- a/Libraries/LibGateway/WeightsTargets.h
+++ b/Libraries/LibGateway/WeightsTargets.h
@@ -45,7 +45,8 @@
 
     /// Adds a target. Returns false if the version is not higher than the newest one.
     bool addTarget(const std::string &model, const Target &target);
-    /// Applies a sibling's report of a target that this instance cannot date itself.
+    /// Applies a sibling's report of a target that this instance cannot date itself. A target that
+    /// it has not read is added if it has read a newer one.
     void noteReport(const Report &report, Core::Clock::Monotonic now);
     /// Returns the recent targets whose time does not rest on an assumption.
     std::vector<Report> reports(Core::Clock::Monotonic now) const;
@@ -59,6 +60,10 @@
                                                         std::uint64_t version) const;
 
 private:
+    /// Applies a report to the first target that is not older than the reported one.
+    static void noteReport(std::vector<Target> &targets, std::vector<Target>::iterator target,
+                           Target reported);
+
     /// Sorted by version, ascending.
     std::map<std::string, std::vector<Target>> m_targets;
 };
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -295,3 +295,27 @@
     sibling.exchange->apply(third.exchange->encode());
     CHECK(sibling.weights.outdatedSince("m", 1) == named);
 }
+
+TEST_CASE("an instance that starts uses no old weights for longer when two versions were named")
+{
+    using Evidence = Gateway::WeightsTargets::Evidence;
+    Instance sibling("one");
+    Instance starting("other");
+    const auto named = sibling.clock.now();
+    sibling.weights.addTarget("m", {2, named, named});
+    for (auto *instance : {&sibling, &starting})
+        instance->clock.advance(5s);
+    sibling.weights.addTarget("m", {3, sibling.clock.now(), sibling.clock.now()});
+    // The log keeps only the newest record of a key, so version 2 is not in what it reads.
+    const auto now = starting.clock.now();
+    starting.weights.addTarget("m", {3, now - 3s, now, Evidence::Assumed});
+    starting.exchange->apply(sibling.exchange->encode());
+    CHECK(starting.weights.outdatedSince("m", 1) == named);
+    CHECK(starting.weights.outdatedSince("m", 2) == now);
+    // A version that this instance has not read is not a target.
+    Instance behind("behind");
+    behind.clock.advance(5s);
+    behind.weights.addTarget("m", {2, named, named});
+    behind.exchange->apply(sibling.exchange->encode());
+    CHECK(behind.weights.newest().at("m").version == 2);
+}
