LibGateway: Don't double a prompt's own prefill when its begin is estimated

Cause: the whole expected time to the first token was doubled, for others that overtake the prompt. Overtaking prolongs the wait in the queue, not the prompt's own prefill or transfer.

Change: only the wait is doubled. A stream that begins later than estimated is still withdrawn in time.

Evidence: the new test failed before (no engine was chosen at the time of naming); TestLibGateway passes.

--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -18,8 +18,8 @@
 // computed with them is worth less.
 constexpr Milliseconds OutdatedWeightsCost {300};
 constexpr std::chrono::milliseconds OutdatedWeightsGrace {1'000};
-// A prompt may begin this many times as late as expected, when others overtake it.
-constexpr double BeginErrorFactor = 2;
+// A prompt may wait this many times as long as expected, when others overtake it.
+constexpr double WaitErrorFactor = 2;
 // The weight of the delay that a prompt's prefill causes for other requests at the engine.
 constexpr double PrefillDelayWeight = 1.0;
 // The share of a session's parts that is assumed to be cached at the preferred engine, since other
@@ -68,9 +68,10 @@
 bool beginsTooLate(const EngineChoice &choice, const EngineDemand &demand,
                    Core::Clock::Monotonic now)
 {
+    const auto ownTime = choice.expectedFirstToken - choice.expectedWait;
     const auto begin = now
                        + std::chrono::duration_cast<Core::Clock::Monotonic::duration>(
-                           BeginErrorFactor * choice.expectedFirstToken);
+                           WaitErrorFactor * choice.expectedWait + ownTime);
     return isOutdated(*choice.upstream, demand, demand.maxOutdatedTime, begin);
 }
 
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -197,6 +197,22 @@
     CHECK(fixture.chosen() == "idle");
 }
 
+TEST_CASE("a long prompt is not refused by all engines just because new weights were named")
+{
+    Fixture fixture;
+    Gateway::WeightsTargets targets;
+    targets.addTarget("m", {2, fixture.clock.now(), fixture.clock.now()});
+    fixture.demand.targets = &targets;
+    fixture.demand.maxOutdatedTime = 5'700ms;
+    // The engines are idle and prefill for three seconds.
+    fixture.demand.promptTokens =
+        static_cast<unsigned>(3'000 * fixture.model.tokensPerMillisecond());
+    CHECK(fixture.choose().has_value());
+    // It would not begin in time.
+    fixture.limits.now += 3s;
+    CHECK_FALSE(fixture.choose().has_value());
+}
+
 TEST_CASE("urgent prompts precede waiting ones but not the one that is being prefilled")
 {
     Fixture fixture;
