LibGateway: Send prompts that cannot be withdrawn while more of the bound is left

Since prompts may be sent up to 0.95 of the weights bound instead of 0.65, one whose answer is not a stream has 0.3 s left instead of 2.1 s. It is not withdrawn, so it begins on weights that are too old when it waits longer than expected. A stream on a route that allows no second run is withdrawn, and its caller gets an error that it did not get before.

Cause: the limit was raised for all prompts, because those that begin too late are withdrawn and sent to another engine. That holds only for streams that may run again.

Change: the other prompts are sent up to 0.65 of the bound, as before; all must be expected to begin within 0.95.

--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -17,6 +17,9 @@
 // Prompts must begin before their engine's weights have been outdated for this share of the weights
 // bound. In the rest, a prompt that is withdrawn leaves the engine's queue.
 constexpr double MaxOutdatedShare = 0.95;
+// The share up to which a prompt is sent that cannot be moved to another engine if it begins later
+// than expected.
+constexpr double MaxOutdatedShareWhenSent = 0.65;
 // Instances that may be starting or shutting down, in addition to the known members.
 constexpr unsigned SpareInstances = 1;
 // Transfers that would wait longer are not worth starting. The engines drop them beyond two
@@ -73,6 +76,11 @@
         demand.pauseTarget = request.route->gapTarget;
     demand.targets = &dependencies.weights;
     demand.maxOutdatedTime = maxOutdatedTime(gateway);
+    // Only streams are withdrawn, and only some of them are sent again then.
+    const auto &route = *request.route;
+    if (route.kind != RequestKind::Stream || !route.mayRunAgain() || route.maxAttempts < 2)
+        demand.maxOutdatedTimeWhenSent = duration_cast<milliseconds>(
+            MaxOutdatedShareWhenSent * dependencies.settings.weightsBound);
     demand.slots = engine.slots;
     demand.memoryTokens = request.memoryTokens();
     demand.memoryCapacity = engine.cacheTokens;
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -323,7 +323,9 @@
     UpstreamFleet::Members candidates;
     for (const auto &member : members) {
         if (mayReceiveRequests(*member, limits)
-            && !isOutdated(*member, demand, demand.maxOutdatedTime, limits.now))
+            && !isOutdated(*member, demand,
+                           std::min(demand.maxOutdatedTime, demand.maxOutdatedTimeWhenSent),
+                           limits.now))
             candidates.push_back(member);
     }
     const auto preferred = preferredUpstreamOf(candidates, demand.affinityKey);
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -45,6 +45,8 @@
     /// Engines are skipped if their weights would have been outdated for longer than this when they
     /// begin to answer.
     std::chrono::milliseconds maxOutdatedTime {0};
+    /// Engines are also skipped if their weights have been outdated for longer than this already.
+    std::chrono::milliseconds maxOutdatedTimeWhenSent {std::chrono::milliseconds::max()};
     unsigned slots = 1;
     /// Engine memory that the request is expected to occupy, and the total memory of an engine, in
     /// tokens.
