LibGateway: Repeat an order without an answer while its engine is paused

Cause: an order without an answer is given up after 0.7 s, and the engine is tried again after a pause of 1 s and another wait for its requests to end: one order in 2.2 s, four in the time that a roll has.

Change: the order is repeated, after a query of the engine's state, for 1.5 s while the engine is paused anyway. An order that is carried out later than the next has no effect, because it expects another number of orders.

Evidence: TestWeightsRollout "an engine that leaves orders unanswered" failed before (old weights after 6.5 s, bound 6 s) and passes. The fixture of the test of the lease serves both now; its checks are the same.

--- a/Libraries/LibGateway/WeightsRollout.cpp
+++ b/Libraries/LibGateway/WeightsRollout.cpp
@@ -30,6 +30,8 @@
 constexpr auto MaxDrainTime = 500ms;
 constexpr auto DrainPollInterval = 10ms;
 constexpr auto MaxOrderTime = 3'000ms;
+// An order without an answer is repeated for this long, while the engine is paused.
+constexpr auto RepeatTime = 1'500ms;
 constexpr auto ConflictBackOff = 250ms;
 constexpr auto FailureBackOff = 1'000ms;
 // Engines that finish their requests, in relation to those that load weights.
@@ -141,17 +143,15 @@
 
 asio::awaitable<void> WeightsRollout::updateEngine(Task task)
 {
-    std::string failure;
+    std::optional<Core::Error> failure;
     try {
         co_await loadWeights(task);
     } catch (const Core::Error &error) {
-        failure = error.what();
+        failure = error;
     }
     const auto &id = task.engine->report().id;
-    if (!failure.empty()) {
-        Core::logEvent(Core::EventId::OrderUnanswered,
-                       {{"upstream", id.value()}, {"reason", failure}});
-        m_dependencies.metrics.orders.add(1, {}, "unanswered");
+    if (failure) {
+        noteUnanswered(task, *failure);
         backOff(task, FailureBackOff);
     }
     task.engine->pauseUntil(Core::Clock::Monotonic::min());
@@ -204,11 +204,42 @@
     pause(task);
     co_await awaitIdle(task);
     co_await awaitTurnToLoad(task);
-    const bool isOrdered = co_await sendOrder(task, state);
+    const bool isOrdered = co_await sendOrderUntilAnswered(task, state);
     if (isOrdered)
         co_await awaitWeights(task);
 }
 
+asio::awaitable<bool> WeightsRollout::sendOrderUntilAnswered(const Task &task, EngineState state)
+{
+    const auto start = m_dependencies.clock.now();
+    for (;;) {
+        std::optional<Core::Error> failure;
+        try {
+            co_return co_await sendOrder(task, state);
+        } catch (const Core::Error &error) {
+            failure = error;
+        }
+        if (m_dependencies.clock.now() - start >= RepeatTime)
+            throw *failure;
+        noteUnanswered(task, *failure);
+        // The order may have been accepted. One that is carried out later than the next has no
+        // effect, since it expects another number of orders.
+        state = co_await stateOf(*task.engine);
+        if (state.isBusy || task.engine->weights(task.model) >= task.version) {
+            backOff(task, ConflictBackOff);
+            co_return false;
+        }
+        pause(task);
+    }
+}
+
+void WeightsRollout::noteUnanswered(const Task &task, const Core::Error &error) const
+{
+    Core::logEvent(Core::EventId::OrderUnanswered,
+                   {{"upstream", task.engine->report().id.value()}, {"reason", error.what()}});
+    m_dependencies.metrics.orders.add(1, {}, "unanswered");
+}
+
 void WeightsRollout::pause(const Task &task)
 {
     task.engine->pauseUntil(m_dependencies.clock.now() + PauseTime);
--- a/Libraries/LibGateway/WeightsRollout.h
+++ b/Libraries/LibGateway/WeightsRollout.h
@@ -75,6 +75,9 @@
     /// Returns the fencing token of an order that is sent now; empty if none may be sent.
     std::optional<std::uint64_t> orderToken() const;
     boost::asio::awaitable<bool> sendOrder(const Task &task, const EngineState &state);
+    /// Sends the order, again if it gets no answer. Returns whether the engine loads the weights.
+    boost::asio::awaitable<bool> sendOrderUntilAnswered(const Task &task, EngineState state);
+    void noteUnanswered(const Task &task, const Core::Error &error) const;
     boost::asio::awaitable<void> awaitWeights(const Task &task);
     boost::asio::awaitable<EngineState> stateOf(Upstream &engine);
     void noteWeights(Upstream &engine, const EngineState &state) const;
--- a/Tests/LibGateway/TestWeightsRollout.cpp
+++ b/Tests/LibGateway/TestWeightsRollout.cpp
@@ -16,15 +16,9 @@
 
 constexpr auto Model = "model";
 
-/// An engine. While the connection for the first order is made, the process is frozen.
-class EngineAfterFreeze final : public Gateway::EngineControl
+class Engine : public Gateway::EngineControl
 {
 public:
-    EngineAfterFreeze(Core::ManualClock &clock, const Gateway::FleetJournal &journal)
-        : m_clock(clock)
-        , m_journal(journal)
-    { }
-
     asio::awaitable<Gateway::EngineState> state(const Gateway::UpstreamReport &) override
     {
         Gateway::EngineState state;
@@ -35,6 +29,44 @@
     {
         co_return 0;
     }
+
+    std::uint64_t weights = 1;
+    int orders = 0;
+};
+
+/// An engine that leaves the first orders unanswered.
+class SilentEngine final : public Engine
+{
+public:
+    explicit SilentEngine(Core::ManualClock &clock)
+        : m_clock(clock)
+    { }
+
+    asio::awaitable<Gateway::OrderOutcome> order(const Gateway::UpstreamReport &,
+                                                 const Gateway::WeightsOrder &order,
+                                                 std::function<bool()>) override
+    {
+        if (++orders <= 6) {
+            m_clock.advance(300ms);
+            throw Core::Error(Core::ErrorKind::UpstreamTimedOut, "no answer");
+        }
+        weights = order.version;
+        co_return Gateway::OrderOutcome::Accepted;
+    }
+
+private:
+    Core::ManualClock &m_clock;
+};
+
+/// While the connection for the first order is made, the process is frozen.
+class EngineAfterFreeze final : public Engine
+{
+public:
+    EngineAfterFreeze(Core::ManualClock &clock, const Gateway::FleetJournal &journal)
+        : m_clock(clock)
+        , m_journal(journal)
+    { }
+
     asio::awaitable<Gateway::OrderOutcome> order(const Gateway::UpstreamReport &,
                                                  const Gateway::WeightsOrder &order,
                                                  std::function<bool()> maySend) override
@@ -49,9 +81,7 @@
         co_return Gateway::OrderOutcome::Accepted;
     }
 
-    std::uint64_t weights = 1;
     int connections = 0;
-    int orders = 0;
     bool isUnderLease = false;
 
 private:
@@ -59,45 +89,74 @@
     const Gateway::FleetJournal &m_journal;
 };
 
-} // namespace
-
-TEST_CASE("an order is not sent under a lease that ended while its connection was made")
+struct Fixture
 {
     Core::ManualClock clock;
-    clock.advance(1h);
     GatewayTests::HangingLog log;
     Gateway::PoisonRequestTable poison;
     Gateway::PoisonPartTable poisonParts;
-    Gateway::GatewaySettings settings;
-    settings.instance = Core::InstanceId("a");
-    Gateway::FleetMembers members({settings.instance, "a", {}}, clock);
-    Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
+    Gateway::GatewaySettings settings = settingsOf("a");
+    Gateway::FleetMembers members {{settings.instance, "a", {}}, clock};
+    Gateway::FleetJournal journal {log, clock, settings, poison, poisonParts, members};
     Gateway::UpstreamFleet fleet;
-    Gateway::UpstreamReport report;
-    report.id = Core::UpstreamId("engine");
-    report.weights[Model] = 1;
-    fleet.apply(report);
     Gateway::WeightsTargets targets;
-    targets.addTarget(Model, {2, clock.now(), clock.now()});
     Gateway::GatewayMetrics metrics;
-    EngineAfterFreeze engine(clock, journal);
-    Gateway::WeightsRollout rollout(
-        {journal, members, engine, fleet, targets, clock, metrics, settings});
     asio::io_context context;
-    asio::co_spawn(context, journal.watch(), asio::detached);
-    asio::co_spawn(context, rollout.run(), asio::detached);
-    asio::co_spawn(
-        context,
-        [&]() -> asio::awaitable<void> {
-            for (int n = 0; n < 1'000 && engine.orders == 0; ++n) {
-                co_await Gateway::sleepFor(5ms);
-                clock.advance(5ms);
-            }
-            context.stop();
-        },
-        asio::detached);
-    context.run();
+
+    Fixture()
+    {
+        clock.advance(1h);
+        Gateway::UpstreamReport report;
+        report.id = Core::UpstreamId("engine");
+        report.weights[Model] = 1;
+        fleet.apply(report);
+        targets.addTarget(Model, {2, clock.now(), clock.now()});
+    }
+    static Gateway::GatewaySettings settingsOf(const std::string &name)
+    {
+        Gateway::GatewaySettings settings;
+        settings.instance = Core::InstanceId(name);
+        return settings;
+    }
+    /// Runs the rollout until the engine has the new weights, for some seconds at most.
+    void roll(Engine &engine)
+    {
+        Gateway::WeightsRollout rollout(
+            {journal, members, engine, fleet, targets, clock, metrics, settings});
+        asio::co_spawn(context, journal.watch(), asio::detached);
+        asio::co_spawn(context, rollout.run(), asio::detached);
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                for (int n = 0; n < 1'000 && engine.weights == 1; ++n) {
+                    co_await Gateway::sleepFor(5ms);
+                    clock.advance(5ms);
+                }
+                context.stop();
+            },
+            asio::detached);
+        context.run();
+    }
+};
+
+} // namespace
+
+TEST_CASE("an order is not sent under a lease that ended while its connection was made")
+{
+    Fixture fixture;
+    EngineAfterFreeze engine(fixture.clock, fixture.journal);
+    fixture.roll(engine);
     CHECK(engine.connections == 2);
     CHECK(engine.orders == 1);
     CHECK(engine.isUnderLease);
 }
+
+TEST_CASE("an engine that leaves orders unanswered misses the weights bound")
+{
+    Fixture fixture;
+    SilentEngine engine(fixture.clock);
+    const auto named = fixture.clock.now();
+    fixture.roll(engine);
+    CHECK(engine.weights == 2);
+    CHECK(fixture.clock.now() - named < fixture.settings.weightsBound);
+}
