LibGateway: Assume the age of weights that are named in an outage

Cause: a target counts from the previous read, however long ago that was. The time says nothing about an outage, in which operators can hardly name weights either.

Change: beyond half of the bound the age is assumed, as at a start, until a sibling that read in time tells it.

The test failed before (outdated since 20 s instead of 3 s).

--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -152,8 +152,8 @@
     const auto now = m_dependencies.clock.now();
     const auto age = m_dependencies.configuration.age(now);
     WeightsTargets::Target entry {target.version, now - age, now};
-    if (age == std::chrono::nanoseconds::max()) {
-        // It may have been named at any time before this instance started.
+    if (age > m_dependencies.assumedWeightsAge) {
+        // It may have been named at any time before this instance started, or in an outage.
         entry.namedAt = now - m_dependencies.assumedWeightsAge;
         entry.evidence = WeightsTargets::Evidence::Assumed;
     }
--- a/Libraries/LibGateway/FleetWatcher.h
+++ b/Libraries/LibGateway/FleetWatcher.h
@@ -31,8 +31,8 @@
         ConfigurationState &configuration;
         WeightsTargets &weights;
         UpstreamFleet &fleet;
-        /// The assumed age of weights that were named before the instance started, until a sibling
-        /// tells it.
+        /// The assumed age of weights that were named before the instance started or in an outage,
+        /// until a sibling tells it.
         std::chrono::milliseconds assumedWeightsAge {0};
     };
 
--- a/Libraries/LibGateway/WeightsTargets.h
+++ b/Libraries/LibGateway/WeightsTargets.h
@@ -17,7 +17,8 @@
 public:
     /// What the time of a target rests on.
     enum class Evidence {
-        /// The target was there when this instance started to read, so the time is an assumption.
+        /// The target was named before this instance started to read, or in an outage, so the time
+        /// is an assumption.
         Assumed,
         Sibling,
         /// An earlier read did not contain the target.
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -120,6 +120,15 @@
     CHECK(fixture.weights.outdatedSince("m", 1) == fixture.clock.now() - 3s);
 }
 
+TEST_CASE("weights named after an outage of the store do not make all engines too old at once")
+{
+    Fixture fixture;
+    fixture.configuration.confirm(fixture.clock.now());
+    fixture.clock.advance(20s);
+    fixture.watcher.applyOperator({0, "version/m", "m=2"});
+    CHECK(fixture.weights.outdatedSince("m", 1) == fixture.clock.now() - 3s);
+}
+
 TEST_CASE("an upstream's older report is ignored, and a new incarnation clears its cached parts")
 {
     Fixture fixture;
