LibGateway: Blame no engine for an attempt that this instance gave up

A resumed stream that is withdrawn, and a request that is not sent because its plan is outdated, counted as failures of the engine, which then got fewer requests. While an error's body is read, the timer for the begin of a stream could still log a withdrawal.

Change: an attempt whose plan became outdated is no outcome of the engine; the timer ends when a whole answer is read.

No test of its own: the failure share is not visible outside the process.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -333,7 +333,7 @@
     if (end == AttemptOutcome::Answered)
         m_plan->upstream->noteOutcome(true, now);
     else if (end != AttemptOutcome::Cancelled && end != AttemptOutcome::NotExecuted
-             && end != AttemptOutcome::Withdrawn)
+             && !m_isPlanOutdated)
         m_plan->upstream->noteOutcome(false, now);
     co_return end;
 }
@@ -551,6 +551,7 @@
 asio::awaitable<RequestRelay::AttemptOutcome> RequestRelay::relayWhole(Http::ClientExchange &answer,
                                                                        Http::Headers headers)
 {
+    m_beginTimer.reset();
     Http::Response response(answer.status(), std::move(headers), {});
     while (auto chunk = co_await answer.readSome()) {
         response.body += *chunk;
