LibGateway: Try a poison part only with prompts that have no other

A prompt with two poison parts, the first of which may be tried again, was sent although the second one was still refused: the trial could not tell anything about the first part, and crashed one more engine. With a popular first part this would repeat after each trial interval of 10 s, and count against the three requests that are allowed.

Cause: findPoison() returned the first poison part of the prompt, and the part that is tried hides all others.

It now returns the part that is refused longest, so a prompt is sent only when the time of all its poison parts is over. The new test fails before (the prompt may be sent) and holds now.

--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <unordered_set>
 
 namespace Gateway {
 
@@ -187,12 +186,18 @@
 {
     if (m_poison.empty())
         return std::nullopt;
+    std::optional<std::uint64_t> result;
+    Core::Clock::Monotonic latest;
     for (const auto part : parts) {
         const auto it = m_poison.find(part);
-        if (it != m_poison.end() && !isExpired(it->second.until, it->second.convictions, now))
-            return part;
+        if (it == m_poison.end() || isExpired(it->second.until, it->second.convictions, now))
+            continue;
+        if (result && it->second.until <= latest)
+            continue;
+        result = part;
+        latest = it->second.until;
     }
-    return std::nullopt;
+    return result;
 }
 
 bool PoisonPartTable::mayTry(std::uint64_t part, Core::Clock::Monotonic now)
@@ -290,10 +295,16 @@
         if (crashes.size() < MinMoments || m_poison.contains(part))
             continue;
         const auto total = charge(part, crashes, anyCrash);
+        if (!total.isSeveralTimes())
+            continue;
         const auto others = explanations(total, suspects);
-        auto open = charge(part, crashes, [&](const EngineCrash &crash) {
+        const auto isOpen = [&](const EngineCrash &crash) {
             return now - crash.time >= SettlingTime && !containsAny(crash, others);
-        });
+        };
+        auto open = charge(part, crashes, isOpen);
+        if (!open.isSeveralTimes())
+            continue;
+        addRequests(open, crashes, isOpen);
         open.others = others;
         open.proof = proof(open, suspects, now);
         if (open.proof != Proof::None)
@@ -321,6 +332,11 @@
     return std::nullopt;
 }
 
+bool PoisonPartTable::Charge::isSeveralTimes() const
+{
+    return moments >= MinMoments || (moments >= 2 && crashes >= MinCrashesQuick);
+}
+
 PoisonPartTable::Charge PoisonPartTable::charge(std::uint64_t part,
                                                 const CrashEvidence::Crashes &crashes,
                                                 const Counts &counts) const
@@ -329,7 +345,6 @@
     result.part = part;
     result.lastAnswer = m_answered.lastAnswer(part);
     Core::Clock::Monotonic moment;
-    std::unordered_set<std::uint64_t> requests;
     for (const auto *crash : crashes) {
         if ((result.lastAnswer && crash->time <= *result.lastAnswer) || !counts(*crash))
             continue;
@@ -340,20 +355,30 @@
             ++result.moments;
             moment = crash->time;
         }
-        const auto &item = crash->parts.at(part);
-        requests.insert(item.requests.begin(), item.requests.end());
-        result.depth = std::max(result.depth, item.depth);
     }
-    result.requests = static_cast<unsigned>(requests.size());
     return result;
 }
 
+void PoisonPartTable::addRequests(Charge &charge, const CrashEvidence::Crashes &crashes,
+                                  const Counts &counts) const
+{
+    std::vector<std::uint64_t> requests;
+    for (const auto *crash : crashes) {
+        if ((charge.lastAnswer && crash->time <= *charge.lastAnswer) || !counts(*crash))
+            continue;
+        const auto &item = crash->parts.at(charge.part);
+        requests.insert(requests.end(), item.requests.begin(), item.requests.end());
+        charge.depth = std::max(charge.depth, item.depth);
+    }
+    std::sort(requests.begin(), requests.end());
+    const auto end = std::unique(requests.begin(), requests.end());
+    charge.requests = static_cast<unsigned>(end - requests.begin());
+}
+
 PoisonPartTable::Proof PoisonPartTable::proof(const Charge &charge, const Suspects &suspects,
                                               Core::Clock::Monotonic now) const
 {
-    const bool isSeveralTimes =
-        charge.moments >= MinMoments || (charge.moments >= 2 && charge.crashes >= MinCrashesQuick);
-    if (!isSeveralTimes || charge.requests < MinRequests)
+    if (charge.requests < MinRequests)
         return Proof::None;
     const auto odds = this->odds(charge, suspects, now);
     const bool hasLearned = m_firstAnswer && now - *m_firstAnswer >= LearningTime;
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonPartTable.h
@@ -68,7 +68,8 @@
     /// Records that a sibling or the journal reported a poison part.
     void notePoison(const PoisonPart &poison, Core::Clock::Monotonic now);
 
-    /// Returns the poison part among the parts of a prompt; empty if there is none.
+    /// Returns the poison part among the parts of a prompt, of several the one that is refused
+    /// longest; empty if there is none.
     std::optional<std::uint64_t> findPoison(std::span<const std::uint64_t> parts,
                                             Core::Clock::Monotonic now) const;
     /// Returns whether one prompt with a poison part may be sent to find out whether it still
@@ -117,6 +118,8 @@
         Core::Clock::Monotonic lastCrash;
         /// The poison parts that explain other crashes.
         std::vector<std::uint64_t> others;
+
+        bool isSeveralTimes() const;
     };
     using Suspects = CrashEvidence::Suspects;
     using Counts = std::function<bool(const EngineCrash &)>;
@@ -127,8 +130,11 @@
     void judge(Core::Clock::Monotonic now);
     std::optional<Charge> strongestCharge(const Suspects &suspects,
                                           Core::Clock::Monotonic now) const;
+    /// Counts the crashes. The requests in them are counted by addRequests(), which takes longer.
     Charge charge(std::uint64_t part, const CrashEvidence::Crashes &crashes,
                   const Counts &counts) const;
+    void addRequests(Charge &charge, const CrashEvidence::Crashes &crashes,
+                     const Counts &counts) const;
     Proof proof(const Charge &charge, const Suspects &suspects, Core::Clock::Monotonic now) const;
     CrashOdds odds(const Charge &charge, const Suspects &suspects,
                    Core::Clock::Monotonic now) const;
--- a/Tests/LibGateway/TestPoisonParts.cpp
+++ b/Tests/LibGateway/TestPoisonParts.cpp
@@ -278,6 +278,21 @@
     CHECK_FALSE(it.isPoison(Deadly));
 }
 
+TEST_CASE("a part is tried with a prompt whose other poison part is still refused")
+{
+    Instance it;
+    it.table.notePoison({Session, 10s, 1}, it.clock.now());
+    it.table.notePoison({Deadly, 60s, 1}, it.clock.now());
+    it.clock.advance(20s);
+    for (const auto &parts :
+         {std::vector {First, Session, Deadly}, std::vector {First, Deadly, Session}}) {
+        const auto part = it.table.findPoison(parts, it.clock.now());
+        REQUIRE(part);
+        CHECK_FALSE(it.table.mayTry(*part, it.clock.now()));
+    }
+    CHECK(it.table.mayTry(Session, it.clock.now()));
+}
+
 TEST_CASE("siblings refresh each other's poison parts forever")
 {
     Core::ManualClock clock;
