LibGateway: Keep a shared first part when all engines stop in turn

Callers would see every prompt of a route refused for 60 s or more: when 12 engines stop one each 50 ms, and each has begun one prompt, the part that all prompts share is convicted although it was in each earlier answer.

Cause: (1) The share of a part in the prompts was taken from what was lost in the crashes alone, which for one lost prompt each says that it is rare. (2) The answers that were counted as answers without the part began up to 500 ms before the first crash, so they were answers with it.

The share is now at least that of earlier own answers, if that is a quarter or more, and answers are counted from when they began.

The new test fails before (32 of 160 checks) and holds now. "prompts are refused after crashes without a deadly part" holds. Still convicted: the shared part of one route while another route is answered.

--- a/Libraries/LibGateway/AnsweredParts.cpp
+++ b/Libraries/LibGateway/AnsweredParts.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t MaxParts = 20'000;
+// A part of few answers is taken for a rare one.
+constexpr double RareAnswers = 20;
 
 } // namespace
 
@@ -25,6 +27,28 @@
     m_order.pop_front();
 }
 
+void AnsweredParts::noteOwn(std::span<const std::uint64_t> parts, Core::Clock::Monotonic time)
+{
+    for (const auto part : parts) {
+        note(part, time);
+        auto &entry = *m_parts.at(part);
+        if (!entry.count)
+            entry.before = m_ownAnswers;
+        ++entry.count;
+    }
+    ++m_ownAnswers;
+}
+
+double AnsweredParts::share(std::uint64_t part) const
+{
+    const auto it = m_parts.find(part);
+    if (it == m_parts.end() || !it->second->count)
+        return 0;
+    const auto &entry = *it->second;
+    const auto answers = static_cast<double>(m_ownAnswers - entry.before);
+    return std::min(1.0, (entry.count - 1) / (answers + RareAnswers));
+}
+
 std::optional<Core::Clock::Monotonic> AnsweredParts::lastAnswer(std::uint64_t part) const
 {
     const auto it = m_parts.find(part);
--- a/Libraries/LibGateway/CrashOdds.cpp
+++ b/Libraries/LibGateway/CrashOdds.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Few prompts are lost with each crash, so what was lost shows a popular part as a rare one. The
+// share of a less popular part may have changed.
+constexpr double MinPopularShare = 0.25;
+
 /// Returns the probability that at least `count` of the events occur.
 double atLeast(std::size_t count, const std::vector<double> &probabilities)
 {
@@ -25,7 +29,7 @@
 } // namespace
 
 CrashOdds crashOdds(std::uint64_t part, const CrashEvidence::Crashes &crashes, std::size_t maxParts,
-                    double answers)
+                    double answers, double answeredShare)
 {
     // One prompt of each crash is the one to explain; the others show the part's share. Before any
     // others were lost, the part is taken for a rare one.
@@ -48,6 +52,8 @@
         return odds;
     odds.crashShare = double(count) / double(crashes.size());
     odds.promptShare = withPart / prompts;
+    if (answeredShare >= MinPopularShare)
+        odds.promptShare = std::max(odds.promptShare, answeredShare);
     if (odds.crashShare < CrashOdds::MinCrashShare)
         return odds;
     // The first crash was chosen because it has the part.
--- a/Libraries/LibGateway/CrashOdds.h
+++ b/Libraries/LibGateway/CrashOdds.h
@@ -20,8 +20,9 @@
 };
 
 /// Returns the odds of a part over these crashes, the first of which has the part, and over this
-/// many answers to prompts without it. At most `maxParts` parts are known to be in any crash.
+/// many answers to prompts without it. The part was in this share of earlier answers. At most
+/// `maxParts` parts are known to be in any crash.
 CrashOdds crashOdds(std::uint64_t part, const CrashEvidence::Crashes &crashes, std::size_t maxParts,
-                    double answers);
+                    double answers, double answeredShare);
 
 } // namespace Gateway
--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -110,11 +110,14 @@
 {
     if (!m_firstAnswer)
         m_firstAnswer = now;
-    if (m_answerCounts.empty() || now - m_answerCounts.back().first >= JudgementInterval)
-        m_answerCounts.emplace_back(now, 0);
+    // As old as the answers of the parts; otherwise they would count as answers without them.
+    const auto begin = now - AnswerTime;
+    if (m_answerCounts.empty() || begin - m_answerCounts.back().first >= JudgementInterval)
+        m_answerCounts.emplace_back(begin, 0);
     ++m_answerCounts.back().second;
     while (now - m_answerCounts.front().first >= RetentionTime)
         m_answerCounts.pop_front();
+    m_answered.noteOwn(parts, now - AnswerTime);
     for (const auto part : parts)
         noteAnswer(part, now - AnswerTime);
     judgeIfDue(now);
@@ -438,7 +441,7 @@
         if (time > charge.firstCrash && now - time >= MaxReportDelay)
             answers += count;
     }
-    return crashOdds(charge.part, crashes, suspects.size(), answers);
+    return crashOdds(charge.part, crashes, suspects.size(), answers, m_answered.share(charge.part));
 }
 
 std::vector<std::uint64_t> PoisonPartTable::explanations(const Charge &charge,
--- a/Tests/LibGateway/TestPoisonParts.cpp
+++ b/Tests/LibGateway/TestPoisonParts.cpp
@@ -134,6 +134,26 @@
     CHECK(it.table.poisonParts(it.clock.now()).empty());
 }
 
+TEST_CASE("a first part that all prompts share is refused after all engines stop in turn")
+{
+    for (const auto pause : {20ms, 50ms, 100ms, 200ms}) {
+        Instance it;
+        for (std::uint64_t n = 0; n < 100; ++n)
+            it.pass(100ms, {First, 1'000 + n});
+        for (std::uint64_t n = 0; n < 12; ++n) {
+            // The prompt that each engine had begun.
+            it.table.noteCasualty({n, ++it.requests, {First, 2'000 + n}, true}, it.clock.now());
+            it.clock.advance(pause);
+            it.table.noteAnswered(std::vector {First, 3'000 + n}, it.clock.now());
+        }
+        CAPTURE(pause.count());
+        for (int n = 0; n < 40; ++n, it.clock.advance(100ms)) {
+            it.table.takeAnsweredSuspects(it.clock.now());
+            CHECK_FALSE(it.isPoison(First));
+        }
+    }
+}
+
 TEST_CASE("a part is refused for one crash or one request that is reported again and again")
 {
     Instance it;
