--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonPartTable.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <unordered_set>
 
 namespace Gateway {
 
@@ -111,11 +110,14 @@
 {
     if (!m_firstAnswer)
         m_firstAnswer = now;
-    if (m_answerCounts.empty() || now - m_answerCounts.back().first >= JudgementInterval)
-        m_answerCounts.emplace_back(now, 0);
+    // As old as the answers of the parts; otherwise they would count as answers without them.
+    const auto begin = now - AnswerTime;
+    if (m_answerCounts.empty() || begin - m_answerCounts.back().first >= JudgementInterval)
+        m_answerCounts.emplace_back(begin, 0);
     ++m_answerCounts.back().second;
     while (now - m_answerCounts.front().first >= RetentionTime)
         m_answerCounts.pop_front();
+    m_answered.noteOwn(parts, now - AnswerTime);
     for (const auto part : parts)
         noteAnswer(part, now - AnswerTime);
     judgeIfDue(now);
@@ -166,7 +168,7 @@
         return;
     const auto it = m_poison.find(poison.part);
     if (it == m_poison.end()) {
-        if (isExplained(poison.part, m_evidence.suspects(1)))
+        if (isExplained(poison.part, m_evidence.suspects()))
             return;
         makeRoom();
         m_poison[poison.part] = {now, until - length, until, {}, poison.convictions};
@@ -187,12 +189,18 @@
 {
     if (m_poison.empty())
         return std::nullopt;
+    std::optional<std::uint64_t> result;
+    Core::Clock::Monotonic latest;
     for (const auto part : parts) {
         const auto it = m_poison.find(part);
-        if (it != m_poison.end() && !isExpired(it->second.until, it->second.convictions, now))
-            return part;
+        if (it == m_poison.end() || isExpired(it->second.until, it->second.convictions, now))
+            continue;
+        if (result && it->second.until <= latest)
+            continue;
+        result = part;
+        latest = it->second.until;
     }
-    return std::nullopt;
+    return result;
 }
 
 bool PoisonPartTable::mayTry(std::uint64_t part, Core::Clock::Monotonic now)
@@ -217,7 +225,7 @@
     if (m_published.size() > MaxPublishedParts)
         m_published.clear();
     std::vector<std::pair<std::size_t, AnsweredPart>> news;
-    for (const auto &[part, crashes] : m_evidence.suspects(1)) {
+    for (const auto &[part, crashes] : m_evidence.suspects()) {
         const auto answer = recentAnswer(part, now);
         if (answer && isNews(part, *answer, crashes)) {
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *answer);
@@ -272,7 +280,7 @@
 
 void PoisonPartTable::judge(Core::Clock::Monotonic now)
 {
-    const auto suspects = m_evidence.suspects(1);
+    const auto &suspects = m_evidence.suspects();
     for (std::size_t n = 0; n < MaxPoisonParts; ++n) {
         const auto charge = strongestCharge(suspects, now);
         if (!charge)
@@ -290,10 +298,16 @@
         if (crashes.size() < MinMoments || m_poison.contains(part))
             continue;
         const auto total = charge(part, crashes, anyCrash);
+        if (!total.isSeveralTimes())
+            continue;
         const auto others = explanations(total, suspects);
-        auto open = charge(part, crashes, [&](const EngineCrash &crash) {
+        const auto isOpen = [&](const EngineCrash &crash) {
             return now - crash.time >= SettlingTime && !containsAny(crash, others);
-        });
+        };
+        auto open = charge(part, crashes, isOpen);
+        if (!open.isSeveralTimes())
+            continue;
+        addRequests(open, crashes, isOpen);
         open.others = others;
         open.proof = proof(open, suspects, now);
         if (open.proof != Proof::None)
@@ -321,6 +335,11 @@
     return std::nullopt;
 }
 
+bool PoisonPartTable::Charge::isSeveralTimes() const
+{
+    return moments >= MinMoments || (moments >= 2 && crashes >= MinCrashesQuick);
+}
+
 PoisonPartTable::Charge PoisonPartTable::charge(std::uint64_t part,
                                                 const CrashEvidence::Crashes &crashes,
                                                 const Counts &counts) const
@@ -329,7 +348,6 @@
     result.part = part;
     result.lastAnswer = m_answered.lastAnswer(part);
     Core::Clock::Monotonic moment;
-    std::unordered_set<std::uint64_t> requests;
     for (const auto *crash : crashes) {
         if ((result.lastAnswer && crash->time <= *result.lastAnswer) || !counts(*crash))
             continue;
@@ -340,20 +358,30 @@
             ++result.moments;
             moment = crash->time;
         }
-        const auto &item = crash->parts.at(part);
-        requests.insert(item.requests.begin(), item.requests.end());
-        result.depth = std::max(result.depth, item.depth);
     }
-    result.requests = static_cast<unsigned>(requests.size());
     return result;
 }
 
+void PoisonPartTable::addRequests(Charge &charge, const CrashEvidence::Crashes &crashes,
+                                  const Counts &counts) const
+{
+    std::vector<std::uint64_t> requests;
+    for (const auto *crash : crashes) {
+        if ((charge.lastAnswer && crash->time <= *charge.lastAnswer) || !counts(*crash))
+            continue;
+        const auto &item = crash->parts.at(charge.part);
+        requests.insert(requests.end(), item.requests.begin(), item.requests.end());
+        charge.depth = std::max(charge.depth, item.depth);
+    }
+    std::sort(requests.begin(), requests.end());
+    const auto end = std::unique(requests.begin(), requests.end());
+    charge.requests = static_cast<unsigned>(end - requests.begin());
+}
+
 PoisonPartTable::Proof PoisonPartTable::proof(const Charge &charge, const Suspects &suspects,
                                               Core::Clock::Monotonic now) const
 {
-    const bool isSeveralTimes =
-        charge.moments >= MinMoments || (charge.moments >= 2 && charge.crashes >= MinCrashesQuick);
-    if (!isSeveralTimes || charge.requests < MinRequests)
+    if (charge.requests < MinRequests)
         return Proof::None;
     const auto odds = this->odds(charge, suspects, now);
     const bool hasLearned = m_firstAnswer && now - *m_firstAnswer >= LearningTime;
@@ -413,7 +441,7 @@
         if (time > charge.firstCrash && now - time >= MaxReportDelay)
             answers += count;
     }
-    return crashOdds(charge.part, crashes, suspects.size(), answers);
+    return crashOdds(charge.part, crashes, suspects.size(), answers, m_answered.share(charge.part));
 }
 
 std::vector<std::uint64_t> PoisonPartTable::explanations(const Charge &charge,
