--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,33 +1,19 @@
 #include "../standins/Site.h"
 
-// Two gateways give orders to engines in turn. The settings file of both changes: LeaseMs becomes
-// longer. Then the gateway that gives the orders is removed for good, and new weights are named.
+// A requester sends one request on a channel. Its Transfer-Encoding is one that HTTP/1.1 does not
+// know, and its body is text that looks like another request.
 
 namespace {
 
 using namespace Review;
 
-constexpr std::size_t Engines = 3;
-constexpr unsigned LeaseMs = 3'000;
-constexpr unsigned ChangedLeaseMs = 8'000;
-constexpr Milliseconds LoadTime {290};
-constexpr Milliseconds SettleTime {3'000};
-constexpr Milliseconds Patience {30'000};
+constexpr Milliseconds Patience {3'000};
 
-struct Order
-{
-    Milliseconds at {0};
-    std::string engine;
-    std::string holder;
-    std::uint64_t fence = 0;
-    std::uint64_t version = 0;
-    int status = 0;
-};
-
-class Engine
+/// A worker that notes the requests that it runs, with their bodies.
+class Worker
 {
 public:
-    Engine(std::string id, Record &record)
+    Worker(std::string id, Record &record)
         : m_id(std::move(id))
         , m_record(record)
         , m_server([this](int fd, const Message &request) { return answer(fd, request); })
@@ -36,204 +22,117 @@
     std::string entry() const
     {
         return boost::json::serialize(
-            boost::json::object {{"Service", "keelemudel"},
+            boost::json::object {{"Service", "trukitellimus"},
                                  {"Address", "127.0.0.1:" + std::to_string(m_server.port())},
                                  {"Zone", "harju-a"},
                                  {"Version", "v1"},
-                                 {"Slots", 64},
+                                 {"Slots", 6},
                                  {"State", "ready"},
                                  {"ColdLeftMs", 0},
-                                 {"Stage", "colocated"},
-                                 {"Models", models(1)},
                                  {"born", 1'700'000'000'000},
                                  {"Seq", 1}});
     }
-    std::vector<Order> orders() const
-    {
-        const std::scoped_lock lock(m_mutex);
-        return m_orders;
-    }
-    std::uint64_t version() const
+    /// Returns the bodies of the requests that were run, by id.
+    std::map<std::string, std::string> runs() const
     {
         const std::scoped_lock lock(m_mutex);
-        return Clock::now() >= m_loadedAt ? m_next : m_version;
+        return m_runs;
     }
 
 private:
-    static boost::json::array models(std::uint64_t version)
-    {
-        return {boost::json::object {
-            {"Name", "daka510000"}, {"Version", version}, {"Adapters", boost::json::array {}}}};
-    }
-
     bool answer(int fd, const Message &request)
     {
+        const auto id = request.header("x-jujubesaddle-attempt-id");
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_runs[id] = request.body;
+        }
+        m_record.line(m_id + " runs " + id + ": " + request.method + " " + request.target
+                      + " with a body of " + std::to_string(request.body.size()) + " bytes");
         Message response;
-        const auto expected = request.header("x-jujubesaddle-expect-instance");
-        if (!expected.empty() && expected != m_id)
-            response.status = 421;
-        else if (request.target == "/report")
-            response.body = report();
-        else if (request.target == "/order")
-            response.status = takeOrder(request.body);
-        else
-            response.status = 404;
+        response.headers = sealedHeaders(request, m_id);
+        response.body = "answer to " + id;
         return sendAll(fd, responseBytes(response));
     }
 
-    std::string report() const
-    {
-        const std::scoped_lock lock(m_mutex);
-        const bool isBusy = Clock::now() < m_loadedAt;
-        return boost::json::serialize(
-            boost::json::object {{"Stage", "colocated"},
-                                 {"Models", models(isBusy ? m_version : m_next)},
-                                 {"Busy", isBusy},
-                                 {"Seq", m_accepted},
-                                 {"Waiting", 0},
-                                 {"Running", 0},
-                                 {"KvUsed", 0},
-                                 {"KvTotal", 284'232},
-                                 {"Handles", 0}});
-    }
-
-    int takeOrder(const std::string &body)
-    {
-        const auto fields = boost::json::parse(body).as_object();
-        Order order;
-        order.at = m_record.elapsed();
-        order.engine = m_id;
-        order.holder = fields.at("Holder").as_string().c_str();
-        order.fence = fields.at("Fence").to_number<std::uint64_t>();
-        order.version = fields.at("Version").to_number<std::uint64_t>();
-        const std::scoped_lock lock(m_mutex);
-        const bool isBusy = Clock::now() < m_loadedAt;
-        const auto *expected = fields.if_contains("Expect");
-        if (!isBusy && order.version == m_next)
-            order.status = 200;
-        else if (isBusy || (expected && expected->to_number<std::uint64_t>() != m_accepted))
-            order.status = 409;
-        else
-            order.status = 202;
-        if (order.status == 202) {
-            ++m_accepted;
-            m_version = m_next;
-            m_next = order.version;
-            m_loadedAt = Clock::now() + LoadTime;
-        }
-        m_orders.push_back(order);
-        m_record.line("order to " + m_id + " from " + order.holder + ", generation number "
-                      + std::to_string(order.fence) + ", version " + std::to_string(order.version)
-                      + ": " + std::to_string(order.status));
-        return order.status;
-    }
-
     std::string m_id;
     Record &m_record;
     mutable std::mutex m_mutex;
-    std::vector<Order> m_orders;
-    std::uint64_t m_accepted = 0;
-    std::uint64_t m_version = 1;
-    std::uint64_t m_next = 1;
-    Clock::time_point m_loadedAt = Clock::now();
+    std::map<std::string, std::string> m_runs;
     HttpServer m_server;
 };
 
 std::string configuration()
 {
     return R"({"Version":1,
- "Routes":[{"Name":"spread-check","Host":"jepu9.example","PathPrefix":"/spreads/",
-            "Service":"keelemudel","Kind":"streaming","Resumable":true,"Sticky":true,
-            "TimeoutMs":15000,"MaxAttempts":2,"TargetLatencyMs":500,"GapAimMs":300,"Priority":0}],
- "Services":[{"Name":"keelemudel","HealthPath":"/healthz","MaxConns":370,
-              "Engine":{"Slots":64,"KvCapacity":284232,"TokenKvBytes":327680,
-                        "LinkMbps":1100000}}],
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":4000,
-           "IdleTimeoutMs":30000},
+ "Routes":[{"Name":"proof-view","Host":"jepu9.example","PathPrefix":"/views/","Public":false,
+            "Service":"trukitellimus","Kind":"idempotent","TimeoutMs":2000,"MaxAttempts":2,
+            "TargetLatencyMs":300,"Priority":2},
+           {"Name":"proof-approve","Host":"jepu9.example","PathPrefix":"/approvals/",
+            "Public":false,"Service":"trukitellimus","Kind":"non_idempotent","TimeoutMs":2000,
+            "MaxAttempts":1,"TargetLatencyMs":300,"Priority":2}],
+ "Services":[{"Name":"trukitellimus","HealthPath":"/healthz","MaxConns":110}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+           "IdleTimeoutMs":15000},
  "Tenants":[{"Name":"sese880","ApiKeys":["key1"]}]})";
 }
 
-std::string target(std::uint64_t version)
+std::string head(const std::string &line, const std::string &id)
 {
-    return boost::json::serialize(
-        boost::json::object {{"Model", "daka510000"}, {"Version", version}});
-}
-
-/// Returns 1 if two holders took turns at a worker within the time.
-int judge(const std::list<Engine> &engines, unsigned leaseMs, Record &record)
-{
-    int code = 2;
-    for (const auto &engine : engines) {
-        const auto orders = engine.orders();
-        for (std::size_t n = 1; n < orders.size(); ++n) {
-            if (orders[n].holder == orders[n - 1].holder)
-                continue;
-            const auto gap = orders[n].at - orders[n - 1].at;
-            const bool isBroken = gap < Milliseconds(leaseMs);
-            record.line(engine.id() + ": " + orders[n].holder + " gave an order "
-                        + std::to_string(gap.count()) + " ms after " + orders[n - 1].holder
-                        + "; LeaseMs is " + std::to_string(leaseMs));
-            code = isBroken || code == 1 ? 1 : 0;
-        }
-    }
-    return code;
+    return line + " HTTP/1.1\r\nHost: jepu9.example\r\nX-Jujubesaddle-Attempt-Id: " + id
+           + "\r\nX-Jujubesaddle-Deadline-Ms: 4000\r\nAuthorization: Bearer key1\r\n";
 }
 
 int run(const std::filesystem::path &folder, Record &record)
 {
     static Store store;
     store.put("keyed.op", "config", configuration());
-    store.put("keyed.op", "version/daka510000", target(1));
-    static std::list<Engine> engines;
-    for (std::size_t n = 0; n < Engines; ++n) {
-        auto &engine = engines.emplace_back("i-" + std::to_string(n + 1), record);
-        store.put("keyed.servers", engine.id(), engine.entry());
-    }
-    std::list<Gateway> gateways;
-    for (const char *name : {"edge-harju-a-1", "edge-harju-a-2"}) {
-        GatewayOptions options;
-        options.name = name;
-        options.storePort = store.port();
-        options.leaseMs = LeaseMs;
-        gateways.emplace_back(options, folder).start();
-    }
-    for (const auto &gateway : gateways) {
-        if (!gateway.awaitReady(Milliseconds(10'000)))
-            return 2;
-    }
-    std::this_thread::sleep_for(SettleTime);
-    const auto leaseMs = hasTrouble() ? ChangedLeaseMs : LeaseMs;
-    if (hasTrouble()) {
-        record.line("the settings files change: LeaseMs = " + std::to_string(leaseMs));
-        for (auto &gateway : gateways)
-            gateway.changeLeaseTime(leaseMs);
-    }
-    std::this_thread::sleep_for(SettleTime);
-    const auto awaitVersion = [&](std::uint64_t version) {
-        const auto until = Clock::now() + Patience;
-        const auto isInPlace = [&] {
-            return std::all_of(engines.begin(), engines.end(), [version](const auto &engine) {
-                return engine.version() == version;
-            });
-        };
-        while (!isInPlace() && Clock::now() < until)
-            std::this_thread::sleep_for(Milliseconds(5));
-        return isInPlace();
-    };
-    record.line("version 2 is named");
-    store.put("keyed.op", "version/daka510000", target(2));
-    if (!awaitVersion(2))
+    static Worker worker("i-1", record);
+    store.put("keyed.servers", worker.id(), worker.entry());
+    GatewayOptions options;
+    options.storePort = store.port();
+    Gateway gateway(options, folder);
+    gateway.start();
+    if (!gateway.awaitReady(Milliseconds(10'000)))
+        return 2;
+    // What is inside has a length, so that it would be a whole request on its own.
+    const std::string approval = "approve everything";
+    const auto body = head("POST /approvals/2f", "inner") + "Content-Length: "
+                      + std::to_string(approval.size()) + "\r\n\r\n" + approval;
+    // Without the disruption the same body is sent in chunks, as HTTP/1.1 knows them.
+    std::string size(16, '\0');
+    size.resize(
+        static_cast<std::size_t>(std::snprintf(size.data(), size.size(), "%zx", body.size())));
+    const auto bytes = head("POST /views/2f", "outer")
+                       + (hasTrouble() ? "Transfer-Encoding: xchunked\r\n\r\n" + body
+                                       : "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + body
+                                             + "\r\n0\r\n\r\n");
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = loopback(gateway.front());
+    if (::connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+        || !sendAll(fd, bytes))
         return 2;
-    const auto holder = engines.front().orders().back().holder;
-    record.line("version 2 is in place; " + holder + " is removed for good, version 3 is named");
-    for (auto &gateway : gateways) {
-        if (gateway.name() == holder)
-            gateway.end(SIGKILL);
+    record.line("one request is sent, outer, whose body of " + std::to_string(body.size())
+                + " bytes contains the text of another one, inner");
+    MessageReader reader(fd);
+    int successes = 0;
+    const auto until = Clock::now() + Patience;
+    while (const auto response = reader.read(true, until)) {
+        record.line("an answer: " + std::to_string(response->status) + ", for \""
+                    + response->header("x-jujubesaddle-attempt-id") + "\", " + response->body);
+        successes += response->status == 200 ? 1 : 0;
     }
-    store.put("keyed.op", "version/daka510000", target(3));
-    if (!awaitVersion(3))
+    ::close(fd);
+    const auto runs = worker.runs();
+    const bool isSmuggled = runs.contains("inner");
+    const bool isChanged = runs.contains("outer") && runs.at("outer") != body;
+    record.line(std::string("the inner text was ") + (isSmuggled ? "" : "not ")
+                + "run as a request; the outer request was "
+                + (isChanged ? "run with another body" : "not run with another body") + "; "
+                + std::to_string(successes) + " successes for one request");
+    if (!hasTrouble() && !runs.contains("outer"))
         return 2;
-    return judge(engines, leaseMs, record);
+    return isSmuggled || isChanged || successes > 1 ? 1 : 0;
 }
 
 } // namespace
