--- a/review/standins/Site.h
+++ b/review/standins/Site.h
@@ -261,12 +261,13 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
-    /// Changes a bound in the settings file, and announces that with SIGHUP, as the platform does.
-    void changeLeaseTime(unsigned milliseconds)
+    /// Changes a bound in the settings file; the platform may announce that with SIGHUP.
+    void changeLeaseTime(unsigned milliseconds, bool isSignalled)
     {
         m_options.leaseMs = milliseconds;
         writeSettings();
-        ::kill(m_pid, SIGHUP);
+        if (isSignalled)
+            ::kill(m_pid, SIGHUP);
     }
 
     void writeSettings() const
