LibGateway: Log the age of the list of upstreams, delayed removals and retry decisions

request_served and attempt_failed now bear list_age_ms; upstream_removal_delayed (316) names the upstream, the age of the failed read that delayed it and the age of the list; retry_decided (208) and jujube_gateway_retries_total show each decision of the retry budget with its use, limit and number of instances. No decision changes.

--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -223,6 +223,8 @@
     for (const auto &record : page.records)
         applyUpstream(record);
     m_nextUpstreamsOffset = page.next;
+    if (page.isComplete)
+        m_dependencies.fleet.confirm(page.asOf);
     applyPendingRemovals();
 }
 
@@ -232,10 +234,15 @@
         const auto now = m_dependencies.clock.now();
         const bool isAroundStoreFailure = m_lastStoreFailure != Core::Clock::Monotonic::min()
                                           && now - m_lastStoreFailure < RemovalGrace;
-        if (isAroundStoreFailure)
-            m_pendingRemovals.try_emplace(record.key, now + RemovalGrace);
-        else
+        if (!isAroundStoreFailure) {
             m_dependencies.fleet.remove(Core::UpstreamId(record.key));
+            return;
+        }
+        m_pendingRemovals.try_emplace(record.key, now + RemovalGrace);
+        Core::logEvent(Core::EventId::UpstreamRemovalDelayed,
+                       {{"upstream", record.key},
+                        {"failure_age_ms", text(now - m_lastStoreFailure)},
+                        {"list_age_ms", text(m_dependencies.fleet.age(now))}});
         return;
     }
     auto report = m_dependencies.decoder.decodeUpstream(record);
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -9,6 +9,7 @@
     m_registry.add(attempts);
     m_registry.add(promptTokens);
     m_registry.add(cachedTokens);
+    m_registry.add(retries);
     m_registry.add(orders);
     m_registry.add(storeCalls);
     m_registry.add(firstByte);
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -25,6 +25,9 @@
                                    "Prompt tokens of requests sent to engines."};
     Metrics::Counter cachedTokens {"jujube_gateway_kept_tokens_total",
                                    "Prompt tokens estimated to be in the engine's prefix cache."};
+    Metrics::Counter retries {"jujube_gateway_retries_total",
+                              "Further attempts that the retry budget allowed or refused.",
+                              "outcome"};
     Metrics::Counter orders {"jujube_gateway_orders_total", "Orders to engines by outcome.",
                              "outcome"};
     Metrics::Counter storeCalls {"jujube_gateway_store_calls_total",
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -56,6 +56,7 @@
          {"tenant", request.tenantName()},
          {"upstream", plan.upstream->report().id.value()},
          {"sends", std::to_string(progress.sends)},
+         {"list_age_ms", formatMilliseconds(progress.listAge)},
          {"took_ms", formatMilliseconds(now - request.arrival)},
          {"first_ms", formatMilliseconds(progress.firstByte.value_or(now) - request.arrival)},
          {"pause_ms", formatMilliseconds(progress.longestPause)},
@@ -82,10 +83,29 @@
                     {"reason", reason},
                     {"weights", std::to_string(plan.weights)},
                     {"send", std::to_string(progress.sends)},
+                    {"list_age_ms", formatMilliseconds(progress.listAge)},
                     {"left_ms", formatMilliseconds(
                                     request.remainingTime(gateway.dependencies().clock.now()))}});
 }
 
+void logRetry(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
+              bool isAllowed)
+{
+    const std::string outcome = isAllowed ? "allowed" : "refused";
+    gateway.metrics().retries.add(1, request.labels(), outcome);
+    const auto &dependencies = gateway.dependencies();
+    const auto use =
+        gateway.retries(plan.service)
+            .use(dependencies.settings.retries, gateway.instanceCount(), dependencies.clock.now());
+    Core::logEvent(Core::EventId::RetryDecided,
+                   {{"request", request.caller.attemptId},
+                    {"service", plan.service},
+                    {"outcome", outcome},
+                    {"repeats", std::to_string(use.repeats)},
+                    {"limit", formatInteger(use.limit)},
+                    {"instances", std::to_string(gateway.instanceCount().value_or(0))}});
+}
+
 void logCasualty(const AcceptedRequest &request, const Core::UpstreamId &engine,
                  std::chrono::milliseconds startTime, const PromptCasualty &casualty)
 {
--- a/Libraries/LibGateway/RequestLog.h
+++ b/Libraries/LibGateway/RequestLog.h
@@ -14,6 +14,8 @@
 struct RequestProgress
 {
     unsigned sends = 0;
+    /// The age of the list of upstreams when the last attempt was sent.
+    std::chrono::nanoseconds listAge {0};
     std::optional<Core::Clock::Monotonic> firstByte;
     /// The weights that the engine had when it began to answer, and for how long newer ones had
     /// been named then; zero if they were the newest.
@@ -38,6 +40,10 @@
 void logAttempt(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
                 const RequestProgress &progress, std::string_view end, const std::string &reason);
 
+/// Logs whether the retry budget of the plan's service allowed another attempt.
+void logRetry(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
+              bool isAllowed);
+
 /// Logs that the prompt was lost because its engine, of the given start time, crashed.
 void logCasualty(const AcceptedRequest &request, const Core::UpstreamId &engine,
                  std::chrono::milliseconds startTime, const PromptCasualty &casualty);
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -275,9 +275,11 @@
         return false;
     const auto &dependencies = m_gateway.dependencies();
     const auto mayRepeat = [&] {
-        return m_gateway.retries(m_plan->service)
-            .tryRepeat(dependencies.settings.retries, m_gateway.instanceCount(),
-                       dependencies.clock.now());
+        const bool isAllowed = m_gateway.retries(m_plan->service)
+                                   .tryRepeat(dependencies.settings.retries,
+                                              m_gateway.instanceCount(), dependencies.clock.now());
+        logRetry(m_gateway, m_request, *m_plan, isAllowed);
+        return isAllowed;
     };
     switch (end) {
     case AttemptOutcome::NotSent:
@@ -391,7 +393,11 @@
         watchBegin();
     }
     // Making the connection takes some of the time that is left.
-    options.onSend = [this](Http::Request &request) { request.headers = upstreamHeaders(); };
+    options.onSend = [this](Http::Request &request) {
+        request.headers = upstreamHeaders();
+        const auto &dependencies = m_gateway.dependencies();
+        m_progress.listAge = dependencies.fleet.age(dependencies.clock.now());
+    };
     // The deadline timer ends the call; these timeouts only guard against a call that it misses.
     Http::ClientTimeouts timeouts;
     timeouts.connect = std::min<milliseconds>(ConnectTimeout, remainingTime());
--- a/Libraries/LibGateway/RetryBudgetShare.cpp
+++ b/Libraries/LibGateway/RetryBudgetShare.cpp
@@ -31,12 +31,13 @@
     ++countsAt(now).requests;
 }
 
-bool RetryBudgetShare::tryRepeat(const RetryBudgetLimits &limits, std::optional<unsigned> instances,
-                                 Core::Clock::Monotonic now)
+RetryBudgetShare::Use RetryBudgetShare::use(const RetryBudgetLimits &limits,
+                                            std::optional<unsigned> instances,
+                                            Core::Clock::Monotonic now) const
 {
     const auto newest = secondNumber(now);
+    Use use;
     unsigned requests = 0;
-    unsigned repeats = 0;
     for (const auto &entry : m_seconds) {
         if (entry.number < 0 || entry.number > newest)
             continue;
@@ -44,11 +45,18 @@
             requests += entry.requests;
         // One second more, since the window of the limit may start within it.
         if (entry.number >= newest - limits.window.count())
-            repeats += entry.repeats;
+            use.repeats += entry.repeats;
     }
     const double slack = instances ? limits.slack / std::max(1U, *instances) : 0;
-    const double maxRepeats = UsedShare * (limits.ratio * requests + slack);
-    if (repeats + 1 > maxRepeats)
+    use.limit = UsedShare * (limits.ratio * requests + slack);
+    return use;
+}
+
+bool RetryBudgetShare::tryRepeat(const RetryBudgetLimits &limits, std::optional<unsigned> instances,
+                                 Core::Clock::Monotonic now)
+{
+    const auto current = use(limits, instances, now);
+    if (current.repeats + 1 > current.limit)
         return false;
     ++countsAt(now).repeats;
     return true;
--- a/Libraries/LibGateway/RetryBudgetShare.h
+++ b/Libraries/LibGateway/RetryBudgetShare.h
@@ -31,6 +31,15 @@
     bool tryRepeat(const RetryBudgetLimits &limits, std::optional<unsigned> instances,
                    Core::Clock::Monotonic now);
 
+    /// The retries that count at a time, and how many may.
+    struct Use
+    {
+        unsigned repeats = 0;
+        double limit = 0;
+    };
+    Use use(const RetryBudgetLimits &limits, std::optional<unsigned> instances,
+            Core::Clock::Monotonic now) const;
+
 private:
     struct SecondCounts
     {
--- a/Libraries/LibGateway/UpstreamFleet.cpp
+++ b/Libraries/LibGateway/UpstreamFleet.cpp
@@ -50,6 +50,11 @@
                    {{"upstream", id.value()}, {"reason", "not listed"}});
 }
 
+std::chrono::nanoseconds UpstreamFleet::age(Core::Clock::Monotonic now) const
+{
+    return m_asOf == Core::Clock::Monotonic::min() ? std::chrono::nanoseconds::max() : now - m_asOf;
+}
+
 const UpstreamFleet::Members &UpstreamFleet::members(const std::string &service) const
 {
     static const Members none;
--- a/Libraries/LibGateway/UpstreamFleet.h
+++ b/Libraries/LibGateway/UpstreamFleet.h
@@ -2,6 +2,8 @@
 
 #include <LibGateway/Upstream.h>
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +24,11 @@
     /// Removes an upstream that is no longer listed.
     void remove(const Core::UpstreamId &id);
 
+    /// Records that the list was complete at the given time.
+    void confirm(Core::Clock::Monotonic time) { m_asOf = std::max(m_asOf, time); }
+    /// Returns how old the list is; the maximum duration before the first read.
+    std::chrono::nanoseconds age(Core::Clock::Monotonic now) const;
+
     /// Returns the upstreams of a service, including draining ones.
     const Members &members(const std::string &service) const;
     std::shared_ptr<Upstream> find(const Core::UpstreamId &id) const;
@@ -36,6 +43,7 @@
     std::map<Core::UpstreamId, std::shared_ptr<Upstream>> m_all;
     std::map<std::string, Members> m_byService;
     std::unordered_map<std::uint64_t, std::shared_ptr<Upstream>> m_byHash;
+    Core::Clock::Monotonic m_asOf = Core::Clock::Monotonic::min();
 };
 
 } // namespace Gateway
