LibGateway: Give a restarted instance no slack of the retry budget for one window

Cause: the share of the budget lives in the process. A process that starts under the name of one that has just ended got the instance's whole part of the slack again within the same window; restarts in series, or of all instances at once, multiplied it.

Cleared by calculation, not changed: a repeat counts at the service that failed also when a split route sends it to another one.

--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds AnnouncePollInterval = 500ms;
 // Failures that occur together, for example when an upstream crashes, are written in one record.
 constexpr auto FailureBatchInterval = 100ms;
+// One shows that another process ran.
+constexpr std::size_t MaxForeign = 16;
 
 std::string toBytes(flatbuffers::FlatBufferBuilder &builder)
 {
@@ -153,6 +155,8 @@
     if (member.poison_parts())
         applyPoisonParts(*member.poison_parts());
     if (instance == m_settings.instance) {
+        if (m_ownAnnouncements.erase(offset) == 0 && m_foreignAnnouncements.size() < MaxForeign)
+            m_foreignAnnouncements.insert(offset);
         m_lastAnnounced = m_clock.now();
         m_members.noteSelfAnnounced();
         return;
@@ -204,18 +208,19 @@
     }
 }
 
-asio::awaitable<bool> FleetJournal::append(std::string record)
+asio::awaitable<std::optional<std::uint64_t>> FleetJournal::append(std::string record)
 {
-    bool isAppended = false;
+    std::optional<std::uint64_t> offset;
     try {
         const auto outcome =
             co_await m_log.append(FleetTopic::Journal, std::move(record), std::nullopt);
-        isAppended = outcome.isAppended;
+        if (outcome.isAppended)
+            offset = outcome.offset;
     } catch (const Core::Error &error) {
         Core::logEvent(Core::EventId::PlatformUnavailable,
                        {{"log", "journal"}, {"reason", error.what()}});
     }
-    co_return isAppended;
+    co_return offset;
 }
 
 std::chrono::milliseconds FleetJournal::announceInterval() const
@@ -266,16 +271,26 @@
             co_await sleepFor(std::min(AnnouncePollInterval, announceInterval() / 4));
             continue;
         }
-        const bool isForAll = m_members.isLarge() && m_members.isHub();
-        auto record = isForAll ? announcementForAll() : announcement();
-        const bool isAnnounced = co_await append(std::move(record));
-        if (isAnnounced)
-            m_lastAnnounced = m_clock.now();
-        else
+        const bool isAnnounced = co_await announceOnce();
+        if (!isAnnounced)
             co_await sleepFor(RetryPause);
     }
 }
 
+asio::awaitable<bool> FleetJournal::announceOnce()
+{
+    const bool isForAll = m_members.isLarge() && m_members.isHub();
+    auto record = isForAll ? announcementForAll() : announcement();
+    const auto offset = co_await append(std::move(record));
+    if (!offset)
+        co_return false;
+    // It may have been read before the append was answered.
+    if (m_foreignAnnouncements.erase(*offset) == 0)
+        m_ownAnnouncements.insert(*offset);
+    m_lastAnnounced = m_clock.now();
+    co_return true;
+}
+
 asio::awaitable<void> FleetJournal::writeUpstreamFailures()
 {
     for (;;) {
@@ -287,8 +302,8 @@
         const auto entry =
             Wire::CreateBreaksDirect(builder, m_settings.instance.value().c_str(), &failures);
         auto record = journalRecord(builder, Wire::Entry::Breaks, entry);
-        const bool isWritten = co_await append(std::move(record));
-        if (isWritten)
+        const auto offset = co_await append(std::move(record));
+        if (offset)
             continue;
         m_upstreamFailures.insert(m_upstreamFailures.begin(), failures.begin(), failures.end());
         co_await sleepFor(RetryPause);
@@ -311,8 +326,8 @@
         // The conviction may have been withdrawn since.
         if (m_poisonParts.poisonParts(m_clock.now()).empty())
             continue;
-        const bool isWritten = co_await append(poisonPartsRecord());
-        if (isWritten)
+        const auto offset = co_await append(poisonPartsRecord());
+        if (offset)
             continue;
         m_hasNewPoisonPart = true;
         co_await sleepFor(RetryPause);
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -10,6 +10,8 @@
 
 #include <flatbuffers/flatbuffers.h>
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,8 @@
     boost::asio::awaitable<void> watch();
     /// Announces this instance periodically until the process ends.
     boost::asio::awaitable<void> announce();
+    /// Appends one announcement. Returns whether it was appended. Public for tests.
+    boost::asio::awaitable<bool> announceOnce();
     /// Writes the recorded upstream failures until the process ends.
     boost::asio::awaitable<void> writeUpstreamFailures();
     /// Writes the poison parts after each notePoisonPart() until the process ends.
@@ -51,6 +55,9 @@
     void notePoisonPart() { m_hasNewPoisonPart = true; }
     /// Returns whether all retained records were read, so that the members are known.
     bool hasRead() const { return m_hasRead; }
+    /// Returns whether a retained record that another process wrote names this instance, so that it
+    /// ran shortly before this process.
+    bool hasPredecessor() const { return !m_foreignAnnouncements.empty(); }
 
     /// Returns the record that announces this instance. Public for tests.
     std::string announcement() const;
@@ -68,7 +75,8 @@
 private:
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> readNext(std::chrono::milliseconds wait);
-    boost::asio::awaitable<bool> append(std::string record);
+    /// Returns the offset of the appended record; nothing when the append failed.
+    boost::asio::awaitable<std::optional<std::uint64_t>> append(std::string record);
     std::chrono::milliseconds announceInterval() const;
     /// Returns the poison parts for a record; a null offset if there are none.
     flatbuffers::Offset<Wire::PoisonParts>
@@ -88,6 +96,10 @@
     std::uint64_t m_nextOffset = 0;
     /// When a record last announced this instance.
     Core::Clock::Monotonic m_lastAnnounced = Core::Clock::Monotonic::min();
+    /// Offsets of announcements that this process wrote and has not read yet.
+    std::set<std::uint64_t> m_ownAnnouncements;
+    /// Offsets of announcements of this instance that this process did not write.
+    std::set<std::uint64_t> m_foreignAnnouncements;
     bool m_hasRead = false;
     bool m_hasNewPoisonPart = false;
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -13,6 +13,7 @@
 Gateway::Gateway(GatewayDependencies dependencies)
     : m_dependencies(dependencies)
     , m_random(std::random_device {}())
+    , m_startTime(m_dependencies.clock.now())
 { }
 
 boost::asio::awaitable<void> Gateway::handle(Http::ServerExchange &exchange)
@@ -33,6 +34,27 @@
            && m_poisonParts.mayTry(part, m_dependencies.clock.now());
 }
 
+std::optional<unsigned> Gateway::slackSharers() const
+{
+    // The process before this one may have used this instance's part.
+    const auto uptime = m_dependencies.clock.now() - m_startTime;
+    if (m_hasPredecessor && uptime < m_dependencies.settings.retries.window)
+        return std::nullopt;
+    return m_instanceCount;
+}
+
+bool Gateway::tryRepeat(const std::string &service)
+{
+    return m_retries[service].tryRepeat(m_dependencies.settings.retries, slackSharers(),
+                                        m_dependencies.clock.now());
+}
+
+RetryBudgetShare::Use Gateway::retryUse(const std::string &service)
+{
+    return m_retries[service].use(m_dependencies.settings.retries, slackSharers(),
+                                  m_dependencies.clock.now());
+}
+
 bool Gateway::isReady() const
 {
     // While the number of members is unknown, the retry budget has no slack, so a failed request
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -58,6 +58,13 @@
     void setInstanceCount(unsigned count) { m_instanceCount = count; }
     /// Returns the number of instances; empty until the members are known.
     std::optional<unsigned> instanceCount() const { return m_instanceCount; }
+    /// Sets whether this instance ran shortly before this process.
+    void setHasPredecessor(bool hasPredecessor) { m_hasPredecessor = hasPredecessor; }
+    /// Consumes one retry of the service's budget. Returns false if this instance's share of it is
+    /// used up.
+    bool tryRepeat(const std::string &service);
+    /// Returns the use of this instance's share of the service's budget.
+    RetryBudgetShare::Use retryUse(const std::string &service);
     /// Makes isReady() return false. Requests are still served.
     void beginDrain() { m_isDraining = true; }
     /// Refuses all requests that arrive later, since they could not finish before the process ends.
@@ -107,6 +114,10 @@
         onWeightsSeen;
 
 private:
+    /// Returns the number of instances among which the slack of the retry budgets is divided;
+    /// nothing while this instance must not use its part.
+    std::optional<unsigned> slackSharers() const;
+
     GatewayDependencies m_dependencies;
     GatewayMetrics m_metrics;
     KvCacheStores m_stores;
@@ -118,6 +129,8 @@
     EngineQueueExchange *m_engineQueues = nullptr;
     QuotaExchange *m_quotas = nullptr;
     std::minstd_rand m_random;
+    Core::Clock::Monotonic m_startTime;
+    bool m_hasPredecessor = false;
     std::optional<unsigned> m_instanceCount;
     bool m_isDraining = false;
     bool m_isRefusing = false;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -259,6 +259,7 @@
 {
     for (;;) {
         const auto count = static_cast<unsigned>(m_members.count());
+        m_gateway.setHasPredecessor(m_journal.hasPredecessor());
         if (m_journal.hasRead() && m_gateway.instanceCount() != count) {
             m_gateway.setInstanceCount(count);
             applyQuotas();
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -93,10 +93,7 @@
 {
     const std::string outcome = isAllowed ? "allowed" : "refused";
     gateway.metrics().retries.add(1, request.labels(), outcome);
-    const auto &dependencies = gateway.dependencies();
-    const auto use =
-        gateway.retries(plan.service)
-            .use(dependencies.settings.retries, gateway.instanceCount(), dependencies.clock.now());
+    const auto use = gateway.retryUse(plan.service);
     Core::logEvent(Core::EventId::RetryDecided,
                    {{"request", request.caller.attemptId},
                     {"service", plan.service},
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -275,9 +275,7 @@
         return false;
     const auto &dependencies = m_gateway.dependencies();
     const auto mayRepeat = [&] {
-        const bool isAllowed = m_gateway.retries(m_plan->service)
-                                   .tryRepeat(dependencies.settings.retries,
-                                              m_gateway.instanceCount(), dependencies.clock.now());
+        const bool isAllowed = m_gateway.tryRepeat(m_plan->service);
         logRetry(m_gateway, m_request, *m_plan, isAllowed);
         return isAllowed;
     };
--- a/Tests/LibGateway/TestJournal.cpp
+++ b/Tests/LibGateway/TestJournal.cpp
@@ -107,6 +107,43 @@
     CHECK_FALSE(otherPoison.isPoison(42, clock.now()));
 }
 
+TEST_CASE("an instance tells its own announcement from that of the process before it")
+{
+    const Core::SuspensionAwareClock clock;
+    HangingLog log;
+    Gateway::GatewaySettings settings;
+    settings.instance = Core::InstanceId("a");
+    Gateway::PoisonRequestTable poison;
+    Gateway::PoisonPartTable poisonParts;
+    Gateway::FleetMembers members({settings.instance, "north", {}}, clock);
+    Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
+    asio::io_context context;
+    SECTION("the own announcement is read before its append is answered")
+    {
+        journal.apply({0, {}, journal.announcement()});
+        CHECK(journal.hasPredecessor());
+        asio::co_spawn(context, journal.announceOnce(), asio::detached);
+        context.run();
+        CHECK_FALSE(journal.hasPredecessor());
+    }
+    SECTION("the own announcement is read later")
+    {
+        asio::co_spawn(context, journal.announceOnce(), asio::detached);
+        context.run();
+        journal.apply({0, {}, journal.announcement()});
+        CHECK_FALSE(journal.hasPredecessor());
+    }
+    SECTION("another process wrote one")
+    {
+        log.records.push_back(journal.announcement());
+        asio::co_spawn(context, journal.announceOnce(), asio::detached);
+        context.run();
+        journal.apply({0, {}, log.records.at(0)});
+        journal.apply({1, {}, log.records.at(1)});
+        CHECK(journal.hasPredecessor());
+    }
+}
+
 TEST_CASE("a lease counts from before it was requested and expires by itself")
 {
     Core::ManualClock clock;
--- /dev/null
+++ b/Tests/Platform/TestRetryBudget.cpp
@@ -0,0 +1,50 @@
+#include "GatewayFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <string>
+
+namespace asio = boost::asio;
+using PlatformTests::GatewayFixture;
+using PlatformTests::GatewayOptions;
+using StandIns::WorkerStandIn;
+
+namespace {
+
+constexpr double Ratio = 0.2;
+constexpr double Slack = 52;
+constexpr int RequestsPerStart = 60;
+
+asio::awaitable<bool> fail(Http::ServerExchange &exchange)
+{
+    Http::Response response(500, WorkerStandIn::answerHeaders(exchange.request()), "failed");
+    co_await exchange.respond(std::move(response));
+    co_return true;
+}
+
+} // namespace
+
+TEST_CASE("instances that are killed or stopped do not get their slack of the retry budget again")
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "app");
+    auto &second = fixture.addWorker("w-2", "app");
+    first.setBehaviour(fail);
+    second.setBehaviour(fail);
+    fixture.configure(1);
+    int sent = 0;
+    GatewayOptions options;
+    options.graceS = 1;
+    for (const int signal : {SIGKILL, SIGTERM, SIGKILL}) {
+        auto &gateway = fixture.startGateway(options);
+        for (int n = 0; n < RequestsPerStart; ++n, ++sent)
+            fixture.send(GatewayFixture::request("/views/a", "id-" + std::to_string(sent), "GET"));
+        gateway.signal(signal);
+        gateway.wait();
+    }
+    const auto arrivals = first.requests().size() + second.requests().size();
+    const auto repeats = arrivals - static_cast<std::size_t>(sent);
+    CHECK(repeats > 0);
+    CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
+}
