LibGateway: Handle signals from the start of the program to its exit

Operators saw processes end by themselves around a start or a stop: a SIGHUP or SIGTERM right after the first line of the log ended the gateway by its default action, and so did the end of the reader of its log (SIGPIPE). The handlers were registered after the ports were open and the loops ran, and they were removed when the drain was over, before the process had exited. Nothing ignored SIGPIPE or SIGXFSZ.

Signals queue until the main thread takes them; during the drain they stay in the queue.

--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -4,12 +4,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include <algorithm>
-#include <csignal>
 #include <future>
 
 namespace Gateway {
@@ -112,16 +112,26 @@
     startLoops();
 }
 
-int GatewayDaemon::run()
+int GatewayDaemon::run(Core::ProcessSignals &signals)
 {
     start();
-    auto stopped = asio::co_spawn(m_threads.at(0), awaitSignals(), asio::use_future);
-    stopped.get();
+    serve(signals);
+    asio::co_spawn(m_threads.at(0), drain(), asio::use_future).get();
     Core::logEvent(Core::EventId::ProcessStopped,
                    {{"cut_requests", std::to_string(m_callers->activeExchanges())}});
     return 0;
 }
 
+void GatewayDaemon::serve(Core::ProcessSignals &signals)
+{
+    while (!Core::ProcessSignals::endsProgram(signals.next())) {
+        asio::post(m_threads.at(0), [this] {
+            if (const auto settings = reload ? reload(true) : std::nullopt)
+                applySettings(*settings);
+        });
+    }
+}
+
 void GatewayDaemon::startLoops()
 {
     auto &context = m_threads.at(0);
@@ -345,19 +355,6 @@
     co_await exchange.respond(std::move(response));
 }
 
-asio::awaitable<void> GatewayDaemon::awaitSignals()
-{
-    asio::signal_set signals(m_threads.at(0), SIGTERM, SIGINT, SIGHUP);
-    for (;;) {
-        const int signal = co_await signals.async_wait(asio::use_awaitable);
-        if (signal != SIGHUP)
-            break;
-        if (const auto settings = reload ? reload(true) : std::nullopt)
-            applySettings(*settings);
-    }
-    co_await drain();
-}
-
 asio::awaitable<void> GatewayDaemon::drain()
 {
     Core::logEvent(Core::EventId::DrainStarted);
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/IoThreads.h>
+#include <LibCore/ProcessSignals.h>
 #include <LibGateway/CacheSnapshotService.h>
 #include <LibGateway/EngineControl.h>
 #include <LibGateway/EngineQueueExchange.h>
@@ -15,8 +16,6 @@
 #include <LibGateway/WeightsRollout.h>
 #include <LibHttp/Server.h>
 
-#include <boost/asio/signal_set.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -44,9 +43,9 @@
     /// Opens the ports and starts the background loops. Throws Error(SettingsInvalid) when a port
     /// cannot be opened.
     void start();
-    /// Starts, serves until SIGTERM or SIGINT, then drains the running requests. Returns the exit
-    /// code.
-    int run();
+    /// Starts, serves until SIGTERM or SIGINT, then drains the running requests; reloads the
+    /// settings on SIGHUP. Signals during the drain have no effect. Returns the exit code.
+    int run(Core::ProcessSignals &signals);
 
     /// Returns the address where callers connect; needed when the settings leave the port open.
     Http::Endpoint callers() const { return m_callers->localEndpoint(); }
@@ -71,7 +70,8 @@
     void applySettings(const GatewaySettings &settings);
     boost::asio::awaitable<void> watchSettings();
     boost::asio::awaitable<void> answerOperator(Http::ServerExchange &exchange);
-    boost::asio::awaitable<void> awaitSignals();
+    /// Serves until a signal asks for the end.
+    void serve(Core::ProcessSignals &signals);
     boost::asio::awaitable<void> drain();
 
     GatewaySettings m_settings;
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -96,7 +96,8 @@
     std::ofstream(path) << lines << "NodeName = \"" << options.name << "\"\nZone = \"a\"\n"
                         << (lines.empty() ? "PortRange = [" + ports + "]\n" : "")
                         << "HeartbeatMs = 1200\n"
-                        << "[Listen]\nFront = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n"
+                        << "[Listen]\nFront = \"127.0.0.1:" << options.callersPort
+                        << "\"\nReady = \"127.0.0.1:" << options.readinessPort << "\"\n"
                         << "[Bounds]\nRevokeMs = " << options.revokeMs
                         << "\nGraceS = " << options.graceS << "\nVersionMs = " << options.versionMs
                         << "\nRetryBudgetRatio = 0.2\nBudgetSlack = 52\n[Platform]\nAddress = \""
@@ -107,17 +108,36 @@
 Processes::Process &GatewayFixture::startGateway(const GatewayOptions &options,
                                                  bool waitsUntilReady)
 {
-    const auto path = writeSettings(options);
-    m_gateways.push_back(std::make_unique<Processes::Process>(
-        "jujubesaddle-gateway", std::vector<std::string> {"--settings", path}));
-    auto &gateway = *m_gateways.back();
-    m_callers = gateway.awaitEndpoint("\"port\":\"callers\"");
-    m_readiness = gateway.awaitEndpoint("\"port\":\"readiness\"");
+    auto &gateway = spawnGateway(writeSettings(options));
+    awaitPorts(gateway);
     if (waitsUntilReady && !eventually([this] { return readiness() == 200; }))
         throw std::runtime_error("the gateway did not become ready");
     return gateway;
 }
 
+Processes::Process &GatewayFixture::spawnGateway(const std::string &settingsPath)
+{
+    m_gateways.push_back(std::make_unique<Processes::Process>(
+        "jujubesaddle-gateway", std::vector<std::string> {"--settings", settingsPath}));
+    return *m_gateways.back();
+}
+
+Processes::Process &GatewayFixture::spawnGateway(const std::string &settingsPath,
+                                                 const std::string &commands)
+{
+    const auto run = "exec '" + std::string(JUJUBE_BIN) + "/jujubesaddle-gateway' --settings '"
+                     + settingsPath + "'";
+    m_gateways.push_back(std::make_unique<Processes::Process>(
+        "/bin/sh", std::vector<std::string> {"-c", commands + "; " + run}));
+    return *m_gateways.back();
+}
+
+void GatewayFixture::awaitPorts(Processes::Process &gateway)
+{
+    m_callers = gateway.awaitEndpoint("\"port\":\"callers\"");
+    m_readiness = gateway.awaitEndpoint("\"port\":\"readiness\"");
+}
+
 Http::Response GatewayFixture::send(Http::Request request) const
 {
     return send(m_callers, std::move(request));
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -22,6 +22,8 @@
     /// The port for datagrams of siblings; without one, gateways only share the store.
     std::uint16_t siblingsPort = 0;
     unsigned versionMs = 6'000;
+    std::uint16_t callersPort = 0;
+    std::uint16_t readinessPort = 0;
 };
 
 /// A store, workers and gateway processes.
@@ -44,6 +46,13 @@
     Processes::Process &startGateway(const GatewayOptions &options = {},
                                      bool waitsUntilReady = true);
 
+    /// Starts a gateway with a settings file and does not wait for anything.
+    Processes::Process &spawnGateway(const std::string &settingsPath);
+    /// Starts a gateway through a shell that runs the commands before.
+    Processes::Process &spawnGateway(const std::string &settingsPath, const std::string &commands);
+    /// Waits until the gateway has opened its ports.
+    void awaitPorts(Processes::Process &gateway);
+
     /// Writes the settings file of a gateway, with extra lines at the beginning.
     std::string writeSettings(const GatewayOptions &options, const std::string &lines = {}) const;
 
--- a/Tests/Processes/Process.cpp
+++ b/Tests/Processes/Process.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace Processes {
@@ -24,7 +25,7 @@
     std::array<int, 2> ends {};
     if (::pipe2(ends.data(), O_CLOEXEC) != 0)
         throw std::runtime_error("no pipe");
-    const std::string path = std::string(JUJUBE_BIN) + '/' + program;
+    const auto path = program.starts_with('/') ? program : std::string(JUJUBE_BIN) + '/' + program;
     std::vector<char *> words {const_cast<char *>(path.c_str())};
     for (const auto &argument : arguments)
         words.push_back(const_cast<char *>(argument.c_str()));
@@ -50,12 +51,41 @@
 Process::~Process()
 {
     kill();
+    closeOutput();
+}
+
+void Process::closeOutput()
+{
     if (m_output >= 0)
-        ::close(m_output);
+        ::close(std::exchange(m_output, -1));
+}
+
+bool Process::handles(int number) const
+{
+    constexpr std::string_view Field = "SigCgt:";
+    constexpr int Hexadecimal = 16;
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with(Field)) {
+            const auto caught = std::stoull(line.substr(Field.size()), nullptr, Hexadecimal);
+            return ((caught >> static_cast<unsigned>(number - 1)) & 1U) != 0;
+        }
+    }
+    return false;
+}
+
+bool Process::hasEnded() const
+{
+    siginfo_t info {};
+    return ::waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WNOHANG | WNOWAIT) != 0
+           || info.si_pid != 0;
 }
 
 bool Process::readMore()
 {
+    if (m_output < 0)
+        return false;
     pollfd waiting {m_output, POLLIN, 0};
     if (::poll(&waiting, 1, OutputTimeoutMs) <= 0)
         throw std::runtime_error("the program is silent; last output: " + m_pending);
--- a/Tests/Processes/Process.h
+++ b/Tests/Processes/Process.h
@@ -14,7 +14,8 @@
 class Process
 {
 public:
-    /// Starts a program of this build with its output in a pipe.
+    /// Starts a program of this build, or one given by its absolute path, with its output in a
+    /// pipe.
     Process(const std::string &program, const std::vector<std::string> &arguments);
     ~Process();
     Process(Process &&other) noexcept;
@@ -27,6 +28,12 @@
     Http::Endpoint awaitEndpoint(const std::string &text);
 
     void signal(int number) const;
+    /// Closes the reading end of the program's output.
+    void closeOutput();
+    /// Whether the program handles the signal; false until it has registered its handler.
+    bool handles(int number) const;
+    /// Whether the program has ended, without waiting for it.
+    bool hasEnded() const;
     /// Kills the program immediately and waits until it has exited.
     void kill();
     /// Waits until the program exits and returns its exit code, or -1 if a signal terminated it.
