LibCore: Keep background loops and threads running after unexpected exceptions

Operators saw processes end by themselves, and readers of the store stop for good. Loops caught Core::Error only: any other exception (length_error, bad_alloc, out_of_range) left the coroutine, and asio::detached dropped it, so the loop was gone without a line in the log. An exception in a completion handler, such as the hook for a caller that closed, left io_context::run() and terminated the process.

spawnLoop is now the one place that starts a loop: the exception is logged (204, with the loop in `where`) and the loop starts again after a pause. IoThreads run a context on after an exception of a handler. Updates of weights and queries of KV cache stores count any exception as a failed attempt; before, the engine or store was never tried again.

"An unexpected exception in one request ..." passed before and after.

--- a/Libraries/LibCore/IoThreads.cpp
+++ b/Libraries/LibCore/IoThreads.cpp
@@ -1,13 +1,29 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/IoThreads.h>
 
 #include <algorithm>
+#include <exception>
 
 namespace Core {
 
 namespace {
+
 constexpr int OneThread = 1;
+
+/// Runs the context until it is stopped. An exception of a handler only ends that handler.
+void runContext(boost::asio::io_context &context)
+{
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (const std::exception &fault) {
+            logUnexpected("completion handler", fault.what());
+        }
+    }
 }
 
+} // namespace
+
 IoThreads::IoThreads(std::size_t count)
 {
     count = std::max<std::size_t>(count, 1);
@@ -19,7 +35,7 @@
         m_guards.push_back(boost::asio::make_work_guard(*m_contexts.back()));
     }
     for (const auto &context : m_contexts)
-        m_threads.emplace_back([&context = *context] { context.run(); });
+        m_threads.emplace_back([&context = *context] { runContext(context); });
 }
 
 IoThreads::~IoThreads()
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
 #include <LibGateway/GatewayDaemon.h>
 #include <LibGateway/RequestLog.h>
@@ -134,22 +135,24 @@
 
 void GatewayDaemon::startLoops()
 {
-    auto &context = m_threads.at(0);
-    asio::co_spawn(context, m_watcher.watchOperator(), asio::detached);
-    asio::co_spawn(context, m_watcher.watchUpstreams(), asio::detached);
-    asio::co_spawn(context, m_journal.watch(), asio::detached);
-    asio::co_spawn(context, m_journal.announce(), asio::detached);
-    asio::co_spawn(context, m_journal.writeUpstreamFailures(), asio::detached);
-    asio::co_spawn(context, m_journal.writePoisonParts(), asio::detached);
-    asio::co_spawn(context, m_siblings.send(), asio::detached);
-    asio::co_spawn(context, m_siblings.sendUrgent(), asio::detached);
-    asio::co_spawn(context, m_siblings.receive(), asio::detached);
-    asio::co_spawn(context, m_engineQueues.run(), asio::detached);
-    asio::co_spawn(context, m_cacheSnapshots.run(), asio::detached);
-    asio::co_spawn(context, m_weightsRollout.run(), asio::detached);
-    asio::co_spawn(context, countInstances(), asio::detached);
-    asio::co_spawn(context, m_storeMonitor.run(), asio::detached);
-    asio::co_spawn(context, watchSettings(), asio::detached);
+    const auto spawn = [this](std::string name, Core::LoopBody body) {
+        Core::spawnLoop(m_threads.at(0).get_executor(), std::move(name), std::move(body));
+    };
+    spawn("operator's log", [this] { return m_watcher.watchOperator(); });
+    spawn("list of upstreams", [this] { return m_watcher.watchUpstreams(); });
+    spawn("journal", [this] { return m_journal.watch(); });
+    spawn("announcements", [this] { return m_journal.announce(); });
+    spawn("upstream failures", [this] { return m_journal.writeUpstreamFailures(); });
+    spawn("poison parts", [this] { return m_journal.writePoisonParts(); });
+    spawn("reports to siblings", [this] { return m_siblings.send(); });
+    spawn("urgent reports to siblings", [this] { return m_siblings.sendUrgent(); });
+    spawn("datagrams of siblings", [this] { return m_siblings.receive(); });
+    spawn("queues of engines", [this] { return m_engineQueues.run(); });
+    spawn("cache snapshots", [this] { return m_cacheSnapshots.run(); });
+    spawn("weights rollout", [this] { return m_weightsRollout.run(); });
+    spawn("count of instances", [this] { return countInstances(); });
+    spawn("KV cache stores", [this] { return m_storeMonitor.run(); });
+    spawn("settings file", [this] { return watchSettings(); });
 }
 
 void GatewayDaemon::connectCallbacks()
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -43,6 +43,9 @@
     /// Opens the ports and starts the background loops. Throws Error(SettingsInvalid) when a port
     /// cannot be opened.
     void start();
+    /// Stops the threads. Suspended loops refer to the object, so it must not be destroyed after
+    /// start().
+    void stop() { m_threads.stop(); }
     /// Starts, serves until SIGTERM or SIGINT, then drains the running requests; reloads the
     /// settings on SIGHUP. Signals during the drain have no effect. Returns the exit code.
     int run(Core::ProcessSignals &signals);
--- a/Libraries/LibGateway/KvCacheStoreMonitor.cpp
+++ b/Libraries/LibGateway/KvCacheStoreMonitor.cpp
@@ -1,9 +1,8 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/KvCacheStoreMonitor.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
@@ -47,7 +46,8 @@
         for (const auto &[holder, store] : m_dependencies.stores.all()) {
             if (!isRequester(store) || !m_polled.insert(holder).second)
                 continue;
-            asio::co_spawn(co_await asio::this_coro::executor, pollStore(holder), asio::detached);
+            Core::spawnLoop(co_await asio::this_coro::executor, "KV cache store",
+                            [this, id = holder] { return pollStore(id); });
         }
         for (const auto holder :
              m_dependencies.stores.dropSilent(StoreTimeout, m_dependencies.clock.now()))
--- a/Libraries/LibGateway/WeightsRollout.cpp
+++ b/Libraries/LibGateway/WeightsRollout.cpp
@@ -148,6 +148,8 @@
         co_await loadWeights(task);
     } catch (const Core::Error &error) {
         failure = error;
+    } catch (const std::exception &fault) {
+        failure = Core::Error(Core::ErrorKind::Internal, fault.what());
     }
     const auto &id = task.engine->report().id;
     if (failure) {
@@ -185,7 +187,7 @@
         co_return;
     try {
         co_await stateOf(*engine);
-    } catch (const Core::Error &error) {
+    } catch (const std::exception &error) {
         Core::logEvent(Core::EventId::OrderUnanswered,
                        {{"upstream", id.value()}, {"reason", error.what()}});
     }
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibHttp/Server.h>
 #include <LibHttp/ServerSession.h>
 
@@ -37,9 +38,8 @@
 
     void start()
     {
-        asio::co_spawn(
-            m_acceptor.get_executor(), [self = shared_from_this()] { return self->run(); },
-            asio::detached);
+        Core::spawnLoop(m_acceptor.get_executor(), "port " + formatEndpoint(m_local),
+                        [self = shared_from_this()] { return self->run(); });
     }
 
     void close()
--- a/Tests/LibGateway/TestWeightsRollout.cpp
+++ b/Tests/LibGateway/TestWeightsRollout.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
@@ -58,6 +60,29 @@
     Core::ManualClock &m_clock;
 };
 
+/// An engine whose first answers cannot be decoded.
+class OddEngine final : public Engine
+{
+public:
+    asio::awaitable<Gateway::EngineState> state(const Gateway::UpstreamReport &report) override
+    {
+        if (++queries <= 2)
+            throw std::out_of_range("an odd state");
+        co_return co_await Engine::state(report);
+    }
+    asio::awaitable<Gateway::OrderOutcome> order(const Gateway::UpstreamReport &,
+                                                 const Gateway::WeightsOrder &order,
+                                                 std::function<bool()>) override
+    {
+        if (++orders == 1)
+            throw std::length_error("an odd answer");
+        weights = order.version;
+        co_return Gateway::OrderOutcome::Accepted;
+    }
+
+    int queries = 0;
+};
+
 /// While the connection for the first order is made, the process is frozen.
 class EngineAfterFreeze final : public Engine
 {
@@ -160,3 +185,12 @@
     CHECK(engine.weights == 2);
     CHECK(fixture.clock.now() - named < fixture.settings.weightsBound);
 }
+
+TEST_CASE("an engine is ordered again after an answer that ended with an unexpected exception")
+{
+    Fixture fixture;
+    OddEngine engine;
+    fixture.roll(engine);
+    CHECK(engine.orders > 1);
+    CHECK(engine.weights == 2);
+}
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -11,6 +11,8 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <new>
+#include <stdexcept>
 #include <thread>
 
 namespace asio = boost::asio;
@@ -270,3 +272,48 @@
     CHECK(std::chrono::steady_clock::now() - begin < 2s);
     body.get();
 }
+
+TEST_CASE("a hook that throws when the caller closes ends neither the process nor its other work")
+{
+    std::promise<void> called;
+    Fixture fixture([&called](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+        if (exchange.request().target != "/wait") {
+            co_await exchange.respond({200, {}, "served"});
+            co_return;
+        }
+        asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
+        exchange.setCallerGoneHook([&] {
+            timer.cancel();
+            called.set_value();
+            throw std::length_error("from a hook");
+        });
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    });
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect(fixture.server->localEndpoint());
+        asio::write(socket, asio::buffer(std::string("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")));
+        std::this_thread::sleep_for(100ms);
+    }
+    called.get_future().get();
+    for (int n = 0; n < 4; ++n)
+        CHECK(fixture.fetch({"GET", "/", {}, ""}).body == "served");
+}
+
+TEST_CASE("an unexpected exception in one request ends neither the server nor its port")
+{
+    Fixture fixture([](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+        if (exchange.request().target == "/allocate")
+            throw std::bad_alloc();
+        if (exchange.request().target == "/late") {
+            co_await exchange.startStream(200, {});
+            throw std::out_of_range("in the middle of a stream");
+        }
+        co_await exchange.respond({200, {}, "served"});
+    });
+    CHECK(fixture.fetch({"GET", "/allocate", {}, ""}).status == 500);
+    CHECK_THROWS_AS(fixture.fetch({"GET", "/late", {}, ""}), Core::Error);
+    CHECK(fixture.fetch({"GET", "/", {}, ""}).body == "served");
+}
--- a/Tests/Platform/TestProcessLife.cpp
+++ b/Tests/Platform/TestProcessLife.cpp
@@ -1,18 +1,11 @@
 #include "GatewayFixture.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <random>
-#include <thread>
+#include <string>
+#include <vector>
 
-namespace asio = boost::asio;
 using namespace std::chrono_literals;
 using PlatformTests::GatewayFixture;
 using PlatformTests::GatewayOptions;
