LibGateway: Wait at the start for ports that are held and for the settings file

Operators saw processes that did not start: a port that the process before still held (it drains, or ends late) ended the start with code 1, and a settings file in the middle of a rewrite (missing, empty or incomplete) ended it with code 2.

The start now opens the ports that it can and tries the others again until all are open (event 108, with the reason); a failed bind of the datagram socket closes it, so that it can be opened again. SIGTERM and SIGINT end both waits with code 0.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -17,6 +17,8 @@
     EventRow {EventId::EmbeddedPlatformLimits, EventLevel::Warning, "embedded_platform_limits", "The embedded platform loses all its data when the process ends."},
     EventRow {EventId::ReadinessChanged, EventLevel::Info, "readiness_changed", "The instance became ready or stopped being ready."},
     EventRow {EventId::SettingsReloaded, EventLevel::Info, "settings_reloaded", "The settings were reloaded while the process runs."},
+    EventRow {EventId::PortUnavailable, EventLevel::Warning, "port_unavailable", "A port cannot be opened at the start; the process tries again until it can."},
+    EventRow {EventId::SettingsAwaited, EventLevel::Warning, "settings_awaited", "The settings file is missing or has a fault at the start; it is read again until it stops changing."},
     EventRow {EventId::RequestRefused, EventLevel::Info, "request_refused", "A request was refused before it was sent to an upstream."},
     EventRow {EventId::RequestFailed, EventLevel::Warning, "request_failed", "A request failed after it was sent to an upstream."},
     EventRow {EventId::CallerWentAway, EventLevel::Info, "caller_went_away", "The caller closed its connection; upstream work is cancelled."},
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -23,6 +23,8 @@
     EmbeddedPlatformLimits = 105,
     ReadinessChanged = 106,
     SettingsReloaded = 107,
+    PortUnavailable = 108,
+    SettingsAwaited = 109,
     RequestRefused = 200,
     RequestFailed = 201,
     CallerWentAway = 202,
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
+#include <LibCore/StartRetry.h>
 #include <LibGateway/GatewayDaemon.h>
 #include <LibGateway/RequestLog.h>
 
@@ -93,19 +94,9 @@
 
 void GatewayDaemon::start()
 {
-    m_callers = Http::Server::create(m_threads, m_settings.callers, {}, [this](auto &exchange) {
-                    return m_gateway.handle(exchange);
-                }).value();
-    m_readiness = Http::Server::create(m_threads, m_settings.readiness, {}, [this](auto &exchange) {
-                      return answerOperator(exchange);
-                  }).value();
-    m_siblingCalls =
-        Http::Server::create(m_threads, m_settings.siblings, {}, [this](auto &exchange) {
-            return m_relay.answer(exchange);
-        }).value();
+    openPorts();
     Core::logEvent(Core::EventId::ProcessStarted,
                    {{"instance", m_settings.instance.value()}, {"version", JUJUBE_VERSION}});
-    m_siblings.open();
     Core::logEvent(Core::EventId::ListeningOn,
                    {{"port", "callers"}, {"address", Http::formatEndpoint(callers())}});
     Core::logEvent(Core::EventId::ListeningOn,
@@ -113,9 +104,26 @@
     startLoops();
 }
 
+void GatewayDaemon::openPorts()
+{
+    const auto open = [this](std::unique_ptr<Http::Server> &server, const Http::Endpoint &endpoint,
+                             Http::Server::Handler handler) {
+        if (!server)
+            server = Http::Server::create(m_threads, endpoint, {}, std::move(handler)).value();
+    };
+    open(m_callers, m_settings.callers,
+         [this](auto &exchange) { return m_gateway.handle(exchange); });
+    open(m_readiness, m_settings.readiness,
+         [this](auto &exchange) { return answerOperator(exchange); });
+    open(m_siblingCalls, m_settings.siblings,
+         [this](auto &exchange) { return m_relay.answer(exchange); });
+    m_siblings.open();
+}
+
 int GatewayDaemon::run(Core::ProcessSignals &signals)
 {
-    start();
+    if (!Core::retryUntilEnd(signals, Core::EventId::PortUnavailable, [this] { start(); }))
+        return 0;
     serve(signals);
     asio::co_spawn(m_threads.at(0), drain(), asio::use_future).get();
     Core::logEvent(Core::EventId::ProcessStopped,
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -41,13 +41,14 @@
     ~GatewayDaemon();
 
     /// Opens the ports and starts the background loops. Throws Error(SettingsInvalid) when a port
-    /// cannot be opened.
+    /// cannot be opened, and may then be called again.
     void start();
     /// Stops the threads. Suspended loops refer to the object, so it must not be destroyed after
     /// start().
     void stop() { m_threads.stop(); }
-    /// Starts, serves until SIGTERM or SIGINT, then drains the running requests; reloads the
-    /// settings on SIGHUP. Signals during the drain have no effect. Returns the exit code.
+    /// Starts as soon as the ports can be opened, serves until SIGTERM or SIGINT, then drains the
+    /// running requests; reloads the settings on SIGHUP. Signals during the drain have no effect.
+    /// Returns the exit code.
     int run(Core::ProcessSignals &signals);
 
     /// Returns the address where callers connect; needed when the settings leave the port open.
@@ -59,6 +60,7 @@
     std::function<std::optional<GatewaySettings>(bool isForced)> reload;
 
 private:
+    void openPorts();
     void startLoops();
     void applyConfiguration();
     /// Applies the usage caps of the configuration, and the number of instances that share them.
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -95,6 +95,8 @@
         m_socket.bind(local);
         m_socket.non_blocking(true);
     } catch (const boost::system::system_error &fault) {
+        boost::system::error_code ec;
+        m_socket.close(ec);
         throw Core::Error(Core::ErrorKind::SettingsInvalid,
                           "cannot open the siblings' port: " + std::string(fault.what()));
     }
--- a/Tests/Platform/TestProcessLife.cpp
+++ b/Tests/Platform/TestProcessLife.cpp
@@ -1,11 +1,20 @@
 #include "GatewayFixture.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
+#include <fcntl.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <optional>
 #include <string>
 #include <vector>
 
+namespace asio = boost::asio;
 using namespace std::chrono_literals;
 using PlatformTests::GatewayFixture;
 using PlatformTests::GatewayOptions;
@@ -22,6 +31,17 @@
     return options;
 }
 
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+void writeFile(const std::string &path, const std::string &text)
+{
+    std::ofstream(path) << text;
+}
+
 } // namespace
 
 TEST_CASE("a signal after the first line of the log is handled, not taken by its default action")
@@ -99,3 +119,150 @@
     gateway.signal(SIGTERM);
     CHECK(gateway.wait() == 0);
 }
+
+TEST_CASE("a gateway whose ports are held by another process starts when they are free")
+{
+    GatewayFixture fixture;
+    auto options = numbered(1);
+    options.callersPort = GatewayFixture::freePort();
+    options.readinessPort = GatewayFixture::freePort();
+    options.siblingsPort = GatewayFixture::freePort();
+    asio::io_context context;
+    const auto loopback = asio::ip::address_v4::loopback();
+    std::optional<asio::ip::tcp::acceptor> holder;
+    std::optional<asio::ip::udp::socket> datagrams;
+    SECTION("callers")
+    {
+        holder.emplace(context, Http::Endpoint(loopback, options.callersPort));
+    }
+    SECTION("readiness")
+    {
+        holder.emplace(context, Http::Endpoint(loopback, options.readinessPort));
+    }
+    SECTION("calls of siblings")
+    {
+        holder.emplace(context, Http::Endpoint(loopback, options.siblingsPort));
+    }
+    SECTION("datagrams of siblings")
+    {
+        datagrams.emplace(context, asio::ip::udp::endpoint(loopback, options.siblingsPort));
+    }
+    // The gateway must not inherit the port.
+    ::fcntl(holder ? holder->native_handle() : datagrams->native_handle(), F_SETFD, FD_CLOEXEC);
+    auto &gateway = fixture.spawnGateway(fixture.writeSettings(options));
+    CHECK(gateway.awaitLine("port_unavailable").find("in use") != std::string::npos);
+    CHECK(!gateway.hasEnded());
+    holder.reset();
+    datagrams.reset();
+    CHECK_NOTHROW(fixture.awaitPorts(gateway));
+    CHECK(fixture.readiness() == 503);
+    gateway.signal(SIGTERM);
+    CHECK(gateway.wait() == 0);
+}
+
+TEST_CASE("a gateway takes over the ports of one that still drains")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    auto options = numbered(1);
+    options.callersPort = GatewayFixture::freePort();
+    options.readinessPort = GatewayFixture::freePort();
+    options.siblingsPort = GatewayFixture::freePort();
+    auto &before = fixture.startGateway(options);
+    before.signal(SIGTERM);
+    fixture.startGateway(options);
+    CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-1")).status == 200);
+    CHECK(before.wait() == 0);
+}
+
+TEST_CASE("a gateway that waits for a port ends on SIGTERM")
+{
+    GatewayFixture fixture;
+    auto options = numbered(1);
+    options.callersPort = GatewayFixture::freePort();
+    asio::io_context context;
+    const asio::ip::tcp::acceptor holder(
+        context, Http::Endpoint(asio::ip::address_v4::loopback(), options.callersPort));
+    auto &gateway = fixture.spawnGateway(fixture.writeSettings(options));
+    gateway.awaitLine("port_unavailable");
+    gateway.signal(SIGHUP);
+    gateway.signal(SIGTERM);
+    CHECK(gateway.wait() == 0);
+}
+
+TEST_CASE("a settings file that is being rewritten at the start is read again")
+{
+    GatewayFixture fixture;
+    const auto path = fixture.writeSettings(numbered(1));
+    const auto whole = readFile(path);
+    SECTION("missing")
+    {
+        std::filesystem::remove(path);
+    }
+    SECTION("empty")
+    {
+        writeFile(path, "");
+    }
+    SECTION("half")
+    {
+        writeFile(path, whole.substr(0, whole.size() / 2));
+    }
+    SECTION("in the middle of a value")
+    {
+        writeFile(path, whole.substr(0, whole.size() - 4));
+    }
+    auto &gateway = fixture.spawnGateway(path);
+    CHECK_NOTHROW(gateway.awaitLine("settings_awaited"));
+    writeFile(path, whole);
+    CHECK_NOTHROW(fixture.awaitPorts(gateway));
+    gateway.signal(SIGTERM);
+    CHECK(gateway.wait() == 0);
+}
+
+TEST_CASE("a gateway that waits for its settings ends on SIGTERM")
+{
+    GatewayFixture fixture;
+    const auto path = fixture.writeSettings(numbered(1));
+    writeFile(path, "");
+    auto &gateway = fixture.spawnGateway(path);
+    gateway.awaitLine("settings_awaited");
+    gateway.signal(SIGTERM);
+    CHECK(gateway.wait() == 0);
+}
+
+TEST_CASE("a settings file that stays wrong ends the start with code 2")
+{
+    GatewayFixture fixture;
+    auto &gateway =
+        fixture.spawnGateway(fixture.writeSettings(numbered(1), "PortRange = \"none\"\n"));
+    gateway.awaitLine("settings_invalid");
+    CHECK(gateway.wait() == 2);
+}
+
+TEST_CASE("a settings file that is being rewritten at a reload leaves the old settings in force")
+{
+    GatewayFixture fixture;
+    const auto path = fixture.writeSettings(numbered(1));
+    const auto whole = readFile(path);
+    auto &gateway = fixture.startGateway(numbered(1), false);
+    SECTION("missing")
+    {
+        std::filesystem::remove(path);
+    }
+    SECTION("empty")
+    {
+        writeFile(path, "");
+    }
+    SECTION("half")
+    {
+        writeFile(path, whole.substr(0, whole.size() / 2));
+    }
+    gateway.signal(SIGHUP);
+    gateway.awaitLine("settings_invalid");
+    CHECK(fixture.readiness() == 503);
+    writeFile(path, whole);
+    gateway.awaitLine("settings_reloaded");
+    gateway.signal(SIGTERM);
+    CHECK(gateway.wait() == 0);
+}
