--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -1,15 +1,17 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
+#include <LibCore/StartRetry.h>
 #include <LibGateway/GatewayDaemon.h>
 #include <LibGateway/RequestLog.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include <algorithm>
-#include <csignal>
 #include <future>
 
 namespace Gateway {
@@ -92,19 +94,9 @@
 
 void GatewayDaemon::start()
 {
-    m_callers = Http::Server::create(m_threads, m_settings.callers, {}, [this](auto &exchange) {
-                    return m_gateway.handle(exchange);
-                }).value();
-    m_readiness = Http::Server::create(m_threads, m_settings.readiness, {}, [this](auto &exchange) {
-                      return answerOperator(exchange);
-                  }).value();
-    m_siblingCalls =
-        Http::Server::create(m_threads, m_settings.siblings, {}, [this](auto &exchange) {
-            return m_relay.answer(exchange);
-        }).value();
+    openPorts();
     Core::logEvent(Core::EventId::ProcessStarted,
                    {{"instance", m_settings.instance.value()}, {"version", JUJUBE_VERSION}});
-    m_siblings.open();
     Core::logEvent(Core::EventId::ListeningOn,
                    {{"port", "callers"}, {"address", Http::formatEndpoint(callers())}});
     Core::logEvent(Core::EventId::ListeningOn,
@@ -112,34 +104,63 @@
     startLoops();
 }
 
-int GatewayDaemon::run()
+void GatewayDaemon::openPorts()
 {
-    start();
-    auto stopped = asio::co_spawn(m_threads.at(0), awaitSignals(), asio::use_future);
-    stopped.get();
+    const auto open = [this](std::unique_ptr<Http::Server> &server, const Http::Endpoint &endpoint,
+                             Http::Server::Handler handler) {
+        if (!server)
+            server = Http::Server::create(m_threads, endpoint, {}, std::move(handler)).value();
+    };
+    open(m_callers, m_settings.callers,
+         [this](auto &exchange) { return m_gateway.handle(exchange); });
+    open(m_readiness, m_settings.readiness,
+         [this](auto &exchange) { return answerOperator(exchange); });
+    open(m_siblingCalls, m_settings.siblings,
+         [this](auto &exchange) { return m_relay.answer(exchange); });
+    m_siblings.open();
+}
+
+int GatewayDaemon::run(Core::ProcessSignals &signals)
+{
+    if (!Core::retryUntilEnd(signals, Core::EventId::PortUnavailable, [this] { start(); }))
+        return 0;
+    serve(signals);
+    asio::co_spawn(m_threads.at(0), drain(), asio::use_future).get();
     Core::logEvent(Core::EventId::ProcessStopped,
                    {{"cut_requests", std::to_string(m_callers->activeExchanges())}});
     return 0;
 }
 
+void GatewayDaemon::serve(Core::ProcessSignals &signals)
+{
+    while (!Core::ProcessSignals::endsProgram(signals.next())) {
+        asio::post(m_threads.at(0), [this] {
+            if (const auto settings = reload ? reload(true) : std::nullopt)
+                applySettings(*settings);
+        });
+    }
+}
+
 void GatewayDaemon::startLoops()
 {
-    auto &context = m_threads.at(0);
-    asio::co_spawn(context, m_watcher.watchOperator(), asio::detached);
-    asio::co_spawn(context, m_watcher.watchUpstreams(), asio::detached);
-    asio::co_spawn(context, m_journal.watch(), asio::detached);
-    asio::co_spawn(context, m_journal.announce(), asio::detached);
-    asio::co_spawn(context, m_journal.writeUpstreamFailures(), asio::detached);
-    asio::co_spawn(context, m_journal.writePoisonParts(), asio::detached);
-    asio::co_spawn(context, m_siblings.send(), asio::detached);
-    asio::co_spawn(context, m_siblings.sendUrgent(), asio::detached);
-    asio::co_spawn(context, m_siblings.receive(), asio::detached);
-    asio::co_spawn(context, m_engineQueues.run(), asio::detached);
-    asio::co_spawn(context, m_cacheSnapshots.run(), asio::detached);
-    asio::co_spawn(context, m_weightsRollout.run(), asio::detached);
-    asio::co_spawn(context, countInstances(), asio::detached);
-    asio::co_spawn(context, m_storeMonitor.run(), asio::detached);
-    asio::co_spawn(context, watchSettings(), asio::detached);
+    const auto spawn = [this](std::string name, Core::LoopBody body) {
+        Core::spawnLoop(m_threads.at(0).get_executor(), std::move(name), std::move(body));
+    };
+    spawn("operator's log", [this] { return m_watcher.watchOperator(); });
+    spawn("list of upstreams", [this] { return m_watcher.watchUpstreams(); });
+    spawn("journal", [this] { return m_journal.watch(); });
+    spawn("announcements", [this] { return m_journal.announce(); });
+    spawn("upstream failures", [this] { return m_journal.writeUpstreamFailures(); });
+    spawn("poison parts", [this] { return m_journal.writePoisonParts(); });
+    spawn("reports to siblings", [this] { return m_siblings.send(); });
+    spawn("urgent reports to siblings", [this] { return m_siblings.sendUrgent(); });
+    spawn("datagrams of siblings", [this] { return m_siblings.receive(); });
+    spawn("queues of engines", [this] { return m_engineQueues.run(); });
+    spawn("cache snapshots", [this] { return m_cacheSnapshots.run(); });
+    spawn("weights rollout", [this] { return m_weightsRollout.run(); });
+    spawn("count of instances", [this] { return countInstances(); });
+    spawn("KV cache stores", [this] { return m_storeMonitor.run(); });
+    spawn("settings file", [this] { return watchSettings(); });
 }
 
 void GatewayDaemon::connectCallbacks()
@@ -346,19 +367,6 @@
     co_await exchange.respond(std::move(response));
 }
 
-asio::awaitable<void> GatewayDaemon::awaitSignals()
-{
-    asio::signal_set signals(m_threads.at(0), SIGTERM, SIGINT, SIGHUP);
-    for (;;) {
-        const int signal = co_await signals.async_wait(asio::use_awaitable);
-        if (signal != SIGHUP)
-            break;
-        if (const auto settings = reload ? reload(true) : std::nullopt)
-            applySettings(*settings);
-    }
-    co_await drain();
-}
-
 asio::awaitable<void> GatewayDaemon::drain()
 {
     Core::logEvent(Core::EventId::DrainStarted);
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/IoThreads.h>
+#include <LibCore/ProcessSignals.h>
 #include <LibGateway/CacheSnapshotService.h>
 #include <LibGateway/EngineControl.h>
 #include <LibGateway/EngineQueueExchange.h>
@@ -15,8 +16,6 @@
 #include <LibGateway/WeightsRollout.h>
 #include <LibHttp/Server.h>
 
-#include <boost/asio/signal_set.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -42,11 +41,15 @@
     ~GatewayDaemon();
 
     /// Opens the ports and starts the background loops. Throws Error(SettingsInvalid) when a port
-    /// cannot be opened.
+    /// cannot be opened, and may then be called again.
     void start();
-    /// Starts, serves until SIGTERM or SIGINT, then drains the running requests. Returns the exit
-    /// code.
-    int run();
+    /// Stops the threads. Suspended loops refer to the object, so it must not be destroyed after
+    /// start().
+    void stop() { m_threads.stop(); }
+    /// Starts as soon as the ports can be opened, serves until SIGTERM or SIGINT, then drains the
+    /// running requests; reloads the settings on SIGHUP. Signals during the drain have no effect.
+    /// Returns the exit code.
+    int run(Core::ProcessSignals &signals);
 
     /// Returns the address where callers connect; needed when the settings leave the port open.
     Http::Endpoint callers() const { return m_callers->localEndpoint(); }
@@ -57,6 +60,7 @@
     std::function<std::optional<GatewaySettings>(bool isForced)> reload;
 
 private:
+    void openPorts();
     void startLoops();
     void applyConfiguration();
     /// Applies the usage caps of the configuration, and the number of instances that share them.
@@ -71,7 +75,8 @@
     void applySettings(const GatewaySettings &settings);
     boost::asio::awaitable<void> watchSettings();
     boost::asio::awaitable<void> answerOperator(Http::ServerExchange &exchange);
-    boost::asio::awaitable<void> awaitSignals();
+    /// Serves until a signal asks for the end.
+    void serve(Core::ProcessSignals &signals);
     boost::asio::awaitable<void> drain();
 
     GatewaySettings m_settings;
