platform: Refuse numbers and ports out of range instead of cutting them

Callers saw instances that no longer followed an upstream's list entries, and answers that differed between x86-64 and arm64: another writer had left an entry with a number too large or a port out of range. Causes: - A number with a fraction part of the type was cast to 64 bits before it was compared, which is undefined beyond their range; 1e400 was infinite where a rate is read; numbers from 2^63 on were wrapped; counts were cut to 32 bits, so that slots were none. - An entry of an existing id with a huge start time or sequence number was adopted, and all later entries of that upstream, draining ones too, were out of date by comparison. The same holds for versions of configurations and weights. - Times of a configuration overflowed when they were added to the current time. - Port 0, addresses that end at a zero byte, and ids that are empty or would break the header that names the upstream, were accepted.

Numbers are now checked against the range of their type before they are converted. Long times are cut to a year, and a limit on header bytes to the 32 bits of the parser, because such limits mean that there is none. An odd entry of a configuration's list is left out as before.

--- a/Libraries/LibHttp/Endpoint.cpp
+++ b/Libraries/LibHttp/Endpoint.cpp
@@ -25,6 +25,9 @@
     auto host = text.substr(0, colon);
     if (host.size() >= 2 && host.front() == '[' && host.back() == ']')
         host = host.substr(1, host.size() - 2);
+    // The address would end there for make_address().
+    if (host.find('\0') != std::string_view::npos)
+        return badEndpoint(text);
     const auto digits = text.substr(colon + 1);
     std::uint16_t port = 0;
     const auto [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
--- a/Tests/PlatformParts/TestRecords.cpp
+++ b/Tests/PlatformParts/TestRecords.cpp
@@ -1,9 +1,282 @@
+#include <LibCore/ManualClock.h>
+
 #include <PlatformRecords.h>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
-TEST_CASE("records without a key are refused, so that they are logged")
+#include <string>
+#include <variant>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto SoundUpstream =
+    R"({"Service":"app","Address":"10.0.0.1:80","Zone":"a","Slots":8,"State":"ready",)"
+    R"("Models":[{"Name":"model","Version":3}],"born":1700000000000,"Seq":12})";
+
+constexpr auto SoundConfiguration =
+    R"({"Version":4,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/a/",)"
+    R"("Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":300,"GapAimMs":90,"Priority":2,)"
+    R"("MaxAttempts":2,"Backends":[{"Service":"llm","Weight":3}]}],)"
+    R"("Services":[{"Name":"llm","MaxConns":230,"Engine":{"Slots":8,"KvCapacity":200000,)"
+    R"("TokenKvBytes":327680,"LinkMbps":1500000.0}},)"
+    R"({"Name":"kv","KvStoreAddr":"10.0.0.2:90","KvCapacity":5,"Zone":"a","LinkMbps":2.5}],)"
+    R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,)"
+    R"("IdleTimeoutMs":15000},)"
+    R"("Tenants":[{"Name":"liit","ApiKeys":["k"],"RatePerS":5,"Burst":10,"PlainTokens":9}]})";
+
+/// Returns the text with the value of a field replaced by other JSON.
+std::string with(std::string text, const std::string &field, const std::string &value)
+{
+    const auto name = "\"" + field + "\":";
+    const auto begin = text.find(name) + name.size();
+    const auto end =
+        text[begin] == '"' ? text.find('"', begin + 1) + 1 : text.find_first_of(",}]", begin);
+    return text.replace(begin, end - begin, value);
+}
+
+struct Fixture
+{
+    Core::ManualClock clock;
+    Site::PlatformRecords records {clock};
+    Core::Result<Gateway::UpstreamReport> upstream(const std::string &value,
+                                                   const std::string &key = "w-1") const
+    {
+        return records.decodeUpstream({3, key, value});
+    }
+    /// Returns the configuration; empty if it is refused.
+    std::optional<Gateway::GatewayConfiguration> configuration(const std::string &value) const
+    {
+        const auto decoded = records.decodeOperator({3, "config", value});
+        if (!decoded)
+            return std::nullopt;
+        return std::get<Gateway::GatewayConfiguration>(decoded.value());
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "records without a key are refused, so that they are logged")
 {
-    const Site::PlatformRecords records;
     CHECK_FALSE(records.decodeOperator({3, "", ""}).has_value());
     CHECK_FALSE(records.decodeUpstream({3, "", ""}).has_value());
+    CHECK_FALSE(upstream(SoundUpstream, "").has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "a sound entry names an upstream")
+{
+    const auto report = upstream(SoundUpstream);
+    REQUIRE(report.has_value());
+    CHECK(report.value().endpoint.port() == 80);
+    CHECK(report.value().slots == 8);
+    CHECK(report.value().sequence == 12);
+    CHECK(report.value().startTime == 1'700'000'000'000ms);
+    CHECK(report.value().weights.at("model") == 3);
+    CHECK(upstream(with(SoundUpstream, "Slots", "8.0")).has_value());
+    CHECK(upstream(with(SoundUpstream, "Address", R"("[::1]:80")")).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "an entry with an address or port out of range names no upstream")
+{
+    const std::string address = GENERATE(
+        as<std::string>(), R"("10.0.0.1:0")", R"("10.0.0.1:65536")", R"("10.0.0.1:99999999999")",
+        R"("10.0.0.1:-1")", R"("10.0.0.1:+80")", R"("10.0.0.1: 80")", R"("10.0.0.1:80x")",
+        R"("10.0.0.1:")", R"("10.0.0.1")", R"("worker.example:80")", R"("")", R"(":80")",
+        R"("[::1]:0")", R"("::1]:80")", R"("10.0.0.1\u0000x:80")", "80", "null");
+    CAPTURE(address);
+    CHECK_FALSE(upstream(with(SoundUpstream, "Address", address)).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "an entry with a number out of range names no upstream")
+{
+    const std::string field = GENERATE(as<std::string>(), "Slots", "Seq", "born", "Version");
+    const std::string number = GENERATE(
+        as<std::string>(), "-1", "-9223372036854775808", "9223372036854775807",
+        "9223372036854775808", "18446744073709551615", "18446744073709551616", "1e19", "-1e19",
+        "9.223372036854775808e18", "1e400", "-1e400", "1.5", R"("8")", "true", "null", "[]", "{}");
+    CAPTURE(field, number);
+    CHECK_FALSE(upstream(with(SoundUpstream, field, number)).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "a number of slots is not cut to 32 bits")
+{
+    CHECK_FALSE(upstream(with(SoundUpstream, "Slots", "4294967296")).has_value());
+    CHECK_FALSE(upstream(with(SoundUpstream, "Slots", "4294967297")).has_value());
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "an entry whose upstream starts in the future does not hide later entries")
+{
+    // Entries of an earlier start than the known one are out of date.
+    const auto in = [this](std::chrono::milliseconds time) {
+        const auto start = std::chrono::floor<std::chrono::milliseconds>(
+            clock.wallNow().time_since_epoch() + time);
+        return with(SoundUpstream, "born", std::to_string(start.count()));
+    };
+    CHECK_FALSE(upstream(in(48h)).has_value());
+    // The clocks of machines differ a little.
+    CHECK(upstream(in(1min)).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "an entry whose id cannot be sent in a header names no upstream")
+{
+    const std::string key =
+        GENERATE(as<std::string>(), "w\r\nX: 1", "w\n", std::string("w\0", 2), "w\x7f", "\t");
+    CHECK_FALSE(upstream(SoundUpstream, key).has_value());
+    CHECK(upstream(SoundUpstream, "w 1/\xc3\xa4").has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "an entry that is nested very deeply names no upstream")
+{
+    const std::size_t depth = GENERATE(33, 1'000, 1'000'000);
+    const std::string open = GENERATE(as<std::string>(), "[", R"({"a":)");
+    std::string nested;
+    for (std::size_t n = 0; n < depth; ++n)
+        nested += open;
+    CHECK_FALSE(upstream(nested).has_value());
+    CHECK_FALSE(upstream(with(SoundUpstream, "Models", nested)).has_value());
+    CHECK_FALSE(upstream(with(SoundUpstream, "unknown", nested)).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "an entry with fields missing or of another type names no upstream")
+{
+    const std::string field =
+        GENERATE(as<std::string>(), "Service", "Address", "Zone", "Slots", "State", "Seq");
+    CAPTURE(field);
+    auto value = boost::json::parse(SoundUpstream).as_object();
+    value.erase(field);
+    CHECK_FALSE(upstream(boost::json::serialize(value)).has_value());
+    for (const auto &odd :
+         {boost::json::value(nullptr), boost::json::value(true),
+          boost::json::value(boost::json::array()), boost::json::value(boost::json::object())}) {
+        value[field] = odd;
+        CHECK_FALSE(upstream(boost::json::serialize(value)).has_value());
+    }
+}
+
+TEST_CASE_METHOD(Fixture, "an entry of an unknown state, or that is no JSON, names no upstream")
+{
+    CHECK_FALSE(upstream(with(SoundUpstream, "State", R"("leaving")")).has_value());
+    CHECK_FALSE(upstream(with(SoundUpstream, "State", R"("")")).has_value());
+    for (const std::string &odd :
+         {std::string(), std::string("\x01\x02"), std::string("null"), std::string("[]"),
+          std::string("7"), std::string(SoundUpstream) + "x",
+          std::string(SoundUpstream).substr(0, 40), with(SoundUpstream, "Zone", "\"\xff\""),
+          with(SoundUpstream, "Zone", R"("\ud800")"), with(SoundUpstream, "Models", "[7]"),
+          with(SoundUpstream, "Models", "{}")})
+        CHECK_FALSE(upstream(odd).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "of a field that an entry has twice, the last one holds")
+{
+    const auto report = upstream(R"({"Slots":"x",)" + std::string(SoundUpstream).substr(1));
+    REQUIRE(report.has_value());
+    CHECK(report.value().slots == 8);
+}
+
+TEST_CASE_METHOD(Fixture, "a sound configuration is read in full")
+{
+    const auto read = configuration(SoundConfiguration);
+    REQUIRE(read.has_value());
+    REQUIRE(read->routes.size() == 1);
+    CHECK(read->routes[0].gapTarget == 90ms);
+    CHECK(read->services.size() == 2);
+    CHECK(read->services.at("llm").engine->linkMegabitsPerSecond == 1'500'000.0);
+    CHECK(read->tenants.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a configuration whose version or limits are out of range is refused")
+{
+    const std::string field = GENERATE(as<std::string>(), "Version", "MaxHeaderBytes",
+                                       "MaxBodyBytes", "HeaderTimeoutMs", "IdleTimeoutMs");
+    const std::string number = GENERATE(as<std::string>(), "-1", "18446744073709551616", "1e20",
+                                        "1e400", "1.5", R"("8")", "null");
+    CAPTURE(field, number);
+    CHECK_FALSE(configuration(with(SoundConfiguration, field, number)).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "a configuration whose version would hide all later ones is refused")
+{
+    const std::string number = GENERATE(as<std::string>(), "9223372036854775807",
+                                        "18446744073709551615", "9007199254740992", "1e16");
+    CHECK_FALSE(configuration(with(SoundConfiguration, "Version", number)).has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "an entry of a configuration with a number out of range is left out")
+{
+    const std::string field =
+        GENERATE(as<std::string>(), "TimeoutMs", "TargetLatencyMs", "GapAimMs", "Priority",
+                 "MaxAttempts", "Weight", "MaxConns", "Slots", "KvCapacity", "TokenKvBytes",
+                 "LinkMbps", "RatePerS", "Burst", "PlainTokens");
+    const std::string number = GENERATE(as<std::string>(), "-9223372036854775808", "-1e19", "1e400",
+                                        "-1e400", R"("8")", "null", "[]");
+    CAPTURE(field, number);
+    const auto read = configuration(with(SoundConfiguration, field, number));
+    REQUIRE(read.has_value());
+    CHECK(read->routes.size() + read->services.size() + read->tenants.size() == 3);
+}
+
+TEST_CASE_METHOD(Fixture, "a number of a configuration is not cut to 32 bits")
+{
+    const std::string field = GENERATE(as<std::string>(), "Priority", "MaxAttempts", "Weight",
+                                       "MaxConns", "Slots", "PlainTokens");
+    const std::string number =
+        GENERATE(as<std::string>(), "4294967296", "4294967297", "18446744073709551615");
+    CAPTURE(field, number);
+    const auto read = configuration(with(SoundConfiguration, field, number));
+    REQUIRE(read.has_value());
+    CHECK(read->routes.size() + read->services.size() + read->tenants.size() == 3);
+}
+
+TEST_CASE_METHOD(Fixture, "a size that stands for no limit holds")
+{
+    const std::string number =
+        GENERATE(as<std::string>(), "9223372036854775807", "18446744073709551615", "4294967296");
+    const auto header = configuration(with(SoundConfiguration, "MaxHeaderBytes", number));
+    REQUIRE(header.has_value());
+    // The parser takes 32 bits.
+    CHECK(header->limits.headerBytes == 0xffff'ffff);
+    const auto body = configuration(with(SoundConfiguration, "MaxBodyBytes", number));
+    REQUIRE(body.has_value());
+    CHECK(body->limits.bodyBytes == std::stoull(number));
+}
+
+TEST_CASE_METHOD(Fixture, "times of a configuration can be added to the time without an overflow")
+{
+    const std::string field = GENERATE(as<std::string>(), "HeaderTimeoutMs", "IdleTimeoutMs",
+                                       "TimeoutMs", "TargetLatencyMs", "GapAimMs");
+    // The first is more milliseconds than the clock has nanoseconds.
+    const std::string number = GENERATE(as<std::string>(), "9223372036855", "9223372036854775807",
+                                        "18446744073709551615", "1e19");
+    CAPTURE(field, number);
+    const auto read = configuration(with(SoundConfiguration, field, number));
+    REQUIRE(read.has_value());
+    REQUIRE(read->routes.size() == 1);
+    const auto &route = read->routes.front();
+    for (const auto time : {read->limits.headerTime, read->limits.idleTime, route.timeout,
+                            route.target, route.gapTarget}) {
+        CHECK(time > 0ms);
+        CHECK(time <= 10 * 366 * 24h);
+    }
+}
+
+TEST_CASE_METHOD(Fixture, "a cache store whose port is out of range is left out")
+{
+    const std::string address =
+        GENERATE(as<std::string>(), R"("10.0.0.2:0")", R"("10.0.0.2:65536")", R"("x:80")");
+    const auto read = configuration(with(SoundConfiguration, "KvStoreAddr", address));
+    REQUIRE(read.has_value());
+    CHECK(read->services.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "named weights with an odd version or model are refused")
+{
+    const std::string odd = GENERATE(
+        as<std::string>(), R"({"Model":"m","Version":-1})", R"({"Model":"m","Version":1e400})",
+        R"({"Model":"m","Version":18446744073709551615})", R"({"Model":7,"Version":1})",
+        R"({"Version":1})", R"({"Model":"m"})", "[]", "", "{");
+    CAPTURE(odd);
+    CHECK_FALSE(records.decodeOperator({3, "version/m", odd}).has_value());
+    CHECK(records.decodeOperator({3, "version/m", R"({"Model":"m","Version":2})"}).has_value());
 }
