--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -72,6 +72,12 @@
     m_topics[topic].records.push_back({key, value.value_or(""), value.has_value()});
 }
 
+void StoreStandIn::putBytes(const std::string &topic, const std::string &bytes)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_topics[topic].records.push_back({"", bytes, true, true});
+}
+
 std::size_t StoreStandIn::count(const std::string &topic) const
 {
     const std::scoped_lock lock(m_mutex);
@@ -96,7 +102,7 @@
     log.first = log.end() + 1;
     log.records.clear();
     for (const auto &[key, record] : kept) {
-        if (record.hasValue)
+        if (record.hasValue && !record.isBare)
             log.records.push_back(record);
     }
 }
@@ -155,7 +161,7 @@
                 for (auto at = from; at < topic.end(); ++at) {
                     const auto &record = topic.records[at - topic.first];
                     auto bytes = record.value;
-                    if (isKeyed(name))
+                    if (isKeyed(name) && !record.isBare)
                         bytes = std::string(1, static_cast<char>(record.key.size())) + record.key
                                 + record.value;
                     response.body += bigEndian(static_cast<std::uint32_t>(bytes.size())) + bytes;
@@ -189,7 +195,7 @@
             byKey[it->second.records[n].key] = n;
         for (const auto &[key, n] : byKey) {
             const auto &record = it->second.records[n];
-            if (record.hasValue)
+            if (record.hasValue && !record.isBare)
                 items.push_back(boost::json::object {{"Key", key},
                                                      {"Value", Core::encodeBase64(record.value)},
                                                      {"Offset", it->second.first + n}});
--- a/Tests/StandIns/StoreStandIn.h
+++ b/Tests/StandIns/StoreStandIn.h
@@ -31,6 +31,8 @@
     /// Writes a record as operators and workers do. A missing value deletes the key.
     void put(const std::string &topic, const std::string &key,
              const std::optional<std::string> &value);
+    /// Writes bytes that need not begin with a whole key. Lists of newest records omit them.
+    void putBytes(const std::string &topic, const std::string &bytes);
     /// Returns the number of records of a topic without keys.
     std::size_t count(const std::string &topic) const;
     /// While this is set, every call is answered with the given status.
@@ -45,6 +47,8 @@
         std::string key;
         std::string value;
         bool hasValue = true;
+        /// Whether the value is the whole record.
+        bool isBare = false;
     };
     struct Topic
     {
