--- a/Libraries/LibGateway/EngineQueueExchange.cpp
+++ b/Libraries/LibGateway/EngineQueueExchange.cpp
@@ -248,7 +248,8 @@
             continue;
         const auto &load = answer->load();
         noteLoad(*it->second.engine,
-                 {{load.waiting_tokens(), load.urgent_tokens(), load.ordinary_prompts()},
+                 {{load.waiting_tokens(), std::min(load.urgent_tokens(), load.waiting_tokens()),
+                   load.ordinary_prompts()},
                   load.in_flight(),
                   load.memory_tokens()});
         it->second.isAnswered = true;
--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -158,6 +158,8 @@
         return;
     }
     auto endpoint = Http::parseEndpoint(text(member.endpoint()));
+    if (instance.value().empty())
+        endpoint = Core::Error(Core::ErrorKind::MalformedRequest, "a member has no name");
     if (endpoint)
         m_members.noteAnnounced(
             {instance, text(member.data_centre()), endpoint.value(), member.link_megabits()});
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t MaxPartsPerSum = 768;
 // When no hub of a data centre is known, the sum goes to its most likely hubs.
 constexpr std::size_t HubCandidates = 3;
+// Longer than any pause that an instance needs; bounds the effect of a wrong report.
+constexpr std::chrono::milliseconds MaxPause = 60s;
 // Names of sums in m_sources. No instance has such a name.
 constexpr auto DataCentreSource = "data centre ";
 constexpr auto RemoteSource = "elsewhere";
@@ -349,7 +351,7 @@
         return;
     }
     const auto *report = Wire::GetSiblingReport(bytes);
-    if (!report->instance()
+    if (!report->instance() || report->instance()->size() == 0
         || report->instance()->str() == m_dependencies.members.self().instance.value())
         return;
     auto &sender = source(*report);
@@ -416,7 +418,8 @@
     if (report.loads()) {
         for (const auto *load : *report.loads())
             source.loads[load->upstream()] = {
-                {load->waiting_tokens(), load->urgent_tokens(), load->ordinary_prompts()},
+                {load->waiting_tokens(), std::min(load->urgent_tokens(), load->waiting_tokens()),
+                 load->ordinary_prompts()},
                 load->in_flight(),
                 load->memory_tokens()};
     }
@@ -474,8 +477,9 @@
         return;
     for (const auto *pause : *report.holds()) {
         if (const auto upstream = m_dependencies.fleet.findByHash(pause->upstream()))
-            upstream->pauseUntil(m_dependencies.clock.now()
-                                 + std::chrono::milliseconds(pause->milliseconds()));
+            upstream->pauseUntil(
+                m_dependencies.clock.now()
+                + std::min(MaxPause, std::chrono::milliseconds(pause->milliseconds())));
     }
 }
 
