LibGateway: Delay removals of upstreams only around an outage in which entries expire

Callers' requests were sent to an upstream up to 2.3 s after its removal had been read, with a drain bound of 2.0 s, whenever one read of the store had failed in the last 2.3 s, at this instance or at the sibling that it reads through. The grace began anew with each removal that was read, so one that was read at the end of it was used for 4.6 s after the failure. A second outage within the grace dropped the upstreams that had not been able to register.

Only an outage of at least two report intervals lets entries of sound upstreams expire. ExpiryOutages takes as such an outage a span of that length between two answers of the store, to this instance or one that it reads through, with a failed read in it. Upstreams that are missing stay in use until a fixed time after the end of that outage, however late their removal is read, and a second outage within that time starts it again. All other removals apply at once. Removals that are due no longer wait for the next page of the log.

The case "a removed entry takes effect at once, but around a store failure" reported a failure and removals without a read in between; it now reads them with the first page after the outage, with the same checks.

--- a/Libraries/LibGateway/FleetLog.h
+++ b/Libraries/LibGateway/FleetLog.h
@@ -47,6 +47,9 @@
     /// The time at which the store was queried for the contents of the page, by the clock of this
     /// instance. Set by SharedLog.
     Core::Clock::Monotonic asOf;
+    /// The time at which the store answered; the minimum time for a page of a sibling. Set by
+    /// SharedLog.
+    Core::Clock::Monotonic answeredAt = Core::Clock::Monotonic::min();
     /// The time of the last failed store read of the instance that read the page; the minimum time
     /// when there was none. Set by SharedLog.
     Core::Clock::Monotonic lastStoreFailure = Core::Clock::Monotonic::min();
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -2,12 +2,16 @@
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/SharedLog.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <random>
+#include <utility>
 
 namespace Gateway {
 
@@ -25,9 +29,6 @@
 constexpr auto MinReadInterval = 20ms;
 constexpr auto MinRetryPause = 100ms;
 constexpr auto MaxRetryPause = 300ms;
-// Upstreams whose entries expired during an outage of the store register again within about two
-// seconds after it ends.
-constexpr auto RemovalGrace = 2'300ms;
 
 std::chrono::milliseconds retryPause()
 {
@@ -55,13 +56,14 @@
 FleetWatcher::FleetWatcher(Dependencies dependencies, std::function<void()> onConfigurationChanged)
     : m_dependencies(dependencies)
     , m_onConfigurationChanged(std::move(onConfigurationChanged))
+    , m_outages(dependencies.reportInterval)
 { }
 
 void FleetWatcher::noteStoreStatus(FleetTopic topic, bool isAnswering, const std::string &reason)
 {
     auto &isDown = m_isDown[topic];
-    if (!isAnswering)
-        noteStoreFailure(m_dependencies.clock.now());
+    if (!isAnswering && topic == FleetTopic::Upstreams)
+        m_outages.noteFailure(m_dependencies.clock.now());
     if (isDown == !isAnswering)
         return;
     isDown = !isAnswering;
@@ -72,11 +74,6 @@
         Core::logEvent(Core::EventId::PlatformBack, {{"log", name}});
 }
 
-void FleetWatcher::noteStoreFailure(Core::Clock::Monotonic time)
-{
-    m_lastStoreFailure = std::max(m_lastStoreFailure, time);
-}
-
 asio::awaitable<void> FleetWatcher::watchOperator()
 {
     for (;;) {
@@ -175,7 +172,6 @@
         }
         if (!reason.empty()) {
             noteStoreStatus(FleetTopic::Upstreams, false, reason);
-            applyPendingRemovals();
             co_await sleepFor(retryPause());
         }
     }
@@ -183,6 +179,7 @@
 
 asio::awaitable<void> FleetWatcher::followUpstreams()
 {
+    const auto executor = co_await asio::this_coro::executor;
     for (;;) {
         FleetPage page;
         if (m_nextUpstreamsOffset)
@@ -190,13 +187,24 @@
                                                     UpstreamsLongPollTime);
         else
             page = co_await m_dependencies.log.newest(FleetTopic::Upstreams);
-        if (!m_nextUpstreamsOffset)
-            dropUnlisted(page);
         applyUpstreamsPage(page);
+        if (!m_pendingRemovals.empty() && !std::exchange(m_isRemovalScheduled, true))
+            asio::co_spawn(executor, removePendingInTime(), asio::detached);
         co_await sleepFor(MinReadInterval);
     }
 }
 
+asio::awaitable<void> FleetWatcher::removePendingInTime()
+{
+    using std::chrono::milliseconds;
+    while (!m_pendingRemovals.empty()) {
+        const auto rest = m_outages.registrationEnd() - m_dependencies.clock.now();
+        co_await sleepFor(std::max(std::chrono::ceil<milliseconds>(rest), MinRetryPause));
+        applyPendingRemovals();
+    }
+    m_isRemovalScheduled = false;
+}
+
 void FleetWatcher::dropUnlisted(const FleetPage &page)
 {
     // Upstreams that are missing in the new list were removed while nothing was read.
@@ -215,11 +223,14 @@
 void FleetWatcher::applyUpstreamsPage(const FleetPage &page)
 {
     noteStoreStatus(FleetTopic::Upstreams, true, {});
+    m_outages.noteFailure(page.lastStoreFailure);
+    m_outages.noteAnswer(std::max(page.asOf, page.answeredAt));
     if (page.isHistoryTruncated) {
         m_nextUpstreamsOffset.reset();
         return;
     }
-    noteStoreFailure(page.lastStoreFailure);
+    if (!m_nextUpstreamsOffset)
+        dropUnlisted(page);
     for (const auto &record : page.records)
         applyUpstream(record);
     m_nextUpstreamsOffset = page.next;
@@ -231,18 +242,7 @@
 void FleetWatcher::applyUpstream(const FleetRecord &record)
 {
     if (!record.value) {
-        const auto now = m_dependencies.clock.now();
-        const bool isAroundStoreFailure = m_lastStoreFailure != Core::Clock::Monotonic::min()
-                                          && now - m_lastStoreFailure < RemovalGrace;
-        if (!isAroundStoreFailure) {
-            m_dependencies.fleet.remove(Core::UpstreamId(record.key));
-            return;
-        }
-        m_pendingRemovals.try_emplace(record.key, now + RemovalGrace);
-        Core::logEvent(Core::EventId::UpstreamRemovalDelayed,
-                       {{"upstream", record.key},
-                        {"failure_age_ms", text(now - m_lastStoreFailure)},
-                        {"list_age_ms", text(m_dependencies.fleet.age(now))}});
+        removeUpstream(record.key);
         return;
     }
     auto report = m_dependencies.decoder.decodeUpstream(record);
@@ -255,21 +255,28 @@
     m_dependencies.fleet.apply(std::move(report.value()));
 }
 
-void FleetWatcher::applyPendingRemovals()
+void FleetWatcher::removeUpstream(const std::string &key)
 {
     const auto now = m_dependencies.clock.now();
-    // No upstream can register again while the store is unavailable.
-    if (m_isDown[FleetTopic::Upstreams]) {
-        for (auto &[id, until] : m_pendingRemovals)
-            until = now + RemovalGrace;
+    if (!m_outages.mayRegisterAgain(now)) {
+        m_dependencies.fleet.remove(Core::UpstreamId(key));
         return;
     }
-    std::erase_if(m_pendingRemovals, [&](const auto &item) {
-        if (now < item.second)
-            return false;
-        m_dependencies.fleet.remove(Core::UpstreamId(item.first));
-        return true;
-    });
+    if (!m_dependencies.fleet.find(Core::UpstreamId(key)) || !m_pendingRemovals.insert(key).second)
+        return;
+    Core::logEvent(Core::EventId::UpstreamRemovalDelayed,
+                   {{"upstream", key},
+                    {"failure_age_ms", text(now - m_outages.lastFailure())},
+                    {"list_age_ms", text(m_dependencies.fleet.age(now))}});
+}
+
+void FleetWatcher::applyPendingRemovals()
+{
+    // No upstream can register again while the store is unavailable.
+    if (m_isDown[FleetTopic::Upstreams] || m_outages.mayRegisterAgain(m_dependencies.clock.now()))
+        return;
+    for (const auto &id : std::exchange(m_pendingRemovals, {}))
+        m_dependencies.fleet.remove(Core::UpstreamId(id));
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetWatcher.h
+++ b/Libraries/LibGateway/FleetWatcher.h
@@ -2,7 +2,9 @@
 
 #include <LibCore/Clock.h>
 #include <LibGateway/ConfigurationState.h>
+#include <LibGateway/ExpiryOutages.h>
 #include <LibGateway/FleetLog.h>
+#include <LibGateway/GatewaySettings.h>
 #include <LibGateway/RecordDecoder.h>
 #include <LibGateway/UpstreamFleet.h>
 #include <LibGateway/WeightsTargets.h>
@@ -34,6 +36,8 @@
         /// The assumed age of weights that were named before the instance started or in an outage,
         /// until a sibling tells it.
         std::chrono::milliseconds assumedWeightsAge {0};
+        /// The interval between two reports of an upstream.
+        std::chrono::milliseconds reportInterval = GatewaySettings().reportInterval;
     };
 
     FleetWatcher(Dependencies dependencies, std::function<void()> onConfigurationChanged);
@@ -46,13 +50,12 @@
     /// Applies a record that was read from the store. Public for tests.
     void applyOperator(const FleetRecord &record);
     void applyUpstream(const FleetRecord &record);
-    /// Removes the upstreams whose entries disappeared around a store failure and were not restored
-    /// within the grace time.
+    void applyUpstreamsPage(const FleetPage &page);
+    /// Removes the upstreams whose entries disappeared around an outage of the store and were not
+    /// restored in time.
     void applyPendingRemovals();
     /// Records whether the store or a sibling answered the last read of a topic.
     void noteStoreStatus(FleetTopic topic, bool isAnswering, const std::string &reason);
-    /// Records when the store last failed to answer the instance that read a page.
-    void noteStoreFailure(Core::Clock::Monotonic time);
 
 private:
     /// Reads until a read fails, then throws Error. The next call continues at the same offset.
@@ -60,9 +63,12 @@
     boost::asio::awaitable<void> followUpstreams();
     void applyOperatorPage(const FleetPage &page);
     void applyTarget(const WeightsTarget &target);
-    void applyUpstreamsPage(const FleetPage &page);
+    /// Removes upstreams in time when no further page arrives before.
+    boost::asio::awaitable<void> removePendingInTime();
     /// Removes the upstreams that are missing in a newly read list.
     void dropUnlisted(const FleetPage &page);
+    /// Removes an upstream, or after an outage of the store as soon as it cannot be back any more.
+    void removeUpstream(const std::string &key);
 
     Dependencies m_dependencies;
     std::function<void()> m_onConfigurationChanged;
@@ -70,10 +76,10 @@
     /// The offset of the next read; empty before the first read and after a gap in the records.
     std::optional<std::uint64_t> m_nextOperatorOffset;
     std::optional<std::uint64_t> m_nextUpstreamsOffset;
-    Core::Clock::Monotonic m_lastStoreFailure = Core::Clock::Monotonic::min();
-    /// Upstreams whose entries disappeared around a store failure, with the time at which they are
-    /// removed.
-    std::map<std::string, Core::Clock::Monotonic> m_pendingRemovals;
+    ExpiryOutages m_outages;
+    /// Upstreams whose entries disappeared around an outage of the store.
+    std::set<std::string> m_pendingRemovals;
+    bool m_isRemovalScheduled = false;
 };
 
 /// Waits without blocking the thread.
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -179,6 +179,7 @@
     noteStoreCall(topic, "newest");
     auto page = co_await m_dependencies.store.newest(topic);
     page.asOf = requestTime;
+    page.answeredAt = m_dependencies.clock.now();
     page.lastStoreFailure = m_topics[topic].lastStoreFailure;
     m_dependencies.relay.tail(topic).restart(page);
     co_return page;
@@ -249,6 +250,7 @@
         noteStoreCall(topic, "read");
         auto page = co_await m_dependencies.store.read(topic, from, wait);
         page.asOf = requestTime;
+        page.answeredAt = m_dependencies.clock.now();
         page.lastStoreFailure = state.lastStoreFailure;
         state.isStoreFailing = false;
         state.nextStoreRead = m_dependencies.clock.now() + storeReadPause(topic);
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -80,6 +80,15 @@
     {
         watcher.applyUpstream({0, key, value});
     }
+    /// Applies what the store answered to a read of this moment.
+    void readPage(std::vector<Gateway::FleetRecord> records = {})
+    {
+        Gateway::FleetPage page;
+        page.asOf = clock.now();
+        page.records = std::move(records);
+        watcher.applyUpstreamsPage(page);
+    }
+    void failRead() { watcher.noteStoreStatus(FleetTopic::Upstreams, false, "refused"); }
     std::shared_ptr<Gateway::Upstream> find(const std::string &id) const
     {
         return fleet.find(Core::UpstreamId(id));
@@ -159,22 +168,18 @@
 }
 
 TEST_CASE(
-    "a removed entry takes effect at once, but around a store failure only if it does not return")
+    "a removed entry takes effect at once, but after a store outage only if it does not return")
 {
     Fixture fixture;
-    fixture.applyUpstream("w1", "app:10:1");
-    fixture.applyUpstream("w2", "app:10:1");
-    fixture.applyUpstream("w3", "app:10:1");
-    fixture.applyUpstream("w1", std::nullopt);
+    fixture.readPage({{0, "w1", "app:10:1"}, {1, "w2", "app:10:1"}, {2, "w3", "app:10:1"}});
+    fixture.readPage({{3, "w1", std::nullopt}});
     CHECK_FALSE(fixture.find("w1"));
-    fixture.watcher.noteStoreStatus(FleetTopic::Upstreams, false, "down");
-    fixture.applyUpstream("w2", std::nullopt);
-    fixture.applyUpstream("w3", std::nullopt);
+    fixture.failRead();
     // No upstream can register again while the store is unavailable.
     fixture.clock.advance(10s);
     fixture.watcher.applyPendingRemovals();
     CHECK(fixture.find("w2"));
-    fixture.watcher.noteStoreStatus(FleetTopic::Upstreams, true, {});
+    fixture.readPage({{4, "w2", std::nullopt}, {5, "w3", std::nullopt}});
     fixture.clock.advance(1s);
     fixture.applyUpstream("w2", "app:10:2");
     fixture.watcher.applyPendingRemovals();
@@ -184,3 +189,88 @@
     CHECK(fixture.find("w2"));
     CHECK_FALSE(fixture.find("w3"));
 }
+
+TEST_CASE("a removal that is read after one failed read of a stable store takes effect at once")
+{
+    Fixture fixture;
+    fixture.readPage({{0, "w", "app:10:1"}});
+    fixture.clock.advance(800ms);
+    fixture.failRead();
+    fixture.clock.advance(200ms);
+    fixture.readPage({{1, "w", std::nullopt}});
+    CHECK_FALSE(fixture.find("w"));
+}
+
+TEST_CASE("a removal that is read after a failure of the sibling's read takes effect at once")
+{
+    Fixture fixture;
+    fixture.readPage({{0, "w", "app:10:1"}});
+    fixture.clock.advance(500ms);
+    Gateway::FleetPage page;
+    page.asOf = fixture.clock.now();
+    page.lastStoreFailure = fixture.clock.now() - 200ms;
+    page.records.push_back({1, "w", std::nullopt});
+    fixture.watcher.applyUpstreamsPage(page);
+    CHECK_FALSE(fixture.find("w"));
+}
+
+TEST_CASE("a removal that is read well after an outage of the store takes effect at once")
+{
+    Fixture fixture;
+    fixture.readPage({{0, "w", "app:10:1"}});
+    fixture.clock.advance(5s);
+    fixture.failRead();
+    fixture.clock.advance(200ms);
+    fixture.readPage();
+    for (int n = 0; n < 6; ++n) {
+        fixture.clock.advance(300ms);
+        fixture.readPage();
+    }
+    // Sound upstreams register again within about two seconds, however late a removal is read.
+    fixture.readPage({{1, "w", std::nullopt}});
+    CHECK(fixture.find("w"));
+    fixture.clock.advance(600ms);
+    fixture.readPage();
+    CHECK_FALSE(fixture.find("w"));
+}
+
+TEST_CASE("a removal while an instance did not run, or read through siblings, is no expiry")
+{
+    Fixture fixture;
+    fixture.readPage({{0, "w1", "app:10:1"}, {1, "w2", "app:10:1"}});
+    fixture.clock.advance(10s);
+    fixture.readPage({{2, "w1", std::nullopt}});
+    CHECK_FALSE(fixture.find("w1"));
+    for (int n = 0; n < 10; ++n) {
+        fixture.failRead();
+        fixture.clock.advance(500ms);
+        fixture.readPage();
+    }
+    fixture.readPage({{3, "w2", std::nullopt}});
+    CHECK_FALSE(fixture.find("w2"));
+}
+
+TEST_CASE("upstreams whose entries expired in an outage stay in use until they can be back")
+{
+    Fixture fixture;
+    fixture.readPage({{0, "w1", "app:10:1"}, {1, "w2", "app:10:1"}, {2, "w3", "app:10:1"}});
+    fixture.clock.advance(2'400ms);
+    fixture.failRead();
+    fixture.clock.advance(200ms);
+    fixture.readPage({{3, "w1", std::nullopt}, {4, "w2", std::nullopt}});
+    CHECK(fixture.find("w1"));
+    // The store is unavailable once more before the upstreams have registered again.
+    fixture.clock.advance(100ms);
+    fixture.failRead();
+    fixture.clock.advance(1'800ms);
+    fixture.readPage();
+    fixture.clock.advance(2s);
+    fixture.readPage({{5, "w3", std::nullopt}, {6, "w1", "app:10:2"}});
+    CHECK(fixture.find("w2"));
+    CHECK(fixture.find("w3"));
+    fixture.clock.advance(400ms);
+    fixture.readPage();
+    CHECK(fixture.find("w1"));
+    CHECK_FALSE(fixture.find("w2"));
+    CHECK_FALSE(fixture.find("w3"));
+}
