LibGateway: Read the upstreams from the store soon after one failed read

After one failed read an instance followed the list of upstreams through siblings for 3 s and accepted a list of up to 4 s, twice the drain bound, though the store answered again 100 ms later. Callers' requests could be sent to an upstream that had left.

The list is now read from the store again after an eighth of the drain bound, and while reads go on failing after up to half of it. An instance that the store goes on rejecting makes about one call a second for this log, before one in 3 s; the other logs keep their pause, as their age is checked before use.

The case "after one failed read the store is read again" failed before (the page had no record and an old time) and passes now. "an instance that the store goes on rejecting rarely reads it" bounds the calls.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -16,8 +16,12 @@
 
 // A sibling without useful data is queried again after this time.
 constexpr auto SkipTime = 2'000ms;
-// After a failed read, the store is read again after this time while siblings have recent data.
+// While reads of the store fail, it is read again after this time if siblings have recent data.
 constexpr auto StoreRetryPause = 3'000ms;
+// The fractions of the maximum age of the list of upstreams after which the store is read again
+// after the first failed read, and after many.
+constexpr int FirstRetriesPerMaxAge = 8;
+constexpr int RetriesPerMaxAge = 2;
 constexpr auto ReadersKey = "log readers";
 
 // Upstream reports and journal records arrive continuously. Reading them in batches reduces the
@@ -168,6 +172,18 @@
     return std::min(requested, std::max(0ms, cycle - pause));
 }
 
+milliseconds SharedLog::storeRetryPause(FleetTopic topic) const
+{
+    // Only the age of the list of upstreams has no other limit.
+    if (topic != FleetTopic::Upstreams)
+        return StoreRetryPause;
+    const auto maxPause = maxAgeOf(topic) / RetriesPerMaxAge;
+    auto pause = maxAgeOf(topic) / FirstRetriesPerMaxAge;
+    for (unsigned n = 1; n < m_topics.at(topic).failedStoreReads && pause < maxPause; ++n)
+        pause *= 2;
+    return std::min(pause, maxPause);
+}
+
 asio::awaitable<FleetPage> SharedLog::newest(FleetTopic topic)
 {
     // Snapshots are large, so siblings do not pass them on.
@@ -253,6 +269,7 @@
         page.answeredAt = m_dependencies.clock.now();
         page.lastStoreFailure = state.lastStoreFailure;
         state.isStoreFailing = false;
+        state.failedStoreReads = 0;
         state.nextStoreRead = m_dependencies.clock.now() + storeReadPause(topic);
         if (!page.isHistoryTruncated)
             m_dependencies.relay.tail(topic).extend(from, page);
@@ -262,8 +279,9 @@
         failure = error;
     }
     state.isStoreFailing = true;
+    ++state.failedStoreReads;
     state.lastStoreFailure = m_dependencies.clock.now();
-    state.nextStoreRead = state.lastStoreFailure + StoreRetryPause;
+    state.nextStoreRead = state.lastStoreFailure + storeRetryPause(topic);
     throw *failure;
 }
 
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -67,6 +67,8 @@
         /// The time of the last failed store read.
         Core::Clock::Monotonic lastStoreFailure = Core::Clock::Monotonic::min();
         bool isStoreFailing = false;
+        /// The number of store reads that failed since the last successful one.
+        unsigned failedStoreReads = 0;
         /// The sibling that the last page came from; empty for the store.
         Core::InstanceId source;
     };
@@ -84,6 +86,8 @@
     std::chrono::milliseconds siblingWait(FleetTopic topic) const;
     /// Returns the pause between two reads of the store.
     std::chrono::milliseconds storeReadPause(FleetTopic topic) const;
+    /// Returns the pause after a failed read of the store while siblings have recent data.
+    std::chrono::milliseconds storeRetryPause(FleetTopic topic) const;
     /// Returns how long a read of the store may wait for new records.
     std::chrono::milliseconds storeReadWait(FleetTopic topic,
                                             std::chrono::milliseconds requested) const;
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -112,12 +112,16 @@
         }
     }
 
-    FleetPage read(Instance &instance, std::uint64_t from, std::chrono::milliseconds wait = 100ms)
+    FleetPage read(Instance &instance, std::uint64_t from, std::chrono::milliseconds wait = 100ms,
+                   FleetTopic topic = FleetTopic::Operator)
     {
-        return asio::co_spawn(threads.at(0), instance.log.read(FleetTopic::Operator, from, wait),
-                              asio::use_future)
+        return asio::co_spawn(threads.at(0), instance.log.read(topic, from, wait), asio::use_future)
             .get();
     }
+    FleetPage readUpstreams(Instance &instance, std::uint64_t from)
+    {
+        return read(instance, from, 100ms, FleetTopic::Upstreams);
+    }
 
     Instance &firstInstance(bool isReader)
     {
@@ -410,3 +414,40 @@
     CHECK(newest(follower).records.front().value == "second");
     CHECK(follower.store.calls == 1);
 }
+
+TEST_CASE("after one failed read the store is read again, though a sibling has older upstreams")
+{
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    auto &other = fleet.add("n1");
+    fleet.readUpstreams(one, 0);
+    fleet.readUpstreams(other, 0);
+    fleet.clock.advance(800ms);
+    one.store.isUnavailable = true;
+    fleet.readUpstreams(one, 1);
+    one.store.isUnavailable = false;
+    fleet.records.emplace_back("leaving");
+    fleet.clock.advance(one.settings.drainBound / 4);
+    fleet.exchangeDatagrams();
+    const auto page = fleet.readUpstreams(one, 1);
+    CHECK(page.records.size() == 1);
+    CHECK(page.asOf == fleet.clock.now());
+}
+
+TEST_CASE("an instance that the store goes on rejecting rarely reads it while siblings are current")
+{
+    Fleet fleet;
+    auto &cutOff = fleet.add("n0");
+    auto &connected = fleet.add("n1");
+    fleet.readUpstreams(cutOff, 0);
+    cutOff.store.isUnavailable = true;
+    const auto calls = cutOff.store.calls;
+    for (int n = 0; n < 20; ++n) {
+        fleet.clock.advance(1s);
+        fleet.exchangeDatagrams();
+        fleet.readUpstreams(connected, 1);
+        for (int repeat = 0; repeat < 4; ++repeat)
+            fleet.readUpstreams(cutOff, 1);
+    }
+    CHECK(cutOff.store.calls - calls <= 22);
+}
