LibGateway: Believe an answer without an id only on a new connection

A faulty upstream that writes an earlier rejection once more on a kept connection, or additional bytes that look like one, without an id, let the gateway take them for the answer to the next request there. It counted the request as not run and sent it to a second upstream: a call that may run once ran twice, or its caller got 503 while it ran. A sealed answer without an id was even delivered as another request's success.

Cause: relayAnswer() compared the id only if the answer had one. On a reused connection an answer without an id proves nothing. On a new one the first answer can only belong to the first request, so ClientExchange now tells the two apart, and such an answer counts there as before. After a rejection without an id the connection is closed, so that an upstream whose rejections never have one is still believed the next time. A request without an id gets a new connection. An answer that names an earlier or unknown request was never believed.

Evidence: TestRejections, over (503, 429, 421) x (own, earlier, no, wrong id) x (new, kept connection) x (sound, additional), and over seeded sequences. The unframed answers' fixture moved to a file of its own, unchanged, and RawServer can serve several requests on a connection.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -380,6 +380,9 @@
     // If a reused connection turns out to be closed, it is unknown whether the request was
     // executed.
     options.mayRepeat = false;
+    // The answer cannot name a request without an id.
+    if (m_request.caller.attemptId.empty())
+        options.use = Http::ConnectionUse::New;
     options.abort = m_abort;
     options.unacknowledged = UnacknowledgedTimeout;
     m_isPlanOutdated = false;
@@ -466,19 +469,26 @@
 {
     m_plan->upstream->noteReached();
     const auto head = m_gateway.dependencies().dialect.readHead(answer.status(), answer.headers());
-    if (!head.attemptId.empty() && head.attemptId != m_request.caller.attemptId) {
+    const bool isNamed = !head.attemptId.empty();
+    // On a reused connection, an answer that names no request may be a surplus one to an earlier
+    // request, and then says nothing about this one.
+    if (isNamed ? head.attemptId != m_request.caller.attemptId : !answer.isFirstOnConnection()) {
         Core::logEvent(Core::EventId::UpstreamAnswerInvalid,
                        {{"upstream", m_plan->upstream->report().id.value()},
                         {"request", m_request.caller.attemptId},
                         {"answered", head.attemptId}});
         co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
-                                              "the answer belongs to another request"));
+                                              "the answer may belong to another request"));
     }
     std::optional<Core::Error> failure;
     try {
         if (head.isOtherUpstream || head.isNotRun) {
             noteRefusedByUpstream(answer.status(), head);
-            co_await discardBody(answer);
+            // If the upstream does not name requests, the next answer needs a new connection too.
+            if (isNamed)
+                co_await discardBody(answer);
+            else
+                answer.abort();
             co_return AttemptOutcome::NotExecuted;
         }
         if (head.weights && *head.weights > m_plan->upstream->weights(m_request.caller.model)) {
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -160,6 +160,7 @@
         , m_key(std::move(key))
         , m_connection(std::move(connection))
         , m_timeouts(timeouts)
+        , m_isFirst(m_connection->call == 0)
     {
         m_parser.header_limit(HeaderLimitBytes);
         m_parser.body_limit(boost::none);
@@ -167,6 +168,7 @@
 
     unsigned status() const override { return m_parser.get().result_int(); }
     const Headers &headers() const override { return m_headers; }
+    bool isFirstOnConnection() const override { return m_isFirst; }
 
     asio::awaitable<boost::system::error_code> sendAndReadHeaders(const Endpoint &endpoint,
                                                                   Request request)
@@ -235,6 +237,7 @@
     Client::Shared::Key m_key;
     ConnectionPtr m_connection;
     ClientTimeouts m_timeouts;
+    bool m_isFirst;
     http::response_parser<http::buffer_body> m_parser;
     Headers m_headers;
 };
--- /dev/null
+++ b/Tests/Platform/RawWorkersFixture.cpp
@@ -0,0 +1,69 @@
+#include "RawWorkersFixture.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+
+namespace PlatformTests {
+
+namespace asio = boost::asio;
+using StandIns::RawServer;
+using StandIns::ReceivedAnswer;
+
+std::string head(const Http::Request &request, const std::string &status, const std::string &extra)
+{
+    const auto id = request.headers.find("X-Jujubesaddle-Attempt-Id").value_or("");
+    return "HTTP/1.1 " + status + "\r\nX-Jujubesaddle-Attempt-Id: " + std::string(id)
+           + "\r\nX-Jujubesaddle-Server-Seal: seal\r\n" + extra + "\r\n";
+}
+
+bool isResumed(const Http::Request &request)
+{
+    return request.headers.find("Last-Event-Id") == "2";
+}
+
+RawWorkersFixture::RawWorkersFixture(const std::string &service, RawServer::Script script)
+{
+    for (const std::string id : {"w-1", "w-2"}) {
+        m_workers.push_back(std::make_unique<RawServer>(script));
+        store.put("keyed.servers", id,
+                  R"({"Service":")" + service + R"(","Address":")"
+                      + Http::formatEndpoint(m_workers.back()->endpoint())
+                      + R"(","Zone":"a","Version":"v1","Slots":8,"State":"ready",)"
+                        R"("ColdLeftMs":0,"Models":[{"Name":"model","Version":1}],"Seq":1})");
+    }
+    configure(1);
+    startGateway();
+}
+
+ReceivedAnswer RawWorkersFixture::receive(Http::Request request)
+{
+    return asio::co_spawn(threads().next(),
+                          StandIns::receiveAnswer(m_client, callers(), std::move(request)),
+                          asio::use_future)
+        .get();
+}
+
+std::size_t RawWorkersFixture::received() const
+{
+    return m_workers[0]->requests().size() + m_workers[1]->requests().size();
+}
+
+bool RawWorkersFixture::wasResumedElsewhere() const
+{
+    const auto first = m_workers[0]->requests();
+    const auto second = m_workers[1]->requests();
+    return first.size() == 1 && second.size() == 1
+           && isResumed(first.front()) != isResumed(second.front());
+}
+
+std::size_t RawWorkersFixture::bytesAfterEnd() const
+{
+    return m_workers[0]->bytesAfterEnd() + m_workers[1]->bytesAfterEnd();
+}
+
+std::size_t RawWorkersFixture::openConnections() const
+{
+    return m_workers[0]->openConnections() + m_workers[1]->openConnections();
+}
+
+} // namespace PlatformTests
--- /dev/null
+++ b/Tests/Platform/RawWorkersFixture.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "../StandIns/RawServer.h"
+#include "../StandIns/ReceivedAnswer.h"
+#include "GatewayFixture.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace PlatformTests {
+
+/// Returns the head of a sealed answer with neither a length nor chunks.
+std::string head(const Http::Request &request, const std::string &status = "200 OK",
+                 const std::string &extra = {});
+
+/// Returns whether the request resumes a stream after its second event.
+bool isResumed(const Http::Request &request);
+
+/// A gateway and two workers of the same script, which write the bytes of their answers themselves.
+class RawWorkersFixture : public GatewayFixture
+{
+public:
+    RawWorkersFixture(const std::string &service, StandIns::RawServer::Script script);
+
+    /// Sends a request to the gateway, and reads its answer until it ends or fails.
+    StandIns::ReceivedAnswer receive(Http::Request request);
+
+    /// Returns the number of requests that the workers received.
+    std::size_t received() const;
+    /// Whether each worker received one request, and the second one that to resume the stream.
+    bool wasResumedElsewhere() const;
+    std::size_t bytesAfterEnd() const;
+    std::size_t openConnections() const;
+
+private:
+    Http::Client m_client;
+    std::vector<std::unique_ptr<StandIns::RawServer>> m_workers;
+};
+
+} // namespace PlatformTests
--- /dev/null
+++ b/Tests/Platform/TestRejections.cpp
@@ -0,0 +1,210 @@
+#include "RawWorkersFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <mutex>
+#include <random>
+
+using PlatformTests::GatewayFixture;
+using PlatformTests::RawWorkersFixture;
+using StandIns::RawConnection;
+
+namespace {
+
+constexpr int MaxTries = 40;
+
+/// Which id a rejection bears.
+enum class BorneId {
+    Own,
+    Earlier,
+    None,
+    Wrong,
+};
+constexpr std::array AllIds {BorneId::Own, BorneId::Earlier, BorneId::None, BorneId::Wrong};
+
+constexpr std::array Rejections {"503 Service Unavailable\r\nX-Jujubesaddle-Not-Executed: 1",
+                                 "429 Too Many Requests\r\nX-Jujubesaddle-Not-Executed: 1",
+                                 "421 Misdirected Request"};
+
+std::string idOf(const Http::Request &request)
+{
+    return std::string(request.headers.find("X-Jujubesaddle-Attempt-Id").value_or(""));
+}
+
+std::string wholeAnswer(const std::string &status, const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n"
+           + (id.empty() ? "" : "X-Jujubesaddle-Attempt-Id: " + id + "\r\n")
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// The workers' side: runs requests and counts the runs of each.
+class Workers
+{
+public:
+    void run(RawConnection &connection, const Http::Request &request)
+    {
+        {
+            const std::scoped_lock lock(m_mutex);
+            ++m_runs[idOf(request)];
+        }
+        connection.send(wholeAnswer("200 OK\r\nX-Jujubesaddle-Server-Seal: seal", idOf(request),
+                                    "ran " + idOf(request)));
+        connection.keep();
+    }
+
+    void reject(RawConnection &connection, const Http::Request &request, std::string_view status,
+                BorneId borne)
+    {
+        const std::map<BorneId, std::string> ids {{BorneId::Own, idOf(request)},
+                                                  {BorneId::Earlier, m_earlier},
+                                                  {BorneId::None, ""},
+                                                  {BorneId::Wrong, "nobody's"}};
+        connection.send(wholeAnswer(std::string(status), ids.at(borne), "busy"));
+        connection.keep();
+    }
+
+    int runs(const std::string &id)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_runs[id];
+    }
+
+    void noteEarlier(const std::string &id) { m_earlier = id; }
+
+private:
+    std::mutex m_mutex;
+    std::map<std::string, int> m_runs;
+    std::string m_earlier = "earlier";
+};
+
+/// Whether the status promises that the request has not run and never will.
+bool isPromise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+TEST_CASE("a rejection that may belong to another request does not let a call run twice")
+{
+    const std::string status = GENERATE(from_range(Rejections));
+    const auto borne = GENERATE(from_range(AllIds));
+    const bool isKept = GENERATE(false, true);
+    // Additional bytes, while the worker runs the request.
+    const bool isExtra = GENERATE(false, true);
+    // Nothing was sent on a new connection to which additional bytes could belong, and none of them
+    // bear the id of a request that is sent later.
+    if (isExtra && (!isKept || borne == BorneId::Own))
+        return;
+    INFO(status << ", id " << static_cast<int>(borne) << ", kept " << isKept << ", extra "
+                << isExtra);
+    Workers workers;
+    std::atomic<bool> isDone = false;
+    std::string rejected;
+    RawWorkersFixture fixture("app", [&](RawConnection &connection, const auto &request) {
+        if (isKept != (connection.served() > 0) || isDone.exchange(true)) {
+            workers.run(connection, request);
+            return;
+        }
+        rejected = idOf(request);
+        workers.reject(connection, request, status, borne);
+        if (isExtra)
+            workers.run(connection, request);
+    });
+    for (int n = 0; n < MaxTries && !isDone; ++n) {
+        const auto id = "id-" + std::to_string(n);
+        const auto answer = fixture.receive(GatewayFixture::request("/calls/a", id));
+        if (rejected != id) {
+            CHECK(answer.response.body == "ran " + id);
+            workers.noteEarlier(id);
+            continue;
+        }
+        const bool isBelieved = borne == BorneId::Own || (borne == BorneId::None && !isKept);
+        CHECK(!answer.failure);
+        CHECK(answer.response.status == (isBelieved ? 200 : 502));
+        CHECK(workers.runs(id) == (isBelieved || isExtra ? 1 : 0));
+    }
+    CHECK(isDone);
+}
+
+TEST_CASE("with additional rejections on any connection no call runs twice, or after a promise")
+{
+    constexpr int Count = 150;
+    constexpr int ExtraShare = 4;
+    const auto seed = GENERATE(1U, 2U, 3U);
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    std::mutex mutex;
+    Workers workers;
+    RawWorkersFixture fixture("app", [&](RawConnection &connection, const auto &request) {
+        std::unique_lock lock(mutex);
+        const auto kind = random() % ExtraShare;
+        const std::string_view status = Rejections.at(random() % 2);
+        const auto borne = AllIds.at(random() % AllIds.size());
+        lock.unlock();
+        if (kind == 0 && (borne == BorneId::Own || connection.served() == 0)) {
+            workers.reject(connection, request, status, borne);
+            return;
+        }
+        if (kind == 0)
+            workers.reject(connection, request, status, borne);
+        workers.run(connection, request);
+    });
+    int served = 0;
+    for (int n = 0; n < Count; ++n) {
+        const auto id = "id-" + std::to_string(n);
+        const auto answer = fixture.receive(GatewayFixture::request("/calls/a", id));
+        const auto runs = workers.runs(id);
+        INFO(id << ": " << answer.response.status << ", runs " << runs);
+        CHECK(runs <= 1);
+        if (isPromise(answer.response.status))
+            CHECK(runs == 0);
+        if (answer.response.status == 200) {
+            CHECK(answer.response.body == "ran " + id);
+            ++served;
+        }
+    }
+    CHECK(served > Count / 2);
+}
+
+TEST_CASE("an answer that names no request is not taken for that of another one on its connection")
+{
+    std::atomic<int> extras = 0;
+    RawWorkersFixture fixture("app", [&](RawConnection &connection, const auto &request) {
+        if (connection.served() > 0) {
+            ++extras;
+            connection.send(wholeAnswer("200 OK\r\nX-Jujubesaddle-Server-Seal: seal", "", "extra"));
+        }
+        connection.send(wholeAnswer("200 OK\r\nX-Jujubesaddle-Server-Seal: seal", idOf(request),
+                                    "for " + idOf(request)));
+        connection.keep();
+    });
+    for (int n = 0; n < MaxTries && extras < 3; ++n) {
+        const auto id = "id-" + std::to_string(n);
+        const auto before = extras.load();
+        const auto answer = fixture.receive(GatewayFixture::request("/calls/a", id));
+        CHECK(answer.response.status == (extras > before ? 502 : 200));
+        CHECK(answer.response.body.find("extra") == std::string::npos);
+    }
+    CHECK(extras == 3);
+}
+
+TEST_CASE("requests without an id are served, and each takes the answer to itself")
+{
+    constexpr int Count = 6;
+    RawWorkersFixture fixture("app", [&](RawConnection &connection, const auto &request) {
+        const std::string seal = "200 OK\r\nX-Jujubesaddle-Server-Seal: seal";
+        const std::string own(request.headers.find("X-Own").value_or(""));
+        connection.send(wholeAnswer(seal, idOf(request), own));
+        connection.send(wholeAnswer(seal, "", "surplus"));
+        connection.keep();
+    });
+    for (int n = 0; n < Count; ++n) {
+        auto request = GatewayFixture::request("/calls/a", "");
+        request.headers.remove("X-Jujubesaddle-Attempt-Id");
+        request.headers.add("X-Own", std::to_string(n));
+        CHECK(fixture.receive(std::move(request)).response.body == std::to_string(n));
+    }
+}
--- a/Tests/Platform/TestUnframedAnswers.cpp
+++ b/Tests/Platform/TestUnframedAnswers.cpp
@@ -1,95 +1,23 @@
-#include "../StandIns/RawServer.h"
-#include "../StandIns/ReceivedAnswer.h"
-#include "GatewayFixture.h"
+#include "RawWorkersFixture.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
 #include <thread>
 
-namespace asio = boost::asio;
 using namespace std::chrono_literals;
 using PlatformTests::GatewayFixture;
+using PlatformTests::head;
+using PlatformTests::isResumed;
+using PlatformTests::RawWorkersFixture;
 using StandIns::RawConnection;
 using StandIns::RawServer;
-using StandIns::ReceivedAnswer;
 
 namespace {
 
 constexpr auto Events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
 constexpr auto LastEvent = "id: 3\ndata: 3\n\n";
 
-/// Returns the head of a sealed answer with neither a length nor chunks.
-std::string head(const Http::Request &request, const std::string &status = "200 OK",
-                 const std::string &extra = {})
-{
-    const auto id = request.headers.find("X-Jujubesaddle-Attempt-Id").value_or("");
-    return "HTTP/1.1 " + status + "\r\nX-Jujubesaddle-Attempt-Id: " + std::string(id)
-           + "\r\nX-Jujubesaddle-Server-Seal: seal\r\n" + extra + "\r\n";
-}
-
-bool isResumed(const Http::Request &request)
-{
-    return request.headers.find("Last-Event-Id") == "2";
-}
-
-/// A gateway and two workers of the same script, which write the bytes of their answers themselves.
-class Fixture : public GatewayFixture
-{
-public:
-    explicit Fixture(const std::string &service, RawServer::Script script)
-    {
-        for (const std::string id : {"w-1", "w-2"}) {
-            m_workers.push_back(std::make_unique<RawServer>(script));
-            store.put("keyed.servers", id,
-                      R"({"Service":")" + service + R"(","Address":")"
-                          + Http::formatEndpoint(m_workers.back()->endpoint())
-                          + R"(","Zone":"a","Version":"v1","Slots":8,"State":"ready",)"
-                            R"("ColdLeftMs":0,"Models":[{"Name":"model","Version":1}],"Seq":1})");
-        }
-        configure(1);
-        startGateway();
-    }
-
-    ReceivedAnswer receive(Http::Request request)
-    {
-        return asio::co_spawn(threads().next(),
-                              StandIns::receiveAnswer(m_client, callers(), std::move(request)),
-                              asio::use_future)
-            .get();
-    }
-
-    std::size_t received() const
-    {
-        return m_workers[0]->requests().size() + m_workers[1]->requests().size();
-    }
-
-    /// Whether each worker received one request, and the second one that to resume the stream.
-    bool wasResumedElsewhere() const
-    {
-        const auto first = m_workers[0]->requests();
-        const auto second = m_workers[1]->requests();
-        return first.size() == 1 && second.size() == 1
-               && isResumed(first.front()) != isResumed(second.front());
-    }
-
-    std::size_t bytesAfterEnd() const
-    {
-        return m_workers[0]->bytesAfterEnd() + m_workers[1]->bytesAfterEnd();
-    }
-
-    std::size_t openConnections() const
-    {
-        return m_workers[0]->openConnections() + m_workers[1]->openConnections();
-    }
-
-private:
-    Http::Client m_client;
-    std::vector<std::unique_ptr<RawServer>> m_workers;
-};
-
 /// Fails the first of two attempts with the given script, and completes the second.
 RawServer::Script failFirst(RawServer::Script fail)
 {
@@ -127,7 +55,7 @@
 TEST_CASE("an answer without a length that ends with its connection reaches the caller whole")
 {
     const std::string large(300'000, 'x');
-    Fixture fixture("app", [&large](RawConnection &connection, const Http::Request &request) {
+    RawWorkersFixture fixture("app", [&large](RawConnection &connection, const Http::Request &request) {
         if (request.target == "/calls/whole")
             connection.send(head(request) + "whole");
         else if (request.target == "/calls/empty")
@@ -160,7 +88,7 @@
 
 TEST_CASE("an answer without a length that is reset is not delivered as a success")
 {
-    Fixture fixture("app", [](RawConnection &connection, const Http::Request &request) {
+    RawWorkersFixture fixture("app", [](RawConnection &connection, const Http::Request &request) {
         if (request.target == "/calls/large")
             connection.send(head(request) + std::string(300'000, 'x'));
         else if (request.target == "/calls/slow")
@@ -184,7 +112,7 @@
 
 TEST_CASE("a call that may be repeated is sent again after an answer without a length was reset")
 {
-    Fixture fixture("app", failFirst(resetMidBody));
+    RawWorkersFixture fixture("app", failFirst(resetMidBody));
     const auto answer = fixture.receive(GatewayFixture::request("/views/a", "id-1", "GET"));
     CHECK(!answer.failure);
     CHECK(answer.response.status == 200);
@@ -194,7 +122,7 @@
 
 TEST_CASE("a server error without a length is delivered, or repeated where the route allows")
 {
-    Fixture fixture("app", failFirst([](RawConnection &connection, const Http::Request &request) {
+    RawWorkersFixture fixture("app", failFirst([](RawConnection &connection, const Http::Request &request) {
                         connection.send(head(request, "500 Internal Server Error") + "failed");
                     }));
     const auto repeated = fixture.receive(GatewayFixture::request("/views/a", "id-1", "GET"));
@@ -211,7 +139,7 @@
 TEST_CASE("an answer without a length that says not executed counts, even when it is reset")
 {
     const bool isReset = GENERATE(false, true);
-    Fixture fixture("app", failFirst([=](RawConnection &connection, const Http::Request &request) {
+    RawWorkersFixture fixture("app", failFirst([=](RawConnection &connection, const Http::Request &request) {
                         connection.send(head(request, "503 Service Unavailable",
                                              "X-Jujubesaddle-Not-Executed: 1\r\n")
                                         + "busy");
@@ -227,7 +155,7 @@
 TEST_CASE("a stream without a length that ends after a whole event is complete")
 {
     const std::string large = "id: 9\ndata: " + std::string(100'000, 'x') + "\n\n";
-    Fixture fixture("llm", [&large](RawConnection &connection, const Http::Request &request) {
+    RawWorkersFixture fixture("llm", [&large](RawConnection &connection, const Http::Request &request) {
         connection.send(head(request));
         if (request.target == "/streams/slow")
             connection.sendSlowly(std::string(Events) + LastEvent);
@@ -254,7 +182,7 @@
 
 TEST_CASE("a stream without a length that ends inside an event is resumed at another engine")
 {
-    Fixture fixture("llm", breakStream([](RawConnection &it) { it.send("id: 3\nda"); }));
+    RawWorkersFixture fixture("llm", breakStream([](RawConnection &it) { it.send("id: 3\nda"); }));
     const auto answer = fixture.receive(GatewayFixture::streamRequest("/streams/a", "id-1"));
     CHECK(!answer.failure);
     CHECK(answer.response.body == std::string(Events) + LastEvent);
@@ -264,7 +192,7 @@
 TEST_CASE("a stream without a length that is reset between two events is resumed, not completed")
 {
     const auto pause = GENERATE(0ms, 100ms);
-    Fixture fixture("llm", breakStream([=](RawConnection &it) {
+    RawWorkersFixture fixture("llm", breakStream([=](RawConnection &it) {
                         std::this_thread::sleep_for(pause);
                         it.reset();
                     }));
@@ -277,7 +205,7 @@
 TEST_CASE("a stream without a length that may not be resumed is cut after the last whole event")
 {
     const bool isReset = GENERATE(false, true);
-    Fixture fixture("llm", breakStream([=](RawConnection &it) {
+    RawWorkersFixture fixture("llm", breakStream([=](RawConnection &it) {
                         if (isReset)
                             it.reset();
                         else
@@ -292,7 +220,7 @@
 TEST_CASE("a connection is closed, and not used again, after an answer without a length")
 {
     constexpr int Count = 6;
-    Fixture fixture("app", [](RawConnection &connection, const Http::Request &request) {
+    RawWorkersFixture fixture("app", [](RawConnection &connection, const Http::Request &request) {
         const bool isRefused = request.target == "/calls/refused";
         connection.send(
             head(request, isRefused ? "503 Service Unavailable" : "200 OK",
--- a/Tests/StandIns/RawServer.cpp
+++ b/Tests/StandIns/RawServer.cpp
@@ -133,15 +133,20 @@
 void RawServer::serve(Socket &socket)
 {
     ++m_openConnections;
-    const auto request = readRequest(socket);
-    if (request) {
+    RawConnection connection(socket);
+    bool isKept = true;
+    while (isKept) {
+        const auto request = readRequest(socket);
+        if (!request)
+            break;
         {
             const std::scoped_lock lock(m_mutex);
             m_requests.push_back(*request);
         }
-        RawConnection connection(socket);
         m_script(connection, *request);
-        if (!connection.isReset()) {
+        connection.noteServed();
+        isKept = connection.takeKept();
+        if (!isKept && !connection.isReset()) {
             connection.end();
             awaitClose(socket);
         }
--- a/Tests/StandIns/RawServer.h
+++ b/Tests/StandIns/RawServer.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace StandIns {
@@ -31,18 +32,28 @@
     void end();
     void reset();
     bool isReset() const { return m_isReset; }
+    /// Lets the connection serve another request after this one.
+    void keep() { m_isKept = true; }
+    /// Returns whether keep() was called for this request, and starts over.
+    bool takeKept() { return std::exchange(m_isKept, false) && !m_isReset; }
+    /// Returns the number of requests that the connection served before this one.
+    std::size_t served() const { return m_served; }
+    void noteServed() { ++m_served; }
 
 private:
     boost::asio::ip::tcp::socket &m_socket;
     bool m_isReset = false;
+    bool m_isKept = false;
+    std::size_t m_served = 0;
 };
 
-/// An HTTP server that answers one request on each connection with bytes of the test's choice.
+/// An HTTP server that answers one request on each connection, or several if the script keeps it,
+/// with bytes of the test's choice.
 class RawServer
 {
 public:
     /// Answers a request; called on the thread of its connection. The connection is ended
-    /// afterwards.
+    /// afterwards, unless the script keeps it.
     using Script = std::function<void(RawConnection &, const Http::Request &)>;
 
     explicit RawServer(Script script);
