LibGateway: Resume a stream only with an answer that continues it

A stream that had broken off was joined with whatever sealed success the next upstream answered: text of another content type, an encoded body, 204, 206, or the stream again from its first or second event. The caller got pieces twice or foreign text inside its stream, and then the last chunk, as if it were complete.

Cause: relayStream() passed on every 2xx answer to the stream that had begun, and nothing compared the ids of its events. Now the answer that resumes a stream must have the status, Content-Type and Content-Encoding with which the stream began, and its first id must come after the last one that was passed on (numbers increase; other ids differ). If not, the attempt counts as interrupted, the last id stays as it was, and the caller's connection is cut or another attempt made.

An empty answer still completes a stream: it can't be told from the rest of a stream that broke off after its last event. Gaps in ids are not judged, since ids need only increase.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -58,6 +58,15 @@
     return std::to_string(number);
 }
 
+/// Returns what the answers whose events make up one stream have in common.
+std::string streamKind(const Http::ClientExchange &answer)
+{
+    auto kind = std::to_string(answer.status());
+    for (const auto *name : {"Content-Type", "Content-Encoding"})
+        kind += "\n" + std::string(answer.headers().find(name).value_or(""));
+    return kind;
+}
+
 } // namespace
 
 RequestRelay::RequestRelay(Gateway &gateway, Http::ServerExchange &exchange)
@@ -596,9 +605,17 @@
 asio::awaitable<RequestRelay::AttemptOutcome>
 RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, UpstreamLoad &load)
 {
-    m_events.dropPartialEvent();
+    if (m_exchange.hasStarted() && streamKind(answer) != m_streamKind)
+        co_return noteInterrupted(
+            Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                        "the answer is of another kind than the stream that it resumes"));
+    m_events.resume();
     while (auto chunk = co_await answer.readSome()) {
         const auto events = m_events.feed(*chunk);
+        if (m_events.isOutOfOrder())
+            co_return noteInterrupted(
+                Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                            "the answer does not go on after event " + m_events.lastId()));
         if (m_events.partialEventBytes() > EventLimitBytes)
             co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                                                   "an event exceeds the size limit"));
@@ -609,8 +626,10 @@
             m_evidence->noteEvents();
         if (load.noteFirstToken())
             noteFirstToken(load);
-        if (!m_exchange.hasStarted())
+        if (!m_exchange.hasStarted()) {
+            m_streamKind = streamKind(answer);
             co_await m_exchange.startStream(answer.status(), headers);
+        }
         co_await m_exchange.write(events);
     }
     if (m_events.hasPartialEvent())
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -125,6 +125,8 @@
     bool m_mayHaveExecuted = false;
     std::optional<Http::Response> m_errorResponse;
     Http::EventSplitter m_events;
+    /// The status and content type of the answer with which the caller's stream began.
+    std::string m_streamKind;
     bool m_hasTimedOut = false;
     /// Whether the last attempt was cancelled because the plan was outdated, before its first byte
     /// was sent or before the engine began to answer.
--- a/Libraries/LibHttp/ClientExchange.h
+++ b/Libraries/LibHttp/ClientExchange.h
@@ -19,8 +19,8 @@
 
     virtual unsigned status() const = 0;
     virtual const Headers &headers() const = 0;
-    /// Whether the connection carried no earlier response. Only then is it certain without a mark in
-    /// the response that it belongs to this request: on a reused connection it may be a surplus
+    /// Whether the connection carried no earlier response. Only then is it certain without a mark
+    /// in the response that it belongs to this request: on a reused connection it may be a surplus
     /// response to an earlier one.
     virtual bool isFirstOnConnection() const = 0;
     /// Returns the next bytes of the body, or nothing at its end. Throws Error(UpstreamFailed) when
--- a/Libraries/LibHttp/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -11,20 +11,27 @@
 public:
     /// Appends bytes and returns the bytes of all events that are now complete.
     std::string feed(std::string_view bytes);
-    /// Returns whether bytes of an incomplete event are buffered.
     /// Returns the number of bytes that wait for the end of their event.
     std::size_t partialEventBytes() const { return m_pending.size(); }
+    /// Returns whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !m_pending.empty(); }
     /// Returns the id of the last complete event that had one.
     const std::string &lastId() const { return m_lastId; }
-    /// Discards the bytes of an incomplete event.
-    void dropPartialEvent() { m_pending.clear(); }
+    /// Begins with the bytes of another answer, which go on after the event lastId(). Discards the
+    /// bytes of an incomplete event.
+    void resume();
+    /// Returns whether the first event after resume() that had an id does not come after lastId().
+    /// feed() then returns nothing.
+    bool isOutOfOrder() const { return m_isOutOfOrder; }
 
 private:
     void noteIds(std::string_view events);
+    void checkFirstId(std::string_view events);
 
     std::string m_pending;
     std::string m_lastId;
+    bool m_isResuming = false;
+    bool m_isOutOfOrder = false;
 };
 
 } // namespace Http
--- a/Tests/Platform/TestUnframedAnswers.cpp
+++ b/Tests/Platform/TestUnframedAnswers.cpp
@@ -55,20 +55,21 @@
 TEST_CASE("an answer without a length that ends with its connection reaches the caller whole")
 {
     const std::string large(300'000, 'x');
-    RawWorkersFixture fixture("app", [&large](RawConnection &connection, const Http::Request &request) {
-        if (request.target == "/calls/whole")
-            connection.send(head(request) + "whole");
-        else if (request.target == "/calls/empty")
-            connection.send(head(request));
-        else if (request.target == "/calls/kept")
-            connection.send(head(request, "200 OK", "Connection: keep-alive\r\n") + "kept");
-        else if (request.target == "/calls/large")
-            connection.send(head(request) + large);
-        else if (request.target == "/calls/slow")
-            connection.sendSlowly(head(request) + "byte by byte");
-        else
-            connection.send(head(request, "409 Conflict") + "conflict");
-    });
+    RawWorkersFixture fixture(
+        "app", [&large](RawConnection &connection, const Http::Request &request) {
+            if (request.target == "/calls/whole")
+                connection.send(head(request) + "whole");
+            else if (request.target == "/calls/empty")
+                connection.send(head(request));
+            else if (request.target == "/calls/kept")
+                connection.send(head(request, "200 OK", "Connection: keep-alive\r\n") + "kept");
+            else if (request.target == "/calls/large")
+                connection.send(head(request) + large);
+            else if (request.target == "/calls/slow")
+                connection.sendSlowly(head(request) + "byte by byte");
+            else
+                connection.send(head(request, "409 Conflict") + "conflict");
+        });
     const std::vector<std::tuple<std::string, unsigned, std::string>> expected {
         {"whole", 200, "whole"},       {"empty", 200, ""},
         {"kept", 200, "kept"},         {"large", 200, large},
@@ -122,9 +123,10 @@
 
 TEST_CASE("a server error without a length is delivered, or repeated where the route allows")
 {
-    RawWorkersFixture fixture("app", failFirst([](RawConnection &connection, const Http::Request &request) {
-                        connection.send(head(request, "500 Internal Server Error") + "failed");
-                    }));
+    RawWorkersFixture fixture(
+        "app", failFirst([](RawConnection &connection, const Http::Request &request) {
+            connection.send(head(request, "500 Internal Server Error") + "failed");
+        }));
     const auto repeated = fixture.receive(GatewayFixture::request("/views/a", "id-1", "GET"));
     CHECK(repeated.response.status == 200);
     CHECK(repeated.response.body == "from the second");
@@ -139,13 +141,14 @@
 TEST_CASE("an answer without a length that says not executed counts, even when it is reset")
 {
     const bool isReset = GENERATE(false, true);
-    RawWorkersFixture fixture("app", failFirst([=](RawConnection &connection, const Http::Request &request) {
-                        connection.send(head(request, "503 Service Unavailable",
-                                             "X-Jujubesaddle-Not-Executed: 1\r\n")
-                                        + "busy");
-                        if (isReset)
-                            connection.reset();
-                    }));
+    RawWorkersFixture fixture(
+        "app", failFirst([=](RawConnection &connection, const Http::Request &request) {
+            connection.send(
+                head(request, "503 Service Unavailable", "X-Jujubesaddle-Not-Executed: 1\r\n")
+                + "busy");
+            if (isReset)
+                connection.reset();
+        }));
     const auto answer = fixture.receive(GatewayFixture::request("/calls/a", "id-1"));
     CHECK(answer.response.status == 200);
     CHECK(answer.response.body == "from the second");
@@ -155,15 +158,16 @@
 TEST_CASE("a stream without a length that ends after a whole event is complete")
 {
     const std::string large = "id: 9\ndata: " + std::string(100'000, 'x') + "\n\n";
-    RawWorkersFixture fixture("llm", [&large](RawConnection &connection, const Http::Request &request) {
-        connection.send(head(request));
-        if (request.target == "/streams/slow")
-            connection.sendSlowly(std::string(Events) + LastEvent);
-        else if (request.target == "/streams/large")
-            connection.send(Events + large + large);
-        else
-            connection.send(Events);
-    });
+    RawWorkersFixture fixture("llm",
+                              [&large](RawConnection &connection, const Http::Request &request) {
+                                  connection.send(head(request));
+                                  if (request.target == "/streams/slow")
+                                      connection.sendSlowly(std::string(Events) + LastEvent);
+                                  else if (request.target == "/streams/large")
+                                      connection.send(Events + large + large);
+                                  else
+                                      connection.send(Events);
+                              });
     const std::map<std::string, std::string> expected {{"whole", Events},
                                                        {"slow", std::string(Events) + LastEvent},
                                                        {"large", Events + large + large}};
@@ -193,9 +197,9 @@
 {
     const auto pause = GENERATE(0ms, 100ms);
     RawWorkersFixture fixture("llm", breakStream([=](RawConnection &it) {
-                        std::this_thread::sleep_for(pause);
-                        it.reset();
-                    }));
+                                  std::this_thread::sleep_for(pause);
+                                  it.reset();
+                              }));
     const auto answer = fixture.receive(GatewayFixture::streamRequest("/streams/a", "id-1"));
     CHECK(!answer.failure);
     CHECK(answer.response.body == std::string(Events) + LastEvent);
@@ -206,11 +210,11 @@
 {
     const bool isReset = GENERATE(false, true);
     RawWorkersFixture fixture("llm", breakStream([=](RawConnection &it) {
-                        if (isReset)
-                            it.reset();
-                        else
-                            it.send("id: 3\nda");
-                    }));
+                                  if (isReset)
+                                      it.reset();
+                                  else
+                                      it.send("id: 3\nda");
+                              }));
     const auto answer = fixture.receive(GatewayFixture::streamRequest("/streams/once/a", "id-1"));
     CHECK(answer.failure);
     CHECK(answer.response.body == Events);
