LibHttp: Treat answers without a body and interim answers as such

A HEAD request that an upstream answered with a length and no body got 504 at its time-out, and the body of the gateway's own error to HEAD stood on the caller's connection where its next answer was due. So did the last chunk after a 204 on a stream route. A request whose upstream sent 100 or 103 before its answer got 502.

Cause: the client did not tell its parser that the request was HEAD, and took any status below 200 for the answer; the server wrote bodies and chunks whatever the method or status. The client now skips interim responses, up to a limit, and takes 101 as malformed, since it never asks to switch. The server writes only the head where no body may follow.

Evidence: TestBodilessAnswers compares all bytes on a caller's connection.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -14,6 +14,7 @@
 #include <compare>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace Http {
@@ -27,6 +28,9 @@
 constexpr std::size_t ReadBytes = 16 * 1024;
 constexpr std::size_t HeaderLimitBytes = 64 * 1024;
 constexpr std::size_t MaxIdleConnectionsPerEndpoint = 64;
+// More interim responses (status 1xx) than that are no valid answer.
+constexpr int MaxInterimResponses = 8;
+constexpr unsigned SwitchingProtocols = 101;
 
 /// A connection and its read buffer.
 struct Connection
@@ -161,18 +165,16 @@
         , m_connection(std::move(connection))
         , m_timeouts(timeouts)
         , m_isFirst(m_connection->call == 0)
-    {
-        m_parser.header_limit(HeaderLimitBytes);
-        m_parser.body_limit(boost::none);
-    }
+    { }
 
-    unsigned status() const override { return m_parser.get().result_int(); }
+    unsigned status() const override { return m_parser->get().result_int(); }
     const Headers &headers() const override { return m_headers; }
     bool isFirstOnConnection() const override { return m_isFirst; }
 
     asio::awaitable<boost::system::error_code> sendAndReadHeaders(const Endpoint &endpoint,
                                                                   Request request)
     {
+        const bool isHead = request.method == "HEAD";
         auto message = toBeast(endpoint, std::move(request));
         auto &stream = m_connection->stream;
         stream.expires_after(m_timeouts.head);
@@ -180,11 +182,23 @@
         co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
             co_return ec;
-        co_await http::async_read_header(stream, m_connection->buf, m_parser,
-                                         asio::redirect_error(asio::use_awaitable, ec));
-        if (ec)
-            co_return ec;
-        for (const auto &field : m_parser.get())
+        for (int interim = 0;; ++interim) {
+            m_parser.emplace();
+            m_parser->header_limit(HeaderLimitBytes);
+            m_parser->body_limit(boost::none);
+            // The response to HEAD has the length of a body that does not follow.
+            m_parser->skip(isHead);
+            co_await http::async_read_header(stream, m_connection->buf, *m_parser,
+                                             asio::redirect_error(asio::use_awaitable, ec));
+            if (ec)
+                co_return ec;
+            if (status() >= 200)
+                break;
+            const bool isInterim = status() >= 100 && status() != SwitchingProtocols;
+            if (!isInterim || interim == MaxInterimResponses)
+                co_return make_error_code(http::error::bad_status);
+        }
+        for (const auto &field : m_parser->get())
             m_headers.add(field.name_string(), field.value());
         co_return ec;
     }
@@ -192,13 +206,13 @@
     asio::awaitable<std::optional<std::string>> readSome() override
     {
         std::array<char, ReadBytes> chunk;
-        while (!m_parser.is_done()) {
-            auto &body = m_parser.get().body();
+        while (!m_parser->is_done()) {
+            auto &body = m_parser->get().body();
             body.data = chunk.data();
             body.size = chunk.size();
             m_connection->stream.expires_after(m_timeouts.body);
             boost::system::error_code ec;
-            co_await http::async_read_some(m_connection->stream, m_connection->buf, m_parser,
+            co_await http::async_read_some(m_connection->stream, m_connection->buf, *m_parser,
                                            asio::redirect_error(asio::use_awaitable, ec));
             if (ec && ec != http::error::need_buffer)
                 throw errorAfterSend(ec);
@@ -223,9 +237,9 @@
     void release()
     {
         // Do not reuse a connection with bytes after the end of the response.
-        if (!m_connection || !m_parser.keep_alive() || m_connection->buf.size() > 0)
+        if (!m_connection || !m_parser->keep_alive() || m_connection->buf.size() > 0)
             return;
-        if (const auto idle = announcedIdleTime(m_parser.get()[http::field::keep_alive]))
+        if (const auto idle = announcedIdleTime(m_parser->get()[http::field::keep_alive]))
             m_connection->idleUntil = std::chrono::steady_clock::now() + *idle - IdleMargin;
         m_connection->stream.expires_never();
         ++m_connection->call;
@@ -238,7 +252,8 @@
     ConnectionPtr m_connection;
     ClientTimeouts m_timeouts;
     bool m_isFirst;
-    http::response_parser<http::buffer_body> m_parser;
+    /// Set when a response is read.
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
     Headers m_headers;
 };
 
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -35,6 +35,7 @@
         , m_version(message.version())
     {
         m_request.method = std::string(message.method_string());
+        m_hasBody = m_request.method != "HEAD";
         m_request.target = std::string(message.target());
         for (const auto &field : message)
             m_request.headers.add(field.name_string(), field.value());
@@ -44,20 +45,30 @@
     asio::awaitable<void> respond(Response response) override
     {
         m_started = true;
+        noteStatus(response.status);
         StringResponse message(http::status(response.status), m_version, std::move(response.body));
         fillHead(message, response.headers);
-        message.prepare_payload();
         m_stream.expires_after(m_limits.writeTime);
-        co_await http::async_write(m_stream, message, asio::use_awaitable);
+        if (m_hasBody) {
+            message.prepare_payload();
+            co_await http::async_write(m_stream, message, asio::use_awaitable);
+        } else {
+            // The length that the answer to GET would have is unknown if there is no body.
+            if (!message.body().empty())
+                message.content_length(message.body().size());
+            http::response_serializer<http::string_body> serializer(message);
+            co_await http::async_write_header(m_stream, serializer, asio::use_awaitable);
+        }
         m_finished = true;
     }
 
     asio::awaitable<void> startStream(unsigned status, Headers headers) override
     {
         m_started = true;
+        noteStatus(status);
         http::response<http::empty_body> message(http::status(status), m_version);
         fillHead(message, headers);
-        message.chunked(m_version >= 11);
+        message.chunked(m_version >= 11 && m_hasBody);
         if (m_version < 11)
             m_keepAlive = false;
         http::response_serializer<http::empty_body> serializer(message);
@@ -67,7 +78,7 @@
 
     asio::awaitable<void> write(std::string chunk) override
     {
-        if (chunk.empty())
+        if (chunk.empty() || !m_hasBody)
             co_return;
         m_stream.expires_after(m_limits.writeTime);
         if (m_version < 11)
@@ -80,7 +91,7 @@
     asio::awaitable<void> finishStream() override
     {
         m_stream.expires_after(m_limits.writeTime);
-        if (m_version >= 11)
+        if (m_version >= 11 && m_hasBody)
             co_await asio::async_write(m_stream, http::make_chunk_last(), asio::use_awaitable);
         m_finished = true;
     }
@@ -128,9 +139,18 @@
         message.keep_alive(m_keepAlive);
     }
 
+    void noteStatus(unsigned status)
+    {
+        if (status == static_cast<unsigned>(http::status::no_content)
+            || status == static_cast<unsigned>(http::status::not_modified))
+            m_hasBody = false;
+    }
+
     beast::tcp_stream &m_stream;
     const Server::Shared &m_shared;
     const ServerLimits &m_limits;
+    /// False if no body follows the head of the response, whatever its fields say.
+    bool m_hasBody = true;
     bool m_keepAlive;
     unsigned m_version;
     bool m_finished = false;
