--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -58,6 +58,15 @@
     return std::to_string(number);
 }
 
+/// Returns what the answers whose events make up one stream have in common.
+std::string streamKind(const Http::ClientExchange &answer)
+{
+    auto kind = std::to_string(answer.status());
+    for (const auto *name : {"Content-Type", "Content-Encoding"})
+        kind += "\n" + std::string(answer.headers().find(name).value_or(""));
+    return kind;
+}
+
 } // namespace
 
 RequestRelay::RequestRelay(Gateway &gateway, Http::ServerExchange &exchange)
@@ -378,6 +387,9 @@
     // If a reused connection turns out to be closed, it is unknown whether the request was
     // executed.
     options.mayRepeat = false;
+    // The answer cannot name a request without an id.
+    if (m_request.caller.attemptId.empty())
+        options.use = Http::ConnectionUse::New;
     options.abort = m_abort;
     options.unacknowledged = UnacknowledgedTimeout;
     m_isPlanOutdated = false;
@@ -464,19 +476,26 @@
 {
     m_plan->upstream->noteReached();
     const auto head = m_gateway.dependencies().dialect.readHead(answer.status(), answer.headers());
-    if (!head.attemptId.empty() && head.attemptId != m_request.caller.attemptId) {
+    const bool isNamed = !head.attemptId.empty();
+    // On a reused connection, an answer that names no request may be a surplus one to an earlier
+    // request, and then says nothing about this one.
+    if (isNamed ? head.attemptId != m_request.caller.attemptId : !answer.isFirstOnConnection()) {
         Core::logEvent(Core::EventId::UpstreamAnswerInvalid,
                        {{"upstream", m_plan->upstream->report().id.value()},
                         {"request", m_request.caller.attemptId},
                         {"answered", head.attemptId}});
         co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
-                                              "the answer belongs to another request"));
+                                              "the answer may belong to another request"));
     }
     std::optional<Core::Error> failure;
     try {
         if (head.isOtherUpstream || head.isNotRun) {
             noteRefusedByUpstream(answer.status(), head);
-            co_await discardBody(answer);
+            // If the upstream does not name requests, the next answer needs a new connection too.
+            if (isNamed)
+                co_await discardBody(answer);
+            else
+                answer.abort();
             co_return AttemptOutcome::NotExecuted;
         }
         if (head.weights && *head.weights > m_plan->upstream->weights(m_request.caller.model)) {
@@ -584,9 +603,17 @@
 asio::awaitable<RequestRelay::AttemptOutcome>
 RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, UpstreamLoad &load)
 {
-    m_events.dropPartialEvent();
+    if (m_exchange.hasStarted() && streamKind(answer) != m_streamKind)
+        co_return noteInterrupted(
+            Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                        "the answer is of another kind than the stream that it resumes"));
+    m_events.resume();
     while (auto chunk = co_await answer.readSome()) {
         const auto events = m_events.feed(*chunk);
+        if (m_events.isOutOfOrder())
+            co_return noteInterrupted(
+                Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                            "the answer does not go on after event " + m_events.lastId()));
         if (m_events.partialEventBytes() > EventLimitBytes)
             co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                                                   "an event exceeds the size limit"));
@@ -597,8 +624,10 @@
             m_evidence->noteEvents();
         if (load.noteFirstToken())
             noteFirstToken(load);
-        if (!m_exchange.hasStarted())
+        if (!m_exchange.hasStarted()) {
+            m_streamKind = streamKind(answer);
             co_await m_exchange.startStream(answer.status(), headers);
+        }
         co_await m_exchange.write(events);
     }
     if (m_events.hasPartialEvent())
