Tests: Soak gateway processes through seeded troubles

A store, upstreams and clients stand in one process; the gateways are real processes that are stopped, killed, frozen and reloaded on a schedule from a seed.

--- a/Tests/Processes/Process.cpp
+++ b/Tests/Processes/Process.cpp
@@ -1,6 +1,8 @@
 #include <Processes/Process.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,6 +26,23 @@
     std::array<int, 2> ends {};
     if (::pipe2(ends.data(), O_CLOEXEC) != 0)
         throw std::runtime_error("no pipe");
+    m_output = ends[0];
+    start(program, arguments, ends[1]);
+}
+
+Process::Process(const std::string &program, const std::vector<std::string> &arguments,
+                 const std::string &outputPath)
+{
+    const int output =
+        ::open(outputPath.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, S_IRUSR | S_IWUSR);
+    if (output < 0)
+        throw std::runtime_error("cannot open " + outputPath);
+    start(program, arguments, output);
+}
+
+void Process::start(const std::string &program, const std::vector<std::string> &arguments,
+                    int output)
+{
     const std::string path = std::string(JUJUBE_BIN) + '/' + program;
     std::vector<char *> words {const_cast<char *>(path.c_str())};
     for (const auto &argument : arguments)
@@ -31,12 +50,11 @@
     words.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
     const int fault = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
-    ::close(ends[1]);
-    m_output = ends[0];
+    ::close(output);
     if (fault != 0)
         throw std::runtime_error("cannot start " + path);
 }
@@ -116,6 +134,15 @@
     ::waitpid(std::exchange(m_pid, -1), &status, 0);
 }
 
+std::optional<int> Process::takeEnd()
+{
+    int status = 0;
+    if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return std::nullopt;
+    m_pid = -1;
+    return status;
+}
+
 int Process::wait()
 {
     while (readMore()) { }
--- a/Tests/Processes/Process.h
+++ b/Tests/Processes/Process.h
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
 public:
     /// Starts a program of this build with its output in a pipe.
     Process(const std::string &program, const std::vector<std::string> &arguments);
+    /// Starts a program whose output is appended to a file.
+    Process(const std::string &program, const std::vector<std::string> &arguments,
+            const std::string &outputPath);
     ~Process();
     Process(Process &&other) noexcept;
     Process &operator=(Process &&) = delete;
@@ -32,11 +36,15 @@
     /// Waits until the program exits and returns its exit code, or -1 if a signal terminated it.
     /// Keeps reading its output meanwhile.
     int wait();
+    /// Returns the status of waitpid() if the program has ended, without waiting.
+    std::optional<int> takeEnd();
     /// Returns the memory that the program occupies.
     std::size_t residentBytes() const;
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
 
 private:
+    void start(const std::string &program, const std::vector<std::string> &arguments, int output);
     bool readMore();
 
     pid_t m_pid = -1;
--- /dev/null
+++ b/Tests/Soak/Judge.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "History.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace Soak {
+
+/// The limits that a deployment sets.
+struct Bounds
+{
+    Time drain {2'000};
+    Time grace {8'000};
+    Time stableWindow {3'000};
+    Time configurationApply {2'000};
+    Time revocation {5'000};
+    Time budgetWindow {10'000};
+    double retryRatio = 0.2;
+    double retrySlack = 52;
+    unsigned cutsAllowed = 3;
+    unsigned denialsAllowed = 10;
+};
+
+/// A case in which a rule was broken.
+struct Break
+{
+    std::string rule;
+    Time at {0};
+    std::string request;
+    std::string instance;
+    std::string detail;
+};
+
+/// Checks a history against the rules. Sees nothing but the history.
+class Judge
+{
+public:
+    explicit Judge(const History &history, const Bounds &bounds = {});
+
+    std::vector<Break> breaks();
+
+private:
+    void judgeUnasked();
+    void judgeRuns(const Request &request);
+    void judgeAnswer(const Request &request);
+    void judgeStream(const Request &request);
+    void judgeDrain(const Request &request);
+    void judgeConfiguration(const Request &request);
+    void judgeLoss(const Request &request);
+    void judgeBudget(const std::string &service);
+
+    const std::deque<Arrival> &arrivalsOf(const Request &request) const;
+    /// Whether the instance, or the store, was disturbed in the span.
+    bool isDisturbed(const std::string &instance, Time from, Time to,
+                     bool countsPlanned = true) const;
+    /// Whether the instance and the store were calm for the stable window before the time.
+    bool isInTouch(const std::string &instance, Time at) const;
+    void report(const std::string &rule, Time at, const Request &request, std::string detail);
+
+    const History &m_history;
+    Bounds m_bounds;
+    std::vector<Break> m_breaks;
+    std::vector<Break> m_cuts;
+    std::vector<Break> m_denials;
+};
+
+} // namespace Soak
--- /dev/null
+++ b/Tests/Soak/TestJudge.cpp
@@ -0,0 +1,330 @@
+#include "Judge.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A history of sound requests, to which a test adds a fault.
+struct SampleHistory : History
+{
+    SampleHistory()
+    {
+        Configuration configuration;
+        configuration.passingKey = "passing-1";
+        configurations.push_back(configuration);
+        add("1", Kind::Once, 20s);
+    }
+
+    Request &add(const std::string &id, Kind kind, Time at)
+    {
+        auto &request = requests[id];
+        request.id = id;
+        request.target = "/" + id;
+        request.instance = "edge-1";
+        request.kind = kind;
+        request.sentAt = at;
+        request.endedAt = at + 50ms;
+        auto &arrival = arrive(request, at + 10ms);
+        if (request.isStream()) {
+            request.events = 3;
+            for (unsigned n = 1; n <= request.events; ++n)
+                request.body += eventText(id, n);
+        } else {
+            request.body = arrival.body = "body";
+        }
+        request.status = arrival.status = 200;
+        request.seal = arrival.seal = "seal-" + id;
+        request.isComplete = arrival.isAnswered = true;
+        return request;
+    }
+
+    Arrival &arrive(const Request &request, Time at)
+    {
+        auto &arrival = arrivals[request.id].emplace_back();
+        arrival.upstream = "app-1";
+        arrival.target = request.target;
+        arrival.at = at;
+        arrival.hasRun = true;
+        return arrival;
+    }
+
+    void disturb(const std::string &instance, Time from, Time to, bool isPlanned = false)
+    {
+        Disturbance disturbance;
+        disturbance.instance = instance;
+        disturbance.from = from;
+        disturbance.to = to;
+        disturbance.isPlanned = isPlanned;
+        disturbances.push_back(disturbance);
+    }
+
+    void leave(Time at)
+    {
+        Departure departure;
+        departure.upstream = "app-1";
+        departure.from = at;
+        departures.push_back(departure);
+    }
+
+    /// Returns the broken rules.
+    std::string rules() const
+    {
+        std::string names;
+        for (const auto &found : Judge(*this).breaks())
+            names += (names.empty() ? "" : " ") + found.rule;
+        return names;
+    }
+};
+
+} // namespace
+
+TEST_CASE("the judge finds nothing in sound requests of any kind")
+{
+    SampleHistory history;
+    history.add("2", Kind::Repeatable, 21s);
+    history.add("3", Kind::Stream, 22s);
+    history.add("4", Kind::ResumableStream, 23s);
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge finds requests that ran twice, but allows it to repeatable ones")
+{
+    const auto kind = GENERATE(Kind::Once, Kind::Repeatable, Kind::Stream, Kind::ResumableStream);
+    SampleHistory history;
+    auto &request = history.add("2", kind, 21s);
+    auto &arrival = history.arrive(request, 21'020ms);
+    CHECK(history.rules() == (request.runsOnce() ? "TWICE" : ""));
+    arrival.hasRun = false;
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge finds refusals of requests that ran")
+{
+    const auto status = GENERATE(503u, 429u, 421u, 408u, 502u, 504u);
+    SampleHistory history;
+    auto &request = history.requests.at("1");
+    request.status = status;
+    request.seal.clear();
+    request.body.clear();
+    CHECK(history.rules() == (status == 502 || status == 504 ? "" : "REFUSED"));
+    history.arrivals.at("1").front().hasRun = false;
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge finds answers that are not the upstream's")
+{
+    SampleHistory history;
+    auto &request = history.requests.at("1");
+    SECTION("bytes that are no answer")
+    {
+        request.malformation = "bad version";
+    }
+    SECTION("a success without a seal")
+    {
+        request.seal.clear();
+    }
+    SECTION("the seal of another request")
+    {
+        request.seal = "seal-0";
+    }
+    SECTION("another status")
+    {
+        request.status = 500;
+    }
+    SECTION("another body")
+    {
+        request.body = "bod";
+    }
+    CHECK(history.rules() == "MIXED");
+}
+
+TEST_CASE("the judge finds streams with missing, repeated, foreign or too few events")
+{
+    SampleHistory history;
+    auto &request = history.add("2", Kind::ResumableStream, 21s);
+    const auto whole = request.body;
+    const auto first = eventText("2", 1);
+    SECTION("missing")
+    {
+        request.body = first + eventText("2", 3);
+    }
+    SECTION("repeated")
+    {
+        request.body = first + first;
+    }
+    SECTION("the text of an error")
+    {
+        request.body = first + "{\"error\":\"x\"}";
+    }
+    SECTION("of another request")
+    {
+        request.body = first + eventText("1", 2);
+    }
+    SECTION("more than all")
+    {
+        request.body = whole + eventText("2", 4);
+    }
+    SECTION("complete before its end")
+    {
+        request.body = first;
+    }
+    CHECK(history.rules() == "ORDER");
+    request.body = first.substr(0, 5);
+    request.isComplete = false;
+    request.hasLeft = true;
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge finds arrivals at upstreams that left, unless something excuses them")
+{
+    SampleHistory history;
+    history.leave(18'000ms);
+    CHECK(history.rules() == "DRAIN");
+    SECTION("within the bound")
+    {
+        history.departures.front().from = 18'010ms;
+    }
+    SECTION("back again")
+    {
+        history.departures.front().to = 20s;
+    }
+    SECTION("the instance was disturbed")
+    {
+        history.disturb("edge-1", 1s, 17'500ms);
+    }
+    SECTION("the store was disturbed")
+    {
+        history.disturb("", 17'200ms, 17'300ms);
+    }
+    SECTION("the store was disturbed when it accepted")
+    {
+        history.disturb("", 15s, 15'500ms);
+    }
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge does not excuse arrivals by other or earlier disturbances")
+{
+    SampleHistory history;
+    history.leave(17'500ms);
+    history.disturb("edge-2", 19s, 20s);
+    history.disturb("edge-1", 16s, 16'900ms);
+    history.disturb("", 14s, 14'400ms);
+    CHECK(history.rules() == "DRAIN");
+}
+
+TEST_CASE("the judge counts repeats of each service in sliding windows")
+{
+    SampleHistory history;
+    // 101 requests allow 20.2 repeats and the slack of 52.
+    for (int n = 0; n < 100; ++n) {
+        auto &request = history.add("r" + std::to_string(n), Kind::Repeatable, 10s + n * 50ms);
+        if (n < 72)
+            history.arrive(request, 16s);
+    }
+    CHECK(history.rules().empty());
+    history.arrive(history.requests.at("r0"), 25'990ms);
+    CHECK(history.rules() == "BUDGET");
+    history.arrivals.at("r0").back().at = 26'001ms;
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge finds requests that run with a revoked key or on a dropped route")
+{
+    SampleHistory history;
+    Configuration configuration;
+    configuration.at = 14'900ms;
+    configuration.passingKey = "passing-2";
+    configuration.hasPassingRoute = false;
+    history.configurations.push_back(configuration);
+    auto &request = history.requests.at("1");
+    SECTION("key")
+    {
+        request.key = "passing-1";
+        history.disturb("edge-1", 19s, 20s);
+        CHECK(history.rules() == "CONFIG");
+        history.configurations.back().at = 15'100ms;
+        CHECK(history.rules().empty());
+    }
+    SECTION("route")
+    {
+        request.hasPassingRoute = true;
+        CHECK(history.rules() == "CONFIG");
+        history.disturb("edge-1", 19s, 19s);
+        CHECK(history.rules().empty());
+    }
+}
+
+TEST_CASE("the judge finds denials of what every configuration allows")
+{
+    SampleHistory history;
+    history.arrivals.clear();
+    auto &request = history.requests.at("1");
+    request.status = 404;
+    request.seal.clear();
+    SECTION("on a route that was added")
+    {
+        request.hasPassingRoute = true;
+        CHECK(history.rules() == "CONFIG");
+    }
+    SECTION("many on lasting routes")
+    {
+        CHECK(history.rules().empty());
+        for (int n = 0; n < 10; ++n) {
+            auto &other = history.add("r" + std::to_string(n), Kind::Once, 21s);
+            history.arrivals.clear();
+            other.status = 401;
+            other.seal.clear();
+        }
+        CHECK(history.rules().starts_with("DENIED DENIED"));
+    }
+}
+
+TEST_CASE("the judge finds connections that closed after a sound upstream answered")
+{
+    SampleHistory history;
+    auto &request = history.requests.at("1");
+    request.isComplete = false;
+    request.status = 0;
+    request.seal.clear();
+    request.body.clear();
+    CHECK(history.rules().empty());
+    SECTION("in a planned stop")
+    {
+        history.disturb("edge-1", 19s, 20s, true);
+        CHECK(history.rules() == "LOST");
+        history.disturb("edge-1", 19s, 20s);
+        CHECK(history.rules().empty());
+    }
+    SECTION("many at any time")
+    {
+        for (int n = 0; n < 4; ++n) {
+            auto &other = history.add("r" + std::to_string(n), Kind::Once, 21s);
+            other.isOnKeptConnection = true;
+            other.isComplete = false;
+            other.status = 0;
+            other.seal.clear();
+        }
+        CHECK(history.rules() == "LOST LOST LOST LOST");
+    }
+}
+
+TEST_CASE("the judge finds processes that ended by themselves and requests that nobody sent")
+{
+    SampleHistory history;
+    history.faults.push_back({"edge-1", 5s, "ended with signal 1"});
+    CHECK(history.rules() == "FAULT");
+    history.faults.clear();
+    SECTION("unknown")
+    {
+        history.requests.clear();
+    }
+    SECTION("changed")
+    {
+        history.arrivals.at("1").front().target = "/2";
+    }
+    CHECK(history.rules() == "UNASKED");
+}
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/endian/conversion.hpp>
 #include <boost/json.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <cstring>
 #include <thread>
@@ -51,7 +52,8 @@
 } // namespace
 
 StoreStandIn::StoreStandIn(Core::IoThreads &threads)
-    : m_server(Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), {},
+    : m_threads(threads)
+    , m_server(Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), {},
                                     [this](auto &exchange) { return handle(exchange); })
                    .value())
 { }
@@ -60,9 +62,39 @@
 {
     // Handlers use this object until their exchanges end.
     setRefusal(503);
-    m_server->stopAccepting();
-    while (m_server->activeExchanges() > 0)
-        std::this_thread::sleep_for(PollPause);
+    m_callerServers.push_back(std::move(m_server));
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_troubles.clear();
+    }
+    for (const auto &server : m_callerServers) {
+        server->stopAccepting();
+        while (server->activeExchanges() > 0)
+            std::this_thread::sleep_for(PollPause);
+    }
+}
+
+Http::Endpoint StoreStandIn::addCaller(const std::string &caller)
+{
+    auto server =
+        Http::Server::create(m_threads, Http::parseEndpoint("127.0.0.1:0").value(), {},
+                             [this, caller](auto &exchange) { return handleOf(caller, exchange); })
+            .value();
+    m_callerServers.push_back(std::move(server));
+    return m_callerServers.back()->localEndpoint();
+}
+
+void StoreStandIn::setTrouble(const std::string &caller, const StoreTrouble &trouble)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_troubles[caller] = trouble;
+}
+
+StoreTrouble StoreStandIn::troubleOf(const std::string &caller) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_troubles.find(caller);
+    return it == m_troubles.end() ? StoreTrouble {} : it->second;
 }
 
 void StoreStandIn::put(const std::string &topic, const std::string &key,
@@ -108,6 +140,60 @@
 }
 
 asio::awaitable<void> StoreStandIn::handle(Http::ServerExchange &exchange)
+{
+    return serve(exchange, {});
+}
+
+asio::awaitable<void> StoreStandIn::handleOf(std::string caller, Http::ServerExchange &exchange)
+{
+    const bool goesOn = co_await passTrouble(caller, exchange);
+    if (goesOn)
+        co_await serve(exchange, caller);
+}
+
+asio::awaitable<bool> StoreStandIn::passTrouble(std::string caller, Http::ServerExchange &exchange)
+{
+    auto trouble = troubleOf(caller);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    boost::system::error_code ec;
+    if (trouble.delay > 0ms) {
+        timer.expires_after(trouble.delay);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    const bool isSilent = trouble.isSilent;
+    while (trouble.isSilent) {
+        timer.expires_after(PollPause);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        trouble = troubleOf(caller);
+    }
+    if (isSilent || trouble.isReset)
+        throw boost::system::system_error(asio::error::connection_reset);
+    unsigned refusal = trouble.refusal;
+    {
+        const std::scoped_lock lock(m_mutex);
+        auto &failures = m_troubles[caller].failures;
+        if (failures > 0) {
+            --failures;
+            refusal = 503;
+        }
+    }
+    if (refusal == 0)
+        co_return true;
+    Http::Response response(refusal, {}, "");
+    co_await exchange.respond(std::move(response));
+    co_return false;
+}
+
+asio::awaitable<void> StoreStandIn::answer(Http::ServerExchange &exchange, std::string caller,
+                                           Http::Response response)
+{
+    const auto trouble = troubleOf(caller);
+    if (trouble.losesAnswers || trouble.isReset || trouble.isSilent)
+        throw boost::system::system_error(asio::error::connection_reset);
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> StoreStandIn::serve(Http::ServerExchange &exchange, std::string caller)
 {
     const auto &request = exchange.request();
     unsigned refusal = 0;
@@ -123,15 +209,15 @@
     }
     auto query = parseQuery(request.target);
     if (request.target.starts_with("/log-read")) {
-        co_await read(exchange, std::move(query));
+        co_await read(exchange, std::move(caller), std::move(query));
         co_return;
     }
     auto response = request.target.starts_with("/log-newest") ? newest(query["Topic"])
                                                               : append(query, request.body);
-    co_await exchange.respond(std::move(response));
+    co_await answer(exchange, std::move(caller), std::move(response));
 }
 
-asio::awaitable<void> StoreStandIn::read(Http::ServerExchange &exchange,
+asio::awaitable<void> StoreStandIn::read(Http::ServerExchange &exchange, std::string caller,
                                          std::map<std::string, std::string> query)
 {
     const auto from = std::stoull(query["From"]);
@@ -162,13 +248,17 @@
                     isReady = true;
                 }
             }
-            if (m_refusal != 0) {
-                response = Http::Response(m_refusal, {}, "");
+            const auto trouble = m_troubles.find(caller);
+            const auto refusal = trouble == m_troubles.end()
+                                     ? m_refusal
+                                     : std::max(m_refusal, trouble->second.refusal);
+            if (refusal != 0) {
+                response = Http::Response(refusal, {}, "");
                 isReady = true;
             }
         }
         if (isReady) {
-            co_await exchange.respond(std::move(response));
+            co_await answer(exchange, std::move(caller), std::move(response));
             co_return;
         }
         timer.expires_after(PollPause);
--- a/Tests/StandIns/StoreStandIn.h
+++ b/Tests/StandIns/StoreStandIn.h
@@ -3,6 +3,7 @@
 #include <LibCore/IoThreads.h>
 #include <LibHttp/Server.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,6 +15,21 @@
 
 namespace StandIns {
 
+/// What goes wrong with the calls of one caller of the store.
+struct StoreTrouble
+{
+    /// The status of every answer, if it is not 0.
+    unsigned refusal = 0;
+    /// Calls get no answer until this ends; then their connections are closed.
+    bool isSilent = false;
+    bool isReset = false;
+    /// Calls are executed, but their answers are lost.
+    bool losesAnswers = false;
+    std::chrono::milliseconds delay {0};
+    /// The number of next calls that are answered with 503 each.
+    unsigned failures = 0;
+};
+
 /// A minimal stand-in for the store of the users' platform: logs with one partition each, the
 /// latest record of each key, conditional appends, and faults on command.
 class StoreStandIn
@@ -28,6 +44,9 @@
 
     Http::Endpoint endpoint() const { return m_server->localEndpoint(); }
 
+    /// Opens another port, for one caller, so that troubles can be told apart.
+    Http::Endpoint addCaller(const std::string &caller);
+    void setTrouble(const std::string &caller, const StoreTrouble &trouble);
     /// Writes a record as operators and workers do. A missing value deletes the key.
     void put(const std::string &topic, const std::string &key,
              const std::optional<std::string> &value);
@@ -54,8 +73,16 @@
     };
 
     boost::asio::awaitable<void> handle(Http::ServerExchange &exchange);
-    boost::asio::awaitable<void> read(Http::ServerExchange &exchange,
+    boost::asio::awaitable<void> handleOf(std::string caller, Http::ServerExchange &exchange);
+    /// Ends calls that a trouble concerns. Returns whether the call goes on.
+    boost::asio::awaitable<bool> passTrouble(std::string caller, Http::ServerExchange &exchange);
+    boost::asio::awaitable<void> serve(Http::ServerExchange &exchange, std::string caller);
+    /// Sends the answer unless it is lost.
+    boost::asio::awaitable<void> answer(Http::ServerExchange &exchange, std::string caller,
+                                        Http::Response response);
+    boost::asio::awaitable<void> read(Http::ServerExchange &exchange, std::string caller,
                                       std::map<std::string, std::string> query);
+    StoreTrouble troubleOf(const std::string &caller) const;
     Http::Response newest(const std::string &topic) const;
     /// A record of an append request; records of keyed topics begin with their key.
     static Record recordOf(const std::string &topic, std::string_view bytes);
@@ -65,7 +92,10 @@
     std::map<std::string, Topic> m_topics;
     unsigned m_refusal = 0;
     std::size_t m_calls = 0;
+    std::map<std::string, StoreTrouble> m_troubles;
+    Core::IoThreads &m_threads;
     std::unique_ptr<Http::Server> m_server;
+    std::vector<std::unique_ptr<Http::Server>> m_callerServers;
 };
 
 } // namespace StandIns
