--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -114,6 +114,13 @@
         m_world.context.run_for(LagInterval);
     m_upstreams.close();
     m_world.context.run_for(LagInterval);
+    for (auto &[id, request] : m_world.history.requests) {
+        // Its client was still waiting.
+        if (request.endedAt != 0ms)
+            continue;
+        request.hasLeft = true;
+        request.endedAt = m_world.now();
+    }
 
     SoakResult result;
     Judge judge(m_world.history);
