LibGateway: Tell old reports of an upstream from those after a restart

Callers' requests were sent to an upstream that had left in three cases: it had restarted under its id with its clock set back, so that all its reports, also the one that says draining, were ignored; an old report of it was written again after its entry had been removed; or such a report cancelled the removal that waited for the end of an outage.

ReportHistory keeps the incarnations of each upstream and their newest reports, also of 4,096 removed upstreams. A report that is not newer than the known one of its incarnation is ignored. An unknown incarnation with a later start time is the current one at once; any other one becomes current when two ascending reports of it follow each other without a new report of the current one in between. So a restart with a clock set back is followed with its second report, and a single old report of an unknown incarnation has no effect.

--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -251,8 +251,8 @@
                        {{"key", record.key}, {"reason", report.error().detail()}});
         return;
     }
-    m_pendingRemovals.erase(record.key);
-    m_dependencies.fleet.apply(std::move(report.value()));
+    if (m_dependencies.fleet.apply(std::move(report.value())))
+        m_pendingRemovals.erase(record.key);
 }
 
 void FleetWatcher::removeUpstream(const std::string &key)
--- a/Libraries/LibGateway/UpstreamFleet.cpp
+++ b/Libraries/LibGateway/UpstreamFleet.cpp
@@ -6,9 +6,19 @@
 
 namespace Gateway {
 
-void UpstreamFleet::apply(UpstreamReport report)
+namespace {
+
+constexpr std::size_t MaxRemoved = 4'096;
+
+} // namespace
+
+bool UpstreamFleet::apply(UpstreamReport report)
 {
     const auto it = m_all.find(report.id);
+    const auto verdict = m_histories[report.id].note(report);
+    const bool isNew = verdict == ReportHistory::Verdict::New;
+    if (verdict == ReportHistory::Verdict::Old || (it == m_all.end() && !isNew))
+        return false;
     if (it == m_all.end()) {
         auto upstream = std::make_shared<Upstream>(std::move(report));
         m_byService[upstream->report().service].push_back(upstream);
@@ -18,13 +28,10 @@
                        {{"upstream", upstream->report().id.value()},
                         {"service", upstream->report().service},
                         {"address", Http::formatEndpoint(upstream->report().endpoint)}});
-        return;
+        return true;
     }
     const auto upstream = it->second;
     const auto &known = upstream->report();
-    if (report.startTime < known.startTime
-        || (report.startTime == known.startTime && report.sequence < known.sequence))
-        return;
     if (report.isDraining && !known.isDraining)
         Core::logEvent(Core::EventId::UpstreamLeaving,
                        {{"upstream", known.id.value()}, {"reason", "draining"}});
@@ -34,6 +41,7 @@
     }
     if (upstream->update(std::move(report)))
         Core::logEvent(Core::EventId::UpstreamRestarted, {{"upstream", known.id.value()}});
+    return isNew;
 }
 
 void UpstreamFleet::remove(const Core::UpstreamId &id)
@@ -48,6 +56,17 @@
     m_all.erase(it);
     Core::logEvent(Core::EventId::UpstreamLeaving,
                    {{"upstream", id.value()}, {"reason", "not listed"}});
+    m_removed.push_back(upstream->report().id);
+    forgetRemoved();
+}
+
+void UpstreamFleet::forgetRemoved()
+{
+    while (m_removed.size() > MaxRemoved) {
+        if (!m_all.contains(m_removed.front()))
+            m_histories.erase(m_removed.front());
+        m_removed.pop_front();
+    }
 }
 
 std::chrono::nanoseconds UpstreamFleet::age(Core::Clock::Monotonic now) const
--- a/Libraries/LibGateway/UpstreamFleet.h
+++ b/Libraries/LibGateway/UpstreamFleet.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <LibGateway/ReportHistory.h>
 #include <LibGateway/Upstream.h>
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,8 +21,10 @@
 public:
     using Members = std::vector<std::shared_ptr<Upstream>>;
 
-    /// Adds or updates an upstream. Reports older than the known one are ignored.
-    void apply(UpstreamReport report);
+    /// Adds or updates an upstream. Reports that are older than the known one are ignored, as are
+    /// those of a removed upstream that are not newer than its last one. Returns whether the report
+    /// is newer than all known ones.
+    bool apply(UpstreamReport report);
     /// Removes an upstream that is no longer listed.
     void remove(const Core::UpstreamId &id);
 
@@ -40,7 +44,13 @@
 private:
     void removeFromService(const std::shared_ptr<Upstream> &upstream);
 
+    /// Forgets the reports of the upstreams that were removed first when there are too many.
+    void forgetRemoved();
+
     std::map<Core::UpstreamId, std::shared_ptr<Upstream>> m_all;
+    std::map<Core::UpstreamId, ReportHistory> m_histories;
+    /// The removed upstreams in the order of their removal; some may be listed again.
+    std::deque<Core::UpstreamId> m_removed;
     std::map<std::string, Members> m_byService;
     std::unordered_map<std::uint64_t, std::shared_ptr<Upstream>> m_byHash;
     Core::Clock::Monotonic m_asOf = Core::Clock::Monotonic::min();
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -274,3 +274,46 @@
     CHECK_FALSE(fixture.find("w2"));
     CHECK_FALSE(fixture.find("w3"));
 }
+
+TEST_CASE("an upstream that restarts with its clock set back is followed")
+{
+    Fixture fixture;
+    fixture.applyUpstream("w", "app:20:7");
+    fixture.applyUpstream("w", "app:10:0");
+    fixture.applyUpstream("w", "app:10:1");
+    CHECK(fixture.find("w")->report().startTime == 10ms);
+    fixture.applyUpstream("w", "app:10:2d");
+    CHECK(fixture.find("w")->report().isDraining);
+    // A late report of the incarnation before.
+    fixture.applyUpstream("w", "app:20:7");
+    CHECK(fixture.find("w")->report().isDraining);
+}
+
+TEST_CASE("an old report does not bring a removed upstream back, but a newer one does")
+{
+    Fixture fixture;
+    fixture.applyUpstream("w", "app:10:3");
+    fixture.applyUpstream("w", "app:20:7");
+    fixture.applyUpstream("w", std::nullopt);
+    fixture.applyUpstream("w", "app:20:6");
+    fixture.applyUpstream("w", "app:20:7");
+    fixture.applyUpstream("w", "app:10:3");
+    CHECK_FALSE(fixture.find("w"));
+    fixture.applyUpstream("w", "app:20:8");
+    REQUIRE(fixture.find("w"));
+    fixture.applyUpstream("w", std::nullopt);
+    fixture.applyUpstream("w", "app:30:0");
+    CHECK(fixture.find("w"));
+}
+
+TEST_CASE("an old report does not cancel the removal of an upstream after an outage")
+{
+    Fixture fixture;
+    fixture.readPage({{0, "w", "app:10:5"}});
+    fixture.failRead();
+    fixture.clock.advance(4s);
+    fixture.readPage({{1, "w", std::nullopt}, {2, "w", "app:10:4"}});
+    fixture.clock.advance(3s);
+    fixture.readPage();
+    CHECK_FALSE(fixture.find("w"));
+}
