LibGateway: Test the list of upstreams over outages, departures and old reports

A seeded simulation of FleetWatcher and UpstreamFleet on a virtual clock: six upstreams that drain, vanish and restart, also with clocks set back, old reports written again, outages of 0.1 to 9 s and failed reads of a stable store. No upstream is used later than the drain bound after its leaving was acknowledged by a stable store, and a settled upstream is always used.

--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <random>
+
 using namespace std::chrono_literals;
 using Gateway::FleetTopic;
 
@@ -317,3 +320,199 @@
     fixture.readPage();
     CHECK_FALSE(fixture.find("w"));
 }
+
+namespace {
+
+/// Upstreams that register, leave and restart at a store with outages, and an instance that follows
+/// them. Time passes in steps.
+class DrainSimulation
+{
+public:
+    explicit DrainSimulation(unsigned seed)
+        : m_random(seed)
+    {
+        for (std::size_t n = 0; n < m_upstreams.size(); ++n)
+            m_upstreams[n].id = "w" + std::to_string(n);
+    }
+
+    void run(std::chrono::seconds time)
+    {
+        for (m_time = 0ms; m_time < time; m_time += Step) {
+            changeStore();
+            for (auto &upstream : m_upstreams)
+                act(upstream);
+            read();
+            for (const auto &upstream : m_upstreams)
+                check(upstream);
+            m_fixture.clock.advance(Step);
+        }
+    }
+
+    int usedTooLate = 0;
+    int soundNotUsed = 0;
+    int departures = 0;
+    int outages = 0;
+
+private:
+    static constexpr auto Step = 100ms;
+    static constexpr auto ReportInterval = 1'200ms;
+    static constexpr auto StableTime = 3'000ms;
+
+    struct Simulated
+    {
+        std::string id;
+        std::chrono::milliseconds born {1'000'000};
+        std::uint64_t sequence = 0;
+        std::chrono::milliseconds nextReport {0};
+        std::chrono::milliseconds lastReport {0};
+        std::chrono::milliseconds startedAt {0};
+        /// The store has acknowledged that it is leaving.
+        std::optional<std::chrono::milliseconds> leftAt;
+        std::chrono::milliseconds restartAt {0};
+        bool isLeavingStable = false;
+        bool isDraining = false;
+        bool isListed = false;
+        std::vector<std::string> reports;
+    };
+
+    bool chance(double probability) { return std::bernoulli_distribution(probability)(m_random); }
+    std::chrono::milliseconds between(int low, int high)
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution(low, high)(m_random));
+    }
+    bool isUp() const { return m_time >= m_upAgainAt; }
+    std::chrono::milliseconds upFor() const { return m_time - m_upAgainAt; }
+
+    void changeStore()
+    {
+        if (isUp() && upFor() > 1'500ms && chance(0.005)) {
+            m_upAgainAt = m_time + between(100, 9'000);
+            ++outages;
+        }
+    }
+
+    void write(Simulated &upstream, std::optional<std::string> value)
+    {
+        upstream.isListed = value.has_value();
+        if (value)
+            upstream.lastReport = m_time;
+        m_log.push_back({m_log.size(), upstream.id, std::move(value)});
+    }
+
+    void report(Simulated &upstream)
+    {
+        upstream.nextReport = m_time + ReportInterval;
+        ++upstream.sequence;
+        if (!isUp())
+            return;
+        auto value = "app:" + std::to_string(upstream.born.count()) + ":"
+                     + std::to_string(upstream.sequence) + (upstream.isDraining ? "d" : "");
+        upstream.reports.push_back(value);
+        write(upstream, std::move(value));
+    }
+
+    void act(Simulated &upstream)
+    {
+        // Entries expire also while the store is down.
+        if (upstream.isListed && m_time - upstream.lastReport >= 3 * ReportInterval)
+            write(upstream, std::nullopt);
+        if (!upstream.leftAt) {
+            if (m_time >= upstream.nextReport)
+                report(upstream);
+            if (isUp() && m_time - upstream.startedAt > 5s && chance(0.003))
+                leave(upstream);
+            return;
+        }
+        const auto gone = m_time - *upstream.leftAt;
+        if (upstream.isDraining && gone < 3s && m_time >= upstream.nextReport)
+            report(upstream);
+        if (isUp() && gone > 4s && !upstream.reports.empty() && chance(0.01)) {
+            const auto last = upstream.reports.size() - 1;
+            write(upstream,
+                  upstream.reports[std::uniform_int_distribution<std::size_t>(0, last)(m_random)]);
+        }
+        if (m_time >= upstream.restartAt)
+            restart(upstream);
+    }
+
+    void leave(Simulated &upstream)
+    {
+        ++departures;
+        upstream.leftAt = m_time;
+        upstream.isLeavingStable = upFor() >= StableTime;
+        upstream.restartAt = m_time + between(6'000, 15'000);
+        upstream.isDraining = chance(0.5);
+        if (upstream.isDraining)
+            report(upstream);
+        else
+            write(upstream, std::nullopt);
+    }
+
+    void restart(Simulated &upstream)
+    {
+        upstream.leftAt.reset();
+        upstream.isDraining = false;
+        upstream.startedAt = m_time;
+        // The clock may have been set back.
+        upstream.born = chance(0.3) ? upstream.born - between(1, 5'000) : upstream.born + 10s;
+        upstream.sequence = 0;
+        upstream.nextReport = m_time;
+    }
+
+    void read()
+    {
+        m_fixture.watcher.applyPendingRemovals();
+        if (m_time < m_nextRead)
+            return;
+        if (!isUp() || chance(0.1)) {
+            m_fixture.failRead();
+            m_nextRead = m_time + between(100, 300);
+            return;
+        }
+        m_nextRead = m_time + 500ms;
+        m_fixture.readPage({m_log.begin() + static_cast<std::ptrdiff_t>(m_read), m_log.end()});
+        m_read = m_log.size();
+    }
+
+    void check(const Simulated &upstream)
+    {
+        const auto known = m_fixture.find(upstream.id);
+        const bool isUsable = known && !known->report().isDraining;
+        if (upstream.leftAt) {
+            const bool isBound = upstream.isLeavingStable && isUp() && upFor() >= StableTime;
+            usedTooLate += isUsable && isBound && m_time - *upstream.leftAt > 2s ? 1 : 0;
+            return;
+        }
+        // It has registered, and the instance has had the time to read it.
+        const bool isSettled = m_time - upstream.startedAt > 15s;
+        soundNotUsed += isSettled && !isUsable ? 1 : 0;
+    }
+
+    std::minstd_rand m_random;
+    Fixture m_fixture;
+    std::chrono::milliseconds m_time {0};
+    std::chrono::milliseconds m_upAgainAt {0};
+    std::chrono::milliseconds m_nextRead {0};
+    std::vector<Gateway::FleetRecord> m_log;
+    std::size_t m_read = 0;
+    std::array<Simulated, 6> m_upstreams;
+};
+
+} // namespace
+
+TEST_CASE("upstreams are used in time after they register, and not after the drain bound")
+{
+    int departures = 0;
+    int outages = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        DrainSimulation simulation(seed);
+        simulation.run(300s);
+        INFO("seed " << seed);
+        CHECK(simulation.usedTooLate == 0);
+        CHECK(simulation.soundNotUsed == 0);
+        departures += simulation.departures;
+        outages += simulation.outages;
+    }
+    CHECK(departures > 500);
+    CHECK(outages > 100);
+}
