LibGateway: Learn of leaving upstreams from a sibling while a read of the store hangs

A read of the store that got no answer kept an instance's list of upstreams from becoming newer for the wait of the read and 1.2 s more, so callers' requests could be sent to an upstream that had left, though siblings knew of it.

When the read of the list takes 0.3 s longer than its wait, a sibling is queried once, and its page is used if it is newer than what is known. Otherwise the read is waited for as before, so a slow store is still read. The wait of these reads is at most a quarter of the drain bound for instances without followers, too. The other logs are read as before.

The case "while a read of the store hangs" failed before (no answer in 10 s) and passes now.

--- a/Libraries/LibGateway/FleetLog.h
+++ b/Libraries/LibGateway/FleetLog.h
@@ -47,6 +47,8 @@
     /// The time at which the store was queried for the contents of the page, by the clock of this
     /// instance. Set by SharedLog.
     Core::Clock::Monotonic asOf;
+    /// Whether a sibling answered. Set by SharedLog.
+    bool isFromSibling = false;
     /// The time at which the store answered; the minimum time for a page of a sibling. Set by
     /// SharedLog.
     Core::Clock::Monotonic answeredAt = Core::Clock::Monotonic::min();
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -3,7 +3,14 @@
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/SharedLog.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
+#include <exception>
 
 namespace Gateway {
 
@@ -44,6 +51,8 @@
 // instances start at once, the readers know the records by then.
 constexpr auto StartPollInterval = 100ms;
 constexpr unsigned MaxStartPolls = 10;
+// When a read of the list of upstreams takes this much longer than its wait, a sibling is queried.
+constexpr auto LateAnswerTime = 300ms;
 // The members become known when the journal has been read up to the own announcement.
 constexpr auto MembersPollInterval = 20ms;
 constexpr unsigned MaxMembersPolls = 20;
@@ -164,7 +173,8 @@
 {
     if (m_topics.at(topic).isStoreFailing)
         return 0ms;
-    if (!mayHaveFollowers())
+    // A read that hangs keeps the list from becoming newer.
+    if (!mayHaveFollowers() && topic != FleetTopic::Upstreams)
         return requested;
     const auto cycle = maxAgeOf(topic) / ReadsPerMaxAge;
     // Data that passes two siblings has to be newer, so the pause between reads counts as well.
@@ -256,6 +266,70 @@
     throw *failure;
 }
 
+/// A read of the store that may go on after the caller has stopped waiting for it.
+struct SharedLog::PendingRead
+{
+    explicit PendingRead(const asio::any_io_executor &executor)
+        : done(executor)
+    { }
+
+    /// Waits for the end of the read; returns whether it has ended in time.
+    asio::awaitable<bool> awaitEnd(milliseconds time)
+    {
+        if (isDone)
+            co_return true;
+        done.expires_after(time);
+        boost::system::error_code ec;
+        co_await done.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_return isDone;
+    }
+
+    asio::steady_timer done;
+    bool isDone = false;
+    std::exception_ptr failure;
+    FleetPage page;
+};
+
+std::shared_ptr<SharedLog::PendingRead>
+SharedLog::startStoreRead(const asio::any_io_executor &executor, FleetTopic topic,
+                          std::uint64_t from, milliseconds wait)
+{
+    auto read = std::make_shared<PendingRead>(executor);
+    asio::co_spawn(executor, m_dependencies.store.read(topic, from, wait),
+                   [read](std::exception_ptr failure, FleetPage page) {
+                       read->isDone = true;
+                       read->failure = std::move(failure);
+                       read->page = std::move(page);
+                       read->done.cancel();
+                   });
+    return read;
+}
+
+asio::awaitable<std::optional<FleetPage>> SharedLog::readNewerFromSibling(FleetTopic topic,
+                                                                          std::uint64_t from)
+{
+    const auto known = m_dependencies.relay.tail(topic).asOf();
+    auto page = co_await readSiblings(topic, from, 0ms);
+    if (page && page->asOf <= known)
+        page.reset();
+    co_return page;
+}
+
+asio::awaitable<FleetPage> SharedLog::readUpstreams(std::uint64_t from, milliseconds wait)
+{
+    constexpr auto Unlimited = 1h;
+    const auto executor = co_await asio::this_coro::executor;
+    const auto read = startStoreRead(executor, FleetTopic::Upstreams, from, wait);
+    if (!co_await read->awaitEnd(wait + LateAnswerTime)) {
+        if (auto page = co_await readNewerFromSibling(FleetTopic::Upstreams, from))
+            co_return std::move(*page);
+    }
+    while (!co_await read->awaitEnd(Unlimited)) { }
+    if (read->failure)
+        std::rethrow_exception(read->failure);
+    co_return std::move(read->page);
+}
+
 asio::awaitable<FleetPage> SharedLog::readStore(FleetTopic topic, std::uint64_t from,
                                                 milliseconds wait)
 {
@@ -264,7 +338,13 @@
     std::optional<Core::Error> failure;
     try {
         noteStoreCall(topic, "read");
-        auto page = co_await m_dependencies.store.read(topic, from, wait);
+        FleetPage page;
+        if (topic == FleetTopic::Upstreams)
+            page = co_await readUpstreams(from, wait);
+        else
+            page = co_await m_dependencies.store.read(topic, from, wait);
+        if (page.isFromSibling)
+            co_return page;
         page.asOf = requestTime;
         page.answeredAt = m_dependencies.clock.now();
         page.lastStoreFailure = state.lastStoreFailure;
@@ -318,6 +398,7 @@
                 ++m_siblingIndex;
             m_dependencies.relay.tail(topic).extend(from, page);
             noteSource(topic, sibling.instance, "the log is read through a sibling");
+            page.isFromSibling = true;
             co_return page;
         }
     } catch (const Core::Error &error) {
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -4,8 +4,11 @@
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/LogRelay.h>
 
+#include <boost/asio/any_io_executor.hpp>
+
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -95,6 +98,17 @@
     std::chrono::milliseconds maxAgeOf(FleetTopic topic) const;
     boost::asio::awaitable<FleetPage> readStore(FleetTopic topic, std::uint64_t from,
                                                 std::chrono::milliseconds wait);
+    struct PendingRead;
+    std::shared_ptr<PendingRead> startStoreRead(const boost::asio::any_io_executor &executor,
+                                                FleetTopic topic, std::uint64_t from,
+                                                std::chrono::milliseconds wait);
+    /// Reads the list of upstreams from the store, or from a sibling that has newer records while
+    /// the store's answer is late.
+    boost::asio::awaitable<FleetPage> readUpstreams(std::uint64_t from,
+                                                    std::chrono::milliseconds wait);
+    /// Returns nothing when no sibling has newer records than this instance.
+    boost::asio::awaitable<std::optional<FleetPage>> readNewerFromSibling(FleetTopic topic,
+                                                                          std::uint64_t from);
     /// Returns nothing when no sibling has recent enough data.
     boost::asio::awaitable<std::optional<FleetPage>>
     readSiblings(FleetTopic topic, std::uint64_t from, std::chrono::milliseconds wait);
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -5,6 +5,9 @@
 #include <LibHttp/Server.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
@@ -40,6 +43,10 @@
     {
         countCall();
         lastWait = wait;
+        if (isHanging) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         FleetPage page;
         page.next = m_records.size();
         for (auto n = from; n < m_records.size(); ++n)
@@ -55,6 +62,7 @@
     }
 
     bool isUnavailable = false;
+    bool isHanging = false;
     int calls = 0;
     std::chrono::milliseconds lastWait {0};
 
@@ -451,3 +459,21 @@
     }
     CHECK(cutOff.store.calls - calls <= 22);
 }
+
+TEST_CASE("while a read of the store hangs, upstreams that leave are learned from a sibling")
+{
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    auto &other = fleet.add("n1");
+    fleet.readUpstreams(one, 0);
+    fleet.readUpstreams(other, 0);
+    fleet.clock.advance(1s);
+    fleet.exchangeDatagrams();
+    fleet.records.emplace_back("leaving");
+    fleet.readUpstreams(other, 1);
+    one.store.isHanging = true;
+    auto answer = asio::co_spawn(fleet.threads.at(0), one.log.read(FleetTopic::Upstreams, 1, 100ms),
+                                 asio::use_future);
+    REQUIRE(answer.wait_for(10s) == std::future_status::ready);
+    CHECK(answer.get().records.size() == 1);
+}
