LibGateway: Pass on no promise that the upstream did not make

Callers take 408, 429 and 503 as a promise that their request has not run. A sealed answer with such a status, without the header that states it, was passed on as it was for a call that may run once, though the upstream had run it.

relayAnswer() now counts it as an interrupted attempt if the request may not run again, so that the caller gets 502 of the gateway's own, which promises nothing and has no seal. A request that may run again gets the upstream's answer as before.

Evidence: in TestRejections, "a status that promises not run is not passed on unless the worker states it".

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -58,6 +58,14 @@
     return std::to_string(number);
 }
 
+/// Returns whether callers take the status as a promise that the request has not run and never
+/// will.
+bool promisesNotRun(unsigned status)
+{
+    constexpr std::array Promises {408U, 421U, 429U, 503U};
+    return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
+}
+
 /// Returns what the answers whose events make up one stream have in common.
 std::string streamKind(const Http::ClientExchange &answer)
 {
@@ -512,6 +520,11 @@
         if (!head.isSealed)
             co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                                                   "the answer has no seal header"));
+        // The upstream did not state that the request was not run.
+        if (promisesNotRun(answer.status()) && !m_request.route->mayRunAgain())
+            co_return noteInterrupted(
+                Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                            "status " + text(answer.status()) + " of a request that may have run"));
         if (isSuccess && m_request.route->kind == RequestKind::Stream)
             co_return co_await relayStream(answer, std::move(headers), load);
         co_return co_await relayWhole(answer, std::move(headers));
--- a/Tests/Platform/TestRejections.cpp
+++ b/Tests/Platform/TestRejections.cpp
@@ -169,6 +169,28 @@
     CHECK(served > Count / 2);
 }
 
+TEST_CASE("a status that promises not run is not passed on unless the worker states it")
+{
+    const std::string status =
+        GENERATE("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable");
+    std::string ran;
+    RawWorkersFixture fixture("app", [&](RawConnection &connection, const auto &request) {
+        ran += idOf(request);
+        connection.send(
+            wholeAnswer(status + "\r\nX-Jujubesaddle-Server-Seal: seal", idOf(request), "failed"));
+        connection.keep();
+    });
+    const auto answer = fixture.receive(GatewayFixture::request("/calls/a", "id-1"));
+    CHECK(answer.response.status == 502);
+    CHECK(answer.header("X-Jujubesaddle-Server-Seal").empty());
+    CHECK(ran == "id-1");
+    // A request that may run again is answered as the worker did.
+    const auto repeatable =
+        fixture.receive(GatewayFixture::request("/views/a", "id-2", "GET")).response;
+    CHECK(repeatable.body == "failed");
+    CHECK(status.starts_with(std::to_string(repeatable.status)));
+}
+
 TEST_CASE("an answer that names no request is not taken for that of another one on its connection")
 {
     std::atomic<int> extras = 0;
