LibGateway: Resume a stream that began without a content type

Since a stream was cut if its first answer named no content type and the one that resumed it was text/event-stream, as of the stand-ins in "a stream cut in the middle of an event resumes at another engine after the last whole event". An event stream may always continue one; an answer of another type only if the stream began with that type. Status and encoding are compared as before.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -66,13 +66,15 @@
     return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
 }
 
-/// Returns what the answers whose events make up one stream have in common.
-std::string streamKind(const Http::ClientExchange &answer)
+/// Returns whether the events of an answer may go on in a stream that began with the given status
+/// and headers.
+bool mayContinueStream(const Http::ClientExchange &answer, unsigned status,
+                       const Http::Headers &headers)
 {
-    auto kind = std::to_string(answer.status());
-    for (const auto *name : {"Content-Type", "Content-Encoding"})
-        kind += "\n" + std::string(answer.headers().find(name).value_or(""));
-    return kind;
+    const auto type = answer.headers().find("Content-Type");
+    const bool isStream = type && type->starts_with("text/event-stream");
+    return answer.status() == status && (isStream || type == headers.find("Content-Type"))
+           && answer.headers().find("Content-Encoding") == headers.find("Content-Encoding");
 }
 
 } // namespace
@@ -618,7 +620,7 @@
 asio::awaitable<RequestRelay::AttemptOutcome>
 RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, UpstreamLoad &load)
 {
-    if (m_exchange.hasStarted() && streamKind(answer) != m_streamKind)
+    if (m_exchange.hasStarted() && !mayContinueStream(answer, m_streamStatus, m_streamHeaders))
         co_return noteInterrupted(
             Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                         "the answer is of another kind than the stream that it resumes"));
@@ -640,7 +642,8 @@
         if (load.noteFirstToken())
             noteFirstToken(load);
         if (!m_exchange.hasStarted()) {
-            m_streamKind = streamKind(answer);
+            m_streamStatus = answer.status();
+            m_streamHeaders = headers;
             co_await m_exchange.startStream(answer.status(), headers);
         }
         co_await m_exchange.write(events);
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -125,8 +125,9 @@
     bool m_mayHaveExecuted = false;
     std::optional<Http::Response> m_errorResponse;
     Http::EventSplitter m_events;
-    /// The status and content type of the answer with which the caller's stream began.
-    std::string m_streamKind;
+    /// The status and headers with which the caller's stream began.
+    unsigned m_streamStatus = 0;
+    Http::Headers m_streamHeaders;
     bool m_hasTimedOut = false;
     /// Whether the last attempt was cancelled because the plan was outdated, before its first byte
     /// was sent or before the engine began to answer.
--- a/Tests/Platform/TestRejections.cpp
+++ b/Tests/Platform/TestRejections.cpp
@@ -227,6 +227,7 @@
         auto request = GatewayFixture::request("/calls/a", "");
         request.headers.remove("X-Jujubesaddle-Attempt-Id");
         request.headers.add("X-Own", std::to_string(n));
-        CHECK(fixture.receive(std::move(request)).response.body == std::to_string(n));
+        const auto answer = fixture.receive(std::move(request));
+        CHECK(answer.response.body == std::to_string(n));
     }
 }
