--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -58,13 +58,23 @@
     return std::to_string(number);
 }
 
-/// Returns what the answers whose events make up one stream have in common.
-std::string streamKind(const Http::ClientExchange &answer)
+/// Returns whether callers take the status as a promise that the request has not run and never
+/// will.
+bool promisesNotRun(unsigned status)
 {
-    auto kind = std::to_string(answer.status());
-    for (const auto *name : {"Content-Type", "Content-Encoding"})
-        kind += "\n" + std::string(answer.headers().find(name).value_or(""));
-    return kind;
+    constexpr std::array Promises {408U, 421U, 429U, 503U};
+    return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
+}
+
+/// Returns whether the events of an answer may go on in a stream that began with the given status
+/// and headers.
+bool mayContinueStream(const Http::ClientExchange &answer, unsigned status,
+                       const Http::Headers &headers)
+{
+    const auto type = answer.headers().find("Content-Type");
+    const bool isStream = type && type->starts_with("text/event-stream");
+    return answer.status() == status && (isStream || type == headers.find("Content-Type"))
+           && answer.headers().find("Content-Encoding") == headers.find("Content-Encoding");
 }
 
 } // namespace
@@ -510,6 +520,11 @@
         if (!head.isSealed)
             co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                                                   "the answer has no seal header"));
+        // The upstream did not state that the request was not run.
+        if (promisesNotRun(answer.status()) && !m_request.route->mayRunAgain())
+            co_return noteInterrupted(
+                Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                            "status " + text(answer.status()) + " of a request that may have run"));
         if (isSuccess && m_request.route->kind == RequestKind::Stream)
             co_return co_await relayStream(answer, std::move(headers), load);
         co_return co_await relayWhole(answer, std::move(headers));
@@ -603,7 +618,7 @@
 asio::awaitable<RequestRelay::AttemptOutcome>
 RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, UpstreamLoad &load)
 {
-    if (m_exchange.hasStarted() && streamKind(answer) != m_streamKind)
+    if (m_exchange.hasStarted() && !mayContinueStream(answer, m_streamStatus, m_streamHeaders))
         co_return noteInterrupted(
             Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                         "the answer is of another kind than the stream that it resumes"));
@@ -625,7 +640,8 @@
         if (load.noteFirstToken())
             noteFirstToken(load);
         if (!m_exchange.hasStarted()) {
-            m_streamKind = streamKind(answer);
+            m_streamStatus = answer.status();
+            m_streamHeaders = headers;
             co_await m_exchange.startStream(answer.status(), headers);
         }
         co_await m_exchange.write(events);
