jujubesaddled: Handle signals from the start and wait for ports that are held

Operators saw the daemon end by itself: SIGHUP, SIGTERM or SIGINT at the start took their default action, SIGHUP at any time, and a port that the process before still held ended the start with code 2. It registered SIGTERM and SIGINT only when everything ran.

As in the gateway, ProcessSignals is the first statement of main, and the ports that cannot be opened are tried again (event 108) until they can be or a signal asks for the end. SIGHUP has no effect.

--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -1,11 +1,11 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/StartRetry.h>
 #include <LibPlatform/EmbeddedLogService.h>
 #include <LibPlatform/HttpInstanceDirectory.h>
 #include <LibPlatform/HttpLogService.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -56,12 +56,17 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
+Core::Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings,
+                                                     Core::ProcessSignals &signals)
 {
     try {
         std::unique_ptr<Daemon> daemon(new Daemon(settings));
         daemon->createPlatform();
-        daemon->openPorts();
+        const bool isOpen = Core::retryUntilEnd(signals, Core::EventId::PortUnavailable,
+                                                [&daemon] { daemon->openPorts(); });
+        if (!isOpen)
+            return std::unique_ptr<Daemon>();
+        daemon->logPorts();
         daemon->startControl();
         return daemon;
     } catch (const Core::Error &error) {
@@ -100,12 +105,11 @@
     m_usageAccount = std::make_unique<Router::UsageAccount>(m_instance, *m_log);
     m_adminPort.setUsageHook([this] { return m_usageAccount->report(); });
     createClaims();
-    createSiblings();
 }
 
 void Daemon::createSiblings()
 {
-    if (!m_settings.peer)
+    if (!m_settings.peer || m_siblings)
         return;
     m_siblings = std::make_unique<Siblings::SiblingService>(
         m_controlThread.at(0), Siblings::SiblingSettings {*m_settings.peer, m_settings.peerKey},
@@ -204,15 +208,22 @@
 void Daemon::openPorts()
 {
     const auto limits = serverLimits(m_limits);
-    m_server = Http::Server::create(
-                   m_requestThreads, m_settings.listen, limits,
-                   [this](Http::ServerExchange &exchange) { return m_router.handle(exchange); })
-                   .value();
-    m_adminServer = Http::Server::create(m_controlThread, m_settings.admin, limits,
-                                         [this](Http::ServerExchange &exchange) {
-                                             return m_adminPort.handle(exchange);
-                                         })
-                        .value();
+    createSiblings();
+    if (!m_server)
+        m_server = Http::Server::create(
+                       m_requestThreads, m_settings.listen, limits,
+                       [this](Http::ServerExchange &exchange) { return m_router.handle(exchange); })
+                       .value();
+    if (!m_adminServer)
+        m_adminServer = Http::Server::create(m_controlThread, m_settings.admin, limits,
+                                             [this](Http::ServerExchange &exchange) {
+                                                 return m_adminPort.handle(exchange);
+                                             })
+                            .value();
+}
+
+void Daemon::logPorts()
+{
     Core::logEvent(
         Core::EventId::ListeningOn,
         {{"port", "callers"}, {"address", Http::formatEndpoint(m_server->localEndpoint())}});
@@ -250,12 +261,11 @@
     }
 }
 
-void Daemon::runUntilSignal()
+void Daemon::runUntilSignal(Core::ProcessSignals &signals)
 {
-    asio::io_context signals;
-    asio::signal_set stop(signals, SIGTERM, SIGINT);
-    stop.async_wait([](const auto &, int) {});
-    signals.run();
+    while (!Core::ProcessSignals::endsProgram(signals.next())) {
+        // There is no settings file to reload.
+    }
     drain();
 }
 
--- a/Services/jujubesaddled/Daemon.h
+++ b/Services/jujubesaddled/Daemon.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/ConfigurationReader.h>
 #include <LibCore/Clock.h>
 #include <LibCore/IoThreads.h>
+#include <LibCore/ProcessSignals.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Server.h>
 #include <LibPlatform/InMemoryLog.h>
@@ -28,13 +29,14 @@
 class Daemon
 {
 public:
-    /// Opens the ports and starts the background work. Fails with SettingsInvalid or
-    /// ConfigurationInvalid.
-    static Core::Result<std::unique_ptr<Daemon>> create(const Settings &settings);
+    /// Opens the ports, as soon as they can be opened, and starts the background work. Fails with
+    /// SettingsInvalid or ConfigurationInvalid. Returns null when a signal asks the program to end.
+    static Core::Result<std::unique_ptr<Daemon>> create(const Settings &settings,
+                                                        Core::ProcessSignals &signals);
     ~Daemon();
 
     /// Blocks until SIGTERM or SIGINT, then waits for running requests, up to the drain limit.
-    void runUntilSignal();
+    void runUntilSignal(Core::ProcessSignals &signals);
     /// Stops all threads.
     void stop();
 
@@ -47,11 +49,14 @@
     void loadEmbeddedConfiguration();
     void createClaims();
     void createSiblings();
+    /// Opens the ports that are not open yet. Throws Error(SettingsInvalid) when one cannot be
+    /// opened, and may then be called again.
+    void openPorts();
     void addStatus(boost::json::object &status) const;
     boost::asio::awaitable<Claims::HolderReply> askHolder(Claims::HolderQuery query);
     boost::asio::awaitable<void> tickAdmission();
     void startControl();
-    void openPorts();
+    void logPorts();
     void applyLimits(const Configuration::Limits &limits);
     void drain();
     void waitForRequests();
--- a/Services/jujubesaddled/main.cpp
+++ b/Services/jujubesaddled/main.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/ProcessSignals.h>
 
 #include <jujubesaddled/Daemon.h>
 
@@ -17,21 +18,23 @@
     }
 }
 
-int run(const Daemon::Settings &settings)
+int run(const Daemon::Settings &settings, Core::ProcessSignals &signals)
 {
     Core::logEvent(Core::EventId::ProcessStarted, {{"version", JUJUBE_VERSION},
                                                    {"instance", settings.instance.value()},
                                                    {"environment", settings.environment}});
-    auto daemon = Daemon::Daemon::create(settings);
+    auto daemon = Daemon::Daemon::create(settings, signals);
     if (!daemon.has_value()) {
         std::cerr << daemon.error().what() << '\n';
         return ExitBadSettings;
     }
+    if (!daemon.value())
+        return 0;
     // Suspended coroutines in its contexts and the components that they use refer to each other, so
     // no order of destruction is safe. After its threads have stopped, the daemon is deliberately
     // not destroyed.
     static Daemon::Daemon *const running = daemon.value().release();
-    running->runUntilSignal();
+    running->runUntilSignal(signals);
     running->stop();
     return 0;
 }
@@ -40,6 +43,8 @@
 
 int main(int argc, char **argv)
 {
+    // Signals are handled from here until the exit, so the object is never destroyed.
+    static auto &signals = *new Core::ProcessSignals;
     const auto line = Daemon::readCommandLine(argc, argv);
     if (line.action == Daemon::Action::Exit)
         return line.exitCode;
@@ -49,5 +54,5 @@
     reportFaults(line);
     if (!line.faults.empty() || line.action != Daemon::Action::Run)
         return line.exitCode;
-    return run(line.settings);
+    return run(line.settings, signals);
 }
