Tests: Check gateways without free descriptors and under signals at random times

Both cases guard against ends of the process that were suspected: a full table of descriptors, and signals and rewritten settings at random times.

--- a/Tests/Platform/TestProcessLife.cpp
+++ b/Tests/Platform/TestProcessLife.cpp
@@ -11,11 +11,15 @@
 #include <fstream>
 #include <iterator>
 #include <optional>
+#include <random>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
+using namespace std::chrono_literals;
 using PlatformTests::GatewayFixture;
 using PlatformTests::GatewayOptions;
 
@@ -266,3 +270,71 @@
     gateway.signal(SIGTERM);
     CHECK(gateway.wait() == 0);
 }
+
+TEST_CASE("a gateway without free descriptors keeps running, and serves when they are free again")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.spawnGateway(fixture.writeSettings(numbered(1)), "ulimit -n 40");
+    fixture.awaitPorts(gateway);
+    REQUIRE(GatewayFixture::eventually([&] { return fixture.readiness() == 200; }));
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> connections;
+    for (int n = 0; n < 80; ++n) {
+        connections.emplace_back(context);
+        connections.back().connect(fixture.callers());
+    }
+    const auto begun = gateway.processorTime();
+    std::this_thread::sleep_for(3s);
+    CHECK(gateway.processorTime() - begun < 1'500ms);
+    CHECK(!gateway.hasEnded());
+    connections.clear();
+    const auto isServed = [&] {
+        try {
+            return fixture.send(GatewayFixture::request("/views/a", "id-1", "GET")).status == 200;
+        } catch (const Core::Error &) {
+            return false;
+        }
+    };
+    CHECK(GatewayFixture::eventually(isServed));
+    gateway.signal(SIGTERM);
+    CHECK(gateway.wait() == 0);
+}
+
+TEST_CASE("a gateway ends only as asked, whenever signals and rewritten settings arrive after the "
+          "handlers are registered")
+{
+    constexpr unsigned Seed = 32;
+    constexpr int Rounds = 6;
+    constexpr int Gateways = 8;
+    std::mt19937 random(Seed);
+    const auto upTo = [&random](int limit) {
+        return std::uniform_int_distribution<int>(0, limit)(random);
+    };
+    GatewayFixture fixture;
+    for (int round = 0; round < Rounds; ++round) {
+        std::vector<std::pair<Processes::Process *, int>> gateways;
+        for (int n = 0; n < Gateways; ++n) {
+            const auto path = fixture.writeSettings(numbered(n));
+            const auto whole = readFile(path);
+            auto &gateway = fixture.spawnGateway(path);
+            REQUIRE(GatewayFixture::eventually([&] { return gateway.handles(SIGHUP); }));
+            for (int step = upTo(3); step > 0; --step) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(upTo(60)));
+                gateway.signal(SIGHUP);
+                writeFile(path, whole.substr(0, static_cast<std::size_t>(
+                                                    upTo(static_cast<int>(whole.size())))));
+                std::this_thread::sleep_for(std::chrono::milliseconds(upTo(20)));
+                writeFile(path, whole);
+            }
+            CHECK(!gateway.hasEnded());
+            const bool isKilled = upTo(9) == 0;
+            gateways.emplace_back(&gateway, isKilled ? -1 : 0);
+            gateway.signal(isKilled ? SIGKILL : SIGTERM);
+            gateway.signal(upTo(1) == 0 ? SIGHUP : SIGTERM);
+        }
+        for (const auto &[gateway, code] : gateways)
+            CHECK(gateway->wait() == code);
+    }
+}
--- a/Tests/Processes/Process.cpp
+++ b/Tests/Processes/Process.cpp
@@ -6,7 +6,10 @@
 
 #include <array>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
+#include <ratio>
+#include <sstream>
 #include <stdexcept>
 #include <string_view>
 #include <utility>
@@ -130,6 +133,23 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::chrono::milliseconds Process::processorTime() const
+{
+    constexpr int FieldsBefore = 11;
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/stat");
+    std::string line;
+    std::getline(file, line);
+    // The name of the program, in parentheses, may contain spaces.
+    std::istringstream fields(line.substr(line.rfind(')') + 1));
+    std::string skipped;
+    for (int n = 0; n < FieldsBefore; ++n)
+        fields >> skipped;
+    std::int64_t user = 0;
+    std::int64_t system = 0;
+    fields >> user >> system;
+    return std::chrono::milliseconds((user + system) * std::milli::den / sysconf(_SC_CLK_TCK));
+}
+
 void Process::signal(int number) const
 {
     if (m_pid > 0)
--- a/Tests/Processes/Process.h
+++ b/Tests/Processes/Process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
     int wait();
     /// Returns the memory that the program occupies.
     std::size_t residentBytes() const;
+    /// Returns the processor time that the program has used.
+    std::chrono::milliseconds processorTime() const;
     bool isRunning() const { return m_pid > 0; }
 
 private:
