--- a/Tests/Processes/Process.h
+++ b/Tests/Processes/Process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -47,6 +48,8 @@
     std::optional<int> takeEnd();
     /// Returns the memory that the program occupies.
     std::size_t residentBytes() const;
+    /// Returns the processor time that the program has used.
+    std::chrono::milliseconds processorTime() const;
     bool isRunning() const { return m_pid > 0; }
     pid_t pid() const { return m_pid; }
 
