Tests: Fail or kill only the reader of the list in the soak

Calls that fail at all instances at once are a disturbance of the store by the users' rules, and excused every case of DRAIN that was found so far. Single failed calls of one instance, and the kill of the one that read the list last, are not.

--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -211,13 +211,17 @@
     if (step.trouble == Trouble::StoreFailsOnce) {
         // Ordinary, like a rejected call beyond the store's rate, and no disturbance.
         trouble.failures = 1;
-        if (step.form > 0)
+        auto n = step.target % m_gateways.count();
+        if (step.form > 0) {
             trouble.failingTopic = "Topic=keyed.servers";
-        for (std::size_t n = 0; n < m_gateways.count(); ++n) {
-            const bool isConcerned = step.form == 2 || n == step.target % m_gateways.count();
-            if (isConcerned && m_storeTroubles[m_gateways.name(n)] == 0)
-                m_store.setTrouble(m_gateways.name(n), trouble);
+            const auto reader = m_store.lastReader("keyed.servers");
+            while (!reader.empty() && m_gateways.name(n) != reader)
+                n = (n + 1) % m_gateways.count();
         }
+        if (step.form == 2)
+            m_gateways.kill(n);
+        else if (m_storeTroubles[m_gateways.name(n)] == 0)
+            m_store.setTrouble(m_gateways.name(n), trouble);
         return;
     }
     trouble.refusal = step.trouble == Trouble::StoreRefuses ? Refusals.at(step.form % 2) : 0;
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -90,6 +90,13 @@
     m_troubles[caller] = trouble;
 }
 
+std::string StoreStandIn::lastReader(const std::string &topic) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_lastReaders.find(topic);
+    return it == m_lastReaders.end() ? std::string() : it->second;
+}
+
 StoreTrouble StoreStandIn::troubleOf(const std::string &caller) const
 {
     const std::scoped_lock lock(m_mutex);
@@ -210,6 +217,10 @@
     }
     auto query = parseQuery(request.target);
     if (request.target.starts_with("/log-read")) {
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_lastReaders[query["Topic"]] = caller;
+        }
         co_await read(exchange, std::move(caller), std::move(query));
         co_return;
     }
--- a/Tests/StandIns/StoreStandIn.h
+++ b/Tests/StandIns/StoreStandIn.h
@@ -48,6 +48,8 @@
 
     /// Opens another port, for one caller, so that troubles can be told apart.
     Http::Endpoint addCaller(const std::string &caller);
+    /// Returns the caller that most recently read a topic; empty if none did.
+    std::string lastReader(const std::string &topic) const;
     void setTrouble(const std::string &caller, const StoreTrouble &trouble);
     /// Writes a record as operators and workers do. A missing value deletes the key.
     void put(const std::string &topic, const std::string &key,
@@ -95,6 +97,7 @@
     unsigned m_refusal = 0;
     std::size_t m_calls = 0;
     std::map<std::string, StoreTrouble> m_troubles;
+    std::map<std::string, std::string> m_lastReaders;
     Core::IoThreads &m_threads;
     std::unique_ptr<Http::Server> m_server;
     std::vector<std::unique_ptr<Http::Server>> m_callerServers;
