LibGateway: Heed what an upstream says of itself in its answers

An answer that belongs to its request now takes a leaving upstream out of use until another incarnation of it reports, and a refusing one until its time has passed; both are checked again right before a request is sent.

Evidence: Tests/Platform "an upstream whose answer says that it is leaving gets no more requests until it restarts" and "an upstream that refuses a request for a time gets no more requests until then". Now both pass.

--- a/Libraries/LibGateway/RequestDialect.h
+++ b/Libraries/LibGateway/RequestDialect.h
@@ -65,6 +65,10 @@
     bool isOtherUpstream = false;
     /// The upstream that answers; empty if the answer does not name it.
     Core::UpstreamId upstream;
+    /// Whether the upstream states that it is about to shut down.
+    bool isLeaving = false;
+    /// The time for which an upstream that refused the request wants no further ones.
+    std::optional<std::chrono::milliseconds> retryAfter;
     /// Whether the answer has the seal header that only upstreams set.
     bool isSealed = false;
     std::string attemptId;
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -246,7 +246,7 @@
     if (m_cancelReason != CancelReason::None)
         return false;
     const auto &dependencies = m_gateway.dependencies();
-    if (m_plan->upstream->isRemoved() || m_plan->upstream->report().isDraining
+    if (m_plan->upstream->isRemoved() || m_plan->upstream->isLeaving()
         || m_plan->upstream->pausedUntil() > dependencies.clock.now() || isTooLateToBegin())
         return false;
     if (m_request.poisonPart(m_gateway))
@@ -497,6 +497,7 @@
         co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                                               "the answer may belong to another request"));
     }
+    noteUpstreamState(head);
     std::optional<Core::Error> failure;
     try {
         if (head.isOtherUpstream || head.isNotRun) {
@@ -534,6 +535,21 @@
     co_return noteInterrupted(*failure);
 }
 
+void RequestRelay::noteUpstreamState(const AnswerHead &head)
+{
+    // Another incarnation at the address speaks for itself.
+    if (head.isOtherUpstream)
+        return;
+    auto &upstream = *m_plan->upstream;
+    if (head.isLeaving && !upstream.isLeaving()) {
+        upstream.noteLeaving();
+        Core::logEvent(Core::EventId::UpstreamLeaving,
+                       {{"upstream", upstream.report().id.value()}, {"reason", "its answer"}});
+    }
+    if (head.retryAfter)
+        upstream.noteRefusing(m_gateway.dependencies().clock.now() + *head.retryAfter);
+}
+
 asio::awaitable<void> RequestRelay::discardBody(Http::ClientExchange &answer)
 {
     // The connection can be reused only after the whole body has been read.
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -102,6 +102,8 @@
                                               std::optional<std::chrono::milliseconds> retryAfter);
     /// Pauses an upstream that could not be reached, and reports it to siblings.
     void noteUnreachable();
+    /// Records what the answer states about the upstream itself.
+    void noteUpstreamState(const AnswerHead &head);
     void noteRefusedByUpstream(unsigned status, const AnswerHead &head);
     void noteAttempt(std::string_view end, const std::string &reason) const;
     std::chrono::milliseconds remainingTime() const;
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -4,6 +4,7 @@
 #include <LibGateway/PrefixCacheEstimate.h>
 #include <LibGateway/UpstreamReport.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -48,6 +49,12 @@
     bool isRemoved() const { return m_isRemoved; }
     void setRemoved() { m_isRemoved = true; }
 
+    /// Records that an answer of the upstream stated that it is about to shut down.
+    void noteLeaving() { m_isLeaving = true; }
+    /// Whether the upstream is about to shut down, by its report or by one of its answers, and
+    /// receives no new requests.
+    bool isLeaving() const { return m_isLeaving || m_report.isDraining; }
+
     /// Returns the engine memory that this instance's running and queued requests occupy, in
     /// tokens.
     std::uint64_t memoryTokens() const { return m_memoryTokens; }
@@ -120,8 +127,13 @@
                          Core::Clock::Monotonic now);
 
     /// Returns the time until which the upstream receives no new requests.
-    Core::Clock::Monotonic pausedUntil() const { return m_pausedUntil; }
+    Core::Clock::Monotonic pausedUntil() const { return std::max(m_pausedUntil, m_refusingUntil); }
     void pauseUntil(Core::Clock::Monotonic time) { m_pausedUntil = time; }
+    /// Records until when the upstream wants no requests of this instance.
+    void noteRefusing(Core::Clock::Monotonic until)
+    {
+        m_refusingUntil = std::max(m_refusingUntil, until);
+    }
 
 private:
     UpstreamReport m_report;
@@ -135,12 +147,14 @@
     Core::Clock::Monotonic m_lastOutcome = Core::Clock::Monotonic::min();
     double m_slowness = 1;
     Core::Clock::Monotonic m_pausedUntil = Core::Clock::Monotonic::min();
+    Core::Clock::Monotonic m_refusingUntil = Core::Clock::Monotonic::min();
     /// How often in a row the upstream could not be reached.
     unsigned m_failedContacts = 0;
     /// The last sibling that reported the upstream as unreachable, and the time of the report.
     std::string m_unreachableReporter;
     Core::Clock::Monotonic m_unreachableReportedAt = Core::Clock::Monotonic::min();
     bool m_isRemoved = false;
+    bool m_isLeaving = false;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -311,8 +311,7 @@
 
 bool mayReceiveRequests(const Upstream &upstream, const ChoiceLimits &limits)
 {
-    return !upstream.isRemoved() && !upstream.report().isDraining
-           && upstream.pausedUntil() <= limits.now
+    return !upstream.isRemoved() && !upstream.isLeaving() && upstream.pausedUntil() <= limits.now
            && upstream.inFlight() < (upstream.isOnProbation() ? 1 : limits.maxInFlight)
            && !limits.excluded.contains(upstream.report().id);
 }
