LibHttp: Reset an HTTP/1.0 connection whose stream was cut

A caller of HTTP/1.0 saw a stream that broke off end with an orderly close, so that it looked complete: without chunks the end of the connection is the end of the stream. The session now resets the connection in that case; a complete stream ends as before.

Evidence: Tests/Platform "a stream that ends early does not look complete to a caller of HTTP/1.0" got the end of the file where a reset is expected on the code before, and passes now, with a complete stream beside it.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -99,6 +99,12 @@
     /// Whether another request may follow on this connection.
     bool mayContinue() const { return m_finished && m_keepAlive && !m_callerGone; }
 
+    /// Whether a stream was cut whose end is only marked by the end of the connection.
+    bool isCutWithoutMark() const
+    {
+        return hasStarted() && !m_finished && m_hasBody && m_version < 11;
+    }
+
     /// Detects that the caller closes its connection while the handler is running.
     void watchForClose()
     {
@@ -323,6 +329,12 @@
     const WatchGuard watch(*exchange);
     stream.expires_never();
     co_await runHandler(*exchange, shared);
+    if (exchange->isCutWithoutMark()) {
+        // A reset, because an orderly close would make the stream look complete.
+        stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+        stream.close();
+        co_return false;
+    }
     co_return exchange->mayContinue() && !shared.stopping;
 }
 
--- a/Tests/Platform/TestResumedStreams.cpp
+++ b/Tests/Platform/TestResumedStreams.cpp
@@ -1,5 +1,10 @@
 #include "RawWorkersFixture.h"
 
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -7,6 +12,7 @@
 #include <random>
 #include <sstream>
 
+namespace asio = boost::asio;
 using PlatformTests::GatewayFixture;
 using PlatformTests::head;
 using PlatformTests::RawWorkersFixture;
@@ -188,3 +194,27 @@
         }
     }
 }
+
+TEST_CASE("a stream that ends early does not look complete to a caller of HTTP/1.0")
+{
+    const std::string last = LastEvent;
+    const bool isWhole = GENERATE(false, true);
+    RawWorkersFixture fixture("llm", inTurn(isWhole ? Sent {"whole", "200 OK", StreamType, last}
+                                                    : brokenStreams().front(),
+                                            {"nothing", "404 Not Found", "", ""}));
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(fixture.callers());
+    asio::write(socket, asio::buffer(std::string(
+                            "GET /streams/once/a HTTP/1.0\r\nHost: a.example\r\n"
+                            "Authorization: Bearer key-1\r\nX-Jujubesaddle-Attempt-Id: id-1\r\n"
+                            "X-Jujubesaddle-Model: model\r\n"
+                            "X-Jujubesaddle-Token-Usage: 1000,50\r\n"
+                            "X-Jujubesaddle-Prompt-Prefix: aa:600,bb:400\r\n\r\n")));
+    std::string received;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(received), ec);
+    CHECK(ec
+          == (isWhole ? boost::system::error_code(asio::error::eof)
+                      : boost::system::error_code(asio::error::connection_reset)));
+}
