LibGateway: Count the retry budget's pause from the end of the process before

The pause without slack now begins when the ports are open, because the process before has ended then.

Test: Tests/Platform "an instance that waits for the ports of the process before it gets no slack by waiting"; it passes now (2 cases, 5 assertions).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -13,7 +13,7 @@
 Gateway::Gateway(GatewayDependencies dependencies)
     : m_dependencies(dependencies)
     , m_random(std::random_device {}())
-    , m_startTime(m_dependencies.clock.now())
+    , m_servingSince(m_dependencies.clock.now())
 { }
 
 boost::asio::awaitable<void> Gateway::handle(Http::ServerExchange &exchange)
@@ -37,7 +37,7 @@
 std::optional<unsigned> Gateway::slackSharers() const
 {
     // The process before this one may have used this instance's part.
-    const auto uptime = m_dependencies.clock.now() - m_startTime;
+    const auto uptime = m_dependencies.clock.now() - m_servingSince;
     if (m_hasPredecessor && uptime < m_dependencies.settings.retries.window)
         return std::nullopt;
     return m_instanceCount;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -58,6 +58,8 @@
     void setInstanceCount(unsigned count) { m_instanceCount = count; }
     /// Returns the number of instances; empty until the members are known.
     std::optional<unsigned> instanceCount() const { return m_instanceCount; }
+    /// Records that this process serves from now on, so that the one before has ended.
+    void noteServing() { m_servingSince = m_dependencies.clock.now(); }
     /// Sets whether this instance ran shortly before this process.
     void setHasPredecessor(bool hasPredecessor) { m_hasPredecessor = hasPredecessor; }
     /// Consumes one retry of the service's budget. Returns false if this instance's share of it is
@@ -129,7 +131,7 @@
     EngineQueueExchange *m_engineQueues = nullptr;
     QuotaExchange *m_quotas = nullptr;
     std::minstd_rand m_random;
-    Core::Clock::Monotonic m_startTime;
+    Core::Clock::Monotonic m_servingSince;
     bool m_hasPredecessor = false;
     std::optional<unsigned> m_instanceCount;
     bool m_isDraining = false;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -95,6 +95,7 @@
 void GatewayDaemon::start()
 {
     openPorts();
+    m_gateway.noteServing();
     Core::logEvent(Core::EventId::ProcessStarted,
                    {{"instance", m_settings.instance.value()}, {"version", JUJUBE_VERSION}});
     Core::logEvent(Core::EventId::ListeningOn,
--- a/Tests/Platform/TestRetryBudget.cpp
+++ b/Tests/Platform/TestRetryBudget.cpp
@@ -2,10 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <string>
+#include <thread>
 
 namespace asio = boost::asio;
+using namespace std::chrono_literals;
 using PlatformTests::GatewayFixture;
 using PlatformTests::GatewayOptions;
 using StandIns::WorkerStandIn;
@@ -15,6 +18,7 @@
 constexpr double Ratio = 0.2;
 constexpr double Slack = 52;
 constexpr int RequestsPerStart = 60;
+constexpr auto Window = 10s;
 
 asio::awaitable<bool> fail(Http::ServerExchange &exchange)
 {
@@ -23,6 +27,12 @@
     co_return true;
 }
 
+void sendViews(const GatewayFixture &fixture, int &sent)
+{
+    for (int n = 0; n < RequestsPerStart; ++n, ++sent)
+        fixture.send(GatewayFixture::request("/views/a", "id-" + std::to_string(sent), "GET"));
+}
+
 } // namespace
 
 TEST_CASE("instances that are killed or stopped do not get their slack of the retry budget again")
@@ -38,8 +48,7 @@
     options.graceS = 1;
     for (const int signal : {SIGKILL, SIGTERM, SIGKILL}) {
         auto &gateway = fixture.startGateway(options);
-        for (int n = 0; n < RequestsPerStart; ++n, ++sent)
-            fixture.send(GatewayFixture::request("/views/a", "id-" + std::to_string(sent), "GET"));
+        sendViews(fixture, sent);
         gateway.signal(signal);
         gateway.wait();
     }
@@ -48,3 +57,32 @@
     CHECK(repeats > 0);
     CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
 }
+
+TEST_CASE("an instance that waits for the ports of the process before it gets no slack by waiting")
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "app");
+    auto &second = fixture.addWorker("w-2", "app");
+    first.setBehaviour(fail);
+    second.setBehaviour(fail);
+    fixture.configure(1);
+    GatewayOptions options;
+    options.callersPort = GatewayFixture::freePort();
+    options.readinessPort = GatewayFixture::freePort();
+    auto &before = fixture.startGateway(options);
+    before.signal(SIGTERM);
+    auto &after = fixture.spawnGateway(fixture.writeSettings(options));
+    const auto start = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(1s);
+    int sent = 0;
+    sendViews(fixture, sent);
+    before.wait();
+    fixture.awaitPorts(after);
+    REQUIRE(GatewayFixture::eventually([&] { return fixture.readiness() == 200; }));
+    std::this_thread::sleep_until(start + Window + 300ms);
+    sendViews(fixture, sent);
+    const auto arrivals = first.requests().size() + second.requests().size();
+    const auto repeats = arrivals - static_cast<std::size_t>(sent);
+    CHECK(repeats > 0);
+    CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
+}
