LibCore: Hold signals back until their handlers are registered

The soak signals a process once its event queue is open; ProcessSignals opens it right before it registers the handlers.

The signals are now blocked as the first step and released when the handlers are in place, so that nothing in main is left in which they take their default action.

--- a/Libraries/LibCore/ProcessSignals.cpp
+++ b/Libraries/LibCore/ProcessSignals.cpp
@@ -4,12 +4,27 @@
 
 namespace Core {
 
+ProcessSignals::Hold::Hold()
+{
+    sigset_t held;
+    sigemptyset(&held);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        sigaddset(&held, signal);
+    pthread_sigmask(SIG_BLOCK, &held, &m_before);
+}
+
+void ProcessSignals::Hold::release()
+{
+    pthread_sigmask(SIG_SETMASK, &m_before, nullptr);
+}
+
 ProcessSignals::ProcessSignals()
     : m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN);
     receive();
+    m_hold.release();
 }
 
 void ProcessSignals::receive()
--- a/Libraries/LibCore/ProcessSignals.h
+++ b/Libraries/LibCore/ProcessSignals.h
@@ -4,6 +4,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <chrono>
+#include <csignal>
 #include <deque>
 #include <optional>
 
@@ -26,8 +27,20 @@
     static bool endsProgram(int signal);
 
 private:
+    /// Holds the signals back until their handlers are registered.
+    class Hold
+    {
+    public:
+        Hold();
+        void release();
+
+    private:
+        sigset_t m_before {};
+    };
+
     void receive();
 
+    Hold m_hold;
     boost::asio::io_context m_context {1};
     boost::asio::signal_set m_signals;
     std::deque<int> m_received;
