--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -30,8 +30,8 @@
 constexpr std::chrono::milliseconds AnnouncePollInterval = 500ms;
 // Failures that occur together, for example when an upstream crashes, are written in one record.
 constexpr auto FailureBatchInterval = 100ms;
-// One shows that another process ran.
-constexpr std::size_t MaxForeign = 16;
+// A single one shows that another process ran.
+constexpr std::size_t MaxForeignAnnouncements = 16;
 
 std::string toBytes(flatbuffers::FlatBufferBuilder &builder)
 {
@@ -155,7 +155,8 @@
     if (member.poison_parts())
         applyPoisonParts(*member.poison_parts());
     if (instance == m_settings.instance) {
-        if (m_ownAnnouncements.erase(offset) == 0 && m_foreignAnnouncements.size() < MaxForeign)
+        if (m_ownAnnouncements.erase(offset) == 0
+            && m_foreignAnnouncements.size() < MaxForeignAnnouncements)
             m_foreignAnnouncements.insert(offset);
         m_lastAnnounced = m_clock.now();
         m_members.noteSelfAnnounced();
