LibGateway: Apply a changed interval between holders of the order lease at once

Cause: OrderLease kept the interval that the settings named when the process started, so a reload did not reach it, although OPERATIONS.md promises that bounds change at once.

Change: the interval is an argument of mayTake(), which both callers take from the settings in force.

Test: "holders keep the interval that the settings name since a reload". With the interval of the start it fails: the next holder takes the lease 5.5 s after the record of the one before, where 8 s have to pass after its expiry.

--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -79,7 +79,7 @@
     , m_poison(poison)
     , m_poisonParts(poisonParts)
     , m_members(members)
-    , m_lease(settings.instance, settings.leaseTime)
+    , m_lease(settings.instance)
 { }
 
 asio::awaitable<void> FleetJournal::watch()
@@ -340,7 +340,7 @@
 asio::awaitable<bool> FleetJournal::takeLease()
 {
     const auto requestTime = m_clock.now();
-    if (!m_hasRead || !m_lease.mayTake(requestTime))
+    if (!m_hasRead || !m_lease.mayTake(requestTime, m_settings.leaseTime))
         co_return false;
     const bool isRenewal = m_lease.token(requestTime, 0ms).has_value();
     flatbuffers::FlatBufferBuilder builder;
--- a/Libraries/LibGateway/OrderLease.cpp
+++ b/Libraries/LibGateway/OrderLease.cpp
@@ -11,9 +11,8 @@
 
 } // namespace
 
-OrderLease::OrderLease(Core::InstanceId self, std::chrono::milliseconds minHandoverGap)
+OrderLease::OrderLease(Core::InstanceId self)
     : m_self(std::move(self))
-    , m_minHandoverGap(minHandoverGap)
 { }
 
 void OrderLease::noteRecord(std::uint64_t offset, const Core::InstanceId &holder,
@@ -28,11 +27,11 @@
         m_ownOffset.reset();
 }
 
-bool OrderLease::mayTake(Core::Clock::Monotonic now) const
+bool OrderLease::mayTake(Core::Clock::Monotonic now, std::chrono::milliseconds minHandoverGap) const
 {
     if (m_lastSeen == Core::Clock::Monotonic::min() || m_lastHolder == m_self)
         return true;
-    return now - m_lastSeen >= Duration + m_minHandoverGap + HandoverMargin;
+    return now - m_lastSeen >= Duration + minHandoverGap + HandoverMargin;
 }
 
 void OrderLease::noteTaken(std::uint64_t offset, Core::Clock::Monotonic requestTime)
--- a/Libraries/LibGateway/OrderLease.h
+++ b/Libraries/LibGateway/OrderLease.h
@@ -20,14 +20,15 @@
     /// Duration of a lease, counted from the request for it.
     static constexpr std::chrono::milliseconds Duration {1'500};
 
-    OrderLease(Core::InstanceId self, std::chrono::milliseconds minHandoverGap);
+    explicit OrderLease(Core::InstanceId self);
 
     /// Records a lease that was read from the log; leases older than the newest known one are
     /// ignored.
     void noteRecord(std::uint64_t offset, const Core::InstanceId &holder,
                     Core::Clock::Monotonic now);
-    /// Returns whether this instance may try to acquire or renew the lease.
-    bool mayTake(Core::Clock::Monotonic now) const;
+    /// Returns whether this instance may try to acquire or renew the lease, given the minimum gap
+    /// between two holders that applies now.
+    bool mayTake(Core::Clock::Monotonic now, std::chrono::milliseconds minHandoverGap) const;
     /// Records that the log accepted the lease that this instance requested at the given time.
     void noteTaken(std::uint64_t offset, Core::Clock::Monotonic requestTime);
     /// Returns the fencing token for orders; empty if this instance does not hold the lease or the
@@ -39,7 +40,6 @@
 
 private:
     Core::InstanceId m_self;
-    std::chrono::milliseconds m_minHandoverGap;
     Core::InstanceId m_lastHolder;
     std::uint64_t m_lastOffset = 0;
     Core::Clock::Monotonic m_lastSeen = Core::Clock::Monotonic::min();
--- a/Libraries/LibGateway/WeightsRollout.cpp
+++ b/Libraries/LibGateway/WeightsRollout.cpp
@@ -136,7 +136,7 @@
     if (lease.token(now, RenewMargin))
         co_return true;
     const bool isOwn = lease.lastHolder() == m_dependencies.settings.instance;
-    if (!lease.mayTake(now) || (!isOwn && !isTurn(targetSince)))
+    if (!lease.mayTake(now, m_dependencies.settings.leaseTime) || (!isOwn && !isTurn(targetSince)))
         co_return false;
     co_return co_await m_dependencies.journal.takeLease();
 }
--- a/Tests/LibGateway/TestJournal.cpp
+++ b/Tests/LibGateway/TestJournal.cpp
@@ -21,6 +21,12 @@
 using Gateway::OrderLease;
 using GatewayTests::HangingLog;
 
+namespace {
+
+constexpr auto LeaseTime = 3'000ms;
+
+} // namespace
+
 TEST_CASE("the lease is renewed although the journal's long poll hangs while others write")
 {
     Core::ManualClock clock;
@@ -56,6 +62,46 @@
     CHECK(journal.lease().token(clock.now(), 300ms) == 3);
 }
 
+TEST_CASE("holders keep the interval that the settings name since a reload")
+{
+    Core::ManualClock clock;
+    clock.advance(1h);
+    HangingLog log;
+    Gateway::PoisonRequestTable poison;
+    Gateway::PoisonPartTable poisonParts;
+    Gateway::GatewaySettings first;
+    Gateway::GatewaySettings second;
+    first.instance = Core::InstanceId("a");
+    second.instance = Core::InstanceId("b");
+    Gateway::FleetMembers members({second.instance, "a", {}}, clock);
+    Gateway::FleetJournal holder(log, clock, first, poison, poisonParts, members);
+    Gateway::FleetJournal next(log, clock, second, poison, poisonParts, members);
+    asio::io_context context;
+    asio::co_spawn(context, holder.watch(), asio::detached);
+    asio::co_spawn(context, next.watch(), asio::detached);
+    bool isTaken = false;
+    bool isTakenEarly = true;
+    bool isTakenLate = false;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            isTaken = co_await holder.takeLease();
+            // The first attempt finds the holder's record.
+            co_await next.takeLease();
+            second.leaseTime = LeaseTime + 5'000ms;
+            clock.advance(OrderLease::Duration + LeaseTime + 1s);
+            isTakenEarly = co_await next.takeLease();
+            clock.advance(5s);
+            isTakenLate = co_await next.takeLease();
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    CHECK(isTaken);
+    CHECK_FALSE(isTakenEarly);
+    CHECK(isTakenLate);
+}
+
 TEST_CASE("an instance announces itself again before the log drops its record")
 {
     const Core::SuspensionAwareClock clock;
@@ -147,8 +193,8 @@
 TEST_CASE("a lease counts from before it was requested and expires by itself")
 {
     Core::ManualClock clock;
-    OrderLease lease(Core::InstanceId("a"), 3'000ms);
-    CHECK(lease.mayTake(clock.now()));
+    OrderLease lease(Core::InstanceId("a"));
+    CHECK(lease.mayTake(clock.now(), LeaseTime));
     const auto requestTime = clock.now();
     // The process was suspended while the answer was on its way.
     clock.advance(2s);
@@ -158,25 +204,25 @@
     CHECK(lease.token(clock.now(), 300ms) == 9);
     clock.advance(OrderLease::Duration);
     CHECK_FALSE(lease.token(clock.now(), 0ms).has_value());
-    CHECK(lease.mayTake(clock.now()));
+    CHECK(lease.mayTake(clock.now(), LeaseTime));
 }
 
 TEST_CASE("another instance waits for the lease to expire and for the interval between holders")
 {
     Core::ManualClock clock;
-    OrderLease lease(Core::InstanceId("b"), 3'000ms);
+    OrderLease lease(Core::InstanceId("b"));
     lease.noteRecord(5, Core::InstanceId("a"), clock.now());
     clock.advance(OrderLease::Duration + 3'000ms);
-    CHECK_FALSE(lease.mayTake(clock.now()));
+    CHECK_FALSE(lease.mayTake(clock.now(), LeaseTime));
     lease.noteRecord(6, Core::InstanceId("a"), clock.now());
     clock.advance(OrderLease::Duration + 3'500ms);
-    CHECK(lease.mayTake(clock.now()));
+    CHECK(lease.mayTake(clock.now(), LeaseTime));
 }
 
 TEST_CASE("a lease that another instance acquired no longer returns a token")
 {
     Core::ManualClock clock;
-    OrderLease lease(Core::InstanceId("a"), 3'000ms);
+    OrderLease lease(Core::InstanceId("a"));
     lease.noteTaken(5, clock.now());
     CHECK(lease.token(clock.now(), 0ms).has_value());
     lease.noteRecord(6, Core::InstanceId("b"), clock.now());
@@ -201,8 +247,7 @@
         };
         std::vector<Instance> instances(4);
         for (std::size_t n = 0; n < instances.size(); ++n)
-            instances[n].lease =
-                std::make_unique<OrderLease>(Core::InstanceId(std::to_string(n)), 3'000ms);
+            instances[n].lease = std::make_unique<OrderLease>(Core::InstanceId(std::to_string(n)));
         std::vector<std::size_t> log;
         std::size_t lastHolder = instances.size();
         std::uint64_t lastToken = 0;
@@ -225,7 +270,7 @@
                     ++instance.read;
                 }
                 const auto requestTime = clock.now();
-                if (instance.read == log.size() && instance.lease->mayTake(requestTime)
+                if (instance.read == log.size() && instance.lease->mayTake(requestTime, LeaseTime)
                     && chance(10)) {
                     log.push_back(n);
                     if (chance(80)) {
