LibGateway: Change the shared cache scope when a tenant becomes isolated

Cause: all tenants that are not isolated used one scope, whatever they had been before.

Change: the name of that scope depends on which tenants are isolated, so every instance derives it from the configuration in force alone. Parts from before are not found any more, at the engines or at the KV cache store. Each change of that set therefore costs the cached parts of all tenants that are not isolated; without isolated tenants the scope keeps its name.

--- a/Libraries/LibGateway/AcceptedRequest.cpp
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -108,7 +108,7 @@
 
 std::string AcceptedRequest::cacheScope() const
 {
-    return tenant && tenant->isIsolated ? "team." + tenant->name : "shared";
+    return configuration->cacheScope(tenant);
 }
 
 std::uint64_t AcceptedRequest::memoryTokens() const
--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -1,12 +1,29 @@
+#include <LibCore/Hash.h>
 #include <LibGateway/GatewayConfiguration.h>
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace Gateway {
 
 namespace {
 
+/// Returns the cache scope of the tenants that are not isolated. It depends on which ones are, so
+/// that the parts that a tenant cached before it became isolated are not found any more.
+std::string sharedCacheScope(const std::vector<Tenant> &tenants)
+{
+    std::set<std::string> isolated;
+    for (const auto &tenant : tenants) {
+        if (tenant.isIsolated)
+            isolated.insert(tenant.name);
+    }
+    std::uint64_t digest = 0;
+    for (const auto &name : isolated)
+        digest = Core::hash64(name, digest);
+    return isolated.empty() ? "shared" : "shared." + std::to_string(digest);
+}
+
 std::string hostName(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
@@ -26,6 +43,7 @@
 {
     m_routesByHost.clear();
     m_tenantByKey.clear();
+    m_sharedCacheScope = sharedCacheScope(tenants);
     for (std::size_t n = 0; n < routes.size(); ++n)
         m_routesByHost[hostName(routes[n].host)].push_back(n);
     for (auto &[host, indexes] : m_routesByHost) {
@@ -57,6 +75,11 @@
     return it == m_tenantByKey.end() ? nullptr : &tenants[it->second];
 }
 
+std::string GatewayConfiguration::cacheScope(const Tenant *tenant) const
+{
+    return tenant && tenant->isIsolated ? "team." + tenant->name : m_sharedCacheScope;
+}
+
 const Service *GatewayConfiguration::findService(const std::string &name) const
 {
     const auto it = services.find(name);
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -125,8 +125,12 @@
     const Route *findRoute(std::string_view host, std::string_view path) const;
     const Tenant *findTenant(std::string_view key) const;
     const Service *findService(const std::string &name) const;
+    /// Returns the name of the cache scope of a tenant's requests, or of those without a tenant if
+    /// it is null. Only requests of the same scope share cached prompt parts.
+    std::string cacheScope(const Tenant *tenant) const;
 
 private:
+    std::string m_sharedCacheScope = "shared";
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost;
     std::unordered_map<std::string, std::size_t> m_tenantByKey;
 };
--- a/Tests/LibGateway/TestConfiguration.cpp
+++ b/Tests/LibGateway/TestConfiguration.cpp
@@ -52,6 +52,32 @@
     CHECK(configuration.findTenant("k4") == nullptr);
 }
 
+TEST_CASE("a team that becomes isolated leaves no cached parts to the others")
+{
+    Gateway::GatewayConfiguration before;
+    before.tenants = {{"liit", {"k1"}}, {"kool", {"k2"}}, {"muuseum", {"k3"}, {}, true}};
+    before.buildIndexes();
+    auto after = before;
+    after.tenants[1].isIsolated = true;
+    after.buildIndexes();
+    const auto scope = [](const auto &configuration, const std::string &key) {
+        return configuration.cacheScope(configuration.findTenant(key));
+    };
+    CHECK(scope(before, "k1") == scope(before, "k2"));
+    CHECK(scope(before, "k1") == before.cacheScope(nullptr));
+    CHECK(scope(before, "k3") == scope(after, "k3"));
+    for (const auto *key : {"k1", "k3", ""}) {
+        CHECK(scope(after, key) != scope(before, "k2"));
+        CHECK(scope(after, key) != scope(after, "k2"));
+    }
+    // The order of the tenants does not matter, nor do the others.
+    const auto known = scope(after, "k1");
+    std::swap(after.tenants[0], after.tenants[2]);
+    after.tenants.push_back({"arhiiv", {"k4"}});
+    after.buildIndexes();
+    CHECK(scope(after, "k4") == known);
+}
+
 TEST_CASE("only requests of repeatable or resumable routes may run again")
 {
     Gateway::Route route;
