Tests: Count a run before the rejection beside it can reach the caller

Cause: in the cases with additional bytes the stand-in wrote the rejection first and counted the run afterwards. The gateway answers 502 on the rejection, so the caller could have its answer, and the test read the count, before the worker's thread had counted: "0 == 1". It is the test; the gateway had sent the request to one worker only.

The run is now counted before the first byte. That is no less strict: another run, at either worker, is counted before its own answer and thus before the caller's, and the count has to be exactly 1. "with additional rejections on any connection" had the same order, which could only hide a run behind a promise (runs == 0 was read too early); it changes too.

--- a/Tests/Platform/TestRejections.cpp
+++ b/Tests/Platform/TestRejections.cpp
@@ -45,10 +45,20 @@
 public:
     void run(RawConnection &connection, const Http::Request &request)
     {
-        {
-            const std::scoped_lock lock(m_mutex);
-            ++m_runs[idOf(request)];
-        }
+        begin(request);
+        finish(connection, request);
+    }
+
+    /// Counts a run; called before any byte of it is sent, after which the caller may have its
+    /// answer.
+    void begin(const Http::Request &request)
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_runs[idOf(request)];
+    }
+
+    void finish(RawConnection &connection, const Http::Request &request)
+    {
         connection.send(wholeAnswer("200 OK\r\nX-Jujubesaddle-Server-Seal: seal", idOf(request),
                                     "ran " + idOf(request)));
         connection.keep();
@@ -109,9 +119,11 @@
             return;
         }
         rejected = idOf(request);
+        if (isExtra)
+            workers.begin(request);
         workers.reject(connection, request, status, borne);
         if (isExtra)
-            workers.run(connection, request);
+            workers.finish(connection, request);
     });
     for (int n = 0; n < MaxTries && !isDone; ++n) {
         const auto id = "id-" + std::to_string(n);
@@ -148,9 +160,10 @@
             workers.reject(connection, request, status, borne);
             return;
         }
+        workers.begin(request);
         if (kind == 0)
             workers.reject(connection, request, status, borne);
-        workers.run(connection, request);
+        workers.finish(connection, request);
     });
     int served = 0;
     for (int n = 0; n < Count; ++n) {
