--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -100,12 +100,12 @@
 asio::awaitable<void> FleetJournal::follow()
 {
     for (;;) {
-        co_await readNext(m_hasRead ? LongPollTime : 0ms);
+        co_await readOnce(m_hasRead ? LongPollTime : 0ms);
         co_await sleepFor(MinReadInterval);
     }
 }
 
-asio::awaitable<void> FleetJournal::readNext(std::chrono::milliseconds wait)
+asio::awaitable<void> FleetJournal::readOnce(std::chrono::milliseconds wait)
 {
     const auto page = co_await m_log.read(FleetTopic::Journal, m_nextOffset, wait);
     for (const auto &record : page.records) {
@@ -114,7 +114,10 @@
             apply(record);
     }
     m_nextOffset = std::max(m_nextOffset, page.next);
-    m_hasRead = !page.isHistoryTruncated;
+    if (page.isHistoryTruncated)
+        m_hasRead = false;
+    else if (page.isComplete)
+        m_hasRead = true;
 }
 
 void FleetJournal::apply(const FleetRecord &record)
@@ -352,7 +355,7 @@
         // The pending long poll may not have returned the records in between, for example when the
         // store does not answer it.
         if (!outcome.isAppended)
-            co_await readNext(0ms);
+            co_await readOnce(0ms);
     } catch (const Core::Error &error) {
         // The append may have succeeded. The next read of the journal shows it.
         Core::logEvent(Core::EventId::LeaseLost, {{"reason", error.what()}});
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -35,6 +35,9 @@
 
     /// Reads the journal until the process ends.
     boost::asio::awaitable<void> watch();
+    /// Reads one page; if there is none, waits for new records for at most the given time. Public
+    /// for tests.
+    boost::asio::awaitable<void> readOnce(std::chrono::milliseconds wait);
     /// Announces this instance periodically until the process ends.
     boost::asio::awaitable<void> announce();
     /// Appends one announcement. Returns whether it was appended. Public for tests.
@@ -74,7 +77,6 @@
 
 private:
     boost::asio::awaitable<void> follow();
-    boost::asio::awaitable<void> readNext(std::chrono::milliseconds wait);
     /// Returns the offset of the appended record; nothing when the append failed.
     boost::asio::awaitable<std::optional<std::uint64_t>> append(std::string record);
     std::chrono::milliseconds announceInterval() const;
--- a/Tests/LibGateway/HangingLog.h
+++ b/Tests/LibGateway/HangingLog.h
@@ -6,6 +6,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,8 +31,9 @@
             co_await timer.async_wait(boost::asio::use_awaitable);
         }
         Gateway::FleetPage page;
-        page.next = records.size();
-        for (auto n = from; n < records.size(); ++n)
+        page.next = std::min(records.size(), from + recordsPerPage);
+        page.isComplete = page.next >= records.size();
+        for (auto n = from; n < page.next; ++n)
             page.records.push_back({n, {}, records[n]});
         co_return page;
     }
@@ -48,6 +50,7 @@
     }
 
     std::vector<std::string> records;
+    std::size_t recordsPerPage = 1'000;
 };
 
 } // namespace GatewayTests
--- a/Tests/LibGateway/TestJournal.cpp
+++ b/Tests/LibGateway/TestJournal.cpp
@@ -144,6 +144,39 @@
     }
 }
 
+TEST_CASE("the journal does not count as read after an incomplete page")
+{
+    Core::ManualClock clock;
+    clock.advance(1h);
+    HangingLog log;
+    log.recordsPerPage = 1;
+    Gateway::PoisonRequestTable poison;
+    Gateway::PoisonPartTable poisonParts;
+    Gateway::GatewaySettings settings;
+    settings.instance = Core::InstanceId("a");
+    Gateway::FleetMembers members({settings.instance, "north", {}}, clock);
+    Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
+    const auto endpoint = Http::parseEndpoint("10.0.0.1:7000").value();
+    for (const auto *name : {"b", "c", "d"}) {
+        Gateway::FleetMembers others({Core::InstanceId(name), "north", endpoint}, clock);
+        Gateway::FleetJournal other(log, clock, settings, poison, poisonParts, others);
+        log.records.push_back(other.announcement());
+    }
+    asio::io_context context;
+    std::vector<std::size_t> counts;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            while (!journal.hasRead()) {
+                co_await journal.readOnce(0ms);
+                counts.push_back(members.count());
+            }
+        },
+        asio::detached);
+    context.run();
+    CHECK(counts == std::vector<std::size_t> {2, 3, 4});
+}
+
 TEST_CASE("a lease counts from before it was requested and expires by itself")
 {
     Core::ManualClock clock;
