LibHttp: Bound the read buffer of a connection

Boost.Beast limits the head of a message and its body, but neither the line of a chunk's size, with its extension, nor the trailer. An upstream or a caller that began one and went on without end made the flat_buffer of the connection grow until the deadline of the call, on machines with 110 MB.

The new tests send a chunk extension, the extension of the last chunk and a trailer without end.

The buffer now has a maximum size: the largest head and one read. Whatever the parser cannot consume within it is no valid message, so the parser's error leads to the same answer as other malformed ones: UpstreamAnswerMalformed for an answer, status 400 for a request. Bodies are not affected, because they are taken out of the buffer as they arrive.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -27,6 +27,8 @@
 
 constexpr std::size_t ReadBytes = 16 * 1024;
 constexpr std::size_t HeaderLimitBytes = 64 * 1024;
+// The parser has no limit of its own for chunk extensions and trailers.
+constexpr std::size_t BufferLimitBytes = HeaderLimitBytes + ReadBytes;
 constexpr std::size_t MaxIdleConnectionsPerEndpoint = 64;
 // More interim responses (status 1xx) than that are no valid answer.
 constexpr int MaxInterimResponses = 8;
@@ -37,6 +39,7 @@
 {
     explicit Connection(const asio::any_io_executor &executor)
         : stream(executor)
+        , buf(BufferLimitBytes)
     { }
 
     beast::tcp_stream stream;
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace Http {
@@ -20,6 +21,8 @@
 
 using StringResponse = http::response<http::string_body>;
 
+constexpr std::size_t ReadBytes = 16 * 1024;
+
 /// Sends responses over a connection. Shared with the wait for the caller's disconnect, which may
 /// complete after the exchange has ended.
 class SessionExchange final : public ServerExchange,
@@ -280,7 +283,6 @@
         co_return true;
     const IdleConnections::Entry entry(idle, stream);
     stream.expires_after(limits.idleTime);
-    constexpr std::size_t ReadBytes = 16 * 1024;
     boost::system::error_code ec;
     const auto n = co_await stream.async_read_some(buf.prepare(ReadBytes),
                                                    asio::redirect_error(asio::use_awaitable, ec));
@@ -292,6 +294,8 @@
                                Server::Shared &shared)
 {
     const auto limits = shared.limits.share();
+    // The parser has no limit of its own for chunk extensions and trailers.
+    buf.max_size(std::max(buf.size(), limits->headerBytes + ReadBytes));
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
     const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle);
     if (!hasBegun)
--- /dev/null
+++ b/Tests/LibHttp/TestReadBounds.cpp
@@ -0,0 +1,90 @@
+#include <LibHttp/Client.h>
+#include <LibHttp/Server.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <future>
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+// What fits into the buffers of a connection's sockets and the largest head.
+constexpr std::size_t MaxTakenBytes = 16 * 1024 * 1024;
+// Ends a sender whose peer reads without a bound.
+constexpr std::size_t EndlessBytes = 256 * 1024 * 1024;
+
+/// Sends the start and then the same bytes without end. Returns how many were sent before the peer
+/// closed the connection.
+std::size_t sendEndlessly(asio::ip::tcp::socket &socket, const std::string &start)
+{
+    const std::string more(64 * 1024, 'x');
+    boost::system::error_code ec;
+    std::size_t sent = asio::write(socket, asio::buffer(start), ec);
+    while (!ec && sent < EndlessBytes)
+        sent += asio::write(socket, asio::buffer(more), ec);
+    return sent;
+}
+
+constexpr auto Chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("an answer whose framing has no end does not fill the memory")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, Http::parseEndpoint("127.0.0.1:0").value());
+    const auto start =
+        GENERATE(as<std::string>(), "5;x=", "5\r\nhello\r\n0;x=", "5\r\nhello\r\n0\r\nX-Trailer: ");
+    INFO(start);
+    auto sent = std::async(std::launch::async, [&] {
+        auto socket = acceptor.accept();
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+        return sendEndlessly(socket, Chunked + start);
+    });
+    Core::IoThreads threads(1);
+    Http::Client client;
+    std::optional<Core::ErrorKind> failure;
+    try {
+        asio::co_spawn(threads.at(0),
+                       client.fetch(acceptor.local_endpoint(), Http::Request("GET", "/"), {}),
+                       asio::use_future)
+            .get();
+    } catch (const Core::Error &error) {
+        failure = error.kind();
+    }
+    CHECK(failure == Core::ErrorKind::UpstreamAnswerMalformed);
+    CHECK(sent.get() < MaxTakenBytes);
+    threads.stop();
+}
+
+TEST_CASE("a request whose framing has no end does not fill the memory")
+{
+    Core::IoThreads threads(1);
+    const auto server =
+        Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), {},
+                             [](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+                                 co_await exchange.respond({200, {}, "served"});
+                             });
+    const auto start =
+        GENERATE(as<std::string>(), "5;x=", "5\r\nhello\r\n0;x=", "5\r\nhello\r\n0\r\nX-Trailer: ");
+    INFO(start);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(server.value()->localEndpoint());
+    const auto sent = sendEndlessly(
+        socket, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + start);
+    CHECK(sent < MaxTakenBytes);
+    std::string answer;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    CHECK(answer.find("malformed_request") != std::string::npos);
+    threads.stop();
+}
