LibHttp: Read on after a refusal, so that the caller gets the response

A request was refused before its end (too large, malformed, too slow), and its connection was closed at once. Closing a connection with unread bytes resets it: the caller's write failed, and the response could be lost on the way.

Evidence: the new test sends a body one byte above the limit of 4 MiB.

The sending side is now shut down after the response, so that the caller sees its end at once, and the rest of the request is read and dropped within the limits of size and time that one request has anyway. The exchange no longer counts as active meanwhile, so an orderly shutdown does not wait for it.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -290,8 +290,32 @@
     co_return !ec;
 }
 
-asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                               Server::Shared &shared)
+/// Discards what the caller still sends after a refusal, within the limits of one request. Closing
+/// a connection with unread bytes resets it, and the caller might not receive the response.
+asio::awaitable<void> discardRest(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                                  const ServerLimits &limits)
+{
+    boost::system::error_code ec;
+    stream.socket().shutdown(asio::socket_base::shutdown_send, ec);
+    stream.expires_after(limits.requestTime);
+    std::size_t discarded = 0;
+    while (!ec && discarded <= limits.bodyBytes) {
+        buf.clear();
+        discarded += co_await stream.async_read_some(buf.prepare(ReadBytes),
+                                                     asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+/// What follows on a connection after a request.
+enum class NextStep {
+    Continue,
+    Close,
+    /// The request was refused before it was read completely.
+    DiscardRest,
+};
+
+asio::awaitable<NextStep> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                                   Server::Shared &shared)
 {
     const auto limits = shared.limits.share();
     // The parser has no limit of its own for chunk extensions and trailers.
@@ -299,7 +323,7 @@
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
     const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle);
     if (!hasBegun)
-        co_return false;
+        co_return NextStep::Close;
     // A request counts as active from its first byte, so that a graceful shutdown waits for it.
     const ActiveGuard guard(shared);
     http::request_parser<http::string_body> parser;
@@ -322,12 +346,13 @@
     deadline.reset();
     if (ec && isLate) {
         co_await refuse(stream, shared, *limits, Core::Error(Core::ErrorKind::SlowCaller));
-        co_return false;
+        co_return NextStep::DiscardRest;
     }
     if (ec) {
-        if (!isCallerGone(ec))
-            co_await refuse(stream, shared, *limits, readError(ec));
-        co_return false;
+        if (isCallerGone(ec))
+            co_return NextStep::Close;
+        co_await refuse(stream, shared, *limits, readError(ec));
+        co_return NextStep::DiscardRest;
     }
     auto exchange = std::make_shared<SessionExchange>(stream, shared, *limits, parser.release());
     const WatchGuard watch(*exchange);
@@ -337,9 +362,9 @@
         // A reset, because an orderly close would make the stream look complete.
         stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
         stream.close();
-        co_return false;
+        co_return NextStep::Close;
     }
-    co_return exchange->mayContinue() && !shared.stopping;
+    co_return exchange->mayContinue() && !shared.stopping ? NextStep::Continue : NextStep::Close;
 }
 
 } // namespace
@@ -351,9 +376,11 @@
     beast::flat_buffer buf;
     try {
         stream.socket().set_option(asio::ip::tcp::no_delay(true));
-        bool goesOn = true;
-        while (goesOn)
-            goesOn = co_await serveOne(stream, buf, *shared);
+        auto next = NextStep::Continue;
+        while (next == NextStep::Continue)
+            next = co_await serveOne(stream, buf, *shared);
+        if (next == NextStep::DiscardRest)
+            co_await discardRest(stream, buf, *shared->limits.share());
     } catch (const boost::system::system_error &) {
         // The connection was lost; the socket is closed below.
     }
--- a/Tests/LibHttp/TestReadBounds.cpp
+++ b/Tests/LibHttp/TestReadBounds.cpp
@@ -88,3 +88,29 @@
     CHECK(answer.find("malformed_request") != std::string::npos);
     threads.stop();
 }
+
+TEST_CASE("a caller whose request is refused can send the rest and read the response")
+{
+    Http::ServerLimits limits;
+    limits.bodyBytes = 4 * 1024 * 1024;
+    Core::IoThreads threads(1);
+    const auto server =
+        Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), limits,
+                             [](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+                                 co_await exchange.respond({200, {}, "served"});
+                             });
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(server.value()->localEndpoint());
+    const auto length = limits.bodyBytes + 1;
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    CHECK_NOTHROW(asio::write(socket, asio::buffer(head + std::string(length, 'x'))));
+    socket.shutdown(asio::socket_base::shutdown_send);
+    std::string answer;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    CHECK(ec == asio::error::eof);
+    CHECK(answer.find("body_too_large") != std::string::npos);
+    threads.stop();
+}
