LibGateway: Let no report with a huge sequence hide the later ones

What callers saw: after one well-formed entry of another writer with the known start time and an enormous Seq, all later sound reports of that upstream were ignored until a restart of the instance, those that say that it drains too. Requests went on to an upstream that had left.

Cause: ReportHistory compared numbers inside the reports only. The store's log is linearizable, so that the record with the highest offset is the one in force; the numbers are needed only against single writes that take effect late, and against pages that were read again.

Now reports carry their offset. Reports before the last known one say nothing new. Lower numbers apply when two reports with unknown numbers follow each other, as it was for start times that are earlier; for an earlier incarnation its highest sequence no longer hides the later ones either. The sequences that are known are kept as ranges, so that a report that is written again, however often, confirms nothing. A new report between known numbers that says draining applies at once.

What remains: two reports in a row that both went unanswered, take effect late and have no report of the current state in between are taken for the current state until the next report.

Evidence: the three new cases of TestFleetWatcher fail on the code as it was in 12 checks: 195 of 195 later reports had no effect, and the upstream that drained stayed ready. They pass now; 195 of 195 reports have effect from the second one on. TestPlatformParts passes.

--- a/Libraries/LibGateway/FleetLog.h
+++ b/Libraries/LibGateway/FleetLog.h
@@ -29,6 +29,7 @@
 /// without a value deletes its key.
 struct FleetRecord
 {
+    /// In a list of the newest records, 0 if it is not known.
     std::uint64_t offset = 0;
     std::string key;
     std::optional<std::string> value;
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -251,6 +251,7 @@
                        {{"key", record.key}, {"reason", report.error().detail()}});
         return;
     }
+    report.value().offset = record.offset;
     if (m_dependencies.fleet.apply(std::move(report.value())))
         m_pendingRemovals.erase(record.key);
 }
--- a/Libraries/LibGateway/ReportHistory.cpp
+++ b/Libraries/LibGateway/ReportHistory.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ReportHistory.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway {
 
@@ -12,44 +13,80 @@
 
 ReportHistory::Verdict ReportHistory::note(const UpstreamReport &report)
 {
-    const Incarnation incarnation {report.startTime, report.sequence};
-    if (m_isEmpty) {
-        m_isEmpty = false;
-        m_current = incarnation;
-        return Verdict::New;
+    if (report.offset != 0 && report.offset < m_offset)
+        return Verdict::Old;
+    const bool isLater = report.offset > m_offset;
+    m_offset = std::max(m_offset, report.offset);
+    if (std::exchange(m_isEmpty, false)) {
+        m_current.startTime = report.startTime;
+        return update(report);
+    }
+    if (report.startTime != m_current.startTime) {
+        const auto *former = findFormer(report.startTime);
+        if (!former && report.startTime > m_current.startTime)
+            return makeCurrent(report);
+        return noteLower(report, isLater, former);
     }
-    if (incarnation.startTime == m_current.startTime) {
-        if (incarnation.sequence == m_current.sequence)
-            return Verdict::Repeated;
-        if (incarnation.sequence < m_current.sequence)
-            return Verdict::Old;
-        m_current = incarnation;
-        m_candidate.reset();
-        return Verdict::New;
+    if (report.sequence == m_current.sequence) {
+        m_current.isDraining = report.isDraining;
+        return Verdict::Repeated;
     }
-    const auto former = std::find_if(m_former.begin(), m_former.end(), [&](const auto &it) {
-        return it.startTime == incarnation.startTime;
-    });
-    const bool isFormer = former != m_former.end();
-    if (isFormer && incarnation.sequence <= former->sequence)
+    const auto &known = m_current.known;
+    const bool isContinued =
+        !known.contains(report.sequence) && known.hasBetween(0, report.sequence);
+    const bool isDrainingNow = isLater && isContinued && report.isDraining && !m_current.isDraining;
+    if (report.sequence > m_current.sequence || isDrainingNow)
+        return update(report);
+    return noteLower(report, isLater, &m_current);
+}
+
+ReportHistory::Verdict ReportHistory::noteLower(const UpstreamReport &report, bool isLater,
+                                                const Incarnation *known)
+{
+    if (!isLater || (known && known->known.contains(report.sequence)))
+        return Verdict::Old;
+    if (!confirmsCandidate(report, known)) {
+        m_candidate = report;
         return Verdict::Old;
-    if (!isFormer && incarnation.startTime > m_current.startTime)
-        return makeCurrent(incarnation);
-    if (m_candidate && m_candidate->startTime == incarnation.startTime
-        && m_candidate->sequence < incarnation.sequence)
-        return makeCurrent(incarnation);
-    m_candidate = incarnation;
-    return Verdict::Old;
+    }
+    return report.startTime == m_current.startTime ? update(report) : makeCurrent(report);
+}
+
+bool ReportHistory::confirmsCandidate(const UpstreamReport &report, const Incarnation *known) const
+{
+    return m_candidate && m_candidate->startTime == report.startTime
+           && m_candidate->sequence < report.sequence
+           && !(known && known->known.hasBetween(m_candidate->sequence, report.sequence));
+}
+
+ReportHistory::Incarnation *ReportHistory::findFormer(std::chrono::milliseconds startTime)
+{
+    const auto it = std::find_if(m_former.begin(), m_former.end(),
+                                 [&](const auto &it) { return it.startTime == startTime; });
+    return it == m_former.end() ? nullptr : &*it;
 }
 
-ReportHistory::Verdict ReportHistory::makeCurrent(const Incarnation &incarnation)
+ReportHistory::Verdict ReportHistory::makeCurrent(const UpstreamReport &report)
 {
-    std::erase_if(m_former, [&](const auto &it) { return it.startTime == incarnation.startTime; });
-    m_former.push_back(m_current);
+    Incarnation incarnation;
+    incarnation.startTime = report.startTime;
+    if (const auto *former = findFormer(report.startTime))
+        incarnation = *former;
+    std::erase_if(m_former, [&](const auto &it) { return it.startTime == report.startTime; });
+    m_former.push_back(std::exchange(m_current, std::move(incarnation)));
     if (m_former.size() > MaxFormer)
         m_former.erase(m_former.begin());
-    m_current = incarnation;
+    return update(report);
+}
+
+ReportHistory::Verdict ReportHistory::update(const UpstreamReport &report)
+{
+    if (m_candidate && m_candidate->startTime == report.startTime)
+        m_current.known.insert(m_candidate->sequence);
     m_candidate.reset();
+    m_current.known.insert(report.sequence);
+    m_current.sequence = report.sequence;
+    m_current.isDraining = report.isDraining;
     return Verdict::New;
 }
 
--- a/Libraries/LibGateway/ReportHistory.h
+++ b/Libraries/LibGateway/ReportHistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/SequenceRanges.h>
 #include <LibGateway/UpstreamReport.h>
 
 #include <chrono>
@@ -12,10 +13,14 @@
 /// The incarnations of an upstream in its reports, by which old reports that are written late are
 /// told from those of the current incarnation.
 ///
-/// An incarnation with a later start time that was not known before is the current one at once. The
-/// start time is of the upstream's wall clock, which may have been set back; another incarnation
-/// becomes the current one when two reports of it follow each other in ascending order, without
-/// a new report of the current one in between.
+/// A later start time that was not known before, or a higher sequence of the current incarnation,
+/// applies at once. Both are only claims: the upstream's wall clock may have been set back, and the
+/// report may be of another writer. Reports with lower numbers apply, too, when two of them follow
+/// each other in ascending order, without a new report of the current incarnation in between. They
+/// must be later in the log than all known ones, and neither they nor a number between them may be
+/// known, so that one report that is written late, or a known one that is written again, has no
+/// effect. A new report that the current incarnation is draining applies at once, also between
+/// known numbers, because the incarnation does not become ready again.
 class ReportHistory
 {
 public:
@@ -34,16 +39,25 @@
     {
         std::chrono::milliseconds startTime {0};
         std::uint64_t sequence = 0;
+        bool isDraining = false;
+        SequenceRanges known;
     };
 
-    Verdict makeCurrent(const Incarnation &incarnation);
+    Verdict noteLower(const UpstreamReport &report, bool isLater, const Incarnation *known);
+    /// Returns whether the report continues the candidate.
+    bool confirmsCandidate(const UpstreamReport &report, const Incarnation *known) const;
+    Incarnation *findFormer(std::chrono::milliseconds startTime);
+    Verdict makeCurrent(const UpstreamReport &report);
+    Verdict update(const UpstreamReport &report);
 
     Incarnation m_current;
     bool m_isEmpty = true;
-    /// The newest known reports of earlier incarnations, the last one last.
+    /// The offset of the last report in the log.
+    std::uint64_t m_offset = 0;
+    /// Earlier incarnations, the last one last.
     std::vector<Incarnation> m_former;
-    /// A report that may be the first one of a new incarnation.
-    std::optional<Incarnation> m_candidate;
+    /// A report with lower numbers that may be the first one of another writer or incarnation.
+    std::optional<UpstreamReport> m_candidate;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/UpstreamReport.h
+++ b/Libraries/LibGateway/UpstreamReport.h
@@ -25,6 +25,8 @@
     std::chrono::milliseconds startTime {0};
     /// Versions of the weights in force, by model.
     std::map<std::string, std::uint64_t> weights;
+    /// The offset of the report in the log; 0 if it is not known.
+    std::uint64_t offset = 0;
 };
 
 } // namespace Gateway
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -75,13 +75,15 @@
     Gateway::WeightsTargets weights;
     Gateway::UpstreamFleet fleet;
     int changes = 0;
+    /// That of the last record of applyUpstream(); pages have lower ones.
+    std::uint64_t offset = 100;
     Gateway::FleetWatcher watcher {{log, decoder, clock, configuration, weights, fleet, 3s},
                                    [this] { ++changes; }};
 
     Fixture() { clock.advance(1h); }
     void applyUpstream(const std::string &key, const std::optional<std::string> &value)
     {
-        watcher.applyUpstream({0, key, value});
+        watcher.applyUpstream({++offset, key, value});
     }
     /// Applies what the store answered to a read of this moment.
     void readPage(std::vector<Gateway::FleetRecord> records = {})
@@ -303,6 +305,58 @@
     CHECK(fixture.find("w")->report().startTime == 10ms);
 }
 
+TEST_CASE("a foreign report with a huge sequence hides later reports for one of them only")
+{
+    const std::string foreign =
+        GENERATE("app:10:9007199254740000", "app:10:9007199254740000d", "app:9000000000000:7");
+    const int count = GENERATE(1, 3);
+    CAPTURE(foreign, count);
+    Fixture fixture;
+    fixture.applyUpstream("w", "app:10:1");
+    fixture.applyUpstream("w", "app:10:2");
+    for (int n = 0; n < count; ++n)
+        fixture.applyUpstream("w", foreign);
+    fixture.applyUpstream("w", "app:10:3");
+    fixture.applyUpstream("w", "app:10:4");
+    CHECK(fixture.find("w")->report().sequence == 4);
+    CHECK_FALSE(fixture.find("w")->report().isDraining);
+    int hidden = 0;
+    for (int n = 5; n < 200; ++n) {
+        fixture.applyUpstream("w", "app:10:" + std::to_string(n) + (n > 100 ? "d" : ""));
+        const auto &report = fixture.find("w")->report();
+        hidden += static_cast<int>(report.sequence) != n || report.isDraining != (n > 100) ? 1 : 0;
+    }
+    CHECK(hidden == 0);
+}
+
+TEST_CASE("a foreign report with a huge sequence does not hide that an upstream leaves")
+{
+    Fixture fixture;
+    fixture.applyUpstream("w", "app:10:1");
+    for (const int n : {2, 3}) {
+        fixture.applyUpstream("w", "app:10:" + std::to_string(9'007'199'254'740'000 + n));
+        fixture.applyUpstream("w", "app:10:" + std::to_string(n) + "d");
+        CHECK(fixture.find("w")->report().isDraining);
+    }
+    fixture.applyUpstream("w", std::nullopt);
+    fixture.applyUpstream("w", "app:10:1");
+    CHECK_FALSE(fixture.find("w"));
+}
+
+TEST_CASE("reports that are written late, or read again, do not bring back an upstream that left")
+{
+    Fixture fixture;
+    fixture.readPage({{10, "w", "app:10:1"}, {11, "w", "app:10:4"}, {12, "w", "app:10:5"}});
+    fixture.readPage({{13, "w", "app:10:8d"}});
+    // A sibling's page begins before what is known.
+    fixture.readPage({{11, "w", "app:10:4"}, {12, "w", "app:10:5"}});
+    CHECK(fixture.find("w")->report().isDraining);
+    fixture.readPage({{14, "w", "app:10:3"}, {15, "w", "app:10:5"}, {16, "w", "app:10:6"}});
+    CHECK(fixture.find("w")->report().isDraining);
+    fixture.readPage({{17, "w", std::nullopt}, {18, "w", "app:10:1"}, {19, "w", "app:10:4"}});
+    CHECK_FALSE(fixture.find("w"));
+}
+
 TEST_CASE("an old report does not bring a removed upstream back, but a newer one does")
 {
     Fixture fixture;
