LibGateway: Have one read of a hanging list of upstreams under way at most

What callers saw: nothing by itself. All nodes share the store's call rate.

Cause: a read that a sibling had overtaken went on unseen; only its exception would have counted as a failure.

Now a read that was overtaken is cancelled, which closes its connection (a store that loses an answer sends nothing more on it), and counts as a failed one. The next reads go to siblings, and the store is tried again after the same growing pause as after any failure.

Evidence: the new case of TestSharedLog fails on the code as it was: 40 reads under way at once and 40 calls in 10 s, where 1 and 12 are allowed; it passes now, and each of the 40 rounds learns the newest record from the sibling. A case with the platform's client over a socket shows that a cancelled read ends at once and closes its connection.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -3,6 +3,8 @@
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/SharedLog.h>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -266,7 +268,7 @@
     throw *failure;
 }
 
-/// A read of the store that may go on after the caller has stopped waiting for it.
+/// A read of the store that can be cancelled while the caller waits for it.
 struct SharedLog::PendingRead
 {
     explicit PendingRead(const asio::any_io_executor &executor)
@@ -284,6 +286,10 @@
         co_return isDone;
     }
 
+    /// Ends the call, and with it its connection.
+    void cancel() { cancellation.emit(asio::cancellation_type::terminal); }
+
+    asio::cancellation_signal cancellation;
     asio::steady_timer done;
     bool isDone = false;
     std::exception_ptr failure;
@@ -295,13 +301,14 @@
                           std::uint64_t from, milliseconds wait)
 {
     auto read = std::make_shared<PendingRead>(executor);
+    auto finish = [read](std::exception_ptr failure, FleetPage page) {
+        read->isDone = true;
+        read->failure = std::move(failure);
+        read->page = std::move(page);
+        read->done.cancel();
+    };
     asio::co_spawn(executor, m_dependencies.store.read(topic, from, wait),
-                   [read](std::exception_ptr failure, FleetPage page) {
-                       read->isDone = true;
-                       read->failure = std::move(failure);
-                       read->page = std::move(page);
-                       read->done.cancel();
-                   });
+                   asio::bind_cancellation_slot(read->cancellation.slot(), std::move(finish)));
     return read;
 }
 
@@ -321,8 +328,10 @@
     const auto executor = co_await asio::this_coro::executor;
     const auto read = startStoreRead(executor, FleetTopic::Upstreams, from, wait);
     if (!co_await read->awaitEnd(wait + LateAnswerTime)) {
-        if (auto page = co_await readNewerFromSibling(FleetTopic::Upstreams, from))
+        if (auto page = co_await readNewerFromSibling(FleetTopic::Upstreams, from)) {
+            read->cancel();
             co_return std::move(*page);
+        }
     }
     while (!co_await read->awaitEnd(Unlimited)) { }
     if (read->failure)
@@ -343,8 +352,10 @@
             page = co_await readUpstreams(from, wait);
         else
             page = co_await m_dependencies.store.read(topic, from, wait);
-        if (page.isFromSibling)
+        if (page.isFromSibling) {
+            noteStoreFailure(topic);
             co_return page;
+        }
         page.asOf = requestTime;
         page.answeredAt = m_dependencies.clock.now();
         page.lastStoreFailure = state.lastStoreFailure;
@@ -358,11 +369,17 @@
     } catch (const Core::Error &error) {
         failure = error;
     }
+    noteStoreFailure(topic);
+    throw *failure;
+}
+
+void SharedLog::noteStoreFailure(FleetTopic topic)
+{
+    auto &state = m_topics[topic];
     state.isStoreFailing = true;
     ++state.failedStoreReads;
     state.lastStoreFailure = m_dependencies.clock.now();
     state.nextStoreRead = state.lastStoreFailure + storeRetryPause(topic);
-    throw *failure;
 }
 
 asio::awaitable<std::optional<FleetPage>>
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -98,6 +98,9 @@
     std::chrono::milliseconds maxAgeOf(FleetTopic topic) const;
     boost::asio::awaitable<FleetPage> readStore(FleetTopic topic, std::uint64_t from,
                                                 std::chrono::milliseconds wait);
+    /// Records that a read of the store failed, or that a sibling had newer records before it
+    /// ended.
+    void noteStoreFailure(FleetTopic topic);
     struct PendingRead;
     std::shared_ptr<PendingRead> startStoreRead(const boost::asio::any_io_executor &executor,
                                                 FleetTopic topic, std::uint64_t from,
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -11,8 +11,10 @@
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
+#include <utility>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -43,7 +45,8 @@
     {
         countCall();
         lastWait = wait;
-        if (isHanging) {
+        if (isHanging || std::exchange(isNextHanging, false)) {
+            const HangingCall call(*this);
             asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -63,10 +66,28 @@
 
     bool isUnavailable = false;
     bool isHanging = false;
+    /// Whether only the next read hangs.
+    bool isNextHanging = false;
     int calls = 0;
+    int hangingCalls = 0;
+    int mostHangingCalls = 0;
     std::chrono::milliseconds lastWait {0};
 
 private:
+    struct HangingCall
+    {
+        explicit HangingCall(StoreConnection &it)
+            : store(it)
+        {
+            store.mostHangingCalls = std::max(store.mostHangingCalls, ++store.hangingCalls);
+        }
+        ~HangingCall() { --store.hangingCalls; }
+        HangingCall(const HangingCall &) = delete;
+        HangingCall &operator=(const HangingCall &) = delete;
+
+        StoreConnection &store;
+    };
+
     void countCall()
     {
         ++calls;
@@ -477,3 +498,26 @@
     REQUIRE(answer.wait_for(10s) == std::future_status::ready);
     CHECK(answer.get().records.size() == 1);
 }
+
+TEST_CASE("reads of a store that hangs count as failed, and not more than one is under way")
+{
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    auto &other = fleet.add("n1");
+    fleet.readUpstreams(one, 0);
+    one.store.isHanging = true;
+    const auto calls = one.store.calls;
+    std::uint64_t known = 1;
+    for (int n = 0; n < 40; ++n) {
+        fleet.clock.advance(250ms);
+        fleet.exchangeDatagrams();
+        fleet.records.emplace_back("report");
+        fleet.readUpstreams(other, known);
+        const auto page = fleet.readUpstreams(one, known);
+        CHECK(page.next == fleet.records.size());
+        known = page.next;
+    }
+    CHECK(one.store.mostHangingCalls == 1);
+    // 10 seconds have passed.
+    CHECK(one.store.calls - calls <= 12);
+}
--- a/Tests/PlatformParts/TestLogPages.cpp
+++ b/Tests/PlatformParts/TestLogPages.cpp
@@ -1,12 +1,24 @@
+#include "../StandIns/RawServer.h"
+
 #include <LibCore/Error.h>
+#include <LibCore/IoThreads.h>
 
 #include <PlatformLog.h>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/endian/conversion.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <cstring>
+#include <future>
 #include <string>
 
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
 namespace {
 
 template <typename Number>
@@ -67,3 +79,24 @@
         CHECK_THROWS_AS(Site::decodeRecords(body.substr(0, size), 5, true), Core::Error);
     }
 }
+
+TEST_CASE("a cancelled read of a store that does not answer ends at once, with its connection")
+{
+    StandIns::RawServer store([](auto &connection, const auto &) { connection.keep(); });
+    Core::IoThreads threads {1};
+    Site::PlatformLog log(store.endpoint());
+    asio::cancellation_signal cancellation;
+    std::promise<void> ended;
+    asio::co_spawn(threads.at(0), log.read(Gateway::FleetTopic::Upstreams, 0, 30s),
+                   asio::bind_cancellation_slot(
+                       cancellation.slot(), [&ended](auto, const auto &) { ended.set_value(); }));
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    const auto isEarly = [end] { return std::chrono::steady_clock::now() < end; };
+    while (store.requests().empty() && isEarly())
+        std::this_thread::sleep_for(5ms);
+    asio::post(threads.at(0), [&] { cancellation.emit(asio::cancellation_type::terminal); });
+    REQUIRE(ended.get_future().wait_for(5s) == std::future_status::ready);
+    while (store.openConnections() > 0 && isEarly())
+        std::this_thread::sleep_for(5ms);
+    CHECK(store.openConnections() == 0);
+}
