LibHttp: Keep connections open whose request has arrived or is on its way when idle ones are closed

A draining gateway closes idle connections every 50 ms from 2.3 s after SIGTERM on. It also closed a connection that had just been accepted and whose request had not been read yet, and a kept one whose next request had arrived but was not read: the caller saw a reset instead of the answer, at a time when the gateway still serves.

Cause: a connection counted as idle until the first byte of a request was read, however new it was and whatever waited in its socket. The cancelled read wins over bytes that the reactor has not delivered yet.

An idle connection is now kept when bytes wait in its socket, and a new one for the second in which callers send their first request. It does not hold up the end of the process: that waits for exchanges only.

--- a/Libraries/LibHttp/IdleConnections.h
+++ b/Libraries/LibHttp/IdleConnections.h
@@ -17,7 +17,7 @@
     class Entry
     {
     public:
-        Entry(IdleConnections &list, boost::beast::tcp_stream &stream);
+        Entry(IdleConnections &list, boost::beast::tcp_stream &stream, bool hasServed);
         ~Entry();
         Entry(const Entry &) = delete;
         Entry &operator=(const Entry &) = delete;
@@ -31,7 +31,8 @@
         std::list<std::weak_ptr<State>>::iterator m_position;
     };
 
-    /// Closes all idle connections, each on its own thread.
+    /// Closes all idle connections, each on its own thread. Those whose next request has arrived
+    /// stay open, and new ones as long as their first request may be on its way.
     void closeAll();
 
 private:
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -48,7 +48,8 @@
     void setLimits(const ServerLimits &limits);
     /// Keeps accepting connections, but closes each after its next response (Connection: close).
     void beginDrain();
-    /// Closes idle connections. A request that arrives at the same time is not read.
+    /// Closes idle connections, except those whose request has arrived and new ones on which the
+    /// first request may be on its way. A request that crosses the close is not read.
     void closeIdle();
     /// Closes the port and makes connections end after their current exchange.
     void stopAccepting();
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -274,11 +274,12 @@
 
 /// Waits for the first byte up to the idle limit, to tell a slow request from an idle caller.
 asio::awaitable<bool> awaitFirstByte(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                                     const ServerLimits &limits, IdleConnections &idle)
+                                     const ServerLimits &limits, IdleConnections &idle,
+                                     bool hasServed)
 {
     if (buf.size() > 0)
         co_return true;
-    const IdleConnections::Entry entry(idle, stream);
+    const IdleConnections::Entry entry(idle, stream, hasServed);
     stream.expires_after(limits.idleTime);
     constexpr std::size_t ReadBytes = 16 * 1024;
     boost::system::error_code ec;
@@ -289,11 +290,11 @@
 }
 
 asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                               Server::Shared &shared)
+                               Server::Shared &shared, bool hasServed)
 {
     const auto limits = shared.limits.share();
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
-    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle);
+    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle, hasServed);
     if (!hasBegun)
         co_return false;
     // A request counts as active from its first byte, so that a graceful shutdown waits for it.
@@ -348,8 +349,8 @@
     try {
         stream.socket().set_option(asio::ip::tcp::no_delay(true));
         bool goesOn = true;
-        while (goesOn)
-            goesOn = co_await serveOne(stream, buf, *shared);
+        for (bool hasServed = false; goesOn; hasServed = true)
+            goesOn = co_await serveOne(stream, buf, *shared, hasServed);
     } catch (const boost::system::system_error &) {
         // The connection was lost; the socket is closed below.
     }
