LibHttp, LibGateway, jujubesaddled: End a planned stop only when no connection can bring a request

A gateway that was asked to stop left its drain as soon as no exchange was active, closed the port and exited. A request that was read between that check and the exit was passed on to an upstream and its answer lost; connections that the kernel had already established were reset with their requests; a caller that had just connected got no answer. The daemon's shutdown had the same check and went on for up to 5 s afterwards to write its records.

Cause: the check looked at exchanges, which begin with the first byte that is read. Open connections, and those in the queue of the port, did not count.

A server now says when it has ended: the port and every connection share the ownership of one object, so no connection can begin after it is gone. The port accepts what is established before it closes. The gateway closes the port when nothing runs, and exits when the server has ended; what is read when the grace period is over is refused, not passed on. A destroyed server calls its handler no more. The stand-ins of the tests wait for the same end before they are destroyed.

Evidence, on the code before, 3 of 3 runs each: TestServerEnd "connections that callers had established when the port closes" got 0 of 3 answers; TestPlatform "a request on a connection made before a planned stop" (connected 2.0 s after SIGTERM, sent at 2.45 s) got none. Both pass in 3 of 3 runs now, as does "a server has not ended while a request may arrive", which needs the new function. All 27 cases of TestLibHttp pass in 3 of 3 runs. The window between the check and the exit itself was found by reading; no run has shown a request that was passed on and lost there.

--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -382,10 +382,14 @@
             continue;
         m_callers->closeIdle();
         if (m_callers->activeExchanges() == 0)
+            m_callers->stopAccepting();
+        if (m_callers->hasEnded())
             break;
         if (elapsed >= m_settings.grace - RefusalLeadTime && !m_gateway.isRefusing())
             m_gateway.refuseAll();
     }
+    // What is read from here on would be cut by the exit of the process.
+    m_gateway.refuseAll();
     m_callers->stopAccepting();
 }
 
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -25,7 +25,9 @@
         : m_threads(threads)
         , m_acceptor(threads.next())
         , m_shared(std::move(shared))
-    { }
+    {
+        m_shared->open = m_open;
+    }
 
     void open(const Endpoint &endpoint)
     {
@@ -45,6 +47,7 @@
     void close()
     {
         asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            self->acceptEstablished();
             boost::system::error_code ec;
             self->m_acceptor.close(ec);
         });
@@ -60,20 +63,40 @@
             boost::system::error_code ec;
             auto socket = co_await m_acceptor.async_accept(
                 context, asio::redirect_error(asio::use_awaitable, ec));
-            if (ec == asio::error::operation_aborted || m_shared->stopping)
-                co_return;
-            if (ec) {
+            if (!ec) {
+                serve(context, std::move(socket));
+            } else if (m_acceptor.is_open()) {
                 asio::steady_timer timer(m_acceptor.get_executor(), AcceptPause);
                 co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-                continue;
             }
-            asio::co_spawn(context, serveConnection(std::move(socket), m_shared), asio::detached);
+        }
+        m_open.reset();
+    }
+
+    /// Accepts the connections that would be reset when the port is closed.
+    void acceptEstablished()
+    {
+        boost::system::error_code ec;
+        m_acceptor.non_blocking(true, ec);
+        for (int n = 0; !ec && n < asio::socket_base::max_listen_connections; ++n) {
+            auto &context = m_threads.next();
+            asio::ip::tcp::socket socket(context);
+            m_acceptor.accept(socket, ec);
+            if (!ec)
+                serve(context, std::move(socket));
         }
     }
 
+    void serve(asio::io_context &context, asio::ip::tcp::socket socket)
+    {
+        asio::co_spawn(context, serveConnection(std::move(socket), m_shared, m_open),
+                       asio::detached);
+    }
+
     Core::IoThreads &m_threads;
     asio::ip::tcp::acceptor m_acceptor;
     std::shared_ptr<Shared> m_shared;
+    std::shared_ptr<void> m_open = std::make_shared<char>();
     Endpoint m_local;
 };
 
@@ -101,6 +124,7 @@
 
 Server::~Server()
 {
+    m_shared->abandoned = true;
     stopAccepting();
 }
 
@@ -130,6 +154,11 @@
         m_acceptor->close();
 }
 
+bool Server::hasEnded() const
+{
+    return m_shared->open.expired();
+}
+
 std::size_t Server::activeExchanges() const
 {
     return m_shared->activeExchanges;
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -51,8 +51,11 @@
     /// Closes idle connections, except those whose request has arrived and new ones on which the
     /// first request may be on its way. A request that crosses the close is not read.
     void closeIdle();
-    /// Closes the port and makes connections end after their current exchange.
+    /// Closes the port and makes connections end after their current exchange. Connections that
+    /// callers have already established are still served.
     void stopAccepting();
+    /// Whether the port and all connections are closed, so that no other request will be read.
+    bool hasEnded() const;
     /// Running exchanges, from the first byte of the request to the last of the response.
     std::size_t activeExchanges() const;
 
@@ -78,6 +81,10 @@
     std::atomic<std::size_t> activeExchanges {0};
     std::atomic<bool> stopping {false};
     std::atomic<bool> draining {false};
+    /// Whether the server was destroyed, so that no handler may be called any more.
+    std::atomic<bool> abandoned {false};
+    /// Owned by the open port and by each open connection.
+    std::weak_ptr<void> open;
     IdleConnections idle;
 };
 
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -295,7 +295,7 @@
     const auto limits = shared.limits.share();
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
     const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle, hasServed);
-    if (!hasBegun)
+    if (!hasBegun || shared.abandoned)
         co_return false;
     // A request counts as active from its first byte, so that a graceful shutdown waits for it.
     const ActiveGuard guard(shared);
@@ -342,7 +342,8 @@
 } // namespace
 
 asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket,
-                                      std::shared_ptr<Server::Shared> shared)
+                                      std::shared_ptr<Server::Shared> shared,
+                                      [[maybe_unused]] std::shared_ptr<void> open)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buf;
--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -287,8 +287,10 @@
     while (elapsed() < m_settings.drainGrace)
         std::this_thread::sleep_for(DrainPollInterval);
     m_server->stopAccepting();
-    while (m_server->activeExchanges() > 0 && elapsed() < m_settings.drainLimit)
+    while (!m_server->hasEnded() && elapsed() < m_settings.drainLimit) {
+        m_server->closeIdle();
         std::this_thread::sleep_for(DrainPollInterval);
+    }
 }
 
 void Daemon::flushRecords()
--- a/Tests/LibHttp/TestServerEnd.cpp
+++ b/Tests/LibHttp/TestServerEnd.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <list>
 #include <string>
 #include <thread>
 
@@ -105,3 +106,36 @@
     CHECK_FALSE(kept.isServed());
     CHECK_FALSE(silent.isServed());
 }
+
+TEST_CASE("connections that callers had established when the port closes are served, not reset")
+{
+    EndingServer ending;
+    auto release = ending.holdUp();
+    std::list<Caller> callers;
+    for (int n = 0; n < 3; ++n) {
+        callers.emplace_back(*ending.server).send();
+    }
+    ending.server->stopAccepting();
+    release.set_value();
+    for (auto &caller : callers)
+        CHECK(caller.isServed());
+}
+
+TEST_CASE("a server has not ended while a request may arrive on one of its connections")
+{
+    EndingServer ending;
+    Caller kept(*ending.server);
+    kept.send();
+    REQUIRE(kept.isServed());
+    Caller silent(*ending.server);
+    ending.server->stopAccepting();
+    ending.server->closeIdle();
+    CHECK_FALSE(kept.isServed());
+    CHECK_FALSE(ending.server->hasEnded());
+    silent.send();
+    CHECK(silent.isServed());
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!ending.server->hasEnded() && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(1ms);
+    CHECK(ending.server->hasEnded());
+}
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -1,6 +1,7 @@
 #include "GatewayFixture.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -376,6 +377,32 @@
     CHECK(gateway.wait() == 0);
 }
 
+TEST_CASE("a request on a connection made before a planned stop is answered, not cut by the exit")
+{
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway();
+    gateway.signal(SIGTERM);
+    gateway.awaitLine("drain_started");
+    // Shortly before a gateway without requests may end.
+    std::this_thread::sleep_for(2'000ms);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(fixture.callers());
+    std::this_thread::sleep_for(450ms);
+    std::string answer;
+    boost::system::error_code ec;
+    asio::write(socket,
+                asio::buffer(std::string("GET /views/a HTTP/1.1\r\nHost: a.example\r\n"
+                                         "Authorization: Bearer key-1\r\n"
+                                         "X-Jujubesaddle-Attempt-Id: id-1\r\n\r\n")),
+                ec);
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    CHECK(answer.starts_with("HTTP/1.1 200 "));
+    CHECK(gateway.wait() == 0);
+}
+
 TEST_CASE("late in the grace period new requests are refused as not run, and running ones finish")
 {
     GatewayFixture fixture;
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -69,8 +69,10 @@
     }
     for (const auto &server : m_callerServers) {
         server->stopAccepting();
-        while (server->activeExchanges() > 0)
+        while (!server->hasEnded()) {
+            server->closeIdle();
             std::this_thread::sleep_for(PollPause);
+        }
     }
 }
 
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -35,8 +35,10 @@
 WorkerStandIn::~WorkerStandIn()
 {
     m_server->stopAccepting();
-    while (m_server->activeExchanges() > 0)
+    while (!m_server->hasEnded()) {
+        m_server->closeIdle();
         std::this_thread::sleep_for(PollPause);
+    }
 }
 
 std::string WorkerStandIn::entry(const std::string &state) const
