--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -277,11 +277,12 @@
 
 /// Waits for the first byte up to the idle limit, to tell a slow request from an idle caller.
 asio::awaitable<bool> awaitFirstByte(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                                     const ServerLimits &limits, IdleConnections &idle)
+                                     const ServerLimits &limits, IdleConnections &idle,
+                                     bool hasServed)
 {
     if (buf.size() > 0)
         co_return true;
-    const IdleConnections::Entry entry(idle, stream);
+    const IdleConnections::Entry entry(idle, stream, hasServed);
     stream.expires_after(limits.idleTime);
     boost::system::error_code ec;
     const auto n = co_await stream.async_read_some(buf.prepare(ReadBytes),
@@ -315,14 +316,14 @@
 };
 
 asio::awaitable<NextStep> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                                   Server::Shared &shared)
+                                   Server::Shared &shared, bool hasServed)
 {
     const auto limits = shared.limits.share();
     // The parser has no limit of its own for chunk extensions and trailers.
     buf.max_size(std::max(buf.size(), limits->headerBytes + ReadBytes));
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
-    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle);
-    if (!hasBegun)
+    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle, hasServed);
+    if (!hasBegun || shared.abandoned)
         co_return NextStep::Close;
     // A request counts as active from its first byte, so that a graceful shutdown waits for it.
     const ActiveGuard guard(shared);
@@ -370,15 +371,16 @@
 } // namespace
 
 asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket,
-                                      std::shared_ptr<Server::Shared> shared)
+                                      std::shared_ptr<Server::Shared> shared,
+                                      [[maybe_unused]] std::shared_ptr<void> open)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buf;
     try {
         stream.socket().set_option(asio::ip::tcp::no_delay(true));
         auto next = NextStep::Continue;
-        while (next == NextStep::Continue)
-            next = co_await serveOne(stream, buf, *shared);
+        for (bool hasServed = false; next == NextStep::Continue; hasServed = true)
+            next = co_await serveOne(stream, buf, *shared, hasServed);
         if (next == NextStep::DiscardRest)
             co_await discardRest(stream, buf, *shared->limits.share());
     } catch (const boost::system::system_error &) {
