LibGateway: Repeat a read of the list of upstreams whose answer is late

What callers could see: one lost answer of a stable store made the list of an instance without newer siblings older than the drain bound, and counted as an outage in which sound entries expire, so that for another 2.3 s no upstream that was no longer listed was taken out of use.

Cause: with the real intervals, a read that gets no answer begins 0.8 s after the last answer, ends 0.5 + 1.2 s later (the wait and the client's time for an answer) and is repeated after a pause of 0.3 s. The next answer is 2.8 s after the last one. The drain bound is 2.0 s, and 2.4 s of two report intervals with one failed read counted as an outage (shown already by "upstreams whose entries expired in an outage stay in use").

Now a read that is 0.3 s late is cancelled and repeated at once, if no sibling has newer records. The second one has all of the client's time, so that a store that is only slow is still read, and is not repeated while reads fail. One lost answer is then neither a failure nor an outage: the next answer is about 1.7 s after the last one. An outage still ends in failed reads.

Evidence: the new case of TestSharedLog (one read that hangs, no sibling) fails on the code as it was, without an answer after 1.2 s, and passes now with two calls, one at a time. The new case of TestFleetWatcher applies the new intervals with the manual clock, with and without a failure at the sibling; the removal takes effect at once.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -292,6 +292,7 @@
     asio::cancellation_signal cancellation;
     asio::steady_timer done;
     bool isDone = false;
+    Core::Clock::Monotonic requestTime;
     std::exception_ptr failure;
     FleetPage page;
 };
@@ -300,7 +301,9 @@
 SharedLog::startStoreRead(const asio::any_io_executor &executor, FleetTopic topic,
                           std::uint64_t from, milliseconds wait)
 {
+    noteStoreCall(topic, "read");
     auto read = std::make_shared<PendingRead>(executor);
+    read->requestTime = m_dependencies.clock.now();
     auto finish = [read](std::exception_ptr failure, FleetPage page) {
         read->isDone = true;
         read->failure = std::move(failure);
@@ -326,16 +329,22 @@
 {
     constexpr auto Unlimited = 1h;
     const auto executor = co_await asio::this_coro::executor;
-    const auto read = startStoreRead(executor, FleetTopic::Upstreams, from, wait);
+    auto read = startStoreRead(executor, FleetTopic::Upstreams, from, wait);
     if (!co_await read->awaitEnd(wait + LateAnswerTime)) {
         if (auto page = co_await readNewerFromSibling(FleetTopic::Upstreams, from)) {
             read->cancel();
             co_return std::move(*page);
         }
+        // The answer may be lost. A store that is only slow has more time for the second one.
+        if (!read->isDone && !m_topics[FleetTopic::Upstreams].isStoreFailing) {
+            read->cancel();
+            read = startStoreRead(executor, FleetTopic::Upstreams, from, 0ms);
+        }
     }
     while (!co_await read->awaitEnd(Unlimited)) { }
     if (read->failure)
         std::rethrow_exception(read->failure);
+    read->page.asOf = read->requestTime;
     co_return std::move(read->page);
 }
 
@@ -346,17 +355,18 @@
     const auto requestTime = m_dependencies.clock.now();
     std::optional<Core::Error> failure;
     try {
-        noteStoreCall(topic, "read");
         FleetPage page;
-        if (topic == FleetTopic::Upstreams)
+        if (topic == FleetTopic::Upstreams) {
             page = co_await readUpstreams(from, wait);
-        else
+        } else {
+            noteStoreCall(topic, "read");
             page = co_await m_dependencies.store.read(topic, from, wait);
+            page.asOf = requestTime;
+        }
         if (page.isFromSibling) {
             noteStoreFailure(topic);
             co_return page;
         }
-        page.asOf = requestTime;
         page.answeredAt = m_dependencies.clock.now();
         page.lastStoreFailure = state.lastStoreFailure;
         state.isStoreFailing = false;
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -106,7 +106,7 @@
                                                 FleetTopic topic, std::uint64_t from,
                                                 std::chrono::milliseconds wait);
     /// Reads the list of upstreams from the store, or from a sibling that has newer records while
-    /// the store's answer is late.
+    /// the store's answer is late. A late read is repeated once.
     boost::asio::awaitable<FleetPage> readUpstreams(std::uint64_t from,
                                                     std::chrono::milliseconds wait);
     /// Returns nothing when no sibling has newer records than this instance.
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -206,6 +206,23 @@
     CHECK_FALSE(fixture.find("w"));
 }
 
+TEST_CASE("a removal that is read after one read without an answer takes effect at once")
+{
+    const bool hasSiblingFailed = GENERATE(false, true);
+    Fixture fixture;
+    fixture.readPage({{0, "w", "app:10:1"}});
+    // The pause, the wait, the time until the read counts as late, and the second read.
+    fixture.clock.advance(800ms + 500ms + 300ms + 200ms);
+    Gateway::FleetPage page;
+    page.asOf = fixture.clock.now() - 200ms;
+    page.answeredAt = fixture.clock.now();
+    if (hasSiblingFailed)
+        page.lastStoreFailure = fixture.clock.now() - 500ms;
+    page.records.push_back({1, "w", std::nullopt});
+    fixture.watcher.applyUpstreamsPage(page);
+    CHECK_FALSE(fixture.find("w"));
+}
+
 TEST_CASE("a removal that is read after a failure of the sibling's read takes effect at once")
 {
     Fixture fixture;
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -521,3 +521,23 @@
     // 10 seconds have passed.
     CHECK(one.store.calls - calls <= 12);
 }
+
+TEST_CASE(
+    "one read of the store without an answer does not make the list older than the drain bound")
+{
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    fleet.readUpstreams(one, 0);
+    fleet.records.emplace_back("leaving");
+    constexpr auto Pause = 800ms;
+    fleet.clock.advance(Pause);
+    one.store.isNextHanging = true;
+    auto answer = asio::co_spawn(fleet.threads.at(0), one.log.read(FleetTopic::Upstreams, 1, 2s),
+                                 asio::use_future);
+    REQUIRE(answer.wait_for(one.settings.drainBound - Pause) == std::future_status::ready);
+    const auto page = answer.get();
+    CHECK(page.records.size() == 1);
+    CHECK(page.lastStoreFailure == Core::Clock::Monotonic::min());
+    CHECK(one.store.mostHangingCalls == 1);
+    CHECK(one.store.hangingCalls == 0);
+}
