LibGateway: Take a part of the retry slack only while announced

One case, restarts, was fixed before by a guess whether the process had a predecessor; others remained.

Cause: the part of the slack rested on what a process happened to know. An instance that was cut off or frozen for longer than 60 s, and dropped by the others, kept its part, and took more as it dropped the others. The guess was wrong where a hub announced the instance or an append was executed without an answer.

Readiness does not wait for it.

Announcements in the first read no longer count as the process's own, so it always announces itself at its start, as documented.

--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -30,8 +30,6 @@
 constexpr std::chrono::milliseconds AnnouncePollInterval = 500ms;
 // Failures that occur together, for example when an upstream crashes, are written in one record.
 constexpr auto FailureBatchInterval = 100ms;
-// A single one shows that another process ran.
-constexpr std::size_t MaxForeignAnnouncements = 16;
 
 std::string toBytes(flatbuffers::FlatBufferBuilder &builder)
 {
@@ -117,7 +115,15 @@
     if (page.isHistoryTruncated)
         m_hasRead = false;
     else if (page.isComplete)
-        m_hasRead = true;
+        noteComplete(page.asOf);
+}
+
+void FleetJournal::noteComplete(Core::Clock::Monotonic asOf)
+{
+    m_hasRead = true;
+    m_readAsOf = std::max(asOf, m_readAsOf.value_or(asOf));
+    if (onRead)
+        onRead(*m_readAsOf);
 }
 
 void FleetJournal::apply(const FleetRecord &record)
@@ -158,11 +164,10 @@
     if (member.poison_parts())
         applyPoisonParts(*member.poison_parts());
     if (instance == m_settings.instance) {
-        if (m_ownAnnouncements.erase(offset) == 0
-            && m_foreignAnnouncements.size() < MaxForeignAnnouncements)
-            m_foreignAnnouncements.insert(offset);
-        m_lastAnnounced = m_clock.now();
         m_members.noteSelfAnnounced();
+        // The first records may be old, and those of an earlier process.
+        if (m_readAsOf)
+            noteAnnounced(*m_readAsOf);
         return;
     }
     auto endpoint = Http::parseEndpoint(text(member.endpoint()));
@@ -177,6 +182,13 @@
                                                          {"reason", endpoint.error().detail()}});
 }
 
+void FleetJournal::noteAnnounced(Core::Clock::Monotonic writtenAfter)
+{
+    m_lastAnnounced = m_clock.now();
+    if (onAnnounced)
+        onAnnounced(writtenAfter);
+}
+
 std::uint64_t FleetJournal::calendarMs() const
 {
     const auto time = m_clock.wallNow().time_since_epoch();
@@ -287,13 +299,11 @@
 {
     const bool isForAll = m_members.isLarge() && m_members.isHub();
     auto record = isForAll ? announcementForAll() : announcement();
+    const auto requestTime = m_clock.now();
     const auto offset = co_await append(std::move(record));
     if (!offset)
         co_return false;
-    // It may have been read before the append was answered.
-    if (m_foreignAnnouncements.erase(*offset) == 0)
-        m_ownAnnouncements.insert(*offset);
-    m_lastAnnounced = m_clock.now();
+    noteAnnounced(requestTime);
     co_return true;
 }
 
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -10,8 +10,8 @@
 
 #include <flatbuffers/flatbuffers.h>
 
+#include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -58,9 +58,13 @@
     void notePoisonPart() { m_hasNewPoisonPart = true; }
     /// Returns whether all retained records were read, so that the members are known.
     bool hasRead() const { return m_hasRead; }
-    /// Returns whether a retained record that another process wrote names this instance, so that it
-    /// ran shortly before this process.
-    bool hasPredecessor() const { return !m_foreignAnnouncements.empty(); }
+
+    /// Called when an announcement of this instance is known to stand in the journal, with a time
+    /// before it was written. May be empty.
+    std::function<void(Core::Clock::Monotonic writtenAfter)> onAnnounced;
+    /// Called when all records that were written until the given time have been read. May be
+    /// empty.
+    std::function<void(Core::Clock::Monotonic asOf)> onRead;
 
     /// Returns the record that announces this instance. Public for tests.
     std::string announcement() const;
@@ -85,6 +89,9 @@
     wirePoisonRecord(flatbuffers::FlatBufferBuilder &builder) const;
     std::uint64_t calendarMs() const;
     void applyPoisonParts(const Wire::PoisonParts &record);
+    /// Records that a page reached the end of the journal at the given time.
+    void noteComplete(Core::Clock::Monotonic asOf);
+    void noteAnnounced(Core::Clock::Monotonic writtenAfter);
     void applyMember(const Wire::Member &member, std::uint64_t offset);
 
     FleetLog &m_log;
@@ -96,12 +103,10 @@
     OrderLease m_lease;
     std::vector<std::uint64_t> m_upstreamFailures;
     std::uint64_t m_nextOffset = 0;
-    /// When a record last announced this instance.
+    /// When a record was last found to announce this process.
     Core::Clock::Monotonic m_lastAnnounced = Core::Clock::Monotonic::min();
-    /// Offsets of announcements that this process wrote and has not read yet.
-    std::set<std::uint64_t> m_ownAnnouncements;
-    /// Offsets of announcements of this instance that this process did not write.
-    std::set<std::uint64_t> m_foreignAnnouncements;
+    /// All records that were written until this time have been read; empty before the first time.
+    std::optional<Core::Clock::Monotonic> m_readAsOf;
     bool m_hasRead = false;
     bool m_hasNewPoisonPart = false;
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -13,7 +13,6 @@
 Gateway::Gateway(GatewayDependencies dependencies)
     : m_dependencies(dependencies)
     , m_random(std::random_device {}())
-    , m_servingSince(m_dependencies.clock.now())
 { }
 
 boost::asio::awaitable<void> Gateway::handle(Http::ServerExchange &exchange)
@@ -34,31 +33,23 @@
            && m_poisonParts.mayTry(part, m_dependencies.clock.now());
 }
 
-std::optional<unsigned> Gateway::slackSharers() const
-{
-    // The process before this one may have used this instance's part.
-    const auto uptime = m_dependencies.clock.now() - m_servingSince;
-    if (m_hasPredecessor && uptime < m_dependencies.settings.retries.window)
-        return std::nullopt;
-    return m_instanceCount;
-}
-
 bool Gateway::tryRepeat(const std::string &service)
 {
-    return m_retries[service].tryRepeat(m_dependencies.settings.retries, slackSharers(),
-                                        m_dependencies.clock.now());
+    const auto &limits = m_dependencies.settings.retries;
+    const auto now = m_dependencies.clock.now();
+    return m_retries[service].tryRepeat(limits, m_retrySlack.part(limits.window, now), now);
 }
 
 RetryBudgetShare::Use Gateway::retryUse(const std::string &service)
 {
-    return m_retries[service].use(m_dependencies.settings.retries, slackSharers(),
-                                  m_dependencies.clock.now());
+    const auto &limits = m_dependencies.settings.retries;
+    const auto now = m_dependencies.clock.now();
+    return m_retries[service].use(limits, m_retrySlack.part(limits.window, now), now);
 }
 
 bool Gateway::isReady() const
 {
-    // While the number of members is unknown, the retry budget has no slack, so a failed request
-    // might not be retried.
+    // Without the number of members, the usage caps have no share.
     return !m_isDraining && m_dependencies.configuration.current() && hasUpToDateKeys()
            && !m_dependencies.fleet.all().empty() && m_instanceCount;
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -13,6 +13,7 @@
 #include <LibGateway/QuotaExchange.h>
 #include <LibGateway/RequestDialect.h>
 #include <LibGateway/RetryBudgetShare.h>
+#include <LibGateway/RetrySlack.h>
 #include <LibGateway/UpstreamFleet.h>
 #include <LibGateway/WeightsTargets.h>
 #include <LibHttp/Client.h>
@@ -53,15 +54,13 @@
     bool hasUpToDateKeys() const;
     /// Returns whether the load balancer should send new callers to this instance.
     bool isReady() const;
-    /// Sets the number of instances that share the retry budgets and the connection limits of
+    /// Sets the number of instances that share the usage caps and the connection limits of
     /// upstreams.
     void setInstanceCount(unsigned count) { m_instanceCount = count; }
     /// Returns the number of instances; empty until the members are known.
     std::optional<unsigned> instanceCount() const { return m_instanceCount; }
-    /// Records that this process serves from now on, so that the one before has ended.
-    void noteServing() { m_servingSince = m_dependencies.clock.now(); }
-    /// Sets whether this instance ran shortly before this process.
-    void setHasPredecessor(bool hasPredecessor) { m_hasPredecessor = hasPredecessor; }
+    /// Returns this instance's part of the slack of the retry budgets.
+    RetrySlack &retrySlack() { return m_retrySlack; }
     /// Consumes one retry of the service's budget. Returns false if this instance's share of it is
     /// used up.
     bool tryRepeat(const std::string &service);
@@ -116,10 +115,6 @@
         onWeightsSeen;
 
 private:
-    /// Returns the number of instances among which the slack of the retry budgets is divided;
-    /// nothing while this instance must not use its part.
-    std::optional<unsigned> slackSharers() const;
-
     GatewayDependencies m_dependencies;
     GatewayMetrics m_metrics;
     KvCacheStores m_stores;
@@ -127,12 +122,11 @@
     PoisonPartTable m_poisonParts;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, RetryBudgetShare> m_retries;
+    RetrySlack m_retrySlack;
     std::map<std::string, ReturningCallers> m_returning;
     EngineQueueExchange *m_engineQueues = nullptr;
     QuotaExchange *m_quotas = nullptr;
     std::minstd_rand m_random;
-    Core::Clock::Monotonic m_servingSince;
-    bool m_hasPredecessor = false;
     std::optional<unsigned> m_instanceCount;
     bool m_isDraining = false;
     bool m_isRefusing = false;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -84,6 +84,7 @@
 {
     connectCallbacks();
     connectPoisonParts();
+    connectRetrySlack();
     addGauges();
 }
 
@@ -95,7 +96,6 @@
 void GatewayDaemon::start()
 {
     openPorts();
-    m_gateway.noteServing();
     Core::logEvent(Core::EventId::ProcessStarted,
                    {{"instance", m_settings.instance.value()}, {"version", JUJUBE_VERSION}});
     Core::logEvent(Core::EventId::ListeningOn,
@@ -228,6 +228,18 @@
     };
 }
 
+void GatewayDaemon::connectRetrySlack()
+{
+    auto &slack = m_gateway.retrySlack();
+    m_journal.onAnnounced = [this, &slack](Core::Clock::Monotonic writtenAfter) {
+        slack.noteAnnounced(writtenAfter, m_settings.retries.window, m_interfaces.clock.now());
+    };
+    m_journal.onRead = [this, &slack](Core::Clock::Monotonic asOf) {
+        slack.noteJournalRead(asOf, static_cast<unsigned>(m_members.count()),
+                              m_settings.retries.window, m_interfaces.clock.now());
+    };
+}
+
 void GatewayDaemon::addGauges()
 {
     using Samples = std::vector<Metrics::Gauge::Sample>;
@@ -281,7 +293,7 @@
 {
     for (;;) {
         const auto count = static_cast<unsigned>(m_members.count());
-        m_gateway.setHasPredecessor(m_journal.hasPredecessor());
+        m_gateway.retrySlack().noteInstances(count);
         if (m_journal.hasRead() && m_gateway.instanceCount() != count) {
             m_gateway.setInstanceCount(count);
             applyQuotas();
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -68,6 +68,8 @@
     void connectCallbacks();
     /// Connects the poison part table to siblings, journal and log.
     void connectPoisonParts();
+    /// Keeps this instance's part of the slack of the retry budgets up to date.
+    void connectRetrySlack();
     void addGauges();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
--- a/Libraries/LibGateway/RetryBudgetShare.cpp
+++ b/Libraries/LibGateway/RetryBudgetShare.cpp
@@ -1,13 +1,12 @@
 #include <LibGateway/RetryBudgetShare.h>
 
-#include <algorithm>
-
 namespace Gateway {
 
 namespace {
 
-// Counts are kept per whole second while the window of the limit slides, and an instance may start
-// while the requests of another still count, so part of the budget stays unused.
+// Counts are kept per whole second while the window of the limit slides, and the parts of the slack
+// may add up to more than 1 while instances do not know each other, so part of the budget stays
+// unused.
 constexpr double UsedShare = 0.75;
 
 std::int64_t secondNumber(Core::Clock::Monotonic now)
@@ -31,8 +30,7 @@
     ++countsAt(now).requests;
 }
 
-RetryBudgetShare::Use RetryBudgetShare::use(const RetryBudgetLimits &limits,
-                                            std::optional<unsigned> instances,
+RetryBudgetShare::Use RetryBudgetShare::use(const RetryBudgetLimits &limits, double slackPart,
                                             Core::Clock::Monotonic now) const
 {
     const auto newest = secondNumber(now);
@@ -47,15 +45,14 @@
         if (entry.number >= newest - limits.window.count())
             use.repeats += entry.repeats;
     }
-    const double slack = instances ? limits.slack / std::max(1U, *instances) : 0;
-    use.limit = UsedShare * (limits.ratio * requests + slack);
+    use.limit = UsedShare * (limits.ratio * requests + limits.slack * slackPart);
     return use;
 }
 
-bool RetryBudgetShare::tryRepeat(const RetryBudgetLimits &limits, std::optional<unsigned> instances,
+bool RetryBudgetShare::tryRepeat(const RetryBudgetLimits &limits, double slackPart,
                                  Core::Clock::Monotonic now)
 {
-    const auto current = use(limits, instances, now);
+    const auto current = use(limits, slackPart, now);
     if (current.repeats + 1 > current.limit)
         return false;
     ++countsAt(now).repeats;
--- a/Libraries/LibGateway/RetryBudgetShare.h
+++ b/Libraries/LibGateway/RetryBudgetShare.h
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <cstdint>
-#include <optional>
 
 namespace Gateway {
 
@@ -19,17 +18,16 @@
 };
 
 /// The share of a service's retry budget that one instance may use in a sliding window. Each
-/// instance uses the ratio of its own requests and an equal part of the slack, so the limit holds
-/// without communication, even while instances are partitioned.
+/// instance uses the ratio of its own requests and a part of the slack, so the limit holds without
+/// communication, even while instances are partitioned.
 class RetryBudgetShare
 {
 public:
     /// Records a caller's request for the service.
     void noteRequest(Core::Clock::Monotonic now);
-    /// Consumes one retry. Returns false if this instance's share is used up. The share contains no
-    /// slack while the number of instances is unknown.
-    bool tryRepeat(const RetryBudgetLimits &limits, std::optional<unsigned> instances,
-                   Core::Clock::Monotonic now);
+    /// Consumes one retry. Returns false if this instance's share is used up. The part of the slack
+    /// that the share contains is between 0 and 1.
+    bool tryRepeat(const RetryBudgetLimits &limits, double slackPart, Core::Clock::Monotonic now);
 
     /// The retries that count at a time, and how many may.
     struct Use
@@ -37,8 +35,7 @@
         unsigned repeats = 0;
         double limit = 0;
     };
-    Use use(const RetryBudgetLimits &limits, std::optional<unsigned> instances,
-            Core::Clock::Monotonic now) const;
+    Use use(const RetryBudgetLimits &limits, double slackPart, Core::Clock::Monotonic now) const;
 
 private:
     struct SecondCounts
--- a/Tests/Platform/TestRetryBudget.cpp
+++ b/Tests/Platform/TestRetryBudget.cpp
@@ -4,8 +4,10 @@
 
 #include <chrono>
 #include <csignal>
+#include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -27,9 +29,9 @@
     co_return true;
 }
 
-void sendViews(const GatewayFixture &fixture, int &sent)
+void sendViews(const GatewayFixture &fixture, int &sent, int count = RequestsPerStart)
 {
-    for (int n = 0; n < RequestsPerStart; ++n, ++sent)
+    for (int n = 0; n < count; ++n, ++sent)
         fixture.send(GatewayFixture::request("/views/a", "id-" + std::to_string(sent), "GET"));
 }
 
@@ -86,3 +88,40 @@
     CHECK(repeats > 0);
     CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
 }
+
+TEST_CASE("instances that start one after another, and are killed meanwhile, share the slack")
+{
+    constexpr unsigned Seed = 1;
+    constexpr std::size_t Instances = 8;
+    // Few requests, so that the slack is the greater part of the budget.
+    constexpr int Requests = 25;
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "app");
+    auto &second = fixture.addWorker("w-2", "app");
+    first.setBehaviour(fail);
+    second.setBehaviour(fail);
+    fixture.configure(1);
+    std::mt19937 random(Seed);
+    std::vector<Processes::Process *> gateways;
+    int sent = 0;
+    const auto start = [&](std::size_t index) {
+        GatewayOptions options;
+        options.name = "edge-" + std::to_string(index);
+        auto &gateway = fixture.startGateway(options);
+        sendViews(fixture, sent, Requests);
+        return &gateway;
+    };
+    for (std::size_t n = 0; n < Instances; ++n) {
+        gateways.push_back(start(n));
+        const auto killed = random() % gateways.size();
+        if (killed == n)
+            continue;
+        gateways[killed]->signal(SIGKILL);
+        gateways[killed]->wait();
+        gateways[killed] = start(killed);
+    }
+    const auto arrivals = first.requests().size() + second.requests().size();
+    const auto repeats = arrivals - static_cast<std::size_t>(sent);
+    CHECK(repeats > 0);
+    CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
+}
