--- a/Libraries/LibGateway/RetrySlack.cpp
+++ b/Libraries/LibGateway/RetrySlack.cpp
@@ -5,6 +5,12 @@
 
 namespace Gateway {
 
+namespace {
+
+constexpr double ReducedPart = 1.0 / 3;
+
+} // namespace
+
 bool RetrySlack::isLapsed(Time last, std::chrono::seconds window, Core::Clock::Monotonic now)
 {
     return !last || now - *last > FleetMembers::MemberTimeout - window;
@@ -38,7 +44,8 @@
     if (isLapsed(m_announced, window, now) || isLapsed(m_journalAsOf, window, now)
         || now - m_standsSince < window)
         return 0;
-    return 1.0 / std::max(1U, m_instances);
+    const bool isReduced = now - *m_journalAsOf > window || now - m_standsSince < 2 * window;
+    return (isReduced ? ReducedPart : 1) / std::max(1U, m_instances);
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/RetrySlack.h
+++ b/Libraries/LibGateway/RetrySlack.h
@@ -7,12 +7,15 @@
 
 namespace Gateway {
 
-/// The part of the retry budgets' slack that this instance may use: an equal one, among the
-/// instances that it knows.
+/// The part of the retry budgets' slack that this instance may use. The parts of all instances that
+/// count in one window add up to at most 4/3, although instances learn of each other late, restart,
+/// and may be cut off from the journal; RetryBudgetShare uses three quarters.
 ///
 /// An instance has no part until an announcement of its own has stood in the journal for a window:
 /// by then the retries of an earlier process of its name no longer count. It has none either once
-/// the other members may drop it, or it may drop them.
+/// the other members may drop it. Until the announcement has stood for two windows, and while its
+/// own knowledge of the journal is older than one, instances may not know each other, and the part
+/// is reduced to a third.
 class RetrySlack
 {
 public:
--- a/Tests/LibGateway/TestRetrySlack.cpp
+++ b/Tests/LibGateway/TestRetrySlack.cpp
@@ -336,3 +336,51 @@
         CHECK(fleet.greatestUse <= 1);
     }
 }
+
+TEST_CASE("instances that join while the others are cut off or read late get only what is left")
+{
+    for (const std::size_t joining : {1U, 8U, 24U}) {
+        for (const auto delay : {0s, 6s}) {
+            RetryingFleet fleet(1);
+            fleet.start(8);
+            for (const auto &process : fleet.processes)
+                process->log.delay = delay;
+            fleet.run(30s);
+            fleet.cut(0, delay > 0s ? 0 : 8);
+            fleet.start(joining);
+            fleet.run(60s);
+            CHECK(fleet.greatestUse <= 1);
+            fleet.cut(0, 8, false);
+            CHECK(fleet.recovers());
+        }
+    }
+}
+
+TEST_CASE("the slack is used only once under restarts, joins, cuts, freezes and lost answers")
+{
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        RetryingFleet fleet(seed);
+        fleet.requestsPerSecond = seed % 3;
+        fleet.start(4 + seed % 5);
+        const auto chance = [&](unsigned percent) { return fleet.random() % 100 < percent; };
+        for (int second = 0; second < 300; ++second) {
+            const auto index = fleet.random() % fleet.processes.size();
+            auto &log = fleet.processes[index]->log;
+            if (chance(8))
+                fleet.restart(index);
+            else if (chance(3))
+                fleet.freeze(index, std::chrono::milliseconds(fleet.random() % 80'000));
+            else if (chance(10))
+                log.isCut = !log.isCut;
+            else if (chance(3))
+                log.losesAnswers = !log.losesAnswers;
+            else if (chance(10))
+                log.delay = std::chrono::milliseconds(fleet.random() % 8'000);
+            else if (second % 100 == 50)
+                fleet.start(fleet.processes.size());
+            fleet.run(1s);
+        }
+        INFO("seed " << seed);
+        CHECK(fleet.greatestUse <= 1);
+    }
+}
