LibGateway: Repeat an executed request only as its new route allows

Cause: whether a request may be repeated was checked with the route of the failed attempt; then the request was authorized again, and sent on the new route without another check.

Evidence: Tests/Platform "a request that has run is not sent again if its new route does not allow it": two executions where one is allowed, with a lower MaxAttempts and with another kind; one each now.

The number of executions is compared with the route that the request has after it was authorized again. A configuration that changes later, before the first byte, makes the attempt unsent and leads to the same check.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -207,13 +207,19 @@
             co_await refuse(*denied);
             co_return;
         }
-        if (denied) {
+        if (denied || !mayExecute()) {
             co_await finish(end);
             co_return;
         }
     }
 }
 
+bool RequestRelay::mayExecute() const
+{
+    return m_executions == 0
+           || (m_request.route->mayRunAgain() && m_executions < m_request.route->maxAttempts);
+}
+
 asio::awaitable<std::variant<RequestPlan, Refusal>> RequestRelay::plan()
 {
     auto *queues = m_gateway.engineQueues();
@@ -306,12 +312,11 @@
     case AttemptOutcome::Interrupted:
     case AttemptOutcome::Withdrawn:
     case AttemptOutcome::ServerError:
-        return m_request.route->mayRunAgain() && m_executions < m_request.route->maxAttempts
+        return mayExecute()
                && !m_gateway.poison().isPoison(m_request.digest, dependencies.clock.now())
                && mayRepeat();
     case AttemptOutcome::StreamInterrupted:
-        return m_request.route->mayRunAgain() && !m_events.lastId().empty()
-               && m_executions < m_request.route->maxAttempts && mayRepeat();
+        return mayExecute() && !m_events.lastId().empty() && mayRepeat();
     case AttemptOutcome::Answered:
     case AttemptOutcome::Cancelled:
         return false;
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -78,6 +78,9 @@
     void watchBegin();
     void withdraw();
     bool mayRetry(AttemptOutcome end);
+    /// Returns whether the route allows an upstream to execute the request, after those that may
+    /// have.
+    bool mayExecute() const;
     boost::asio::awaitable<AttemptOutcome> runAttempt();
     boost::asio::awaitable<AttemptOutcome> sendToUpstream(UpstreamLoad &load);
     boost::asio::awaitable<AttemptOutcome> relayAnswer(Http::ClientExchange &answer,
--- a/Tests/Platform/TestRetryBudget.cpp
+++ b/Tests/Platform/TestRetryBudget.cpp
@@ -1,5 +1,8 @@
 #include "GatewayFixture.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <chrono>
@@ -7,6 +10,7 @@
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace asio = boost::asio;
@@ -35,6 +39,14 @@
         fixture.send(GatewayFixture::request("/views/a", "id-" + std::to_string(sent), "GET"));
 }
 
+/// Returns the default routes with the text of the views' route replaced.
+std::string viewsWith(const std::string &before, const std::string &after)
+{
+    auto routes = GatewayFixture::defaultRoutes();
+    const auto begin = routes.find(before, routes.find(R"("views")"));
+    return routes.replace(begin, before.size(), after);
+}
+
 } // namespace
 
 TEST_CASE("instances that are killed or stopped do not get their slack of the retry budget again")
@@ -125,3 +137,29 @@
     CHECK(repeats > 0);
     CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
 }
+
+TEST_CASE("a request that has run is not sent again if its new route does not allow it")
+{
+    const auto [before, after] =
+        GENERATE(std::pair<std::string, std::string> {R"("MaxAttempts":2)", R"("MaxAttempts":1)"},
+                 std::pair<std::string, std::string> {R"("idempotent")", R"("non_idempotent")"});
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "app");
+    auto &second = fixture.addWorker("w-2", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    // The ratio of the budget allows a retry afterwards.
+    constexpr int WarmUp = 40;
+    int sent = 0;
+    sendViews(fixture, sent, WarmUp);
+    const auto changeRoutes = [&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        fixture.configure(2, viewsWith(before, after));
+        asio::steady_timer timer(co_await asio::this_coro::executor, 500ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return co_await fail(exchange);
+    };
+    first.setBehaviour(changeRoutes);
+    second.setBehaviour(changeRoutes);
+    fixture.send(GatewayFixture::request("/views/a", "changed", "GET"));
+    CHECK(first.requests().size() + second.requests().size() == WarmUp + 1);
+}
