--- a/Tests/Platform/TestRetryBudget.cpp
+++ b/Tests/Platform/TestRetryBudget.cpp
@@ -1,11 +1,17 @@
 #include "GatewayFixture.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <chrono>
 #include <csignal>
+#include <random>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -27,12 +33,20 @@
     co_return true;
 }
 
-void sendViews(const GatewayFixture &fixture, int &sent)
+void sendViews(const GatewayFixture &fixture, int &sent, int count = RequestsPerStart)
 {
-    for (int n = 0; n < RequestsPerStart; ++n, ++sent)
+    for (int n = 0; n < count; ++n, ++sent)
         fixture.send(GatewayFixture::request("/views/a", "id-" + std::to_string(sent), "GET"));
 }
 
+/// Returns the default routes with the text of the views' route replaced.
+std::string viewsWith(const std::string &before, const std::string &after)
+{
+    auto routes = GatewayFixture::defaultRoutes();
+    const auto begin = routes.find(before, routes.find(R"("views")"));
+    return routes.replace(begin, before.size(), after);
+}
+
 } // namespace
 
 TEST_CASE("instances that are killed or stopped do not get their slack of the retry budget again")
@@ -86,3 +100,66 @@
     CHECK(repeats > 0);
     CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
 }
+
+TEST_CASE("instances that start one after another, and are killed meanwhile, share the slack")
+{
+    constexpr unsigned Seed = 1;
+    constexpr std::size_t Instances = 8;
+    // Few requests, so that the slack is the greater part of the budget.
+    constexpr int Requests = 25;
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "app");
+    auto &second = fixture.addWorker("w-2", "app");
+    first.setBehaviour(fail);
+    second.setBehaviour(fail);
+    fixture.configure(1);
+    std::mt19937 random(Seed);
+    std::vector<Processes::Process *> gateways;
+    int sent = 0;
+    const auto start = [&](std::size_t index) {
+        GatewayOptions options;
+        options.name = "edge-" + std::to_string(index);
+        auto &gateway = fixture.startGateway(options);
+        sendViews(fixture, sent, Requests);
+        return &gateway;
+    };
+    for (std::size_t n = 0; n < Instances; ++n) {
+        gateways.push_back(start(n));
+        const auto killed = random() % gateways.size();
+        if (killed == n)
+            continue;
+        gateways[killed]->signal(SIGKILL);
+        gateways[killed]->wait();
+        gateways[killed] = start(killed);
+    }
+    const auto arrivals = first.requests().size() + second.requests().size();
+    const auto repeats = arrivals - static_cast<std::size_t>(sent);
+    CHECK(repeats > 0);
+    CHECK(static_cast<double>(repeats) <= Ratio * sent + Slack);
+}
+
+TEST_CASE("a request that has run is not sent again if its new route does not allow it")
+{
+    const auto [before, after] =
+        GENERATE(std::pair<std::string, std::string> {R"("MaxAttempts":2)", R"("MaxAttempts":1)"},
+                 std::pair<std::string, std::string> {R"("idempotent")", R"("non_idempotent")"});
+    GatewayFixture fixture;
+    auto &first = fixture.addWorker("w-1", "app");
+    auto &second = fixture.addWorker("w-2", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    // The ratio of the budget allows a retry afterwards.
+    constexpr int WarmUp = 40;
+    int sent = 0;
+    sendViews(fixture, sent, WarmUp);
+    const auto changeRoutes = [&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        fixture.configure(2, viewsWith(before, after));
+        asio::steady_timer timer(co_await asio::this_coro::executor, 500ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return co_await fail(exchange);
+    };
+    first.setBehaviour(changeRoutes);
+    second.setBehaviour(changeRoutes);
+    fixture.send(GatewayFixture::request("/views/a", "changed", "GET"));
+    CHECK(first.requests().size() + second.requests().size() == WarmUp + 1);
+}
