--- a/Tests/Soak/History.h
+++ b/Tests/Soak/History.h
@@ -38,6 +38,7 @@
     /// What was wrong with the bytes that were received.
     std::string malformation;
 
+    Time timeout() const { return isStream() ? Time(12'000) : Time(4'000); }
     bool isStream() const { return kind == Kind::Stream || kind == Kind::ResumableStream; }
     bool runsOnce() const { return kind == Kind::Once || kind == Kind::Stream; }
     std::string service() const { return isStream() ? "llm" : "app"; }
@@ -47,6 +48,8 @@
 struct Arrival
 {
     std::string upstream;
+    /// Distinguishes the processes of one upstream.
+    unsigned incarnation = 0;
     std::string target;
     Time at {0};
     /// It was meant for another upstream, and got 421.
@@ -58,6 +61,11 @@
     std::string body;
     /// Whether the answer was sent in full.
     bool isAnswered = false;
+    Time answeredAt {0};
+    /// The answer said that the upstream leaves.
+    bool saysLeaving = false;
+    /// The time for which a 503 asked the instance to send nothing; 0 if it named none.
+    Time retryAfter {0};
 };
 
 /// A time in which an upstream's entry said that it leaves, or was missing.
@@ -67,6 +75,9 @@
     Time from {0};
     Time to = Time::max();
     bool isRemoval = false;
+    /// When the store accepted an older entry, as if the upstream had not left. Whoever starts
+    /// after that cannot know better.
+    Time staleEntryAt = Time::max();
 };
 
 /// A time in which the test disturbed an instance, or the store if the name is empty.
@@ -77,6 +88,8 @@
     Time to = Time::max();
     /// A stop or a change of settings, not a failure.
     bool isPlanned = false;
+    /// The test itself was late, and with it all that it recorded.
+    bool isOfTest = false;
 };
 
 /// A process that ended or failed to start without being asked to.
--- a/Tests/Soak/Judge.cpp
+++ b/Tests/Soak/Judge.cpp
@@ -1,6 +1,8 @@
 #include "Judge.h"
 
 #include <algorithm>
+#include <map>
+#include <tuple>
 
 namespace Soak {
 
@@ -52,6 +54,8 @@
         judgeLoss(request);
     }
     judgeUnasked();
+    judgeNotices();
+    judgeTimeouts();
     judgeBudget("app");
     judgeBudget("llm");
     if (m_cuts.size() > m_bounds.cutsAllowed)
@@ -81,6 +85,15 @@
         });
 }
 
+bool Judge::isRestartedOrFrozen(const std::string &instance, Time from, Time to) const
+{
+    return std::any_of(m_history.disturbances.begin(), m_history.disturbances.end(),
+                       [&](const auto &item) {
+                           return (item.isOfTest || item.instance == instance) && item.from <= to
+                                  && item.to >= from;
+                       });
+}
+
 bool Judge::isInTouch(const std::string &instance, Time at) const
 {
     return !isDisturbed(instance, at - m_bounds.stableWindow, at);
@@ -182,6 +195,9 @@
             if (departure.upstream != arrival.upstream
                 || arrival.at <= departure.from + m_bounds.drain || arrival.at >= departure.to)
                 continue;
+            if (departure.staleEntryAt <= arrival.at
+                && isRestartedOrFrozen(request.instance, departure.from, arrival.at))
+                continue;
             // The store's acceptance counts only while it is stable.
             if (isDisturbed("", departure.from - m_bounds.stableWindow, departure.from))
                 continue;
@@ -192,6 +208,85 @@
     }
 }
 
+void Judge::judgeNotices()
+{
+    std::map<std::tuple<std::string, std::string, unsigned>, Pair> pairs;
+    for (const auto &[id, request] : m_history.requests) {
+        for (const auto &arrival : arrivalsOf(request)) {
+            auto &pair = pairs[{request.instance, arrival.upstream, arrival.incarnation}];
+            pair.arrivals.emplace_back(&request, &arrival);
+            const bool isPassedOn =
+                request.isComplete && !arrival.seal.empty() && request.seal == arrival.seal;
+            if (isPassedOn && arrival.saysLeaving)
+                pair.leavingSince = std::min(pair.leavingSince, request.endedAt);
+        }
+    }
+    for (auto &[key, pair] : pairs) {
+        std::sort(pair.arrivals.begin(), pair.arrivals.end(),
+                  [](const auto &a, const auto &b) { return a.second->at < b.second->at; });
+        judgeLeaving(pair);
+        judgeRetryAfter(pair);
+    }
+}
+
+void Judge::judgeLeaving(const Pair &pair)
+{
+    if (pair.leavingSince == Time::max())
+        return;
+    for (const auto &[request, arrival] : pair.arrivals) {
+        if (arrival->isMisdirected || request->sentAt <= pair.leavingSince + m_bounds.drain
+            || isRestartedOrFrozen(request->instance, pair.leavingSince, arrival->at))
+            continue;
+        report("DRAIN", arrival->at, *request,
+               "reached " + arrival->upstream + ", sent "
+                   + text(request->sentAt - pair.leavingSince)
+                   + " after the instance passed on Server-Leaving");
+    }
+}
+
+void Judge::judgeRetryAfter(const Pair &pair)
+{
+    for (const auto &[rejected, rejection] : pair.arrivals) {
+        if (rejection->retryAfter == 0ms || !rejection->isAnswered)
+            continue;
+        const auto from = rejection->answeredAt + m_bounds.retryAfterSlack;
+        const auto to = rejection->answeredAt + rejection->retryAfter;
+        unsigned count = 0;
+        for (const auto &[request, arrival] : pair.arrivals) {
+            if (arrival->at <= from || arrival->at > to
+                || isRestartedOrFrozen(request->instance, rejection->answeredAt, arrival->at))
+                continue;
+            if (++count != m_bounds.arrivalsAfterRejection + 1)
+                continue;
+            report("BUDGET", arrival->at, *request,
+                   "reached " + arrival->upstream + " as the third one within "
+                       + text(rejection->retryAfter) + " after it answered 503 with Retry-After");
+        }
+    }
+}
+
+void Judge::judgeTimeouts()
+{
+    std::vector<const Request *> late;
+    std::size_t unanswered = 0;
+    for (const auto &[id, request] : m_history.requests) {
+        const auto end = request.sentAt + request.timeout();
+        if (request.endedAt <= end
+            || isDisturbed(request.instance, request.sentAt - m_bounds.stableWindow,
+                           end + m_bounds.timeoutSlack, false))
+            continue;
+        ++unanswered;
+        if (request.endedAt > end + m_bounds.timeoutSlack)
+            late.push_back(&request);
+    }
+    if (2 * late.size() <= unanswered)
+        return;
+    for (const auto *request : late)
+        report("CONFIG", request->endedAt, *request,
+               "unanswered " + text(request->endedAt - request->sentAt) + " after it was sent, "
+                   + std::to_string(late.size()) + " of " + std::to_string(unanswered));
+}
+
 void Judge::judgeConfiguration(const Request &request)
 {
     const auto &arrivals = arrivalsOf(request);
--- a/Tests/Soak/Judge.h
+++ b/Tests/Soak/Judge.h
@@ -17,6 +17,9 @@
     Time configurationApply {2'000};
     Time revocation {5'000};
     Time budgetWindow {10'000};
+    Time retryAfterSlack {500};
+    unsigned arrivalsAfterRejection = 2;
+    Time timeoutSlack {500};
     double retryRatio = 0.2;
     double retrySlack = 52;
     unsigned cutsAllowed = 3;
@@ -49,14 +52,26 @@
     void judgeAnswer(const Request &request);
     void judgeStream(const Request &request);
     void judgeDrain(const Request &request);
+    void judgeNotices();
+    void judgeTimeouts();
     void judgeConfiguration(const Request &request);
     void judgeLoss(const Request &request);
     void judgeBudget(const std::string &service);
 
+    /// Requests that one instance sent to one process of an upstream, by their arrival.
+    struct Pair
+    {
+        std::vector<std::pair<const Request *, const Arrival *>> arrivals;
+        Time leavingSince = Time::max();
+    };
+    void judgeLeaving(const Pair &pair);
+    void judgeRetryAfter(const Pair &pair);
     const std::deque<Arrival> &arrivalsOf(const Request &request) const;
     /// Whether the instance, or the store, was disturbed in the span.
     bool isDisturbed(const std::string &instance, Time from, Time to,
                      bool countsPlanned = true) const;
+    /// Whether the instance itself was disturbed in the span, whatever the store did.
+    bool isRestartedOrFrozen(const std::string &instance, Time from, Time to) const;
     /// Whether the instance and the store were calm for the stable window before the time.
     bool isInTouch(const std::string &instance, Time at) const;
     void report(const std::string &rule, Time at, const Request &request, std::string detail);
--- a/Tests/Soak/TestJudge.cpp
+++ b/Tests/Soak/TestJudge.cpp
@@ -328,3 +328,103 @@
     }
     CHECK(history.rules() == "UNASKED");
 }
+
+TEST_CASE("the judge finds requests sent to an upstream after its notice was passed on")
+{
+    SampleHistory history;
+    history.arrivals.at("1").front().saysLeaving = true;
+    history.add("2", Kind::Once, 22'051ms);
+    // Nothing but a restart or a freeze of the instance since then excuses it.
+    history.disturb("", 19s, 22s);
+    history.disturb("edge-1", 16s, 20'040ms);
+    history.disturb("edge-2", 21s, 22s);
+    CHECK(history.rules() == "DRAIN");
+    SECTION("within the bound")
+    {
+        history.requests.at("2").sentAt = 22'050ms;
+    }
+    SECTION("not passed on")
+    {
+        history.requests.at("1").isComplete = false;
+        history.requests.at("1").hasLeft = true;
+    }
+    SECTION("another process of the upstream")
+    {
+        history.arrivals.at("2").front().incarnation = 1;
+    }
+    SECTION("through another instance")
+    {
+        history.requests.at("2").instance = "edge-2";
+    }
+    SECTION("after a restart")
+    {
+        history.disturb("edge-1", 21s, 21s);
+    }
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge finds more than two requests in the time that a rejection named")
+{
+    SampleHistory history;
+    auto &rejection = history.arrivals.at("1").front();
+    auto &request = history.requests.at("1");
+    rejection.status = request.status = 503;
+    rejection.hasRun = false;
+    rejection.retryAfter = 3s;
+    rejection.answeredAt = 20'100ms;
+    request.seal.clear();
+    request.body.clear();
+    history.add("2", Kind::Once, 20'700ms);
+    history.add("3", Kind::Once, 21'000ms);
+    history.add("4", Kind::Once, 23'090ms);
+    CHECK(history.rules() == "BUDGET");
+    SECTION("only two")
+    {
+        history.arrivals.at("4").front().at = 23'101ms;
+    }
+    SECTION("within half a second")
+    {
+        history.arrivals.at("2").front().at = 20'600ms;
+    }
+    SECTION("no time named")
+    {
+        rejection.retryAfter = 0s;
+    }
+    SECTION("after a freeze")
+    {
+        history.disturb("edge-1", 20'200ms, 20'300ms);
+    }
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge finds requests without an answer after the time of their route")
+{
+    SampleHistory history;
+    history.requests.at("1").endedAt = 24'501ms;
+    CHECK(history.rules() == "CONFIG");
+    SECTION("in time")
+    {
+        history.requests.at("1").endedAt = 24'500ms;
+    }
+    SECTION("one of two")
+    {
+        history.add("2", Kind::Once, 20s).endedAt = 24'100ms;
+    }
+    SECTION("disturbed")
+    {
+        history.disturb("edge-1", 17s, 17s);
+    }
+    CHECK(history.rules().empty());
+}
+
+TEST_CASE("the judge excuses a stale entry only to an instance that started after the departure")
+{
+    SampleHistory history;
+    history.leave(15'000ms);
+    history.departures.front().staleEntryAt = 15'500ms;
+    CHECK(history.rules() == "DRAIN");
+    history.disturb("edge-1", 16s, 16s);
+    CHECK(history.rules().empty());
+    history.departures.front().staleEntryAt = Time::max();
+    CHECK(history.rules() == "DRAIN");
+}
