--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -10,6 +10,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <array>
+#include <limits>
+
 namespace Soak {
 
 namespace asio = boost::asio;
@@ -22,7 +25,8 @@
 
 constexpr auto ConnectTimeout = 1'000ms;
 // Beyond the deadline, so that an answer at the deadline still arrives.
-constexpr auto Patience = 500ms;
+constexpr auto Patience = 700ms;
+constexpr auto ReconnectPause = 200ms;
 
 http::request<http::string_body> encode(const Request &request, Time deadline)
 {
@@ -57,6 +61,28 @@
     asio::co_spawn(m_world.context, run(), asio::detached);
 }
 
+void Clients::addIdle()
+{
+    asio::co_spawn(m_world.context, holdConnections(), asio::detached);
+}
+
+asio::awaitable<void> Clients::holdConnections()
+{
+    while (!m_world.isStopping) {
+        tcp::socket socket(m_world.context);
+        const auto n = static_cast<std::size_t>(
+            m_world.dice.between(0, static_cast<std::int64_t>(m_gateways.count()) - 1));
+        const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), m_gateways.port(n));
+        boost::system::error_code ec;
+        co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+        std::array<char, 1> byte {};
+        if (!ec)
+            co_await socket.async_read_some(asio::buffer(byte),
+                                            asio::redirect_error(asio::use_awaitable, ec));
+        co_await pause(ReconnectPause);
+    }
+}
+
 std::size_t Clients::pickInstance()
 {
     const auto count = static_cast<std::int64_t>(m_gateways.count());
@@ -116,7 +142,10 @@
     if (ec)
         co_return;
     beast::flat_buffer buf;
-    const auto count = m_world.dice.chance(0.3) ? 1 : m_world.dice.between(2, 200);
+    // Some connections are kept as long as the process lives.
+    const auto count = m_world.dice.chance(0.3)   ? 1
+                       : m_world.dice.chance(0.5) ? m_world.dice.between(2, 200)
+                                                  : std::numeric_limits<int>::max();
     bool goesOn = true;
     for (int n = 0; n < count && goesOn && !m_world.isStopping; ++n) {
         auto &request = newRequest(m_gateways.name(instance));
@@ -132,6 +161,7 @@
 {
     auto &dice = m_world.dice;
     const auto deadline = request.isStream() ? dice.time(2'500, 12'000) : 4'000ms;
+    request.deadline = deadline;
     const bool leavesEarly = dice.chance(0.04);
     const auto message = encode(request, deadline);
     boost::system::error_code ec;
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -22,12 +22,15 @@
 
     /// Starts one more client.
     void add();
+    /// Starts a client that holds a connection without a request until the other side ends it.
+    void addIdle();
     std::size_t active() const { return m_active; }
 
 private:
     using Stream = boost::beast::tcp_stream;
 
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> holdConnections();
     /// Sends requests on one connection until either side ends it.
     boost::asio::awaitable<void> useConnection();
     /// Returns whether the connection can be used again.
--- a/Tests/Soak/GatewayFleet.cpp
+++ b/Tests/Soak/GatewayFleet.cpp
@@ -37,9 +37,13 @@
 constexpr auto Grace = 8'000ms;
 // RecoverS of the deployments.
 constexpr auto ReadyBound = 12'000ms;
+// After SIGTERM.
+constexpr auto UnreadyBound = 4'000ms;
 constexpr auto StartPollInterval = 1ms;
 constexpr auto StartTimeout = 2'000ms;
 constexpr std::uint16_t PortsPerInstance = 3;
+// MemoryMb of the deployments.
+constexpr std::size_t MemoryLimit = 260'000'000;
 
 /// Whether three ports can be opened; ports below the range that the system hands out itself.
 bool arePortsFree(std::uint16_t first)
@@ -94,9 +98,10 @@
 
 } // namespace
 
-GatewayFleet::GatewayFleet(World &world, std::string folder)
+GatewayFleet::GatewayFleet(World &world, std::string folder, std::string program)
     : m_world(world)
     , m_folder(std::move(folder))
+    , m_program(std::move(program))
 { }
 
 GatewayFleet::~GatewayFleet() = default;
@@ -110,6 +115,7 @@
 {
     auto &instance = *m_instances.emplace_back(std::make_unique<Instance>());
     instance.name = "edge-" + std::to_string(m_instances.size());
+    instance.zone = m_world.zone(m_instances.size() - 1);
     instance.firstPort = nextPorts();
     instance.store = Http::formatEndpoint(m_world.store.addCaller(instance.name));
     start(instance);
@@ -117,23 +123,30 @@
     asio::co_spawn(m_world.context, checkReadiness(instance), asio::detached);
 }
 
-void GatewayFleet::writeSettings(const Instance &instance) const
+std::pair<std::string, std::string> GatewayFleet::settings(const Instance &instance) const
 {
     const auto address = [&](int n) {
         return "\"127.0.0.1:" + std::to_string(instance.firstPort + n) + "\"";
     };
     const auto siblings = std::to_string(instance.firstPort + 2);
+    auto first = "NodeName = \"" + instance.name + "\"\nZone = \"" + instance.zone
+                 + "\"\nPortRange = [" + siblings + "," + siblings
+                 + "]\nHeartbeatMs = 1200\n[Listen]\nFront = " + address(0)
+                 + "\nReady = " + address(1) + "\n";
+    auto second = "[Limits]\nLinkMbps = 1000.0\n[Bounds]\nStableWindowMs = 3000\nDrainMs = 2000\n"
+                  "GraceS = 8\nConfigApplyMs = 2000\nRevokeMs = 5000\nRetryBudgetRatio = 0.2\n"
+                  "BudgetWindowS = 10\nBudgetSlack = 52\nLeaseMs = 3000\nVersionMs = 6000\n"
+                  "[Platform]\nkeep_s = 20\nAddress = \""
+                  + instance.store + "\"\n";
+    return {std::move(first), std::move(second)};
+}
+
+void GatewayFleet::writeSettings(const Instance &instance) const
+{
+    const auto [first, second] = settings(instance);
     std::ofstream file(path(instance, ".toml"));
-    file << "NodeName = \"" << instance.name << "\"\nZone = \"a\"\nPortRange = [" << siblings << ","
-         << siblings << "]\nHeartbeatMs = 1200\n[Listen]\nFront = " << address(0)
-         << "\nReady = " << address(1) << "\n";
     // A reader may see half of the file.
-    file.flush();
-    file << "[Limits]\nLinkMbps = 1000.0\n[Bounds]\nStableWindowMs = 3000\nDrainMs = 2000\n"
-            "GraceS = 8\nConfigApplyMs = 2000\nRevokeMs = 5000\nRetryBudgetRatio = 0.2\n"
-            "BudgetWindowS = 10\nBudgetSlack = 52\nLeaseMs = 3000\nVersionMs = 6000\n[Platform]\n"
-            "keep_s = 20\nAddress = \""
-         << instance.store << "\"\n";
+    file << first << std::flush << second;
 }
 
 void GatewayFleet::start(Instance &instance)
@@ -147,9 +160,16 @@
     // A start by the test is a disturbance of its own.
     beginDisturbance(instance, false);
     endDisturbances(instance);
-    instance.process = std::make_unique<Processes::Process>(
-        "jujubesaddle-gateway", std::vector<std::string> {"--settings", path(instance, ".toml")},
-        path(instance, ".log"));
+    instance.isOverMemory = false;
+    const std::vector<std::string> arguments {"--settings", path(instance, ".toml")};
+    if (instance.logReaderEnd) {
+        instance.process = std::make_unique<Processes::Process>(m_program, arguments);
+        asio::co_spawn(m_world.context, closeLog(instance, *instance.logReaderEnd), asio::detached);
+        instance.logReaderEnd.reset();
+    } else {
+        instance.process =
+            std::make_unique<Processes::Process>(m_program, arguments, path(instance, ".log"));
+    }
     if (instance.startSignal) {
         const auto [signal, delay] = *instance.startSignal;
         instance.startSignal.reset();
@@ -190,6 +210,8 @@
 {
     instance.terminatedAt = m_world.now();
     beginDisturbance(instance, true);
+    if (instance.missedChecks < 2)
+        m_world.history.stops.push_back({instance.name, *instance.terminatedAt});
     instance.process->signal(SIGTERM);
 }
 
@@ -206,10 +228,70 @@
 void GatewayFleet::reload(std::size_t n)
 {
     auto &instance = *m_instances[n % m_instances.size()];
-    if (!instance.process)
-        return;
+    if (instance.process)
+        asio::co_spawn(m_world.context, reloadInSteps(instance), asio::detached);
+}
+
+asio::awaitable<void> GatewayFleet::reloadInSteps(Instance &instance)
+{
+    const auto startedAt = instance.startedAt;
+    {
+        const auto [first, second] = settings(instance);
+        std::ofstream(path(instance, ".toml")) << first;
+        sendReload(instance);
+        co_await pause(m_world.dice.time(0, 50));
+    }
     writeSettings(instance);
-    sendReload(instance);
+    co_await pause(m_world.dice.time(0, 5));
+    if (instance.process && instance.startedAt == startedAt)
+        sendReload(instance);
+}
+
+void GatewayFleet::holdPorts(std::size_t n, unsigned port, Time time)
+{
+    m_instances[n % m_instances.size()]->heldPort = {port, time};
+    kill(n);
+}
+
+asio::awaitable<void> GatewayFleet::hold(std::uint16_t port, bool isDatagram, Time time)
+{
+    tcp::acceptor acceptor(m_world.context, tcp::v4());
+    asio::ip::udp::socket datagrams(m_world.context, asio::ip::udp::v4());
+    boost::system::error_code ec;
+    if (isDatagram) {
+        datagrams.bind({asio::ip::address_v4::loopback(), port}, ec);
+    } else {
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind({asio::ip::address_v4::loopback(), port}, ec);
+        if (!ec)
+            acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    co_await pause(time);
+}
+
+void GatewayFleet::endLogReader(std::size_t n, Time delay)
+{
+    m_instances[n % m_instances.size()]->logReaderEnd = delay;
+    kill(n);
+}
+
+asio::awaitable<void> GatewayFleet::closeLog(Instance &instance, Time delay)
+{
+    const auto startedAt = instance.startedAt;
+    co_await pause(delay);
+    if (instance.process && instance.startedAt == startedAt)
+        instance.process->closeOutput();
+}
+
+void GatewayFleet::checkMemory(Instance &instance)
+{
+    if (!instance.process || instance.isOverMemory)
+        return;
+    const auto bytes = instance.process->residentBytes();
+    if (bytes <= MemoryLimit)
+        return;
+    instance.isOverMemory = true;
+    noteFault(instance, "takes " + std::to_string(bytes / 1'000'000) + " MB of memory");
 }
 
 void GatewayFleet::sendReload(Instance &instance)
@@ -268,6 +350,14 @@
     instance.process.reset();
     instance.missedChecks = 2;
     instance.restartAt = m_world.now() + m_world.dice.time(50, 500);
+    if (instance.heldPort) {
+        const auto [port, time] = *instance.heldPort;
+        instance.heldPort.reset();
+        asio::co_spawn(m_world.context,
+                       hold(static_cast<std::uint16_t>(instance.firstPort + port),
+                            port == PortsPerInstance - 1, time),
+                       asio::detached);
+    }
     if (instance.killedAt)
         return;
     const bool isClean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
@@ -305,6 +395,17 @@
     }
 }
 
+void GatewayFleet::checkStop(const Instance &instance)
+{
+    if (!instance.process || !instance.terminatedAt || instance.missedChecks >= 2
+        || m_world.now() < *instance.terminatedAt + UnreadyBound)
+        return;
+    for (auto &stop : m_world.history.stops) {
+        if (stop.instance == instance.name && stop.at >= *instance.terminatedAt)
+            stop.isReadyLater = true;
+    }
+}
+
 bool GatewayFleet::hadTimeToBeReady(const Instance &instance) const
 {
     const auto since = m_world.now() - ReadyBound;
@@ -341,6 +442,8 @@
         } else {
             ++instance.missedChecks;
         }
+        checkMemory(instance);
+        checkStop(instance);
         if (hadTimeToBeReady(instance)) {
             noteFault(instance, "not ready since " + std::to_string(instance.lastReady.count())
                                     + " ms, without a disturbance");
--- a/Tests/Soak/GatewayFleet.h
+++ b/Tests/Soak/GatewayFleet.h
@@ -17,8 +17,9 @@
 class GatewayFleet
 {
 public:
-    /// Settings and logs are written to the folder.
-    GatewayFleet(World &world, std::string folder);
+    /// Settings and logs are written to the folder. The program is one of this build or an absolute
+    /// path.
+    GatewayFleet(World &world, std::string folder, std::string program);
     ~GatewayFleet();
 
     /// Starts one more instance.
@@ -37,11 +38,16 @@
     /// Sends a signal as soon as the next process of the instance has begun to run, and a while
     /// later.
     void signalNextStart(std::size_t n, int signal, Time delay);
+    /// Kills the process and holds one of its ports for a while.
+    void holdPorts(std::size_t n, unsigned port, Time time);
+    /// Kills the process; the reader of the next one's log ends after a while.
+    void endLogReader(std::size_t n, Time delay);
 
 private:
     struct Instance
     {
         std::string name;
+        std::string zone;
         std::uint16_t firstPort = 0;
         std::string store;
         std::unique_ptr<Processes::Process> process;
@@ -53,9 +59,13 @@
         unsigned missedChecks = 2;
         Time lastReady {0};
         std::optional<std::pair<int, Time>> startSignal;
+        std::optional<std::pair<unsigned, Time>> heldPort;
+        std::optional<Time> logReaderEnd;
+        bool isOverMemory = false;
     };
 
     std::string path(const Instance &instance, const std::string &suffix) const;
+    std::pair<std::string, std::string> settings(const Instance &instance) const;
     void writeSettings(const Instance &instance) const;
     void start(Instance &instance);
     void noteEnd(Instance &instance, int status);
@@ -69,10 +79,16 @@
     boost::asio::awaitable<void> watch(Instance &instance);
     boost::asio::awaitable<void> checkReadiness(Instance &instance);
     boost::asio::awaitable<void> signalAtStart(Instance &instance, int signal, Time delay);
+    boost::asio::awaitable<void> reloadInSteps(Instance &instance);
+    boost::asio::awaitable<void> hold(std::uint16_t port, bool isDatagram, Time time);
+    boost::asio::awaitable<void> closeLog(Instance &instance, Time delay);
+    void checkMemory(Instance &instance);
+    void checkStop(const Instance &instance);
     boost::asio::awaitable<void> thaw(Instance &instance, Time time, std::size_t disturbance);
 
     World &m_world;
     std::string m_folder;
+    std::string m_program;
     std::vector<std::unique_ptr<Instance>> m_instances;
 };
 
--- a/Tests/Soak/History.h
+++ b/Tests/Soak/History.h
@@ -28,6 +28,8 @@
     unsigned events = 0;
     Time sentAt {0};
     Time endedAt {0};
+    /// The time that the client allowed for it.
+    Time deadline = Time::max() / 2;
     /// The client left before the end.
     bool hasLeft = false;
     /// 0 without an answer.
@@ -100,6 +102,15 @@
     std::string what;
 };
 
+/// A SIGTERM to an instance that was ready.
+struct Stop
+{
+    std::string instance;
+    Time at {0};
+    /// Whether it still counted as ready four seconds later.
+    bool isReadyLater = false;
+};
+
 /// A configuration that the store accepted.
 struct Configuration
 {
@@ -117,6 +128,7 @@
     std::vector<Departure> departures;
     std::vector<Disturbance> disturbances;
     std::vector<ProcessFault> faults;
+    std::vector<Stop> stops;
     std::vector<Configuration> configurations;
 };
 
--- a/Tests/Soak/Judge.cpp
+++ b/Tests/Soak/Judge.cpp
@@ -56,6 +56,7 @@
     judgeUnasked();
     judgeNotices();
     judgeTimeouts();
+    judgeStops();
     judgeBudget("app");
     judgeBudget("llm");
     if (m_cuts.size() > m_bounds.cutsAllowed)
@@ -287,6 +288,23 @@
                    + std::to_string(late.size()) + " of " + std::to_string(unanswered));
 }
 
+void Judge::judgeStops()
+{
+    constexpr std::size_t Fewest = 2;
+    constexpr std::size_t PartOfAll = 4;
+    const auto &stops = m_history.stops;
+    const auto later = static_cast<std::size_t>(std::count_if(
+        stops.begin(), stops.end(), [](const auto &stop) { return stop.isReadyLater; }));
+    if (later < Fewest || PartOfAll * later <= stops.size())
+        return;
+    for (const auto &stop : stops) {
+        if (stop.isReadyLater)
+            m_breaks.push_back({"DRAIN", stop.at, "", stop.instance,
+                                "still ready 4 s after SIGTERM, one of " + std::to_string(later)
+                                    + " of " + std::to_string(stops.size())});
+    }
+}
+
 void Judge::judgeConfiguration(const Request &request)
 {
     const auto &arrivals = arrivalsOf(request);
@@ -328,6 +346,19 @@
         m_denials.push_back({"DENIED", request.sentAt, request.id, request.instance, detail});
 }
 
+bool Judge::wasAtWorkToTheEnd(const Request &request, const Arrival &arrival) const
+{
+    // The rules name the last sixth.
+    constexpr int Parts = 6;
+    return std::any_of(
+        m_history.disturbances.begin(), m_history.disturbances.end(), [&](const auto &item) {
+            return item.isPlanned && item.instance == request.instance
+                   && request.sentAt <= item.from + m_bounds.stopTail
+                   && request.endedAt >= item.from
+                   && arrival.answeredAt >= item.from + m_bounds.grace * (Parts - 1) / Parts;
+        });
+}
+
 void Judge::judgeLoss(const Request &request)
 {
     if (request.isComplete || request.hasLeft || !request.malformation.empty())
@@ -336,7 +367,8 @@
     const bool isSound = !arrivals.empty()
                          && std::all_of(arrivals.begin(), arrivals.end(),
                                         [](const auto &item) { return item.isAnswered; });
-    if (!isSound
+    if (!isSound || request.endedAt >= request.sentAt + request.deadline
+        || wasAtWorkToTheEnd(request, arrivals.back())
         || isDisturbed(request.instance, request.sentAt - m_bounds.stableWindow, request.endedAt,
                        false))
         return;
--- a/Tests/Soak/Judge.h
+++ b/Tests/Soak/Judge.h
@@ -13,6 +13,8 @@
 {
     Time drain {2'000};
     Time grace {8'000};
+    /// A request that came this soon after SIGTERM need not outlast the grace period.
+    Time stopTail {3'000};
     Time stableWindow {3'000};
     Time configurationApply {2'000};
     Time revocation {5'000};
@@ -54,8 +56,11 @@
     void judgeDrain(const Request &request);
     void judgeNotices();
     void judgeTimeouts();
+    void judgeStops();
     void judgeConfiguration(const Request &request);
     void judgeLoss(const Request &request);
+    /// Whether the upstream was still at work at the end of the grace period of a stop.
+    bool wasAtWorkToTheEnd(const Request &request, const Arrival &arrival) const;
     void judgeBudget(const std::string &service);
 
     /// Requests that one instance sent to one process of an upstream, by their arrival.
--- a/Tests/Soak/Schedule.cpp
+++ b/Tests/Soak/Schedule.cpp
@@ -12,11 +12,30 @@
 constexpr auto WarmUp = 4'000ms;
 constexpr auto CoolDown = 4'000ms;
 
+enum class Theme {
+    FailedReads,
+    Failures,
+    Starts,
+    Any,
+    Departures,
+    AdditionalAnswers,
+    StopsUnderLoad,
+    OldKnowledge
+};
+constexpr unsigned Themes = 8;
+
+Theme themeOf(std::uint64_t seed)
+{
+    return static_cast<Theme>(seed % Themes);
+}
+
 constexpr std::array Names {"terminate",
                             "kill",
                             "reload",
                             "freeze",
                             "signal at start",
+                            "hold ports",
+                            "end log reader",
                             "add instance",
                             "store refuses",
                             "store silent",
@@ -41,7 +60,7 @@
     Planner(std::uint64_t seed, unsigned instances)
         : m_dice(seed)
         , m_instances(instances)
-        , m_theme(seed % Themes)
+        , m_theme(themeOf(seed))
     { }
 
     void planNext(Time at)
@@ -50,14 +69,23 @@
         if (m_dice.chance(0.4))
             return planAny(at);
         switch (m_theme) {
-        case 0:
-            return m_dice.chance(0.5) ? planFailedReads(at) : planDeparture(at);
-        case 1:
+        case Theme::FailedReads:
+            return planFailedReads(at);
+        case Theme::Failures:
             return m_dice.chance(0.3) ? fullWithRestarts(at) : planFailures(at);
-        case 2:
-            return m_dice.chance(0.5) ? planSignalAtStart(at) : roll(at);
-        default:
+        case Theme::Starts:
+            return m_dice.chance(0.6) ? planStart(at) : roll(at);
+        case Theme::Any:
             return planAny(at);
+        case Theme::Departures:
+            return m_dice.chance(0.3) ? planFailedReads(at) : planDeparture(at);
+        case Theme::AdditionalAnswers:
+            return add(at, Trouble::Failures, form(2), m_dice.time(2'000, 6'000),
+                       AdditionalAnswers + form(AnswerForms - AdditionalAnswers));
+        case Theme::StopsUnderLoad:
+            return planStop(at);
+        case Theme::OldKnowledge:
+            return planOldKnowledge(at);
         }
     }
 
@@ -76,7 +104,7 @@
         case 3:
             return add(at, Trouble::Freeze, any(), m_dice.time(500, 5'000));
         case 4:
-            return planSignalAtStart(at);
+            return planStart(at);
         case 5:
             return m_dice.chance(0.3) ? add(at, Trouble::AddInstance) : herd(at);
         case 6:
@@ -135,37 +163,73 @@
                                            Trouble::StoreLosesAnswers};
         add(at, Forms.at(form(Forms.size())), any(), m_dice.time(300, 5'000), form(4));
     }
-    void planSignalAtStart(Time at)
+    void planStart(Time at)
     {
-        add(at, Trouble::SignalAtStart, any(), m_dice.time(0, 20), form(2));
+        const auto target = any();
+        if (m_dice.chance(0.2))
+            add(at, Trouble::HoldPorts, target, m_dice.time(100, 2'000), form(3));
+        else if (m_dice.chance(0.2))
+            add(at, Trouble::EndLogReader, target, m_dice.time(0, 1'000));
+        if (m_dice.chance(0.8))
+            add(at, Trouble::SignalAtStart, target, m_dice.time(0, 20), form(2));
     }
     void planDeparture(Time at)
     {
-        switch (m_dice.between(0, 3)) {
-        case 0:
-            return add(at, Trouble::Drain, any(), m_dice.time(2'200, 8'000));
-        case 1:
-            return add(at, Trouble::Remove, any(), m_dice.time(2'200, 8'000));
-        case 2:
-            return add(at, Trouble::Crash, any(), m_dice.time(300, 3'000));
-        default:
+        if (m_dice.chance(0.1))
             return add(at, Trouble::Release, form(2));
-        }
+        if (m_dice.chance(0.3))
+            return add(at, Trouble::Crash, any(), m_dice.time(300, 3'000), form(3));
+        const auto trouble = m_dice.chance(0.5) ? Trouble::Drain : Trouble::Remove;
+        add(at, trouble, any(), m_dice.time(3'000, 9'000), form(DepartureForms));
     }
     void planFailures(Time at)
     {
-        add(at, Trouble::Failures, form(2), m_dice.time(3'000, 10'000), form(8));
+        add(at, Trouble::Failures, form(2), m_dice.time(3'000, 10'000), form(AnswerForms));
     }
-    /// Single failed calls, and upstreams that leave soon after.
+    /// Single failed calls, mostly of those that read the list of upstreams, and upstreams that
+    /// leave meanwhile.
     void planFailedReads(Time at)
     {
         for (auto left = m_dice.between(1, 4); left > 0; --left) {
-            add(at, Trouble::StoreFailsOnce, any(), 0ms, form(3));
-            at += m_dice.time(0, 1'000);
+            const auto caller = m_dice.chance(0.7) ? LastReader : form(CallerForms);
+            add(at, Trouble::StoreFailsOnce, any(), 0ms, caller + CallerForms * form(CallFailures));
+            at += m_dice.time(0, 1'200);
+            if (m_dice.chance(0.6))
+                add(at, m_dice.chance(0.7) ? Trouble::Remove : Trouble::Drain, any(),
+                    m_dice.time(4'000, 8'000));
+        }
+    }
+    /// Instances that stop while requests arrive at upstreams that are slow or failing.
+    void planStop(Time at)
+    {
+        if (m_dice.chance(0.4))
+            add(at, Trouble::Failures, form(2), m_dice.time(3'000, 10'000),
+                SlowAnswers + form(AnswerForms - SlowAnswers));
+        for (auto left = m_dice.between(1, 3); left > 0; --left) {
+            if (m_dice.chance(0.3))
+                add(at, m_dice.chance(0.7) ? Trouble::ChangeRoutes : Trouble::RevokeKey);
+            add(at, m_dice.chance(0.7) ? Trouble::Terminate : Trouble::Reload, any());
+            at += m_dice.time(0, 500);
         }
-        for (auto left = m_dice.between(1, 3); left > 0; --left)
-            add(at, m_dice.chance(0.7) ? Trouble::Remove : Trouble::Drain, any(),
-                m_dice.time(3'000, 8'000));
+    }
+    /// Keys and upstreams that go while instances are frozen or just before they start.
+    void planOldKnowledge(Time at)
+    {
+        const auto change = m_dice.time(0, 1'000);
+        const auto target = any();
+        const bool freezes = m_dice.chance(0.5);
+        if (freezes)
+            add(at, Trouble::Freeze, target, m_dice.time(3'000, 8'000));
+        if (m_dice.chance(0.7))
+            add(at + change, Trouble::RevokeKey);
+        if (m_dice.chance(0.7))
+            add(at + change, m_dice.chance(0.5) ? Trouble::Remove : Trouble::Drain, any(),
+                m_dice.time(6'000, 9'000), form(Returns));
+        if (freezes)
+            return;
+        if (m_dice.chance(0.3))
+            return herd(at + change + m_dice.time(0, 1'000));
+        add(at + change + m_dice.time(0, 1'000), Trouble::Kill, target);
     }
     /// Upstreams that reject most requests while instances restart one after the other.
     void fullWithRestarts(Time at)
@@ -177,11 +241,14 @@
             add(next, Trouble::Kill, any());
     }
 
-    static constexpr unsigned Themes = 4;
+    // Forms of failures of upstreams, in the order of makeFaults().
+    static constexpr unsigned AdditionalAnswers = 7;
+    static constexpr unsigned SlowAnswers = 11;
+    static constexpr unsigned AnswerForms = 14;
 
     Dice m_dice;
     unsigned m_instances;
-    std::uint64_t m_theme;
+    Theme m_theme;
 };
 
 } // namespace
@@ -191,6 +258,21 @@
     return Names.at(static_cast<std::size_t>(trouble));
 }
 
+Shape shapeOf(std::uint64_t seed, const Shape &most)
+{
+    // Small fleets have few or no siblings to ask, and large ones ask over several data centres.
+    constexpr unsigned MostSmall = 3;
+    constexpr unsigned UnderLoad = 3;
+    auto shape = most;
+    const auto round = static_cast<unsigned>(seed / Themes);
+    if (themeOf(seed) == Theme::FailedReads && round % 2 == 0)
+        shape.instances = std::min(most.instances, 1 + round / 2 % MostSmall);
+    if (themeOf(seed) == Theme::StopsUnderLoad)
+        shape.clients = UnderLoad * most.clients;
+    shape.zones = 1 + round % most.zones;
+    return shape;
+}
+
 std::vector<Step> makeSchedule(std::uint64_t seed, Time length, unsigned instances)
 {
     Planner planner(seed, instances);
--- a/Tests/Soak/Schedule.h
+++ b/Tests/Soak/Schedule.h
@@ -13,6 +13,8 @@
     Reload,
     Freeze,
     SignalAtStart,
+    HoldPorts,
+    EndLogReader,
     AddInstance,
     StoreRefuses,
     StoreSilent,
@@ -33,6 +35,20 @@
 
 std::string nameOf(Trouble trouble);
 
+/// Form of a departure: the sum of what else happens.
+constexpr unsigned SaysLeaving = 1;
+constexpr unsigned HasStaleEntry = 2;
+constexpr unsigned Returns = 4;
+constexpr unsigned DepartureForms = 8;
+
+/// Form of a single failed call: whose call, the way in which it fails, and what it reads.
+constexpr unsigned AnyCaller = 0;
+constexpr unsigned LastReader = 1;
+constexpr unsigned KilledReader = 2;
+constexpr unsigned CallerForms = 3;
+constexpr unsigned CallFailures = 5;
+constexpr unsigned CallTopics = 3;
+
 /// One trouble of a run. The target is taken modulo the number of things that there are.
 struct Step
 {
@@ -44,6 +60,16 @@
     unsigned form = 0;
 };
 
+/// What a seed decides besides its troubles.
+struct Shape
+{
+    unsigned instances = 6;
+    unsigned clients = 40;
+    unsigned zones = 1;
+};
+
+Shape shapeOf(std::uint64_t seed, const Shape &most);
+
 /// Returns the troubles of a run in their order. The same arguments give the same troubles.
 std::vector<Step> makeSchedule(std::uint64_t seed, Time length, unsigned instances);
 
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -21,6 +22,8 @@
 // A test that is late itself records arrivals late.
 constexpr auto GreatLag = 200ms;
 constexpr std::size_t MaxShownBreaks = 50;
+// Of an upstream that starts again.
+constexpr std::array<Time, 3> ClockErrors {0s, -60s, 60s};
 
 const std::string &services(unsigned n)
 {
@@ -31,6 +34,7 @@
 UpstreamFaults makeFaults(unsigned form)
 {
     constexpr double Often = 0.4;
+    constexpr double Seldom = 0.05;
     UpstreamFaults faults;
     switch (form) {
     case 0:
@@ -56,8 +60,29 @@
         faults.breaksStreams = Often;
         faults.resumeErrors = Often;
         break;
-    default:
+    case 7:
         faults.repeatsAnswers = Often;
+        break;
+    case 8:
+        faults.repeatsRejections = Often;
+        break;
+    case 9:
+        faults.repeatsRejections = Often;
+        faults.rejects = Often;
+        faults.resets = Seldom;
+        break;
+    case 10:
+        faults.namesTimes = Often;
+        faults.rejects = Often;
+        break;
+    case 11:
+        faults.isSlow = Often;
+        break;
+    case 12:
+        faults.stalls = Seldom;
+        break;
+    default:
+        faults.isEndless = Seldom;
     }
     return faults;
 }
@@ -88,23 +113,27 @@
 
 SoakRun::SoakRun(const SoakOptions &options)
     : m_options(options)
-    , m_steps(makeSchedule(options.seed, options.length, options.instances))
+    , m_shape(shapeOf(options.seed, {options.instances, options.clients, options.zones}))
+    , m_steps(makeSchedule(options.seed, options.length, m_shape.instances))
     , m_world(m_store, options.seed)
     , m_upstreams(m_world)
-    , m_gateways(m_world, options.folder)
+    , m_gateways(m_world, options.folder, options.gateway)
     , m_clients(m_world, m_gateways)
 { }
 
 SoakResult SoakRun::run()
 {
     std::filesystem::create_directories(m_options.folder);
+    m_world.zones = m_shape.zones;
     configure();
     for (unsigned n = 0; n < m_options.upstreams; ++n)
         m_upstreams.add(services(n));
-    for (unsigned n = 0; n < m_options.instances; ++n)
+    for (unsigned n = 0; n < m_shape.instances; ++n)
         m_gateways.add();
-    for (unsigned n = 0; n < m_options.clients; ++n)
+    for (unsigned n = 0; n < m_shape.clients; ++n)
         m_clients.add();
+    for (unsigned n = 0; n < m_shape.instances; ++n)
+        m_clients.addIdle();
     asio::co_spawn(m_world.context, play(), asio::detached);
     asio::co_spawn(m_world.context, measureLag(), asio::detached);
     m_world.context.run_for(m_options.length);
@@ -163,6 +192,7 @@
         Disturbance disturbance;
         disturbance.from = from;
         disturbance.to = m_world.now();
+        disturbance.isOfTest = true;
         m_world.history.disturbances.push_back(disturbance);
     }
 }
@@ -198,8 +228,12 @@
     case Trouble::SignalAtStart:
         return m_gateways.signalNextStart(step.target, step.form == 0 ? SIGHUP : SIGTERM,
                                           step.time);
+    case Trouble::HoldPorts:
+        return m_gateways.holdPorts(step.target, step.form, step.time);
+    case Trouble::EndLogReader:
+        return m_gateways.endLogReader(step.target, step.time);
     default:
-        if (m_gateways.count() < m_options.instances + 2)
+        if (m_gateways.count() < m_shape.instances + 2)
             m_gateways.add();
     }
 }
@@ -211,14 +245,19 @@
     if (step.trouble == Trouble::StoreFailsOnce) {
         // Ordinary, like a rejected call beyond the store's rate, and no disturbance.
         trouble.failures = 1;
+        trouble.failure =
+            static_cast<StandIns::CallFailure>(step.form / CallerForms % CallFailures);
+        const std::string topic =
+            step.form / CallerForms / CallFailures == 2 ? "keyed.op" : "keyed.servers";
+        const auto form = step.form % CallerForms;
         auto n = step.target % m_gateways.count();
-        if (step.form > 0) {
-            trouble.failingTopic = "Topic=keyed.servers";
-            const auto reader = m_store.lastReader("keyed.servers");
+        if (form != AnyCaller) {
+            trouble.failingTopic = "Topic=" + topic;
+            const auto reader = m_store.lastReader(topic);
             while (!reader.empty() && m_gateways.name(n) != reader)
                 n = (n + 1) % m_gateways.count();
         }
-        if (step.form == 2)
+        if (form == KilledReader)
             m_gateways.kill(n);
         else if (m_storeTroubles[m_gateways.name(n)] == 0)
             m_store.setTrouble(m_gateways.name(n), trouble);
@@ -269,11 +308,16 @@
 {
     switch (step.trouble) {
     case Trouble::Drain:
-        return m_upstreams.drain(step.target, step.time);
-    case Trouble::Remove:
-        return m_upstreams.remove(step.target, step.time);
+    case Trouble::Remove: {
+        UpstreamFleet::Departure departure;
+        departure.isRemoval = step.trouble == Trouble::Remove;
+        departure.saysLeaving = (step.form & SaysLeaving) != 0;
+        departure.hasStaleEntry = (step.form & HasStaleEntry) != 0;
+        departure.returns = (step.form & Returns) != 0;
+        return m_upstreams.leave(step.target, step.time, departure);
+    }
     case Trouble::Crash:
-        return m_upstreams.crash(step.target, step.time);
+        return m_upstreams.crash(step.target, step.time, ClockErrors.at(step.form));
     case Trouble::Release:
         return m_upstreams.release(services(step.target));
     case Trouble::Failures:
@@ -343,8 +387,11 @@
              << ", for " << step.time.count() << " ms, form " << step.form << "\n";
     file << "\ndisturbances:\n";
     for (const auto &item : m_world.history.disturbances)
-        file << item.from.count() << " to " << item.to.count()
-             << " ms: " << (item.instance.empty() ? "the store" : item.instance) << "\n";
+        file << item.from.count() << " to " << item.to.count() << " ms: "
+             << (item.isOfTest           ? "the test was late"
+                 : item.instance.empty() ? "the store"
+                                         : item.instance)
+             << "\n";
     file << "\ndepartures:\n";
     for (const auto &item : m_world.history.departures)
         file << item.from.count() << " ms: " << item.upstream
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -23,6 +23,9 @@
     unsigned instances = 6;
     unsigned upstreams = 8;
     unsigned clients = 40;
+    unsigned zones = 1;
+    /// A program of this build, or an absolute path.
+    std::string gateway = "jujubesaddle-gateway";
     /// Where the logs of instances and the report go.
     std::string folder;
 };
@@ -64,6 +67,7 @@
     void writeReport(const SoakResult &result) const;
 
     SoakOptions m_options;
+    Shape m_shape;
     std::vector<Step> m_steps;
     Core::IoThreads m_storeThreads {2};
     StandIns::StoreStandIn m_store {m_storeThreads};
--- a/Tests/Soak/TestJudge.cpp
+++ b/Tests/Soak/TestJudge.cpp
@@ -299,6 +299,25 @@
         history.disturb("edge-1", 19s, 20s);
         CHECK(history.rules().empty());
     }
+    SECTION("in a planned stop, with work to the end of the grace period")
+    {
+        history.disturb("edge-1", 17'100ms, 25s, true);
+        request.endedAt = 23'800ms;
+        history.arrivals.at("1").front().answeredAt = 23'765ms;
+        CHECK(history.rules() == "LOST");
+        history.arrivals.at("1").front().answeredAt = 23'766ms;
+        CHECK(history.rules().empty());
+        request.sentAt = 20'101ms;
+        CHECK(history.rules() == "LOST");
+    }
+    SECTION("in a planned stop, when its time was over")
+    {
+        history.disturb("edge-1", 19s, 20s, true);
+        request.deadline = 51ms;
+        CHECK(history.rules() == "LOST");
+        request.deadline = 50ms;
+        CHECK(history.rules().empty());
+    }
     SECTION("many at any time")
     {
         for (int n = 0; n < 4; ++n) {
@@ -428,3 +447,19 @@
     history.departures.front().staleEntryAt = Time::max();
     CHECK(history.rules() == "DRAIN");
 }
+
+TEST_CASE("the judge finds instances that stay ready after SIGTERM")
+{
+    SampleHistory history;
+    history.stops = {{"edge-1", 1s, true}, {"edge-2", 2s, true}, {"edge-3", 3s, false}};
+    CHECK(history.rules() == "DRAIN DRAIN");
+    SECTION("one")
+    {
+        history.stops.front().isReadyLater = false;
+    }
+    SECTION("a quarter")
+    {
+        history.stops.resize(8, {"edge-4", 4s, false});
+    }
+    CHECK(history.rules().empty());
+}
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -15,12 +15,12 @@
     return text ? std::stoul(text) : defaultValue;
 }
 
-/// Returns the seeds that the environment names, or a few of different themes.
+/// Returns the seeds that the environment names, or one of each theme.
 std::vector<std::uint64_t> seeds()
 {
     const auto first = numberOr("SOAK_FIRST_SEED", 0);
     if (first == 0)
-        return {26, 32, 33, 35};
+        return {8, 9, 10, 11, 20, 21, 14, 15};
     std::vector<std::uint64_t> result;
     for (auto seed = first; seed <= numberOr("SOAK_LAST_SEED", first); ++seed)
         result.push_back(seed);
@@ -37,10 +37,13 @@
     for (const auto seed : seeds()) {
         Soak::SoakOptions options;
         options.seed = seed;
-        options.length = std::chrono::seconds(numberOr("SOAK_SECONDS", 20));
+        options.length = std::chrono::seconds(numberOr("SOAK_SECONDS", 14));
         options.instances = static_cast<unsigned>(numberOr("SOAK_INSTANCES", 6));
         options.upstreams = static_cast<unsigned>(numberOr("SOAK_UPSTREAMS", 8));
         options.clients = static_cast<unsigned>(numberOr("SOAK_CLIENTS", 40));
+        options.zones = static_cast<unsigned>(numberOr("SOAK_ZONES", 2));
+        if (const auto *gateway = std::getenv("SOAK_GATEWAY"))
+            options.gateway = gateway;
         options.folder = folder / ("seed-" + std::to_string(seed));
         std::filesystem::remove_all(options.folder);
         const auto result = Soak::SoakRun(options).run();
--- a/Tests/Soak/Upstream.cpp
+++ b/Tests/Soak/Upstream.cpp
@@ -14,6 +14,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/json.hpp>
 
+#include <array>
+
 namespace Soak {
 
 namespace asio = boost::asio;
@@ -26,6 +28,9 @@
 
 constexpr auto ReportInterval = 1'200ms;
 constexpr auto Model = "model";
+// 16 MB a second on each connection.
+constexpr std::size_t EndlessPiece = 65'536;
+constexpr auto EndlessPause = 4ms;
 
 std::string field(const auto &message, std::string_view name)
 {
@@ -70,20 +75,24 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-Upstream::Upstream(World &world, std::string id, std::string service)
+Upstream::Upstream(World &world, std::string id, std::string service, std::string zone)
     : m_world(world)
     , m_id(std::move(id))
     , m_service(std::move(service))
+    , m_zone(std::move(zone))
 { }
 
-void Upstream::open()
+void Upstream::open(Time clockError)
 {
     m_acceptor = std::make_unique<tcp::acceptor>(
         m_world.context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     m_address = Http::formatEndpoint(m_acceptor->local_endpoint());
     m_startTime = std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
-                      .count();
+                      .count()
+                  + clockError.count();
+    m_saysLeaving = false;
+    faults = {};
     m_state = "ready";
     m_sequence = 0;
     ++m_incarnation;
@@ -96,20 +105,34 @@
     asio::co_spawn(m_world.context, beat(m_incarnation), asio::detached);
 }
 
-void Upstream::announce()
+std::string Upstream::entry(const std::string &state, unsigned sequence) const
 {
     const boost::json::array models {boost::json::object {{"Name", Model}, {"Version", 1}}};
-    m_world.store.put("keyed.servers", m_id,
-                      boost::json::serialize(boost::json::object {{"Service", m_service},
-                                                                  {"Address", m_address},
-                                                                  {"Zone", "a"},
-                                                                  {"Version", "v1"},
-                                                                  {"Slots", 32},
-                                                                  {"State", m_state},
-                                                                  {"ColdLeftMs", 0},
-                                                                  {"Models", models},
-                                                                  {"born", m_startTime},
-                                                                  {"Seq", ++m_sequence}}));
+    return boost::json::serialize(boost::json::object {{"Service", m_service},
+                                                       {"Address", m_address},
+                                                       {"Zone", m_zone},
+                                                       {"Version", "v1"},
+                                                       {"Slots", 32},
+                                                       {"State", state},
+                                                       {"ColdLeftMs", 0},
+                                                       {"Models", models},
+                                                       {"born", m_startTime},
+                                                       {"Seq", sequence}});
+}
+
+void Upstream::announce()
+{
+    m_world.store.put("keyed.servers", m_id, entry(m_state, ++m_sequence));
+}
+
+void Upstream::writeStaleEntry()
+{
+    // One that still reports corrects it with its next report.
+    for (auto &departure : m_world.history.departures) {
+        if (m_state == "gone" && departure.upstream == m_id && departure.to == Time::max())
+            departure.staleEntryAt = std::min(departure.staleEntryAt, m_world.now());
+    }
+    m_world.store.put("keyed.servers", m_id, entry("ready", 1));
 }
 
 void Upstream::noteDeparture(bool isRemoval)
@@ -200,6 +223,7 @@
             next = co_await answer(stream, parser.get());
     }
     m_streams.erase(&stream);
+    m_staleStreams.erase(&stream);
     stream.close();
 }
 
@@ -228,6 +252,7 @@
     auto &arrivals = m_world.history.arrivals[id];
     auto &arrival = arrivals.emplace_back();
     arrival.upstream = m_id;
+    arrival.incarnation = m_incarnation;
     arrival.at = m_world.now();
     arrival.target = target;
     arrival.isMisdirected = expected != m_id;
@@ -239,6 +264,9 @@
         co_return isWritten ? Next::Keep : Next::Close;
     }
     auto &dice = m_world.dice;
+    const bool isStaleWritten = co_await writeStale(stream);
+    if (!isStaleWritten)
+        co_return Next::Close;
     if (dice.chance(faults.resets)) {
         reset(stream);
         co_return Next::Close;
@@ -251,20 +279,67 @@
     co_return co_await answerWhole(stream, arrival, id);
 }
 
+std::string Upstream::notices() const
+{
+    return m_saysLeaving ? "Server-Leaving: 1\r\n" : "";
+}
+
 asio::awaitable<Upstream::Next> Upstream::reject(Stream &stream, Arrival &arrival, std::string id)
 {
+    auto &dice = m_world.dice;
     arrival.status = 503;
-    const auto bytes = wholeAnswer(
-        503, "X-Jujubesaddle-Not-Executed: 1\r\nX-Jujubesaddle-Attempt-Id: " + id + "\r\n", "full");
+    auto fields =
+        "X-Jujubesaddle-Not-Executed: 1\r\nX-Jujubesaddle-Attempt-Id: " + id + "\r\n" + notices();
+    Time retryAfter {0};
+    if (dice.chance(faults.namesTimes)) {
+        const auto seconds = dice.between(1, 4);
+        retryAfter = std::chrono::seconds(seconds);
+        fields += "Retry-After: " + std::to_string(seconds) + "\r\n";
+    }
+    const auto bytes = wholeAnswer(503, fields, "full");
     bool isWritten = co_await write(stream, bytes);
-    if (isWritten && m_world.dice.chance(faults.repeatsAnswers)) {
-        co_await pause(m_world.dice.time(0, 30));
+    arrival.answeredAt = m_world.now();
+    arrival.retryAfter = isWritten ? retryAfter : 0ms;
+    if (isWritten && dice.chance(faults.repeatsRejections))
+        m_staleStreams.insert(&stream);
+    if (isWritten && dice.chance(faults.repeatsAnswers)) {
+        co_await pause(dice.time(0, 30));
         isWritten = co_await write(stream, bytes);
     }
     arrival.isAnswered = isWritten;
     co_return isWritten ? Next::Keep : Next::Close;
 }
 
+asio::awaitable<bool> Upstream::writeStale(Stream &stream)
+{
+    if (m_staleStreams.erase(&stream) == 0)
+        co_return true;
+    co_return co_await write(stream,
+                             wholeAnswer(503, "X-Jujubesaddle-Not-Executed: 1\r\n", "full"));
+}
+
+asio::awaitable<Upstream::Next> Upstream::stall(Stream &stream)
+{
+    // Until the caller closes or the process ends.
+    boost::system::error_code ec;
+    std::array<char, 1> byte {};
+    co_await stream.async_read_some(asio::buffer(byte),
+                                    asio::redirect_error(asio::use_awaitable, ec));
+    co_return Next::Close;
+}
+
+asio::awaitable<Upstream::Next> Upstream::writeEndlessly(Stream &stream, std::string bytes) const
+{
+    while (bytes.size() < EndlessPiece)
+        bytes += bytes;
+    bool isWritten = true;
+    while (isWritten && !m_world.isStopping) {
+        isWritten = co_await write(stream, bytes);
+        co_await pause(EndlessPause);
+    }
+    co_return Next::Close;
+}
+
 asio::awaitable<Upstream::Next> Upstream::answerWhole(Stream &stream, Arrival &arrival,
                                                       std::string id)
 {
@@ -278,13 +353,30 @@
     arrival.status = dice.chance(faults.internalErrors) ? 500 : 200;
     arrival.body = "answer " + arrival.seal + " to " + id + " of " + m_id
                    + std::string(static_cast<std::size_t>(dice.between(0, 800)), '.');
-    auto bytes = wholeAnswer(arrival.status, answerFields(id, arrival.seal), arrival.body);
+    arrival.saysLeaving = m_saysLeaving;
+    if (dice.chance(faults.stalls))
+        co_return co_await stall(stream);
+    if (dice.chance(faults.isEndless)) {
+        if (dice.chance(0.5))
+            co_return co_await writeEndlessly(stream, "X-Endless: bytes\r\n");
+        const auto start =
+            head(200, answerFields(id, arrival.seal) + "Transfer-Encoding: chunked\r\n");
+        const bool isStarted = co_await write(stream, start);
+        if (!isStarted)
+            co_return Next::Close;
+        co_return co_await writeEndlessly(stream, chunk(std::string(EndlessPiece, 'x')));
+    }
+    auto bytes =
+        wholeAnswer(arrival.status, answerFields(id, arrival.seal) + notices(), arrival.body);
     if (dice.chance(faults.truncates)) {
         co_await write(stream, bytes.substr(0, bytes.size() - arrival.body.size() / 2));
         co_return Next::Close;
     }
     bool isWritten = co_await write(stream, bytes);
     arrival.isAnswered = isWritten;
+    arrival.answeredAt = m_world.now();
+    if (isWritten && dice.chance(faults.repeatsRejections))
+        m_staleStreams.insert(&stream);
     if (isWritten && dice.chance(faults.repeatsAnswers)) {
         co_await pause(dice.time(0, 30));
         isWritten = co_await write(stream, bytes);
@@ -312,9 +404,12 @@
     arrival.status = 200;
     bool isWritten = co_await write(
         stream,
-        head(200, answerFields(id, arrival.seal)
+        head(200, answerFields(id, arrival.seal) + notices()
                       + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+    arrival.saysLeaving = m_saysLeaving;
     const bool isBroken = dice.chance(faults.breaksStreams);
+    const bool isSlow = dice.chance(faults.isSlow);
+    const bool stalls = dice.chance(faults.stalls);
     for (auto n = last.empty() ? 1 : std::stoul(last) + 1; n <= events && isWritten; ++n) {
         const auto bytes = chunk(eventText(id, static_cast<unsigned>(n)));
         if (isBroken && dice.chance(3.0 / static_cast<double>(events))) {
@@ -324,12 +419,15 @@
                 reset(stream);
             co_return Next::Close;
         }
+        if (stalls && n > events / 2)
+            co_return co_await stall(stream);
         isWritten = co_await write(stream, bytes);
-        co_await pause(dice.time(10, 40));
+        co_await pause(isSlow ? dice.time(200, 1'200) : dice.time(10, 40));
     }
     if (isWritten)
         isWritten = co_await write(stream, "0\r\n\r\n");
     arrival.isAnswered = isWritten;
+    arrival.answeredAt = m_world.now();
     co_return isWritten ? Next::Keep : Next::Close;
 }
 
--- a/Tests/Soak/Upstream.h
+++ b/Tests/Soak/Upstream.h
@@ -28,6 +28,16 @@
     double truncates = 0;
     /// The answer is written once more.
     double repeatsAnswers = 0;
+    /// A rejection without an id is written where the answer to the next request is due.
+    double repeatsRejections = 0;
+    /// A rejection names a time to send nothing.
+    double namesTimes = 0;
+    /// Events come one at a time with long pauses.
+    double isSlow = 0;
+    /// The answer stops without an end, and the connection stays open.
+    double stalls = 0;
+    /// The head or the body goes on until the connection is closed.
+    double isEndless = 0;
     /// The stream ends in the middle of an event.
     double breaksStreams = 0;
     /// A resumed stream is answered with an error.
@@ -38,14 +48,20 @@
 class Upstream : public std::enable_shared_from_this<Upstream>
 {
 public:
-    Upstream(World &world, std::string id, std::string service);
+    Upstream(World &world, std::string id, std::string service, std::string zone);
 
     const std::string &id() const { return m_id; }
     const std::string &service() const { return m_service; }
     bool isServing() const { return m_state == "ready"; }
 
-    /// Starts a new incarnation on a new port and registers it.
-    void open();
+    /// Starts a new incarnation on a new port and registers it, with a clock that is off.
+    void open(Time clockError = Time(0));
+    /// Writes an entry of the time before it left.
+    void writeStaleEntry();
+    /// The store deletes an entry that nobody repeats.
+    void expire() { m_world.store.put("keyed.servers", m_id, std::nullopt); }
+    /// All its answers say that it leaves from now on.
+    void sayLeaving() { m_saysLeaving = true; }
     /// Ends the process: closes the port and all connections.
     void close();
     /// Writes its entry, and from time to time again.
@@ -62,6 +78,7 @@
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
     enum class Next { Keep, Close };
 
+    std::string entry(const std::string &state, unsigned sequence) const;
     void announce();
     void noteDeparture(bool isRemoval);
     boost::asio::awaitable<void> beat(unsigned incarnation);
@@ -72,19 +89,27 @@
     boost::asio::awaitable<Next> answerStream(Stream &stream, Arrival &arrival,
                                               const Message &request);
     boost::asio::awaitable<Next> reject(Stream &stream, Arrival &arrival, std::string id);
+    boost::asio::awaitable<Next> stall(Stream &stream);
+    boost::asio::awaitable<Next> writeEndlessly(Stream &stream, std::string bytes) const;
+    std::string notices() const;
+    /// Writes a late copy of an earlier rejection, if one is due on the connection.
+    boost::asio::awaitable<bool> writeStale(Stream &stream);
     static boost::asio::awaitable<bool> write(Stream &stream, std::string bytes);
     static void reset(Stream &stream);
 
     World &m_world;
     std::string m_id;
     std::string m_service;
+    std::string m_zone;
     std::string m_state = "down";
     std::int64_t m_startTime = 0;
     unsigned m_incarnation = 0;
     unsigned m_sequence = 0;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
     std::string m_address;
+    bool m_saysLeaving = false;
     std::set<Stream *> m_streams;
+    std::set<Stream *> m_staleStreams;
 };
 
 } // namespace Soak
--- a/Tests/Soak/UpstreamFleet.cpp
+++ b/Tests/Soak/UpstreamFleet.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr auto StorePollInterval = 20ms;
+// Three report intervals.
+constexpr auto ExpiryTime = 3'600ms;
 constexpr auto ReleaseInterval = 700ms;
 
 } // namespace
@@ -20,7 +22,8 @@
 void UpstreamFleet::add(const std::string &service)
 {
     const auto id = service + "-" + std::to_string(++m_count);
-    m_upstreams.push_back(std::make_shared<Upstream>(m_world, id, service));
+    m_upstreams.push_back(
+        std::make_shared<Upstream>(m_world, id, service, m_world.zone(m_count / 2)));
     m_upstreams.back()->open();
 }
 
@@ -34,22 +37,18 @@
     return serving.empty() ? nullptr : serving[target % serving.size()];
 }
 
-void UpstreamFleet::drain(unsigned target, Time time)
+void UpstreamFleet::leave(unsigned target, Time time, const Departure &departure)
 {
     if (auto upstream = serving(target))
-        asio::co_spawn(m_world.context, leave(std::move(upstream), time, false), asio::detached);
-}
-
-void UpstreamFleet::remove(unsigned target, Time time)
-{
-    if (auto upstream = serving(target))
-        asio::co_spawn(m_world.context, leave(std::move(upstream), time, true), asio::detached);
+        asio::co_spawn(m_world.context, leaveFor(std::move(upstream), time, departure),
+                       asio::detached);
 }
 
-void UpstreamFleet::crash(unsigned target, Time time)
+void UpstreamFleet::crash(unsigned target, Time time, Time clockError)
 {
     if (auto upstream = serving(target))
-        asio::co_spawn(m_world.context, restart(std::move(upstream), time), asio::detached);
+        asio::co_spawn(m_world.context, restart(std::move(upstream), time, clockError),
+                       asio::detached);
 }
 
 void UpstreamFleet::release(const std::string &service)
@@ -94,30 +93,53 @@
         co_await pause(StorePollInterval);
 }
 
-asio::awaitable<void> UpstreamFleet::leave(Handle upstream, Time time, bool isRemoval)
+asio::awaitable<void> UpstreamFleet::leaveFor(Handle upstream, Time time, Departure departure)
 {
     co_await awaitStore();
     if (!upstream->isServing())
         co_return;
-    add(upstream->service());
-    if (isRemoval)
+    if (!departure.returns)
+        add(upstream->service());
+    if (departure.saysLeaving)
+        upstream->sayLeaving();
+    if (departure.isRemoval)
         upstream->withdraw();
     else
         upstream->announceDraining();
-    co_await pause(time);
+    auto left = time;
+    if (departure.hasStaleEntry) {
+        const auto delay = m_world.dice.time(50, 1'000);
+        co_await pause(delay);
+        co_await awaitStore();
+        upstream->writeStaleEntry();
+        left -= delay;
+        if (departure.isRemoval) {
+            // The store expires it.
+            co_await pause(ExpiryTime);
+            upstream->expire();
+            left -= ExpiryTime;
+        }
+    }
+    co_await pause(std::max(left, Time(0)));
     upstream->close();
-    if (isRemoval)
-        co_return;
-    co_await awaitStore();
-    upstream->withdraw();
+    if (!departure.isRemoval) {
+        co_await awaitStore();
+        upstream->withdraw();
+    }
+    if (departure.returns) {
+        co_await pause(m_world.dice.time(0, 3'000));
+        co_await awaitStore();
+        // Its clock has been set back meanwhile.
+        upstream->open(-std::chrono::minutes(1));
+    }
 }
 
-asio::awaitable<void> UpstreamFleet::restart(Handle upstream, Time time)
+asio::awaitable<void> UpstreamFleet::restart(Handle upstream, Time time, Time clockError)
 {
     upstream->crash();
     co_await pause(time);
     co_await awaitStore();
-    upstream->open();
+    upstream->open(clockError);
 }
 
 asio::awaitable<void> UpstreamFleet::releaseAll(std::string service)
@@ -128,7 +150,7 @@
             old.push_back(upstream);
     }
     for (const auto &upstream : old) {
-        asio::co_spawn(m_world.context, leave(upstream, m_world.dice.time(2'200, 6'000), false),
+        asio::co_spawn(m_world.context, leaveFor(upstream, m_world.dice.time(2'200, 6'000), {}),
                        asio::detached);
         co_await pause(ReleaseInterval);
     }
--- a/Tests/Soak/UpstreamFleet.h
+++ b/Tests/Soak/UpstreamFleet.h
@@ -18,12 +18,21 @@
 
     /// Starts one more upstream under a new id.
     void add(const std::string &service);
-    /// Reports draining, serves for a while, and is replaced.
-    void drain(unsigned target, Time time);
-    /// Loses its entry without draining, serves for a while, and is replaced.
-    void remove(unsigned target, Time time);
-    /// Ends at once and starts again under its id.
-    void crash(unsigned target, Time time);
+    /// What else happens while an upstream leaves.
+    struct Departure
+    {
+        /// Its entry is removed without draining.
+        bool isRemoval = false;
+        bool saysLeaving = false;
+        /// An entry of the time before is written late.
+        bool hasStaleEntry = false;
+        /// It starts again under its id instead of being replaced.
+        bool returns = false;
+    };
+    /// Leaves, serves for a while, and is replaced.
+    void leave(unsigned target, Time time, const Departure &departure);
+    /// Ends at once and starts again under its id, with a clock that is off.
+    void crash(unsigned target, Time time, Time clockError);
     /// Drains all upstreams of a service in turn.
     void release(const std::string &service);
     /// Lets a share of the upstreams of a service fail for a while.
@@ -37,8 +46,8 @@
 
     /// Returns an upstream that serves; empty if there is none.
     Handle serving(unsigned target) const;
-    boost::asio::awaitable<void> leave(Handle upstream, Time time, bool isRemoval);
-    boost::asio::awaitable<void> restart(Handle upstream, Time time);
+    boost::asio::awaitable<void> leaveFor(Handle upstream, Time time, Departure departure);
+    boost::asio::awaitable<void> restart(Handle upstream, Time time, Time clockError);
     boost::asio::awaitable<void> releaseAll(std::string service);
     boost::asio::awaitable<void> clearFaults(std::vector<Handle> upstreams, Time time);
     boost::asio::awaitable<void> awaitStore() const;
--- a/Tests/Soak/World.h
+++ b/Tests/Soak/World.h
@@ -50,11 +50,18 @@
         return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - start);
     }
 
+    /// Returns the data centre of the n-th instance, or of the n-th upstream of a service.
+    std::string zone(std::size_t n) const
+    {
+        return std::string(1, static_cast<char>('a' + n % zones));
+    }
+
     boost::asio::io_context context;
     StandIns::StoreStandIn &store;
     Dice dice;
     std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
     History history;
+    unsigned zones = 1;
     /// Upstreams cannot write to the store either.
     bool isStoreDown = false;
     bool isStopping = false;
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr auto PollPause = 5ms;
+// Longer than any caller waits for an answer.
+constexpr auto NoAnswerTime = 20'000ms;
+constexpr auto LateAnswerTime = 1'500ms;
 
 std::map<std::string, std::string> parseQuery(const std::string &target)
 {
@@ -181,23 +184,54 @@
     }
     if (isSilent || trouble.isReset)
         throw boost::system::system_error(asio::error::connection_reset);
-    unsigned refusal = trouble.refusal;
+    bool failsOnce = false;
     {
         const std::scoped_lock lock(m_mutex);
         auto &current = m_troubles[caller];
         const auto &target = exchange.request().target;
-        if (current.failures > 0 && target.find(current.failingTopic) != std::string::npos) {
+        failsOnce = current.failures > 0 && target.find(current.failingTopic) != std::string::npos;
+        if (failsOnce)
             --current.failures;
-            refusal = 503;
-        }
     }
-    if (refusal == 0)
+    if (trouble.refusal == 0 && !failsOnce)
         co_return true;
-    Http::Response response(refusal, {}, "");
+    if (trouble.refusal == 0) {
+        const bool goesOn = co_await failOnce(trouble.failure, exchange);
+        co_return goesOn;
+    }
+    Http::Response response(trouble.refusal, {}, "");
     co_await exchange.respond(std::move(response));
     co_return false;
 }
 
+asio::awaitable<bool> StoreStandIn::failOnce(CallFailure failure, Http::ServerExchange &exchange)
+{
+    if (failure == CallFailure::Unavailable || failure == CallFailure::BeyondRate) {
+        Http::Response response(failure == CallFailure::Unavailable ? 503 : 429, {}, "");
+        co_await exchange.respond(std::move(response));
+        co_return false;
+    }
+    if (failure == CallFailure::Reset)
+        throw boost::system::system_error(asio::error::connection_reset);
+    const auto end = std::chrono::steady_clock::now()
+                     + (failure == CallFailure::NoAnswer ? NoAnswerTime : LateAnswerTime);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (std::chrono::steady_clock::now() < end && !isRefusing()) {
+        timer.expires_after(PollPause);
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (failure == CallFailure::NoAnswer)
+        throw boost::system::system_error(asio::error::connection_reset);
+    co_return true;
+}
+
+bool StoreStandIn::isRefusing() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_refusal != 0;
+}
+
 asio::awaitable<void> StoreStandIn::answer(Http::ServerExchange &exchange, std::string caller,
                                            Http::Response response)
 {
--- a/Tests/StandIns/StoreStandIn.h
+++ b/Tests/StandIns/StoreStandIn.h
@@ -15,6 +15,9 @@
 
 namespace StandIns {
 
+/// How a single call fails.
+enum class CallFailure { Unavailable, BeyondRate, Reset, NoAnswer, LateAnswer };
+
 /// What goes wrong with the calls of one caller of the store.
 struct StoreTrouble
 {
@@ -26,9 +29,9 @@
     /// Calls are executed, but their answers are lost.
     bool losesAnswers = false;
     std::chrono::milliseconds delay {0};
-    /// The number of next calls that are answered with 503 each; if a topic is named, of calls for
-    /// that topic.
+    /// The number of next calls that fail; if a topic is named, of calls for that topic.
     unsigned failures = 0;
+    CallFailure failure = CallFailure::Unavailable;
     std::string failingTopic;
 };
 
@@ -85,6 +88,9 @@
     /// Ends calls that a trouble concerns. Returns whether the call goes on.
     boost::asio::awaitable<bool> passTrouble(std::string caller, Http::ServerExchange &exchange);
     boost::asio::awaitable<void> serve(Http::ServerExchange &exchange, std::string caller);
+    /// Returns whether the call goes on, after a while or at once.
+    boost::asio::awaitable<bool> failOnce(CallFailure failure, Http::ServerExchange &exchange);
+    bool isRefusing() const;
     /// Sends the answer unless it is lost.
     boost::asio::awaitable<void> answer(Http::ServerExchange &exchange, std::string caller,
                                         Http::Response response);
