--- a/Tests/Soak/Judge.cpp
+++ b/Tests/Soak/Judge.cpp
@@ -1,6 +1,8 @@
 #include "Judge.h"
 
 #include <algorithm>
+#include <map>
+#include <tuple>
 
 namespace Soak {
 
@@ -52,6 +54,9 @@
         judgeLoss(request);
     }
     judgeUnasked();
+    judgeNotices();
+    judgeTimeouts();
+    judgeStops();
     judgeBudget("app");
     judgeBudget("llm");
     if (m_cuts.size() > m_bounds.cutsAllowed)
@@ -81,6 +86,15 @@
         });
 }
 
+bool Judge::isRestartedOrFrozen(const std::string &instance, Time from, Time to) const
+{
+    return std::any_of(m_history.disturbances.begin(), m_history.disturbances.end(),
+                       [&](const auto &item) {
+                           return (item.isOfTest || item.instance == instance) && item.from <= to
+                                  && item.to >= from;
+                       });
+}
+
 bool Judge::isInTouch(const std::string &instance, Time at) const
 {
     return !isDisturbed(instance, at - m_bounds.stableWindow, at);
@@ -182,6 +196,9 @@
             if (departure.upstream != arrival.upstream
                 || arrival.at <= departure.from + m_bounds.drain || arrival.at >= departure.to)
                 continue;
+            if (departure.staleEntryAt <= arrival.at
+                && isRestartedOrFrozen(request.instance, departure.from, arrival.at))
+                continue;
             // The store's acceptance counts only while it is stable.
             if (isDisturbed("", departure.from - m_bounds.stableWindow, departure.from))
                 continue;
@@ -192,6 +209,102 @@
     }
 }
 
+void Judge::judgeNotices()
+{
+    std::map<std::tuple<std::string, std::string, unsigned>, Pair> pairs;
+    for (const auto &[id, request] : m_history.requests) {
+        for (const auto &arrival : arrivalsOf(request)) {
+            auto &pair = pairs[{request.instance, arrival.upstream, arrival.incarnation}];
+            pair.arrivals.emplace_back(&request, &arrival);
+            const bool isPassedOn =
+                request.isComplete && !arrival.seal.empty() && request.seal == arrival.seal;
+            if (isPassedOn && arrival.saysLeaving)
+                pair.leavingSince = std::min(pair.leavingSince, request.endedAt);
+        }
+    }
+    for (auto &[key, pair] : pairs) {
+        std::sort(pair.arrivals.begin(), pair.arrivals.end(),
+                  [](const auto &a, const auto &b) { return a.second->at < b.second->at; });
+        judgeLeaving(pair);
+        judgeRetryAfter(pair);
+    }
+}
+
+void Judge::judgeLeaving(const Pair &pair)
+{
+    if (pair.leavingSince == Time::max())
+        return;
+    for (const auto &[request, arrival] : pair.arrivals) {
+        if (arrival->isMisdirected || request->sentAt <= pair.leavingSince + m_bounds.drain
+            || isRestartedOrFrozen(request->instance, pair.leavingSince, arrival->at))
+            continue;
+        report("DRAIN", arrival->at, *request,
+               "reached " + arrival->upstream + ", sent "
+                   + text(request->sentAt - pair.leavingSince)
+                   + " after the instance passed on Server-Leaving");
+    }
+}
+
+void Judge::judgeRetryAfter(const Pair &pair)
+{
+    for (const auto &[rejected, rejection] : pair.arrivals) {
+        if (rejection->retryAfter == 0ms || !rejection->isAnswered)
+            continue;
+        const auto from = rejection->answeredAt + m_bounds.retryAfterSlack;
+        const auto to = rejection->answeredAt + rejection->retryAfter;
+        unsigned count = 0;
+        for (const auto &[request, arrival] : pair.arrivals) {
+            if (arrival->at <= from || arrival->at > to
+                || isRestartedOrFrozen(request->instance, rejection->answeredAt, arrival->at))
+                continue;
+            if (++count != m_bounds.arrivalsAfterRejection + 1)
+                continue;
+            report("BUDGET", arrival->at, *request,
+                   "reached " + arrival->upstream + " as the third one within "
+                       + text(rejection->retryAfter) + " after it answered 503 with Retry-After");
+        }
+    }
+}
+
+void Judge::judgeTimeouts()
+{
+    std::vector<const Request *> late;
+    std::size_t unanswered = 0;
+    for (const auto &[id, request] : m_history.requests) {
+        const auto end = request.sentAt + request.timeout();
+        if (request.endedAt <= end
+            || isDisturbed(request.instance, request.sentAt - m_bounds.stableWindow,
+                           end + m_bounds.timeoutSlack, false))
+            continue;
+        ++unanswered;
+        if (request.endedAt > end + m_bounds.timeoutSlack)
+            late.push_back(&request);
+    }
+    if (2 * late.size() <= unanswered)
+        return;
+    for (const auto *request : late)
+        report("CONFIG", request->endedAt, *request,
+               "unanswered " + text(request->endedAt - request->sentAt) + " after it was sent, "
+                   + std::to_string(late.size()) + " of " + std::to_string(unanswered));
+}
+
+void Judge::judgeStops()
+{
+    constexpr std::size_t Fewest = 2;
+    constexpr std::size_t PartOfAll = 4;
+    const auto &stops = m_history.stops;
+    const auto later = static_cast<std::size_t>(std::count_if(
+        stops.begin(), stops.end(), [](const auto &stop) { return stop.isReadyLater; }));
+    if (later < Fewest || PartOfAll * later <= stops.size())
+        return;
+    for (const auto &stop : stops) {
+        if (stop.isReadyLater)
+            m_breaks.push_back({"DRAIN", stop.at, "", stop.instance,
+                                "still ready 4 s after SIGTERM, one of " + std::to_string(later)
+                                    + " of " + std::to_string(stops.size())});
+    }
+}
+
 void Judge::judgeConfiguration(const Request &request)
 {
     const auto &arrivals = arrivalsOf(request);
@@ -233,6 +346,19 @@
         m_denials.push_back({"DENIED", request.sentAt, request.id, request.instance, detail});
 }
 
+bool Judge::wasAtWorkToTheEnd(const Request &request, const Arrival &arrival) const
+{
+    // The rules name the last sixth.
+    constexpr int Parts = 6;
+    return std::any_of(
+        m_history.disturbances.begin(), m_history.disturbances.end(), [&](const auto &item) {
+            return item.isPlanned && item.instance == request.instance
+                   && request.sentAt <= item.from + m_bounds.stopTail
+                   && request.endedAt >= item.from
+                   && arrival.answeredAt >= item.from + m_bounds.grace * (Parts - 1) / Parts;
+        });
+}
+
 void Judge::judgeLoss(const Request &request)
 {
     if (request.isComplete || request.hasLeft || !request.malformation.empty())
@@ -241,7 +367,8 @@
     const bool isSound = !arrivals.empty()
                          && std::all_of(arrivals.begin(), arrivals.end(),
                                         [](const auto &item) { return item.isAnswered; });
-    if (!isSound
+    if (!isSound || request.endedAt >= request.sentAt + request.deadline
+        || wasAtWorkToTheEnd(request, arrivals.back())
         || isDisturbed(request.instance, request.sentAt - m_bounds.stableWindow, request.endedAt,
                        false))
         return;
