LibGateway: Count an answer's notices for the incarnation that gave it

What callers saw: none is reported; found by reading. A request was sent to an upstream, the upstream restarted under its id and reported itself, and then the answer of the earlier incarnation arrived, saying that it leaves (or naming a Retry-After). The new incarnation got no more requests, in the first case until it restarted again. With one upstream in the service, all requests were refused with 503.

Cause: the notice was stored with the upstream as it was known when the answer arrived.

Now the notices of an incarnation are one object. The relay keeps the one in force when the request is sent, and a new incarnation begins with another.

Evidence: the new case of TestPlatform fails on the code as it was (five of five requests after the late answer refused with 503, for each of the two notices) and passes now.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -415,6 +415,7 @@
     // Making the connection takes some of the time that is left.
     options.onSend = [this](Http::Request &request) {
         request.headers = upstreamHeaders();
+        m_notices = m_plan->upstream->notices();
         const auto &dependencies = m_gateway.dependencies();
         m_progress.listAge = dependencies.fleet.age(dependencies.clock.now());
     };
@@ -540,14 +541,14 @@
     // Another incarnation at the address speaks for itself.
     if (head.isOtherUpstream)
         return;
-    auto &upstream = *m_plan->upstream;
-    if (head.isLeaving && !upstream.isLeaving()) {
-        upstream.noteLeaving();
+    const auto &upstream = *m_plan->upstream;
+    if (head.isLeaving && !std::exchange(m_notices->isLeaving, true)
+        && m_notices == upstream.notices() && !upstream.report().isDraining)
         Core::logEvent(Core::EventId::UpstreamLeaving,
                        {{"upstream", upstream.report().id.value()}, {"reason", "its answer"}});
-    }
     if (head.retryAfter)
-        upstream.noteRefusing(m_gateway.dependencies().clock.now() + *head.retryAfter);
+        m_notices->refusingUntil = std::max(
+            m_notices->refusingUntil, m_gateway.dependencies().clock.now() + *head.retryAfter);
 }
 
 asio::awaitable<void> RequestRelay::discardBody(Http::ClientExchange &answer)
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -117,6 +117,8 @@
     /// The entry in the queue of the planned engine; null if there is none.
     std::unique_ptr<QueuePlace> m_place;
     /// Number of attempts that an upstream may have executed.
+    /// Those of the incarnation that the last attempt was sent to.
+    std::shared_ptr<UpstreamNotices> m_notices;
     unsigned m_executions = 0;
     RequestProgress m_progress;
     /// Set while the prompt is at an engine, and after that.
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -44,8 +44,7 @@
     const auto previous = std::exchange(m_report, std::move(report));
     if (isNewIncarnation) {
         m_failedContacts = 0;
-        m_isLeaving = false;
-        m_refusingUntil = Core::Clock::Monotonic::min();
+        m_notices = std::make_shared<UpstreamNotices>();
         m_prefixCache.clear();
         m_failureShare = 0;
         m_slowness = 1;
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -2,10 +2,12 @@
 
 #include <LibCore/Clock.h>
 #include <LibGateway/PrefixCacheEstimate.h>
+#include <LibGateway/UpstreamNotices.h>
 #include <LibGateway/UpstreamReport.h>
 
 #include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace Gateway {
@@ -49,11 +51,12 @@
     bool isRemoved() const { return m_isRemoved; }
     void setRemoved() { m_isRemoved = true; }
 
-    /// Records that an answer of the upstream stated that it is about to shut down.
-    void noteLeaving() { m_isLeaving = true; }
+    /// Returns the notices of the current incarnation. An answer may arrive after the report of the
+    /// next one, so they belong to the incarnation that the request was sent to.
+    const std::shared_ptr<UpstreamNotices> &notices() const { return m_notices; }
     /// Whether the upstream is about to shut down, by its report or by one of its answers, and
     /// receives no new requests.
-    bool isLeaving() const { return m_isLeaving || m_report.isDraining; }
+    bool isLeaving() const { return m_notices->isLeaving || m_report.isDraining; }
 
     /// Returns the engine memory that this instance's running and queued requests occupy, in
     /// tokens.
@@ -127,16 +130,15 @@
                          Core::Clock::Monotonic now);
 
     /// Returns the time until which the upstream receives no new requests.
-    Core::Clock::Monotonic pausedUntil() const { return std::max(m_pausedUntil, m_refusingUntil); }
-    void pauseUntil(Core::Clock::Monotonic time) { m_pausedUntil = time; }
-    /// Records until when the upstream wants no requests of this instance.
-    void noteRefusing(Core::Clock::Monotonic until)
+    Core::Clock::Monotonic pausedUntil() const
     {
-        m_refusingUntil = std::max(m_refusingUntil, until);
+        return std::max(m_pausedUntil, m_notices->refusingUntil);
     }
+    void pauseUntil(Core::Clock::Monotonic time) { m_pausedUntil = time; }
 
 private:
     UpstreamReport m_report;
+    std::shared_ptr<UpstreamNotices> m_notices = std::make_shared<UpstreamNotices>();
     PrefixCacheEstimate m_prefixCache;
     WaitingTokens m_waitingTokens;
     std::uint64_t m_memoryTokens = 0;
@@ -147,14 +149,12 @@
     Core::Clock::Monotonic m_lastOutcome = Core::Clock::Monotonic::min();
     double m_slowness = 1;
     Core::Clock::Monotonic m_pausedUntil = Core::Clock::Monotonic::min();
-    Core::Clock::Monotonic m_refusingUntil = Core::Clock::Monotonic::min();
     /// How often in a row the upstream could not be reached.
     unsigned m_failedContacts = 0;
     /// The last sibling that reported the upstream as unreachable, and the time of the report.
     std::string m_unreachableReporter;
     Core::Clock::Monotonic m_unreachableReportedAt = Core::Clock::Monotonic::min();
     bool m_isRemoved = false;
-    bool m_isLeaving = false;
 };
 
 } // namespace Gateway
--- /dev/null
+++ b/Tests/Platform/TestLateNotices.cpp
@@ -0,0 +1,76 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <future>
+#include <string>
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using PlatformTests::GatewayFixture;
+using StandIns::WorkerStandIn;
+
+namespace {
+
+Http::Request nextRequest()
+{
+    static int count = 0;
+    return GatewayFixture::request("/calls/a", "id-" + std::to_string(++count));
+}
+
+/// Answers with a status and headers, in addition to the usual ones.
+WorkerStandIn::Behaviour answerWith(unsigned status, const Http::Headers &extra,
+                                    std::chrono::milliseconds delay = 0ms)
+{
+    return [=](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, delay);
+        co_await timer.async_wait(asio::use_awaitable);
+        auto headers = WorkerStandIn::answerHeaders(exchange.request());
+        for (const auto &field : extra)
+            headers.add(field.name, field.value);
+        Http::Response response(status, std::move(headers), "");
+        co_await exchange.respond(std::move(response));
+        co_return true;
+    };
+}
+
+Http::Headers leaving()
+{
+    Http::Headers headers;
+    headers.add("Server-Leaving", "1");
+    return headers;
+}
+
+Http::Headers refusing()
+{
+    Http::Headers headers;
+    headers.add("X-Jujubesaddle-Not-Executed", "1");
+    headers.add("Retry-After", "30");
+    return headers;
+}
+
+} // namespace
+
+TEST_CASE("a late answer of an earlier incarnation does not take its successor out of use")
+{
+    const bool isLeaving = GENERATE(true, false);
+    CAPTURE(isLeaving);
+    GatewayFixture fixture;
+    auto &worker = fixture.addWorker("w-1", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway();
+    worker.setBehaviour(answerWith(isLeaving ? 200 : 503, isLeaving ? leaving() : refusing(), 2s));
+    auto late = std::async(std::launch::async, [&] { return fixture.send(nextRequest()); });
+    REQUIRE(GatewayFixture::eventually([&] { return worker.requests().size() == 1; }));
+    worker.setBehaviour({});
+    fixture.restartWorker(worker);
+    gateway.awaitLine("upstream_restarted");
+    CHECK(fixture.send(nextRequest()).status == 200);
+    late.get();
+    for (int n = 0; n < 5; ++n)
+        CHECK(fixture.send(nextRequest()).status == 200);
+}
