LibGateway: Heed the notice in a 421 of the upstream that was meant

What callers saw: none is reported; found by reading. An upstream that leaves says so in all its answers, also in a 421 (its weights differ from the expected ones), which is passed on when no other upstream is free. That notice was ignored, and requests went on to it.

Cause: every 421 counted as the answer of another instance at the address. A 421 that names the expected instance comes from that one.

Evidence: the new case of TestPlatform fails on the code as it was: requests reached the upstream after a 421 with its own id and the notice. It passes now. With the id of another instance, the notice still says nothing of ours (second part of the case; passed before, too).

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -539,7 +539,7 @@
 void RequestRelay::noteUpstreamState(const AnswerHead &head)
 {
     // Another incarnation at the address speaks for itself.
-    if (head.isOtherUpstream)
+    if (head.isOtherUpstream && head.upstream != m_plan->upstream->report().id)
         return;
     const auto &upstream = *m_plan->upstream;
     if (head.isLeaving && !std::exchange(m_notices->isLeaving, true)
--- a/Tests/Platform/TestLateNotices.cpp
+++ b/Tests/Platform/TestLateNotices.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <future>
 #include <string>
+#include <thread>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -22,6 +23,18 @@
     return GatewayFixture::request("/calls/a", "id-" + std::to_string(++count));
 }
 
+/// Sends requests one after the other until the time has passed; returns how many were served.
+int sendFor(const GatewayFixture &fixture, std::chrono::milliseconds time)
+{
+    int served = 0;
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+        served += fixture.send(nextRequest()).status == 200 ? 1 : 0;
+        std::this_thread::sleep_for(5ms);
+    }
+    return served;
+}
+
 /// Answers with a status and headers, in addition to the usual ones.
 WorkerStandIn::Behaviour answerWith(unsigned status, const Http::Headers &extra,
                                     std::chrono::milliseconds delay = 0ms)
@@ -53,6 +66,14 @@
     return headers;
 }
 
+Http::Headers misdirected(const std::string &instance)
+{
+    auto headers = leaving();
+    headers.add("X-Jujubesaddle-Not-Executed", "1");
+    headers.add("X-Jujubesaddle-Instance-Id", instance);
+    return headers;
+}
+
 } // namespace
 
 TEST_CASE("a late answer of an earlier incarnation does not take its successor out of use")
@@ -74,3 +95,22 @@
     for (int n = 0; n < 5; ++n)
         CHECK(fixture.send(nextRequest()).status == 200);
 }
+
+TEST_CASE("a notice in a 421 is heeded if the upstream that was meant gave it, and no other one")
+{
+    const bool isOwn = GENERATE(true, false);
+    CAPTURE(isOwn);
+    GatewayFixture fixture;
+    auto &worker = fixture.addWorker("w-1", "app");
+    fixture.addWorker("w-2", "app");
+    fixture.configure(1);
+    fixture.startGateway();
+    worker.setBehaviour(answerWith(421, misdirected(isOwn ? "w-1" : "w-9")));
+    sendFor(fixture, 500ms);
+    worker.setBehaviour({});
+    const auto before = worker.requests().size();
+    CHECK(before >= 1);
+    // Longer than the pause of an address that another instance uses.
+    sendFor(fixture, 4s);
+    CHECK((worker.requests().size() > before) == !isOwn);
+}
