LibGateway: Keep an upstream's notices while it is not listed

What callers saw: none is reported; found by reading. An upstream said that it is leaving, or named a Retry-After; its entry was removed, as around an outage of the store, and came back with the same start. It was then treated as new and got requests at once.

Cause: the notices were members of the Upstream object, which is dropped with the entry. A report of another start in between, of another writer, had the same effect.

Now the fleet keeps the notices of an upstream's last incarnations beside the history of its reports, and as long; the key is the start and the address. An answer that arrives while the upstream is not listed counts, too, because the request holds the same object.

--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -33,18 +33,19 @@
     return *this;
 }
 
-Upstream::Upstream(UpstreamReport report)
+Upstream::Upstream(UpstreamReport report, std::shared_ptr<UpstreamNotices> notices)
     : m_report(std::move(report))
+    , m_notices(std::move(notices))
 { }
 
-bool Upstream::update(UpstreamReport report)
+bool Upstream::update(UpstreamReport report, std::shared_ptr<UpstreamNotices> notices)
 {
     const bool isNewIncarnation =
         report.startTime != m_report.startTime || report.endpoint != m_report.endpoint;
     const auto previous = std::exchange(m_report, std::move(report));
+    m_notices = std::move(notices);
     if (isNewIncarnation) {
         m_failedContacts = 0;
-        m_notices = std::make_shared<UpstreamNotices>();
         m_prefixCache.clear();
         m_failureShare = 0;
         m_slowness = 1;
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -42,11 +42,12 @@
     /// Pause of an upstream that could not be reached, the first time.
     static constexpr std::chrono::milliseconds UnreachablePause {1'000};
 
-    explicit Upstream(UpstreamReport report);
+    Upstream(UpstreamReport report, std::shared_ptr<UpstreamNotices> notices);
 
     const UpstreamReport &report() const { return m_report; }
-    /// Applies a newer report of this upstream. Returns whether a new incarnation of it started.
-    bool update(UpstreamReport report);
+    /// Applies a newer report of this upstream, with the notices of its incarnation. Returns
+    /// whether a new incarnation of it started.
+    bool update(UpstreamReport report, std::shared_ptr<UpstreamNotices> notices);
     /// Whether the upstream was removed from the list and receives no new requests.
     bool isRemoved() const { return m_isRemoved; }
     void setRemoved() { m_isRemoved = true; }
@@ -138,7 +139,7 @@
 
 private:
     UpstreamReport m_report;
-    std::shared_ptr<UpstreamNotices> m_notices = std::make_shared<UpstreamNotices>();
+    std::shared_ptr<UpstreamNotices> m_notices;
     PrefixCacheEstimate m_prefixCache;
     WaitingTokens m_waitingTokens;
     std::uint64_t m_memoryTokens = 0;
--- a/Libraries/LibGateway/UpstreamFleet.cpp
+++ b/Libraries/LibGateway/UpstreamFleet.cpp
@@ -15,12 +15,14 @@
 bool UpstreamFleet::apply(UpstreamReport report)
 {
     const auto it = m_all.find(report.id);
-    const auto verdict = m_histories[report.id].note(report);
+    auto &history = m_histories[report.id];
+    const auto verdict = history.reports.note(report);
     const bool isNew = verdict == ReportHistory::Verdict::New;
     if (verdict == ReportHistory::Verdict::Old || (it == m_all.end() && !isNew))
         return false;
+    auto notices = history.notices.of(report);
     if (it == m_all.end()) {
-        auto upstream = std::make_shared<Upstream>(std::move(report));
+        auto upstream = std::make_shared<Upstream>(std::move(report), std::move(notices));
         m_byService[upstream->report().service].push_back(upstream);
         m_all[upstream->report().id] = upstream;
         m_byHash[hashOf(upstream->report().id)] = upstream;
@@ -39,7 +41,7 @@
         removeFromService(upstream);
         m_byService[report.service].push_back(upstream);
     }
-    if (upstream->update(std::move(report)))
+    if (upstream->update(std::move(report), std::move(notices)))
         Core::logEvent(Core::EventId::UpstreamRestarted, {{"upstream", known.id.value()}});
     return isNew;
 }
--- a/Libraries/LibGateway/UpstreamFleet.h
+++ b/Libraries/LibGateway/UpstreamFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/IncarnationNotices.h>
 #include <LibGateway/ReportHistory.h>
 #include <LibGateway/Upstream.h>
 
@@ -42,13 +43,20 @@
     const std::map<Core::UpstreamId, std::shared_ptr<Upstream>> &all() const { return m_all; }
 
 private:
+    /// What is remembered of an upstream while it is not listed.
+    struct History
+    {
+        ReportHistory reports;
+        IncarnationNotices notices;
+    };
+
     void removeFromService(const std::shared_ptr<Upstream> &upstream);
 
-    /// Forgets the reports of the upstreams that were removed first when there are too many.
+    /// Forgets the histories of the upstreams that were removed first when there are too many.
     void forgetRemoved();
 
     std::map<Core::UpstreamId, std::shared_ptr<Upstream>> m_all;
-    std::map<Core::UpstreamId, ReportHistory> m_histories;
+    std::map<Core::UpstreamId, History> m_histories;
     /// The removed upstreams in the order of their removal; some may be listed again.
     std::deque<Core::UpstreamId> m_removed;
     std::map<std::string, Members> m_byService;
--- a/Tests/Platform/TestLateNotices.cpp
+++ b/Tests/Platform/TestLateNotices.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr auto Topic = "keyed.servers";
+
 Http::Request nextRequest()
 {
     static int count = 0;
@@ -114,3 +116,29 @@
     sendFor(fixture, 4s);
     CHECK((worker.requests().size() > before) == !isOwn);
 }
+
+TEST_CASE("a notice holds when the entry of its upstream is removed and comes back")
+{
+    const bool isLeaving = GENERATE(true, false);
+    CAPTURE(isLeaving);
+    GatewayFixture fixture;
+    auto &worker = fixture.addWorker("w-1", "app");
+    fixture.addWorker("w-2", "app");
+    fixture.configure(1);
+    auto &gateway = fixture.startGateway();
+    worker.setBehaviour(answerWith(isLeaving ? 200 : 503, isLeaving ? leaving() : refusing()));
+    sendFor(fixture, 500ms);
+    REQUIRE(worker.requests().size() == 1);
+    worker.setBehaviour({});
+    fixture.store.put(Topic, "w-1", std::nullopt);
+    gateway.awaitLine(R"("reason":"not listed")");
+    fixture.store.put(Topic, "w-1", worker.entry("ready", 2));
+    gateway.awaitLine(R"("name":"upstream_added","upstream":"w-1")");
+    CHECK(sendFor(fixture, 1s) > 0);
+    CHECK(worker.requests().size() == 1);
+    fixture.restartWorker(worker);
+    CHECK(GatewayFixture::eventually([&] {
+        sendFor(fixture, 100ms);
+        return worker.requests().size() > 1;
+    }));
+}
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -39,7 +39,7 @@
         std::this_thread::sleep_for(PollPause);
 }
 
-std::string WorkerStandIn::entry(const std::string &state) const
+std::string WorkerStandIn::entry(const std::string &state, unsigned sequence) const
 {
     const boost::json::array models {
         boost::json::object {{"Name", Model}, {"Version", m_weights.load()}}};
@@ -53,7 +53,7 @@
                              {"ColdLeftMs", 0},
                              {"Models", models},
                              {"born", m_incarnation.load()},
-                             {"Seq", 1}});
+                             {"Seq", sequence}});
 }
 
 void WorkerStandIn::setBehaviour(Behaviour behaviour)
--- a/Tests/StandIns/WorkerStandIn.h
+++ b/Tests/StandIns/WorkerStandIn.h
@@ -30,7 +30,7 @@
 
     const std::string &id() const { return m_id; }
     /// Returns the worker's entry in the store's list.
-    std::string entry(const std::string &state = "ready") const;
+    std::string entry(const std::string &state = "ready", unsigned sequence = 1) const;
 
     /// Lets the worker's next entries name a new incarnation, as after a restart.
     void restart() { ++m_incarnation; }
