--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -512,7 +512,8 @@
         fleet.clock.advance(250ms);
         fleet.exchangeDatagrams();
         fleet.records.emplace_back("report");
-        fleet.readUpstreams(other, known);
+        // Without a wait, the read is not spaced.
+        fleet.read(other, known, 0ms, FleetTopic::Upstreams);
         const auto page = fleet.readUpstreams(one, known);
         CHECK(page.next == fleet.records.size());
         known = page.next;
