--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -41,7 +41,7 @@
     }
 }
 
-std::string WorkerStandIn::entry(const std::string &state) const
+std::string WorkerStandIn::entry(const std::string &state, unsigned sequence) const
 {
     const boost::json::array models {
         boost::json::object {{"Name", Model}, {"Version", m_weights.load()}}};
@@ -55,7 +55,7 @@
                              {"ColdLeftMs", 0},
                              {"Models", models},
                              {"born", m_incarnation.load()},
-                             {"Seq", 1}});
+                             {"Seq", sequence}});
 }
 
 void WorkerStandIn::setBehaviour(Behaviour behaviour)
