LibGateway: Let late reports bring back no upstream that left

An upstream wrote reports that went unanswered, then one that says draining, or was removed; when the unanswered ones took effect late, it was used again until its next report (DRAIN).

Reports that the store carried out late look the same.

Now lower sequences of the known start apply only after one that was further ahead than reports can be missing in the log, and the same report with another state cannot end draining.

What remains: two late reports of an earlier incarnation in a row may still replace a newer one until its next reports.

--- a/Libraries/LibGateway/ReportHistory.cpp
+++ b/Libraries/LibGateway/ReportHistory.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t MaxFormer = 8;
+// Reports in a row that are missing in the log because the store did not accept them.
+constexpr std::uint64_t MaxMissedReports = 8;
 
 } // namespace
 
@@ -28,8 +30,9 @@
         return noteLower(report, isLater, former);
     }
     if (report.sequence == m_current.sequence) {
-        m_current.isDraining = report.isDraining;
-        return Verdict::Repeated;
+        const bool isContradicted = m_current.isDraining && !report.isDraining;
+        m_current.isDraining |= report.isDraining;
+        return isContradicted ? Verdict::Old : Verdict::Repeated;
     }
     const auto &known = m_current.known;
     const bool isContinued =
@@ -37,7 +40,7 @@
     const bool isDrainingNow = isLater && isContinued && report.isDraining && !m_current.isDraining;
     if (report.sequence > m_current.sequence || isDrainingNow)
         return update(report);
-    return noteLower(report, isLater, &m_current);
+    return m_current.hasJumped ? noteLower(report, isLater, &m_current) : Verdict::Old;
 }
 
 ReportHistory::Verdict ReportHistory::noteLower(const UpstreamReport &report, bool isLater,
@@ -81,6 +84,10 @@
 
 ReportHistory::Verdict ReportHistory::update(const UpstreamReport &report)
 {
+    const bool isLower = report.sequence < m_current.sequence;
+    const bool isJump = !m_current.known.isEmpty() && !isLower
+                        && report.sequence - m_current.sequence > MaxMissedReports;
+    m_current.hasJumped = isJump || (m_current.hasJumped && !isLower);
     if (m_candidate && m_candidate->startTime == report.startTime)
         m_current.known.insert(m_candidate->sequence);
     m_candidate.reset();
--- a/Libraries/LibGateway/ReportHistory.h
+++ b/Libraries/LibGateway/ReportHistory.h
@@ -15,9 +15,10 @@
 ///
 /// A later start time that was not known before, or a higher sequence of the current incarnation,
 /// applies at once. Both are only claims: the upstream's wall clock may have been set back, and the
-/// report may be of another writer. Reports with lower numbers apply, too, when two of them follow
-/// each other in ascending order, without a new report of the current incarnation in between. They
-/// must be later in the log than all known ones, and neither they nor a number between them may be
+/// report may be of another writer. Reports of another start time, or with lower sequences after
+/// one that was too far ahead to be of the same writer, apply, too, when two of them follow each
+/// other in ascending order, without a new report of the current incarnation in between. They must
+/// be later in the log than all known ones, and neither they nor a number between them may be
 /// known, so that one report that is written late, or a known one that is written again, has no
 /// effect. A new report that the current incarnation is draining applies at once, also between
 /// known numbers, because the incarnation does not become ready again.
@@ -40,6 +41,9 @@
         std::chrono::milliseconds startTime {0};
         std::uint64_t sequence = 0;
         bool isDraining = false;
+        /// Whether the sequence is more ahead of the known ones than reports can be missing, so
+        /// that it may be that of another writer.
+        bool hasJumped = false;
         SequenceRanges known;
     };
 
--- a/Libraries/LibGateway/SequenceRanges.h
+++ b/Libraries/LibGateway/SequenceRanges.h
@@ -14,6 +14,7 @@
     static constexpr std::size_t MaxRanges = 16;
 
     void insert(std::uint64_t number);
+    bool isEmpty() const { return m_ranges.empty(); }
     bool contains(std::uint64_t number) const;
     /// Returns whether the set has a number from the first to the second one.
     bool hasBetween(std::uint64_t first, std::uint64_t last) const;
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -360,6 +360,22 @@
     CHECK_FALSE(fixture.find("w"));
 }
 
+TEST_CASE("unanswered reports that take effect late do not bring back an upstream that left")
+{
+    const std::string leaving = GENERATE("app:10:6d", "");
+    Fixture fixture;
+    for (const auto *report : {"app:10:1", "app:10:2", "app:10:3"})
+        fixture.applyUpstream("w", report);
+    fixture.applyUpstream("w", leaving.empty() ? "app:10:6" : leaving);
+    if (leaving.empty())
+        fixture.applyUpstream("w", std::nullopt);
+    // The same report with another state is of another writer.
+    for (const auto *report : {"app:10:4", "app:10:5", "app:10:6"}) {
+        fixture.applyUpstream("w", report);
+        CHECK((!fixture.find("w") || fixture.find("w")->report().isDraining));
+    }
+}
+
 TEST_CASE("reports that are written late, or read again, do not bring back an upstream that left")
 {
     Fixture fixture;
