LibSiblings: Go on with probes and reports when a sibling names an address that is no endpoint

A sibling's probe may name other members with any address that is not empty. One with a host name or a port above 65535 ended the loop that sends probes, load and admission reports, silently and until the restart: siblings then hold the instance for failed, and shares are planned without it. A query of such a holder of a claim failed with the address instead of "unknown".

Cause: parsing the address throws, the loop was started with asio::detached, and that drops the exception with the loop.

Messages to an address that is none are now lost like any other one-way message, so the member fails by its probes.

--- a/Libraries/LibSiblings/SiblingService.cpp
+++ b/Libraries/LibSiblings/SiblingService.cpp
@@ -35,6 +35,13 @@
     return target;
 }
 
+/// Sends a message. It is lost if the address, which another instance may have named, is none.
+void sendTo(Peer::PeerClient &client, const std::string &address, Peer::Body message)
+{
+    if (const auto endpoint = Http::parseEndpoint(address))
+        client.send({endpoint.value(), {}}, std::move(message));
+}
+
 } // namespace
 
 SiblingService::SiblingService(asio::io_context &context, const SiblingSettings &settings,
@@ -56,7 +63,7 @@
     Membership::SharedStatePublisher::Hooks hooks;
     hooks.siblings = [this] { return otherMembers(); };
     hooks.send = [this](const std::string &address, Peer::Body message) {
-        m_client->send(peerAddress(address), std::move(message));
+        sendTo(*m_client, address, std::move(message));
     };
     m_publisher = std::make_unique<Membership::SharedStatePublisher>(
         instance.clock(), m_rng, m_bridge.state(), instance.settings().dataCentre,
@@ -96,7 +103,7 @@
     self.address = Http::formatEndpoint(m_server->endpoint());
     Membership::MembershipHooks hooks;
     hooks.send = [this](const std::string &address, const Membership::Message &message) {
-        m_client->send(peerAddress(address), Membership::toBody(message));
+        sendTo(*m_client, address, Membership::toBody(message));
     };
     m_probes = Membership::ProbeService::create({}, std::move(self), m_instance.clock(), m_rng,
                                                 std::move(hooks))
@@ -174,7 +181,7 @@
     // shares would then have to be planned within a data centre and between a few delegates.
     for (const auto &member : otherMembers()) {
         const auto report = m_instance.admission().report(member.id.instance);
-        m_client->send(peerAddress(member.address), encodeAdmissionReport(report));
+        sendTo(*m_client, member.address, encodeAdmissionReport(report));
     }
 }
 
@@ -187,7 +194,7 @@
     for (const auto &member : otherMembers()) {
         Peer::Wire::SharedDeltaT delta;
         delta.records = records;
-        m_client->send(peerAddress(member.address), Peer::makeBody(std::move(delta)));
+        sendTo(*m_client, member.address, Peer::makeBody(std::move(delta)));
     }
 }
 
@@ -292,9 +299,9 @@
     const auto address = addressOf(query.holder);
     if (address.empty())
         co_return reply;
-    auto target = peerAddress(address);
-    target.incarnation = query.holder.incarnation;
     try {
+        auto target = peerAddress(address);
+        target.incarnation = query.holder.incarnation;
         auto body = Peer::makeBody(encodeClaimQuery(query));
         auto answer = co_await m_client->request(target, std::move(body), ClaimTimeout);
         reply = decodeClaimReply(Peer::takeReply<Peer::Wire::ClaimReplyT>(answer));
