LibPeer: Close a link whose reader or writer fails unexpectedly

An exception other than Core::Error or a lost connection, such as std::length_error of a message handler, ended the reader or the writer of a link silently. The link stayed open: requests over it waited for their whole timeout, messages were lost, and a full queue was never sent. An exception while a reply was encoded also kept one of the peer's running requests for ever.

Cause: the loops are started with asio::detached, which drops the exception, and they close the link only on the errors they know.

The writer, the encoding and the handshake (which kept its place among the connections) have the same cause and no test of their own.

The exception is logged and the link closed, so the other side makes a new one.

--- a/Libraries/LibPeer/PeerLink.cpp
+++ b/Libraries/LibPeer/PeerLink.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
 #include <LibPeer/PeerLink.h>
 
@@ -135,6 +136,9 @@
             co_await m_stream->write(std::move(payload));
         } catch (const boost::system::system_error &) {
             closeOnStrand();
+        } catch (const std::exception &fault) {
+            Core::logUnexpected("link of a peer", fault.what());
+            closeOnStrand();
         }
     }
 }
@@ -158,6 +162,8 @@
                        {{"peer", m_peer.instance.value()}, {"detail", error.detail()}});
     } catch (const boost::system::system_error &) {
         // The connection ended; the link is closed below.
+    } catch (const std::exception &fault) {
+        Core::logUnexpected("link of a peer", fault.what());
     }
     closeOnStrand();
 }
@@ -208,13 +214,13 @@
 {
     const auto self = shared_from_this();
     auto reply = co_await handle(std::move(request));
+    --m_runningRequests;
     auto payload = encodeMessage(Wire::Purpose::Response, id, reply);
     if (payload.size() > m_settings.maxFrameBytes) {
         const Core::Error large(Core::ErrorKind::BodyTooLarge,
                                 "the response exceeds the maximum frame size");
         payload = encodeMessage(Wire::Purpose::Response, id, makeRefusal(large));
     }
-    --m_runningRequests;
     enqueue(std::move(payload));
 }
 
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
 #include <LibPeer/PeerServer.h>
 
@@ -50,9 +51,8 @@
 
 void PeerServer::start()
 {
-    asio::co_spawn(
-        m_acceptor.get_executor(), [self = shared_from_this()] { return self->acceptLoop(); },
-        asio::detached);
+    Core::spawnLoop(m_acceptor.get_executor(), "peer port",
+                    [self = shared_from_this()] { return self->acceptLoop(); });
 }
 
 void PeerServer::stop()
@@ -126,6 +126,9 @@
     } catch (const Core::Error &) {
         // performHandshake() has already counted and logged the failure.
         stream->close();
+    } catch (const std::exception &fault) {
+        Core::logUnexpected("connection of a peer", fault.what());
+        stream->close();
     }
     std::scoped_lock lock(m_mutex);
     --m_handshakes;
--- a/Tests/LibPeer/TestPeerLink.cpp
+++ b/Tests/LibPeer/TestPeerLink.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <stdexcept>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -188,3 +189,24 @@
     asio::write(left, asio::buffer(std::string("\x7f\0\0\0", 4)));
     CHECK_THROWS_AS(threads.wait(reader.read(1'000)), Core::Error);
 }
+
+TEST_CASE("an unexpected exception in a message handler does not leave a link that nobody reads")
+{
+    auto handlers = echoHandlers();
+    handlers.onMessage = [](const Peer::PeerIdentity &, const Peer::Body &) {
+        throw std::length_error("that nobody expects");
+    };
+    PeerPair pair(std::move(handlers));
+    REQUIRE(pair.requestKey("before") == "before");
+    pair.client->send({pair.server->endpoint(), {}}, claimQuery("a message"));
+    // The link is closed during this request, or a new one made for it.
+    std::string reply = "during";
+    try {
+        reply = pair.requestKey("during", 3s);
+    } catch (const Core::Error &error) {
+        CHECK(error.kind() == Core::ErrorKind::PeerUnavailable);
+    }
+    CHECK(reply == "during");
+    CHECK(pair.clientCounters.requestsTimedOut == 0);
+    CHECK(pair.requestKey("after") == "after");
+}
