jujubesaddled, LibSiblings, LibGateway: Restart loops that end with an unexpected exception

Found by reading; nothing is known to have thrown there and no test shows it: the loops of the daemon (list of instances, load reports, admission, usage, configuration), of its siblings (probes, warm start) and the delayed removal of upstreams in the gateway were started with asio::detached, which drops an exception together with the loop. The process went on with what it knew last. An exception also left flags behind that no other run resets: a usage append counted as running, so that the shutdown waited its 5 s for it; the fetch of a document and the removal of upstreams were never tried again; the configuration reader kept a pointer to the timer of the ended run.

They now run under Core::spawnLoop, which logs the exception and starts the loop again, as the loops of the gateway do, and the flags are reset.

--- a/Libraries/LibConfiguration/ConfigurationReader.cpp
+++ b/Libraries/LibConfiguration/ConfigurationReader.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <memory>
 #include <utility>
 
 namespace Configuration {
@@ -38,6 +39,9 @@
 asio::awaitable<void> ConfigurationReader::run()
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
+    // An unexpected exception leaves this function too.
+    const auto forget = [this](asio::steady_timer *) { m_timer = nullptr; };
+    const std::unique_ptr<asio::steady_timer, decltype(forget)> user(&timer, forget);
     m_timer = &timer;
     while (!m_stopping) {
         std::string failure;
@@ -55,7 +59,6 @@
             co_await pause(m_options.readWait);
         }
     }
-    m_timer = nullptr;
 }
 
 void ConfigurationReader::stop()
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -1,9 +1,8 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/SharedLog.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -189,7 +188,8 @@
             page = co_await m_dependencies.log.newest(FleetTopic::Upstreams);
         applyUpstreamsPage(page);
         if (!m_pendingRemovals.empty() && !std::exchange(m_isRemovalScheduled, true))
-            asio::co_spawn(executor, removePendingInTime(), asio::detached);
+            Core::spawnLoop(executor, "removal of upstreams",
+                            [this] { return removePendingInTime(); });
         co_await sleepFor(MinReadInterval);
     }
 }
--- a/Libraries/LibRouter/UsageReporter.cpp
+++ b/Libraries/LibRouter/UsageReporter.cpp
@@ -76,6 +76,9 @@
         succeeded = true;
     } catch (const Core::Error &) {
         // The same batch is sent again at the next interval; a duplicate counts once.
+    } catch (...) {
+        m_isAppending = false;
+        throw;
     }
     m_isAppending = false;
     co_return succeeded;
--- a/Libraries/LibSiblings/SiblingService.cpp
+++ b/Libraries/LibSiblings/SiblingService.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
 #include <LibHttp/Endpoint.h>
 #include <LibSiblings/AdmissionReportCodec.h>
@@ -114,8 +115,8 @@
 {
     m_server->start();
     m_instance.setCrashHook([this] { asio::post(m_context, [this] { broadcastUrgentState(); }); });
-    asio::co_spawn(m_context, runTimers(), asio::detached);
-    asio::co_spawn(m_context, warmUp(), asio::detached);
+    Core::spawnLoop(m_context.get_executor(), "siblings", [this] { return runTimers(); });
+    Core::spawnLoop(m_context.get_executor(), "warm start", [this] { return warmUp(); });
 }
 
 void SiblingService::leave()
@@ -280,6 +281,8 @@
             Core::logEvent(Core::EventId::ConfigurationFromSibling, {{"sibling", address}});
     } catch (const Core::Error &) {
         // The log or another sibling will provide the document.
+    } catch (const std::exception &fault) {
+        Core::logUnexpected("document of a sibling", fault.what());
     }
     m_isFetching = false;
 }
--- a/Services/jujubesaddled/Daemon.cpp
+++ b/Services/jujubesaddled/Daemon.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BackgroundLoop.h>
 #include <LibCore/EventLog.h>
 #include <LibCore/StartRetry.h>
 #include <LibPlatform/EmbeddedLogService.h>
@@ -5,7 +6,6 @@
 #include <LibPlatform/HttpLogService.h>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -241,13 +241,15 @@
         });
     if (m_siblings)
         m_siblings->start();
-    auto &control = m_controlThread.at(0);
-    asio::co_spawn(control, m_directoryWatcher->run(), asio::detached);
-    asio::co_spawn(control, m_loadProber.run(), asio::detached);
-    asio::co_spawn(control, tickAdmission(), asio::detached);
-    asio::co_spawn(control, m_usageReporter->run(), asio::detached);
+    const auto spawn = [this](std::string name, Core::LoopBody body) {
+        Core::spawnLoop(m_controlThread.at(0).get_executor(), std::move(name), std::move(body));
+    };
+    spawn("list of instances", [this] { return m_directoryWatcher->run(); });
+    spawn("load reports", [this] { return m_loadProber.run(); });
+    spawn("admission", [this] { return tickAdmission(); });
+    spawn("usage", [this] { return m_usageReporter->run(); });
     if (m_configurationReader)
-        asio::co_spawn(control, m_configurationReader->run(), asio::detached);
+        spawn("configuration", [this] { return m_configurationReader->run(); });
     m_claims->start();
 }
 
