LibGateway: Give the first instance of a new fleet its part of the slack at once

Since the slack has to wait for a window after the announcement, a single instance that has just started repeated no failed request before it had received seven: callers got a failure that another upstream would have answered.

Nobody has taken a part without an announcement, and all later ones wait, by which time this instance has read of them or has a reduced part.

--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -304,6 +304,8 @@
     if (!offset)
         co_return false;
     noteAnnounced(requestTime);
+    if (*offset == 0 && onFirstRecord)
+        onFirstRecord();
     co_return true;
 }
 
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -62,6 +62,9 @@
     /// Called when an announcement of this instance is known to stand in the journal, with a time
     /// before it was written. May be empty.
     std::function<void(Core::Clock::Monotonic writtenAfter)> onAnnounced;
+    /// Called after onAnnounced when the announcement is the first record of the journal. May be
+    /// empty.
+    std::function<void()> onFirstRecord;
     /// Called when all records that were written until the given time have been read. May be
     /// empty.
     std::function<void(Core::Clock::Monotonic asOf)> onRead;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -234,6 +234,9 @@
     m_journal.onAnnounced = [this, &slack](Core::Clock::Monotonic writtenAfter) {
         slack.noteAnnounced(writtenAfter, m_settings.retries.window, m_interfaces.clock.now());
     };
+    m_journal.onFirstRecord = [this, &slack] {
+        slack.noteFirst(m_settings.retries.window, m_interfaces.clock.now());
+    };
     m_journal.onRead = [this, &slack](Core::Clock::Monotonic asOf) {
         slack.noteJournalRead(asOf, static_cast<unsigned>(m_members.count()),
                               m_settings.retries.window, m_interfaces.clock.now());
--- a/Libraries/LibGateway/RetrySlack.cpp
+++ b/Libraries/LibGateway/RetrySlack.cpp
@@ -24,6 +24,11 @@
     m_announced = std::max(writtenAfter, m_announced.value_or(writtenAfter));
 }
 
+void RetrySlack::noteFirst(std::chrono::seconds window, Core::Clock::Monotonic now)
+{
+    m_standsSince = now - 2 * window;
+}
+
 void RetrySlack::noteJournalRead(Core::Clock::Monotonic asOf, unsigned instances,
                                  std::chrono::seconds window, Core::Clock::Monotonic now)
 {
--- a/Libraries/LibGateway/RetrySlack.h
+++ b/Libraries/LibGateway/RetrySlack.h
@@ -23,6 +23,9 @@
     /// first time is one before it was written.
     void noteAnnounced(Core::Clock::Monotonic writtenAfter, std::chrono::seconds window,
                        Core::Clock::Monotonic now);
+    /// Records that the announcement is the first record of the journal, so that no retries of
+    /// other processes count.
+    void noteFirst(std::chrono::seconds window, Core::Clock::Monotonic now);
     /// Records that all announcements that were written until the first time have been read, and
     /// how many instances are known since.
     void noteJournalRead(Core::Clock::Monotonic asOf, unsigned instances,
