LibGateway: Count a retry at the service that receives it

A service may get more repeats than its budget allows (BUDGET) when a route moves to it while requests run at the service before, which then fails: their retries were paid for by the budget of the old service and sent to the new one, whose own retries came on top. With a split route that holds for each retry that goes to the other service.

Cause: the budget was consumed when an attempt failed, before the next upstream was chosen.

The retry is granted at the service of the next plan, before it enters an engine's queue, and once more only if an attempt that was not sent is followed by a plan for yet another service. A retry that finds no upstream consumes nothing.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -200,6 +200,10 @@
             co_await finish(end);
             co_return;
         }
+        if (end != AttemptOutcome::NotSent) {
+            m_isRetry = true;
+            m_budgetedService.clear();
+        }
         // A queued or repeated request is authorized again with the configuration that is in force
         // when it is sent.
         const auto denied = reauthorize();
@@ -214,6 +218,17 @@
     }
 }
 
+bool RequestRelay::isWithinBudget(const RequestPlan &plan)
+{
+    if (!m_isRetry || plan.service == m_budgetedService)
+        return true;
+    const bool isAllowed = m_gateway.tryRepeat(plan.service);
+    logRetry(m_gateway, m_request, plan, isAllowed);
+    if (isAllowed)
+        m_budgetedService = plan.service;
+    return isAllowed;
+}
+
 bool RequestRelay::mayExecute() const
 {
     return m_executions == 0
@@ -230,6 +245,10 @@
         if (plan && plan->upstream == entered)
             co_return planned;
         m_place.reset();
+        if (plan && !isWithinBudget(*plan))
+            co_return Refusal {Core::ErrorKind::NoUpstream,
+                               "the retry budget of service " + plan->service + " is used up",
+                               ShortRetryAfter};
         if (!plan || !plan->engine || !queues)
             co_return planned;
         entered = plan->upstream;
@@ -299,24 +318,17 @@
     if (m_cancelReason != CancelReason::None || remainingTime() <= 0ms)
         return false;
     const auto &dependencies = m_gateway.dependencies();
-    const auto mayRepeat = [&] {
-        const bool isAllowed = m_gateway.tryRepeat(m_plan->service);
-        logRetry(m_gateway, m_request, *m_plan, isAllowed);
-        return isAllowed;
-    };
     switch (end) {
     case AttemptOutcome::NotSent:
-        return m_progress.sends < MaxSends;
     case AttemptOutcome::NotExecuted:
-        return m_progress.sends < MaxSends && mayRepeat();
+        return m_progress.sends < MaxSends;
     case AttemptOutcome::Interrupted:
     case AttemptOutcome::Withdrawn:
     case AttemptOutcome::ServerError:
         return mayExecute()
-               && !m_gateway.poison().isPoison(m_request.digest, dependencies.clock.now())
-               && mayRepeat();
+               && !m_gateway.poison().isPoison(m_request.digest, dependencies.clock.now());
     case AttemptOutcome::StreamInterrupted:
-        return mayExecute() && !m_events.lastId().empty() && mayRepeat();
+        return mayExecute() && !m_events.lastId().empty();
     case AttemptOutcome::Answered:
     case AttemptOutcome::Cancelled:
         return false;
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -77,7 +77,11 @@
     /// while it waits, so this checks again until the first token.
     void watchBegin();
     void withdraw();
+    /// Returns whether the request may be sent again after an attempt, apart from the budget.
     bool mayRetry(AttemptOutcome end);
+    /// Returns whether the retry budget of the plan's service, which may not be that of the attempt
+    /// before, allows the plan. Consumes one retry for each attempt that reaches an upstream.
+    bool isWithinBudget(const RequestPlan &plan);
     /// Returns whether the route allows an upstream to execute the request, after those that may
     /// have.
     bool mayExecute() const;
@@ -119,6 +123,10 @@
     std::set<Core::UpstreamId> m_excluded;
     /// The entry in the queue of the planned engine; null if there is none.
     std::unique_ptr<QueuePlace> m_place;
+    /// Whether an attempt has reached an upstream, and the service whose retry budget allowed the
+    /// next one.
+    bool m_isRetry = false;
+    std::string m_budgetedService;
     /// Number of attempts that an upstream may have executed.
     unsigned m_executions = 0;
     RequestProgress m_progress;
--- a/Tests/Platform/TestRetryBudget.cpp
+++ b/Tests/Platform/TestRetryBudget.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <random>
 #include <string>
 #include <thread>
@@ -140,7 +142,7 @@
 
 TEST_CASE("a request that has run is not sent again if its new route does not allow it")
 {
-    const auto [before, after] =
+    const auto change =
         GENERATE(std::pair<std::string, std::string> {R"("MaxAttempts":2)", R"("MaxAttempts":1)"},
                  std::pair<std::string, std::string> {R"("idempotent")", R"("non_idempotent")"});
     GatewayFixture fixture;
@@ -153,7 +155,7 @@
     int sent = 0;
     sendViews(fixture, sent, WarmUp);
     const auto changeRoutes = [&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
-        fixture.configure(2, viewsWith(before, after));
+        fixture.configure(2, viewsWith(change.first, change.second));
         asio::steady_timer timer(co_await asio::this_coro::executor, 500ms);
         co_await timer.async_wait(asio::use_awaitable);
         co_return co_await fail(exchange);
@@ -163,3 +165,43 @@
     fixture.send(GatewayFixture::request("/views/a", "changed", "GET"));
     CHECK(first.requests().size() + second.requests().size() == WarmUp + 1);
 }
+
+TEST_CASE("retries of requests whose route moves to another service count at that service")
+{
+    constexpr int WarmUp = 480;
+    constexpr int Moved = 70;
+    GatewayFixture fixture;
+    auto &before = fixture.addWorker("w-1", "app");
+    auto &other = fixture.addWorker("w-2", "app");
+    auto &after = fixture.addWorker("w-3", "llm");
+    fixture.configure(1);
+    fixture.startGateway();
+    int sent = 0;
+    // The ratio allows retries at the service before.
+    sendViews(fixture, sent, WarmUp);
+    std::atomic<bool> isMoved = false;
+    const auto failWhenMoved = [&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        while (!isMoved) {
+            timer.expires_after(10ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_return co_await fail(exchange);
+    };
+    before.setBehaviour(failWhenMoved);
+    other.setBehaviour(failWhenMoved);
+    std::vector<std::future<Http::Response>> answers;
+    answers.reserve(Moved);
+    for (int n = 0; n < Moved; ++n)
+        answers.push_back(std::async(std::launch::async, [&fixture, n] {
+            return fixture.send(
+                GatewayFixture::request("/views/a", "moved-" + std::to_string(n), "GET"));
+        }));
+    std::this_thread::sleep_for(500ms);
+    fixture.configure(2, viewsWith(R"("Service":"app")", R"("Service":"llm")"));
+    std::this_thread::sleep_for(500ms);
+    isMoved = true;
+    for (auto &answer : answers)
+        answer.get();
+    CHECK(static_cast<double>(after.requests().size()) <= Slack);
+}
