Tests: Excuse a process that a signal ends before it runs its own code, and say its memory

As docs/design/soak.md says, a signal counts once the process runs its own code; the soak checked that for the signals at a start only, and now checks it for each. A signal after that still has to end it with exit code 0.

Each line says the greatest memory of a gateway process.

--- a/Tests/Soak/GatewayFleet.cpp
+++ b/Tests/Soak/GatewayFleet.cpp
@@ -155,6 +155,7 @@
     instance.terminatedAt.reset();
     instance.killedAt.reset();
     instance.reloadedAt.reset();
+    instance.earlySignal.reset();
     instance.startedAt = m_world.now();
     endDisturbances(instance);
     // A start by the test is a disturbance of its own.
@@ -206,13 +207,20 @@
         sendTerminate(instance);
 }
 
+void GatewayFleet::sendSignal(Instance &instance, int signal)
+{
+    if (!hasBegun(instance.process->pid()))
+        instance.earlySignal = signal;
+    instance.process->signal(signal);
+}
+
 void GatewayFleet::sendTerminate(Instance &instance)
 {
     instance.terminatedAt = m_world.now();
     beginDisturbance(instance, true);
     if (instance.missedChecks < 2)
         m_world.history.stops.push_back({instance.name, *instance.terminatedAt});
-    instance.process->signal(SIGTERM);
+    sendSignal(instance, SIGTERM);
 }
 
 void GatewayFleet::kill(std::size_t n)
@@ -285,10 +293,11 @@
 
 void GatewayFleet::checkMemory(Instance &instance)
 {
-    if (!instance.process || instance.isOverMemory)
+    if (!instance.process)
         return;
     const auto bytes = instance.process->residentBytes();
-    if (bytes <= MemoryLimit)
+    m_greatestMemory = std::max(m_greatestMemory, bytes);
+    if (instance.isOverMemory || bytes <= MemoryLimit)
         return;
     instance.isOverMemory = true;
     noteFault(instance, "takes " + std::to_string(bytes / 1'000'000) + " MB of memory");
@@ -297,7 +306,7 @@
 void GatewayFleet::sendReload(Instance &instance)
 {
     instance.reloadedAt = m_world.now();
-    instance.process->signal(SIGHUP);
+    sendSignal(instance, SIGHUP);
 }
 
 void GatewayFleet::freeze(std::size_t n, Time time)
@@ -363,6 +372,8 @@
     const bool isClean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
     if (instance.terminatedAt && isClean)
         return;
+    if (instance.earlySignal && WIFSIGNALED(status) && WTERMSIG(status) == *instance.earlySignal)
+        return;
     auto what = "ended with " + describe(status) + " "
                 + std::to_string((m_world.now() - instance.startedAt).count())
                 + " ms after its start";
--- a/Tests/Soak/GatewayFleet.h
+++ b/Tests/Soak/GatewayFleet.h
@@ -27,6 +27,8 @@
     std::size_t count() const { return m_instances.size(); }
     const std::string &name(std::size_t n) const { return m_instances[n]->name; }
     std::uint16_t port(std::size_t n) const { return m_instances[n]->firstPort; }
+    /// Returns the greatest memory that a process took, in bytes.
+    std::size_t greatestMemory() const { return m_greatestMemory; }
     /// Whether the balancer sends new connections to the instance.
     bool isInRotation(std::size_t n) const { return m_instances[n]->missedChecks < 2; }
 
@@ -56,6 +58,8 @@
         std::optional<Time> terminatedAt;
         std::optional<Time> killedAt;
         std::optional<Time> reloadedAt;
+        /// A signal came before the process ran its own code, so that it may end by it.
+        std::optional<int> earlySignal;
         unsigned missedChecks = 2;
         Time lastReady {0};
         std::optional<std::pair<int, Time>> startSignal;
@@ -72,6 +76,7 @@
     void noteFault(const Instance &instance, std::string what);
     void beginDisturbance(const Instance &instance, bool isPlanned);
     void endDisturbances(const Instance &instance);
+    static void sendSignal(Instance &instance, int signal);
     void sendReload(Instance &instance);
     void sendTerminate(Instance &instance);
     /// Whether the instance had nothing to excuse it for not being ready.
@@ -89,6 +94,7 @@
     World &m_world;
     std::string m_folder;
     std::string m_program;
+    std::size_t m_greatestMemory = 0;
     std::vector<std::unique_ptr<Instance>> m_instances;
 };
 
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -101,11 +101,12 @@
     std::map<std::string, unsigned> counts;
     for (const auto &found : breaks)
         ++counts[found.rule];
-    std::string line =
-        std::to_string(requests) + " requests, " + std::to_string(served) + " served, "
-        + std::to_string(arrivals) + " arrivals, " + std::to_string(steps) + " troubles, "
-        + std::to_string(static_cast<int>(retryUse * 100)) + "% of the retry budget, lag "
-        + std::to_string(greatestLag.count()) + " ms:";
+    std::string line = std::to_string(requests) + " requests, " + std::to_string(served)
+                       + " served, " + std::to_string(arrivals) + " arrivals, "
+                       + std::to_string(steps) + " troubles, "
+                       + std::to_string(static_cast<int>(retryUse * 100))
+                       + "% of the retry budget, " + std::to_string(greatestMemory / 1'000'000)
+                       + " MB, lag " + std::to_string(greatestLag.count()) + " ms:";
     for (const auto &[rule, count] : counts)
         line += " " + rule + " " + std::to_string(count);
     return counts.empty() ? line + " no rule broken" : line;
@@ -154,6 +155,7 @@
     SoakResult result;
     Judge judge(m_world.history);
     result.breaks = judge.breaks();
+    result.greatestMemory = m_gateways.greatestMemory();
     result.retryUse = judge.greatestRetryUse();
     result.requests = m_world.history.requests.size();
     for (const auto &[id, request] : m_world.history.requests) {
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -41,6 +41,8 @@
     std::map<std::string, std::size_t> statuses;
     /// The greatest share of the retry budget that a window used.
     double retryUse = 0;
+    /// Of one gateway process, in bytes.
+    std::size_t greatestMemory = 0;
     Time greatestLag {0};
 
     /// Returns the number of breaks of each rule as one line.
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -37,7 +37,7 @@
     for (const auto seed : seeds()) {
         Soak::SoakOptions options;
         options.seed = seed;
-        options.length = std::chrono::seconds(numberOr("SOAK_SECONDS", 14));
+        options.length = std::chrono::seconds(numberOr("SOAK_SECONDS", 13));
         options.instances = static_cast<unsigned>(numberOr("SOAK_INSTANCES", 6));
         options.upstreams = static_cast<unsigned>(numberOr("SOAK_UPSTREAMS", 8));
         options.clients = static_cast<unsigned>(numberOr("SOAK_CLIENTS", 40));
