Tests, KNOWN-RED: Show that one unanswered read of the list keeps a removed upstream in use

Callers' requests reach an upstream up to 3.7 s after the store accepted its removal, where DrainMs is 2 s, on an instance whose one read of the list gets no answer and that has no sibling to ask. Two causes meet: the read may wait 2 s for records and 1.2 s more for its answer, longer than the bound itself; and a gap of 3.2 s beside one failure counts as an outage in which entries expire (two report intervals, 2.4 s), so that the removal is delayed by another 2.3 s. The log of the instance: platform_unavailable 3.2 s after the previous read, upstream_removal_delayed 0.3 s after that, upstream_leaving 2.3 s later.

Fails on the present code with one instance (DRAIN 28), and holds with two.

--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -24,6 +24,8 @@
     unsigned upstreams = 8;
     unsigned clients = 40;
     unsigned zones = 1;
+    /// Troubles to play instead of those of the seed.
+    std::vector<Step> steps;
     /// A program of this build, or an absolute path.
     std::string gateway = "jujubesaddle-gateway";
     /// Where the logs of instances and the report go.
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -27,13 +27,18 @@
     return result;
 }
 
+std::filesystem::path rootFolder()
+{
+    const auto *root = std::getenv("SOAK_FOLDER");
+    return root ? std::filesystem::path(root)
+                : std::filesystem::temp_directory_path() / "jujube-soak";
+}
+
 } // namespace
 
 TEST_CASE("gateway processes keep the rules through troubles at any moment")
 {
     const auto *root = std::getenv("SOAK_FOLDER");
-    const auto folder =
-        root ? std::filesystem::path(root) : std::filesystem::temp_directory_path() / "jujube-soak";
     for (const auto seed : seeds()) {
         Soak::SoakOptions options;
         options.seed = seed;
@@ -44,7 +49,7 @@
         options.zones = static_cast<unsigned>(numberOr("SOAK_ZONES", 2));
         if (const auto *gateway = std::getenv("SOAK_GATEWAY"))
             options.gateway = gateway;
-        options.folder = folder / ("seed-" + std::to_string(seed));
+        options.folder = rootFolder() / ("seed-" + std::to_string(seed));
         std::filesystem::remove_all(options.folder);
         const auto result = Soak::SoakRun(options).run();
         std::cout << "seed " << seed << ": " << result.summary() << std::endl;
@@ -55,3 +60,26 @@
             std::filesystem::remove_all(options.folder);
     }
 }
+
+TEST_CASE("a removed upstream stays in use while one read of the list gets no answer")
+{
+    using namespace std::chrono_literals;
+    Soak::SoakOptions options;
+    options.length = 12s;
+    options.instances = GENERATE(1u, 2u);
+    if (const auto *gateway = std::getenv("SOAK_GATEWAY"))
+        options.gateway = gateway;
+    constexpr auto Form =
+        Soak::LastReader
+        + Soak::CallerForms * static_cast<unsigned>(StandIns::CallFailure::NoAnswer);
+    options.steps = {{4s, Soak::Trouble::StoreFailsOnce, 0, 0ms, Form},
+                     {4'900ms, Soak::Trouble::Remove, 0, 6s},
+                     {4'900ms, Soak::Trouble::Remove, 1, 6s}};
+    options.folder =
+        rootFolder() / ("unanswered-read-" + std::to_string(options.instances) + "-instances");
+    std::filesystem::remove_all(options.folder);
+    const auto result = Soak::SoakRun(options).run();
+    INFO(result.summary() << "; see " << options.folder);
+    CHECK(result.breaks.empty());
+    CHECK(result.served > 0);
+}
