--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -24,6 +24,8 @@
     unsigned upstreams = 8;
     unsigned clients = 40;
     unsigned zones = 1;
+    /// Troubles to play instead of those of the seed.
+    std::vector<Step> steps;
     /// A program of this build, or an absolute path.
     std::string gateway = "jujubesaddle-gateway";
     /// Where the logs of instances and the report go.
@@ -41,6 +43,8 @@
     std::map<std::string, std::size_t> statuses;
     /// The greatest share of the retry budget that a window used.
     double retryUse = 0;
+    /// Of one gateway process, in bytes.
+    std::size_t greatestMemory = 0;
     Time greatestLag {0};
 
     /// Returns the number of breaks of each rule as one line.
