LibGateway: Send a call again to the same address on a new connection only

What callers saw: "not run" (503) for a call that a worker had run, or a call that ran twice (REFUSED, TWICE).

Cause: an answer is believed if it bears the call's id, or comes on a new connection. A call that was rejected is sent again, and if two entries of the list name one address, as after a restart under another id, it may go to that address on the kept connection of the first send. The rejection of the first send, written once more there, bears the same id.

Now the second and later sends of a call to one address use a new connection, on which no answer of an earlier one can arrive.

Evidence: TestPlatform "a rejection of an earlier send of the same call is not believed for the next one".

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -407,6 +407,7 @@
 
 asio::awaitable<RequestRelay::AttemptOutcome> RequestRelay::sendToUpstream(UpstreamLoad &load)
 {
+    const auto endpoint = m_plan->upstream->report().endpoint;
     m_abort = std::make_shared<Http::CallAbort>();
     if (m_cancelReason != CancelReason::None)
         m_abort->abort();
@@ -414,8 +415,9 @@
     // If a reused connection turns out to be closed, it is unknown whether the request was
     // executed.
     options.mayRepeat = false;
-    // The answer cannot name a request without an id.
-    if (m_request.caller.attemptId.empty())
+    // The answer cannot name a request without an id, and on a connection of an earlier attempt it
+    // may be a surplus one to that.
+    if (m_request.caller.attemptId.empty() || m_triedEndpoints.contains(endpoint))
         options.use = Http::ConnectionUse::New;
     options.abort = m_abort;
     options.unacknowledged = UnacknowledgedTimeout;
@@ -430,8 +432,9 @@
         watchBegin();
     }
     // Making the connection takes some of the time that is left.
-    options.onSend = [this](Http::Request &request) {
+    options.onSend = [this, endpoint](Http::Request &request) {
         request.headers = upstreamHeaders();
+        m_triedEndpoints.insert(endpoint);
         m_notices = m_plan->upstream->notices();
         const auto &dependencies = m_gateway.dependencies();
         m_progress.listAge = dependencies.fleet.age(dependencies.clock.now());
@@ -446,8 +449,8 @@
     std::unique_ptr<Http::ClientExchange> answer;
     std::optional<Core::Error> failure;
     try {
-        answer = co_await m_gateway.dependencies().client.open(
-            m_plan->upstream->report().endpoint, std::move(request), timeouts, options);
+        answer = co_await m_gateway.dependencies().client.open(endpoint, std::move(request),
+                                                               timeouts, options);
     } catch (const Core::Error &error) {
         failure = error;
     }
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -121,15 +121,18 @@
     /// The plan of the current or last attempt; empty before the first.
     std::optional<RequestPlan> m_plan;
     std::set<Core::UpstreamId> m_excluded;
+    /// Where the request was sent. Several upstreams may be listed at one address while one of them
+    /// has left.
+    std::set<Http::Endpoint> m_triedEndpoints;
     /// The entry in the queue of the planned engine; null if there is none.
     std::unique_ptr<QueuePlace> m_place;
     /// Whether an attempt has reached an upstream, and the service whose retry budget allowed the
     /// next one.
     bool m_isRetry = false;
     std::string m_budgetedService;
-    /// Number of attempts that an upstream may have executed.
     /// Those of the incarnation that the last attempt was sent to.
     std::shared_ptr<UpstreamNotices> m_notices;
+    /// Number of attempts that an upstream may have executed.
     unsigned m_executions = 0;
     RequestProgress m_progress;
     /// Set while the prompt is at an engine, and after that.
--- a/Tests/Platform/RawWorkersFixture.cpp
+++ b/Tests/Platform/RawWorkersFixture.cpp
@@ -21,15 +21,19 @@
     return request.headers.find("Last-Event-Id") == "2";
 }
 
+std::string rawWorkerEntry(const std::string &service, const RawServer &worker)
+{
+    return R"({"Service":")" + service + R"(","Address":")"
+           + Http::formatEndpoint(worker.endpoint())
+           + R"(","Zone":"a","Version":"v1","Slots":8,"State":"ready",)"
+             R"("ColdLeftMs":0,"Models":[{"Name":"model","Version":1}],"Seq":1})";
+}
+
 RawWorkersFixture::RawWorkersFixture(const std::string &service, RawServer::Script script)
 {
     for (const std::string id : {"w-1", "w-2"}) {
         m_workers.push_back(std::make_unique<RawServer>(script));
-        store.put("keyed.servers", id,
-                  R"({"Service":")" + service + R"(","Address":")"
-                      + Http::formatEndpoint(m_workers.back()->endpoint())
-                      + R"(","Zone":"a","Version":"v1","Slots":8,"State":"ready",)"
-                        R"("ColdLeftMs":0,"Models":[{"Name":"model","Version":1}],"Seq":1})");
+        store.put("keyed.servers", id, rawWorkerEntry(service, *m_workers.back()));
     }
     configure(1);
     startGateway();
--- a/Tests/Platform/RawWorkersFixture.h
+++ b/Tests/Platform/RawWorkersFixture.h
@@ -17,6 +17,9 @@
 /// Returns whether the request resumes a stream after its second event.
 bool isResumed(const Http::Request &request);
 
+/// Returns the entry of a worker in the list of upstreams.
+std::string rawWorkerEntry(const std::string &service, const StandIns::RawServer &worker);
+
 /// A gateway and two workers of the same script, which write the bytes of their answers themselves.
 class RawWorkersFixture : public GatewayFixture
 {
--- a/Tests/Platform/TestRejections.cpp
+++ b/Tests/Platform/TestRejections.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 using PlatformTests::GatewayFixture;
+using PlatformTests::rawWorkerEntry;
 using PlatformTests::RawWorkersFixture;
 using StandIns::RawConnection;
 
@@ -141,6 +142,66 @@
     CHECK(isDone);
 }
 
+TEST_CASE("a rejection of an earlier send of the same call is not believed for the next one")
+{
+    constexpr int WarmUp = 60;
+    constexpr int Expired = 8;
+    const bool hasOther = GENERATE(false, true);
+    INFO("another worker " << hasOther);
+    std::mutex mutex;
+    std::string rejected;
+    int repeats = 0;
+    Workers workers;
+    // It started again under other ids at its address, and its earlier entries have not expired.
+    StandIns::RawServer restarted([&](RawConnection &connection, const auto &request) {
+        const std::scoped_lock lock(mutex);
+        const auto rejection = wholeAnswer(
+            "421 Misdirected Request\r\nX-Jujubesaddle-Instance-Id: w-2", idOf(request), "");
+        if (request.headers.find("X-Jujubesaddle-Expect-Instance")
+                .value_or("")
+                .starts_with("w-1")) {
+            rejected = idOf(request);
+            connection.send(rejection);
+            connection.keep();
+            return;
+        }
+        workers.begin(request);
+        if (idOf(request) == rejected) {
+            ++repeats;
+            if (connection.served() > 0)
+                connection.send(rejection);
+        }
+        workers.finish(connection, request);
+    });
+    StandIns::RawServer other(
+        [&](RawConnection &connection, const auto &request) { workers.run(connection, request); });
+    GatewayFixture fixture;
+    const auto list = [&fixture](const std::string &id, const StandIns::RawServer &worker) {
+        fixture.store.put("keyed.servers", id, rawWorkerEntry("app", worker));
+    };
+    list("w-2", restarted);
+    if (hasOther)
+        list("w-3", other);
+    fixture.configure(1);
+    fixture.startGateway();
+    // The ratio of the retry budget allows repeats afterwards.
+    for (int n = 0; n < WarmUp; ++n)
+        fixture.send(GatewayFixture::request("/calls/a", "warm-" + std::to_string(n)));
+    for (int n = 0; n < Expired; ++n)
+        list("w-1-" + std::to_string(n), restarted);
+    int sent = 0;
+    // A worker that rejected is not chosen for some seconds.
+    CHECK(GatewayFixture::eventually([&] {
+        const auto id = "id-" + std::to_string(sent++);
+        const auto answer = fixture.send(GatewayFixture::request("/calls/a", id));
+        const std::scoped_lock lock(mutex);
+        INFO(id << ": " << answer.status << ", runs " << workers.runs(id));
+        CHECK(workers.runs(id) <= 1);
+        CHECK((!isPromise(answer.status) || workers.runs(id) == 0));
+        return repeats > 0;
+    }));
+}
+
 TEST_CASE("with additional rejections on any connection no call runs twice, or after a promise")
 {
     constexpr int Count = 150;
