LibHttp, LibGateway, platform: Bound the memory for bodies held at once

Nothing limited the sum of the bodies of all requests and of all whole answers that a process held, and a request's body was held twice: by the exchange, and by the message that was sent upstream. Callers with large bodies ended the process on machines with 110 MB.

The exchanges of all ports share a budget. A body takes its room before it is read, or, without a length, as it grows; a request that finds none is refused at once. A whole answer that finds no room is relayed as it arrives instead of being held. The client sends the exchange's body without copying it.

--- a/Libraries/LibCore/ErrorKind.cpp
+++ b/Libraries/LibCore/ErrorKind.cpp
@@ -30,7 +30,7 @@
     ErrorKindRow {ErrorKind::KeyOutcomeUnknown, "key_outcome_unknown", 409, ExecutionStatus::NotRun, NoRetry, "Another attempt of this key was sent and its outcome was lost. This attempt did not run."},
     ErrorKindRow {ErrorKind::KeyClosed, "key_closed", 409, ExecutionStatus::NotRun, NoRetry, "The key was closed without having run, for good. The call needs a new key."},
     ErrorKindRow {ErrorKind::AnswerNotKept, "answer_not_kept", 409, ExecutionStatus::NotRun, NoRetry, "Another attempt of this key completed, and its answer is no longer stored."},
-    ErrorKindRow {ErrorKind::Overloaded, "overloaded", 503, ExecutionStatus::NotRun, 1s, "The upstreams and the queue before them are full."},
+    ErrorKindRow {ErrorKind::Overloaded, "overloaded", 503, ExecutionStatus::NotRun, 1s, "The upstreams and the queue before them are full, or the memory for bodies is."},
     ErrorKindRow {ErrorKind::TeamLimitReached, "team_limit_reached", 429, ExecutionStatus::NotRun, 1s, "The team has reached its limit."},
     ErrorKindRow {ErrorKind::DeadlineUnreachable, "deadline_unreachable", 503, ExecutionStatus::NotRun, 1s, "The class's target can no longer be met."},
     ErrorKindRow {ErrorKind::Draining, "draining", 503, ExecutionStatus::NotRun, 1s, "This instance is shutting down."},
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -50,6 +50,7 @@
     : m_settings(settings)
     , m_interfaces(interfaces)
     , m_threads(ThreadCount)
+    , m_bodyBudget(std::make_shared<Http::BodyBudget>(m_settings.bodyMemoryBytes))
     , m_gateway({m_settings, m_interfaces.clock, m_interfaces.dialect, m_configuration, m_weights,
                  m_fleet, m_client})
     , m_members({m_settings.instance, m_settings.dataCentre, m_settings.siblings,
@@ -107,10 +108,12 @@
 
 void GatewayDaemon::openPorts()
 {
-    const auto open = [this](std::unique_ptr<Http::Server> &server, const Http::Endpoint &endpoint,
-                             Http::Server::Handler handler) {
+    Http::ServerLimits limits;
+    limits.bodyBudget = m_bodyBudget;
+    const auto open = [&](std::unique_ptr<Http::Server> &server, const Http::Endpoint &endpoint,
+                          Http::Server::Handler handler) {
         if (!server)
-            server = Http::Server::create(m_threads, endpoint, {}, std::move(handler)).value();
+            server = Http::Server::create(m_threads, endpoint, limits, std::move(handler)).value();
     };
     open(m_callers, m_settings.callers,
          [this](auto &exchange) { return m_gateway.handle(exchange); });
@@ -269,6 +272,15 @@
                                          {"log_reader", m_log.isReader() ? 1.0 : 0.0},
                                          {"hub", m_members.isHub() ? 1.0 : 0.0}};
                      });
+    metrics.addGauge(
+        "jujube_gateway_body_bytes", "Memory for bodies: held, and the limit.", "kind", [this] {
+            return Samples {{"held", static_cast<double>(m_bodyBudget->heldBytes())},
+                            {"limit", static_cast<double>(m_settings.bodyMemoryBytes)}};
+        });
+    metrics.addGauge("jujube_gateway_body_refusals",
+                     "How often a body found no room in the memory for bodies.", "", [this] {
+                         return Samples {{"", static_cast<double>(m_bodyBudget->refusals())}};
+                     });
     metrics.addGauge("jujube_gateway_poison_parts",
                      "Parts of prompts that are known to crash engines.", "", [this] {
                          const auto parts =
@@ -299,6 +311,7 @@
     updated.readiness = m_settings.readiness;
     updated.siblings = m_settings.siblings;
     m_settings = std::move(updated);
+    m_bodyBudget->setLimit(m_settings.bodyMemoryBytes);
     Core::logEvent(Core::EventId::SettingsReloaded,
                    {{"revocation_ms", std::to_string(m_settings.revocationBound.count())}});
 }
@@ -321,6 +334,7 @@
     server.bodyBytes = limits.bodyBytes;
     server.requestTime = limits.headerTime;
     server.idleTime = limits.idleTime;
+    server.bodyBudget = m_bodyBudget;
     m_callers->setLimits(server);
     std::vector<KvCacheStores::StoreConfiguration> stores;
     for (const auto &[name, service] : m_configuration.current()->services) {
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -82,6 +82,7 @@
     GatewaySettings m_settings;
     GatewayInterfaces m_interfaces;
     Core::IoThreads m_threads;
+    std::shared_ptr<Http::BodyBudget> m_bodyBudget;
     Http::Client m_client;
     ConfigurationState m_configuration;
     WeightsTargets m_weights;
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -40,6 +40,8 @@
     /// The time for which the store retains the records of the fleet's journal.
     std::chrono::milliseconds journalRetention {300'000};
     RetryBudgetLimits retries;
+    /// The memory for the bodies of requests and answers that are held at the same time.
+    std::size_t bodyMemoryBytes = std::size_t {64} * 1024 * 1024;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -424,7 +424,8 @@
     timeouts.head = remainingTime() + 1s;
     timeouts.body = remainingTime() + 1s;
     const auto &received = m_exchange.request();
-    Http::Request request(received.method, received.target, {}, received.body);
+    Http::Request request(received.method, received.target);
+    options.body = &received.body;
     std::unique_ptr<Http::ClientExchange> answer;
     std::optional<Core::Error> failure;
     try {
@@ -608,10 +609,17 @@
     m_beginTimer.reset();
     Http::Response response(answer.status(), std::move(headers), {});
     while (auto chunk = co_await answer.readSome()) {
-        response.body += *chunk;
-        if (response.body.size() > AnswerLimitBytes)
+        const auto size = response.body.size() + chunk->size();
+        if (size > AnswerLimitBytes)
             co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                                                   "the answer body exceeds the size limit"));
+        if (size > response.body.capacity()) {
+            const auto capacity = std::max(size, 2 * response.body.capacity());
+            if (!m_exchange.reserve(capacity))
+                co_return co_await relayUnheld(answer, std::move(response), std::move(*chunk));
+            response.body.reserve(capacity);
+        }
+        response.body += *chunk;
     }
     if (response.status >= 500) {
         noteAttempt("failed", std::to_string(response.status));
@@ -631,6 +639,29 @@
     co_return AttemptOutcome::Answered;
 }
 
+asio::awaitable<RequestRelay::AttemptOutcome>
+RequestRelay::relayUnheld(Http::ClientExchange &answer, Http::Response begin, std::string next)
+{
+    // An error response is only relayed after the last attempt.
+    if (begin.status >= 500 || m_exchange.hasStarted())
+        co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                                              "the answer finds no room in memory"));
+    if (m_cancelReason == CancelReason::CallerDisconnected)
+        co_return AttemptOutcome::Cancelled;
+    m_gateway.metrics().firstByte.observe(m_gateway.dependencies().clock.now() - m_request.arrival,
+                                          m_request.labels());
+    co_await m_exchange.startStream(begin.status, begin.headers);
+    co_await m_exchange.write(std::move(begin.body));
+    co_await m_exchange.write(std::move(next));
+    m_exchange.reserve(0);
+    while (auto chunk = co_await answer.readSome())
+        co_await m_exchange.write(std::move(*chunk));
+    if (m_evidence && begin.status < 300)
+        m_evidence->noteAnswered();
+    co_await m_exchange.finishStream();
+    co_return AttemptOutcome::Answered;
+}
+
 asio::awaitable<RequestRelay::AttemptOutcome>
 RequestRelay::relayStream(Http::ClientExchange &answer, Http::Headers headers, UpstreamLoad &load)
 {
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -84,6 +84,9 @@
                                                        UpstreamLoad &load);
     boost::asio::awaitable<AttemptOutcome> relayWhole(Http::ClientExchange &answer,
                                                       Http::Headers headers);
+    /// Relays an answer as it arrives, because there is no room to hold it until its end.
+    boost::asio::awaitable<AttemptOutcome> relayUnheld(Http::ClientExchange &answer,
+                                                       Http::Response begin, std::string next);
     boost::asio::awaitable<AttemptOutcome> relayStream(Http::ClientExchange &answer,
                                                        Http::Headers headers, UpstreamLoad &load);
     /// Reads the rest of an answer that is not relayed, or closes the connection if it is long.
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -94,9 +94,13 @@
     return Core::Error(Core::ErrorKind::UpstreamFailed, ec.message());
 }
 
-http::request<http::string_body> toBeast(const Endpoint &endpoint, Request request)
+using ViewBody = http::span_body<const char>;
+
+/// Returns a message that refers to the body.
+http::request<ViewBody> toBeast(const Endpoint &endpoint, const Request &request,
+                                const std::string &body)
 {
-    http::request<http::string_body> message;
+    http::request<ViewBody> message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -104,7 +108,7 @@
         message.set(http::field::host, formatEndpoint(endpoint));
     for (const auto &field : request.headers)
         message.insert(field.name, field.value);
-    message.body() = std::move(request.body);
+    message.body() = {body.data(), body.size()};
     message.prepare_payload();
     return message;
 }
@@ -174,11 +178,11 @@
     const Headers &headers() const override { return m_headers; }
     bool isFirstOnConnection() const override { return m_isFirst; }
 
-    asio::awaitable<boost::system::error_code> sendAndReadHeaders(const Endpoint &endpoint,
-                                                                  Request request)
+    asio::awaitable<boost::system::error_code>
+    sendAndReadHeaders(const Endpoint &endpoint, const Request &request, const std::string *body)
     {
         const bool isHead = request.method == "HEAD";
-        auto message = toBeast(endpoint, std::move(request));
+        auto message = toBeast(endpoint, request, body ? *body : request.body);
         auto &stream = m_connection->stream;
         stream.expires_after(m_timeouts.head);
         boost::system::error_code ec;
@@ -358,7 +362,7 @@
         bindAbort(options, pooled);
         auto exchange =
             std::make_unique<PooledExchange>(m_shared, key, std::move(pooled), timeouts);
-        const auto ec = co_await exchange->sendAndReadHeaders(endpoint, request);
+        const auto ec = co_await exchange->sendAndReadHeaders(endpoint, request, options.body);
         if (!ec)
             co_return exchange;
         const bool isAborted = options.abort && options.abort->isAborted();
@@ -370,7 +374,7 @@
     prepareToSend();
     auto exchange =
         std::make_unique<PooledExchange>(m_shared, key, std::move(connection), timeouts);
-    if (const auto ec = co_await exchange->sendAndReadHeaders(endpoint, std::move(request)); ec)
+    if (const auto ec = co_await exchange->sendAndReadHeaders(endpoint, request, options.body); ec)
         throw errorAfterSend(ec);
     co_return exchange;
 }
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -59,6 +59,9 @@
     std::function<bool()> maySend;
     /// Called after that, to set what depends on the time of sending. May be empty.
     std::function<void(Request &)> onSend;
+    /// Sent in place of the request's own body, without a copy. Must exist until open() returns;
+    /// may be null.
+    const std::string *body = nullptr;
     /// The TCP user timeout: how long sent bytes may stay unacknowledged before the connection is
     /// closed. An idle connection is probed, and closed when the probes stay unacknowledged about
     /// as long. Zero uses the system's default.
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -3,6 +3,7 @@
 #include <LibCore/IoThreads.h>
 #include <LibCore/Result.h>
 #include <LibCore/Snapshot.h>
+#include <LibHttp/BodyBudget.h>
 #include <LibHttp/Endpoint.h>
 #include <LibHttp/IdleConnections.h>
 #include <LibHttp/ServerExchange.h>
@@ -28,6 +29,9 @@
     std::chrono::milliseconds idleTime {60'000};
     /// A connection whose caller accepts no bytes for this long is closed.
     std::chrono::milliseconds writeTime {30'000};
+    /// Holds the bodies of requests until their response has been sent. A request that finds no
+    /// room is refused with Overloaded before its body is read. Null means no limit.
+    std::shared_ptr<BodyBudget> bodyBudget;
 };
 
 /// Serves HTTP/1.1 on one port, with connections spread over the threads.
--- a/Libraries/LibHttp/ServerExchange.cpp
+++ b/Libraries/LibHttp/ServerExchange.cpp
@@ -12,6 +12,13 @@
         m_callerGoneHook();
 }
 
+bool ServerExchange::reserve(std::size_t bytes)
+{
+    const auto total = m_request.body.capacity() + bytes;
+    m_bodyShare.shrinkTo(total);
+    return m_bodyShare.growTo(total);
+}
+
 Response jsonResponse(unsigned status, std::string body)
 {
     Response response;
--- a/Libraries/LibHttp/ServerExchange.h
+++ b/Libraries/LibHttp/ServerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibHttp/BodyBudget.h>
 #include <LibHttp/Message.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -25,6 +26,10 @@
     /// Sets a callback that is called once if the caller closes its connection early.
     void setCallerGoneHook(std::function<void()> hook) { m_callerGoneHook = std::move(hook); }
 
+    /// Reserves memory for that many bytes of a response that the handler holds, in place of those
+    /// reserved before. Returns false, and changes nothing, if there is no room for them.
+    bool reserve(std::size_t bytes);
+
     /// Sends a complete response.
     virtual boost::asio::awaitable<void> respond(Response response) = 0;
     /// Sends the status line and headers of a chunked response.
@@ -38,6 +43,8 @@
     void noteCallerGone();
 
     Request m_request;
+    /// Memory for the bodies of the request and of a response that is held.
+    BodyBudget::Share m_bodyShare;
     bool m_started = false;
     bool m_callerGone = false;
 
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -30,7 +30,8 @@
 {
 public:
     SessionExchange(beast::tcp_stream &stream, const Server::Shared &shared,
-                    const ServerLimits &limits, http::request<http::string_body> &&message)
+                    const ServerLimits &limits, http::request<http::string_body> &&message,
+                    BodyBudget::Share &&bodyShare = {})
         : m_stream(stream)
         , m_shared(shared)
         , m_limits(limits)
@@ -43,6 +44,7 @@
         for (const auto &field : message)
             m_request.headers.add(field.name_string(), field.value());
         m_request.body = std::move(message.body());
+        m_bodyShare = std::move(bodyShare);
     }
 
     asio::awaitable<void> respond(Response response) override
@@ -233,12 +235,39 @@
     std::shared_ptr<State> m_state;
 };
 
+using RequestParser = http::request_parser<http::string_body>;
+
+/// Reads the body of a request whose head was read. Fails with not_enough_memory when the body
+/// finds no room.
+asio::awaitable<boost::system::error_code> readBody(beast::tcp_stream &stream,
+                                                    beast::flat_buffer &buf, RequestParser &parser,
+                                                    BodyBudget::Share &share)
+{
+    // The parser allocates a body of known length at once.
+    if (!share.growTo(parser.content_length().value_or(0)))
+        co_return asio::error::no_memory;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> go(http::status::continue_, parser.get().version());
+        co_await http::async_write(stream, go, asio::use_awaitable);
+    }
+    boost::system::error_code ec;
+    while (!ec && !parser.is_done()) {
+        co_await http::async_read_some(stream, buf, parser,
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        if (!share.growTo(parser.get().body().capacity()))
+            co_return asio::error::no_memory;
+    }
+    co_return ec;
+}
+
 Core::Error readError(const boost::system::error_code &ec)
 {
     if (ec == http::error::header_limit)
         return Core::Error(Core::ErrorKind::HeadersTooLarge);
     if (ec == http::error::body_limit)
         return Core::Error(Core::ErrorKind::BodyTooLarge);
+    if (ec == asio::error::no_memory)
+        return Core::Error(Core::ErrorKind::Overloaded, "the memory for bodies is full");
     return Core::Error(Core::ErrorKind::MalformedRequest, ec.message());
 }
 
@@ -326,7 +355,8 @@
         co_return NextStep::Close;
     // A request counts as active from its first byte, so that a graceful shutdown waits for it.
     const ActiveGuard guard(shared);
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
+    BodyBudget::Share bodyShare(limits->bodyBudget);
     parser.header_limit(static_cast<std::uint32_t>(limits->headerBytes));
     parser.body_limit(limits->bodyBytes);
     stream.expires_never();
@@ -334,13 +364,8 @@
     boost::system::error_code ec;
     co_await http::async_read_header(stream, buf, parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> go(http::status::continue_, parser.get().version());
-        co_await http::async_write(stream, go, asio::use_awaitable);
-    }
     if (!ec)
-        co_await http::async_read(stream, buf, parser,
-                                  asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await readBody(stream, buf, parser, bodyShare);
     const bool isLate = deadline->hasExpired();
     // It limits only reading: left running, it would cancel the response and the close watch.
     deadline.reset();
@@ -354,7 +379,8 @@
         co_await refuse(stream, shared, *limits, readError(ec));
         co_return NextStep::DiscardRest;
     }
-    auto exchange = std::make_shared<SessionExchange>(stream, shared, *limits, parser.release());
+    auto exchange = std::make_shared<SessionExchange>(stream, shared, *limits, parser.release(),
+                                                      std::move(bodyShare));
     const WatchGuard watch(*exchange);
     stream.expires_never();
     co_await runHandler(*exchange, shared);
--- a/Tests/LibHttp/TestReadBounds.cpp
+++ b/Tests/LibHttp/TestReadBounds.cpp
@@ -4,11 +4,16 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <future>
+#include <thread>
+#include <vector>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -114,3 +119,50 @@
     CHECK(answer.find("body_too_large") != std::string::npos);
     threads.stop();
 }
+
+TEST_CASE("bodies beyond the memory for them are refused at once, and small ones go on")
+{
+    constexpr std::size_t LargeBytes = 1024 * 1024;
+    constexpr std::size_t FittingCount = 3;
+    Http::ServerLimits limits;
+    limits.bodyBudget = std::make_shared<Http::BodyBudget>(4 * LargeBytes);
+    Core::IoThreads threads(1);
+    std::atomic<std::size_t> executed = 0;
+    std::atomic<bool> maySettle = false;
+    const auto server =
+        Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), limits,
+                             [&](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+                                 ++executed;
+                                 asio::steady_timer timer(co_await asio::this_coro::executor);
+                                 while (exchange.request().target == "/hold" && !maySettle) {
+                                     timer.expires_after(1ms);
+                                     co_await timer.async_wait(asio::use_awaitable);
+                                 }
+                                 co_await exchange.respond({200, {}, exchange.request().body});
+                             });
+    Http::Client client;
+    const auto send = [&](const std::string &target, std::size_t bytes) {
+        Http::Request request("POST", target, {}, std::string(bytes, 'x'));
+        return asio::co_spawn(threads.at(0),
+                              client.fetch(server.value()->localEndpoint(), std::move(request), {}),
+                              asio::use_future);
+    };
+    std::vector<std::future<Http::Response>> held;
+    for (std::size_t n = 0; n < FittingCount; ++n)
+        held.push_back(send("/hold", LargeBytes));
+    while (executed < FittingCount)
+        std::this_thread::sleep_for(1ms);
+    const auto refused = send("/", LargeBytes).get();
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.find("Retry-After") == "1");
+    CHECK(refused.body.find("the memory for bodies is full") != std::string::npos);
+    CHECK(executed == FittingCount);
+    CHECK(send("/", 1'000).get().status == 200);
+    maySettle = true;
+    for (auto &answer : held)
+        CHECK(answer.get().body.size() == LargeBytes);
+    while (limits.bodyBudget->heldBytes() > 0)
+        std::this_thread::sleep_for(1ms);
+    CHECK(send("/", LargeBytes).get().status == 200);
+    threads.stop();
+}
