LibHttp: Refuse a request whose end is not certain

The parser of Boost.Beast ignores a Transfer-Encoding that does not end in "chunked", and takes a request with one and no length for one without a body. A coding before "chunked" was dropped, and trailer fields were added to the header's. Refusals also lost their "Connection: close": keep_alive(true) removed it again.

The framing is now checked right after the head: one plain Content-Length, or one Transfer-Encoding that is exactly "chunked", or neither, and one Host at most. Everything else gets 400 and the connection is closed, as RFC 9112 asks for where the end of the body is not known. The fields of the request are taken before its body is read, so that a trailer cannot change them. A folded field is still joined, as the RFC allows; a folded coding is checked after that.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/EventLog.h>
+#include <LibHttp/RequestFraming.h>
 #include <LibHttp/ServerSession.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -23,6 +24,27 @@
 
 constexpr std::size_t ReadBytes = 16 * 1024;
 
+using RequestParser = http::request_parser<http::string_body>;
+
+/// What a request states before its body. The default refers to a request that could not be read.
+struct RequestHead
+{
+    RequestHead() = default;
+    /// To be called before the body is read: the parser adds the fields of a trailer to the others.
+    explicit RequestHead(const RequestParser::value_type &message)
+        : request(std::string(message.method_string()), std::string(message.target()))
+        , version(message.version())
+        , keepAlive(message.keep_alive())
+    {
+        for (const auto &field : message)
+            request.headers.add(field.name_string(), field.value());
+    }
+
+    Request request;
+    unsigned version = 11;
+    bool keepAlive = false;
+};
+
 /// Sends responses over a connection. Shared with the wait for the caller's disconnect, which may
 /// complete after the exchange has ended.
 class SessionExchange final : public ServerExchange,
@@ -30,20 +52,17 @@
 {
 public:
     SessionExchange(beast::tcp_stream &stream, const Server::Shared &shared,
-                    const ServerLimits &limits, http::request<http::string_body> &&message,
+                    const ServerLimits &limits, RequestHead &&head, std::string &&body = {},
                     BodyBudget::Share &&bodyShare = {})
         : m_stream(stream)
         , m_shared(shared)
         , m_limits(limits)
-        , m_keepAlive(message.keep_alive())
-        , m_version(message.version())
+        , m_hasBody(head.request.method != "HEAD")
+        , m_keepAlive(head.keepAlive)
+        , m_version(head.version)
     {
-        m_request.method = std::string(message.method_string());
-        m_hasBody = m_request.method != "HEAD";
-        m_request.target = std::string(message.target());
-        for (const auto &field : message)
-            m_request.headers.add(field.name_string(), field.value());
-        m_request.body = std::move(message.body());
+        m_request = std::move(head.request);
+        m_request.body = std::move(body);
         m_bodyShare = std::move(bodyShare);
     }
 
@@ -161,7 +180,7 @@
     const Server::Shared &m_shared;
     const ServerLimits &m_limits;
     /// False if no body follows the head of the response, whatever its fields say.
-    bool m_hasBody = true;
+    bool m_hasBody;
     bool m_keepAlive;
     unsigned m_version;
     bool m_finished = false;
@@ -235,8 +254,6 @@
     std::shared_ptr<State> m_state;
 };
 
-using RequestParser = http::request_parser<http::string_body>;
-
 /// Reads the body of a request whose head was read. Fails with not_enough_memory when the body
 /// finds no room.
 asio::awaitable<boost::system::error_code> readBody(beast::tcp_stream &stream,
@@ -281,9 +298,7 @@
                              const ServerLimits &limits, const Core::Error &error)
 {
     SessionExchange exchange(stream, shared, limits, {});
-    auto response = errorResponse(error);
-    response.headers.add("Connection", "close");
-    co_await exchange.respond(std::move(response));
+    co_await exchange.respond(errorResponse(error));
 }
 
 asio::awaitable<void> runHandler(SessionExchange &exchange, Server::Shared &shared)
@@ -364,11 +379,22 @@
     boost::system::error_code ec;
     co_await http::async_read_header(stream, buf, parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec)
+    RequestHead head;
+    std::optional<std::string> fault;
+    if (!ec) {
+        head = RequestHead(parser.get());
+        fault = framingFault(head.request.headers, head.version);
+    }
+    if (!ec && !fault)
         ec = co_await readBody(stream, buf, parser, bodyShare);
     const bool isLate = deadline->hasExpired();
     // It limits only reading: left running, it would cancel the response and the close watch.
     deadline.reset();
+    if (fault) {
+        co_await refuse(stream, shared, *limits,
+                        Core::Error(Core::ErrorKind::MalformedRequest, *fault));
+        co_return NextStep::DiscardRest;
+    }
     if (ec && isLate) {
         co_await refuse(stream, shared, *limits, Core::Error(Core::ErrorKind::SlowCaller));
         co_return NextStep::DiscardRest;
@@ -379,8 +405,9 @@
         co_await refuse(stream, shared, *limits, readError(ec));
         co_return NextStep::DiscardRest;
     }
-    auto exchange = std::make_shared<SessionExchange>(stream, shared, *limits, parser.release(),
-                                                      std::move(bodyShare));
+    auto exchange =
+        std::make_shared<SessionExchange>(stream, shared, *limits, std::move(head),
+                                          std::move(parser.get().body()), std::move(bodyShare));
     const WatchGuard watch(*exchange);
     stream.expires_never();
     co_await runHandler(*exchange, shared);
