LibHttp: Judge a request by the limits in force when it begins

A connection took the limits before it waited for the first byte of its next request. One that was idle when MaxBodyBytes was raised judged its next request by the old limit: callers got 413 for what the configuration allowed (DENIED).

Evidence: the new test raises the limit while a connection is idle. Before, its next request got 413 instead of 200; after, it passes.

The limits are now taken again after the first byte. The idle time stays the one that was in force when the connection became idle.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -361,13 +361,15 @@
 asio::awaitable<NextStep> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf,
                                    Server::Shared &shared)
 {
-    const auto limits = shared.limits.share();
-    // The parser has no limit of its own for chunk extensions and trailers.
-    buf.max_size(std::max(buf.size(), limits->headerBytes + ReadBytes));
+    const auto idleLimits = shared.limits.share();
     // A named result, because GCC 12 miscompiles a negated co_await in a condition.
-    const bool hasBegun = co_await awaitFirstByte(stream, buf, *limits, shared.idle);
+    const bool hasBegun = co_await awaitFirstByte(stream, buf, *idleLimits, shared.idle);
     if (!hasBegun)
         co_return NextStep::Close;
+    // They may have changed while the connection was idle.
+    const auto limits = shared.limits.share();
+    // The parser has no limit of its own for chunk extensions and trailers.
+    buf.max_size(std::max(buf.size(), limits->headerBytes + ReadBytes));
     // A request counts as active from its first byte, so that a graceful shutdown waits for it.
     const ActiveGuard guard(shared);
     RequestParser parser;
--- a/Tests/LibHttp/TestReadBounds.cpp
+++ b/Tests/LibHttp/TestReadBounds.cpp
@@ -166,3 +166,33 @@
     CHECK(send("/", LargeBytes).get().status == 200);
     threads.stop();
 }
+
+TEST_CASE("a connection that was idle while the limits changed judges its next request by the new")
+{
+    Http::ServerLimits limits;
+    limits.bodyBytes = 10;
+    Core::IoThreads threads(1);
+    const auto server =
+        Http::Server::create(threads, Http::parseEndpoint("127.0.0.1:0").value(), limits,
+                             [](Http::ServerExchange &exchange) -> asio::awaitable<void> {
+                                 co_await exchange.respond({200, {}, exchange.request().body});
+                             });
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(server.value()->localEndpoint());
+    const auto ask = [&](std::size_t bytes) {
+        asio::write(socket,
+                    asio::buffer("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                                 + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x')));
+        std::string head;
+        asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n");
+        return head.substr(9, 3);
+    };
+    CHECK(ask(0) == "200");
+    // The server waits for the next request by now.
+    std::this_thread::sleep_for(50ms);
+    limits.bodyBytes = 100;
+    server.value()->setLimits(limits);
+    CHECK(ask(50) == "200");
+    threads.stop();
+}
