LibHttp: Close idle connections without waiting for a request

Idle connections to an upstream were closed only by a request for the same address.

Evidence: with the pool as it was, 20 idle connections whose announced time was over stayed open for the 10 s of the test. The test of a server that has left failed too, but counted three descriptors of the thread itself; corrected, it was not run on the old code.

An idle connection now waits for its server's close or for unexpected bytes, and for the end of its idle time, 60 s if the server names none; the entry of its address goes with the last one. When accepting or connecting finds no descriptor, half of the idle connections of each address are closed. jujubectl lets its loop outlive the connections of its clients.

--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -113,7 +113,9 @@
     const auto open = [&](std::unique_ptr<Http::Server> &server, const Http::Endpoint &endpoint,
                           Http::Server::Handler handler) {
         if (!server)
-            server = Http::Server::create(m_threads, endpoint, limits, std::move(handler)).value();
+            server = Http::Server::create(m_threads, endpoint, limits, std::move(handler), [this] {
+                         m_client.closeIdleHalf();
+                     }).value();
     };
     open(m_callers, m_settings.callers,
          [this](auto &exchange) { return m_gateway.handle(exchange); });
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,21 +1,18 @@
 #include <LibCore/Error.h>
 #include <LibHttp/Client.h>
+#include <LibHttp/ConnectionPool.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <array>
 #include <charconv>
-#include <compare>
-#include <map>
-#include <mutex>
 #include <optional>
-#include <vector>
 
 namespace Http {
 
@@ -29,42 +26,14 @@
 constexpr std::size_t HeaderLimitBytes = 64 * 1024;
 // The parser has no limit of its own for chunk extensions and trailers.
 constexpr std::size_t BufferLimitBytes = HeaderLimitBytes + ReadBytes;
-constexpr std::size_t MaxIdleConnectionsPerEndpoint = 64;
 // More interim responses (status 1xx) than that are no valid answer.
 constexpr int MaxInterimResponses = 8;
 constexpr unsigned SwitchingProtocols = 101;
 
-/// A connection and its read buffer.
-struct Connection
-{
-    explicit Connection(const asio::any_io_executor &executor)
-        : stream(executor)
-        , buf(BufferLimitBytes)
-    { }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buf;
-    /// Number of completed calls, so that aborting an old call cannot close a later one.
-    std::uint64_t call = 0;
-    /// When the server may close the connection for being idle.
-    std::chrono::steady_clock::time_point idleUntil = std::chrono::steady_clock::time_point::max();
-};
-
-using ConnectionPtr = std::shared_ptr<Connection>;
-
 // An idle connection is not reused within this time before the server may close it.
 constexpr std::chrono::milliseconds IdleMargin {1'000};
-
-/// Returns whether an idle connection is still open and no unexpected bytes have arrived on it.
-bool isUsable(Connection &connection)
-{
-    if (std::chrono::steady_clock::now() >= connection.idleUntil)
-        return false;
-    char byte = 0;
-    const auto n =
-        ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
+// For servers that announce no time. One that has vanished never closes the connection.
+constexpr std::chrono::milliseconds DefaultIdleTime {60'000};
 
 /// Returns the idle timeout of a Keep-Alive header field, if it has one.
 std::optional<std::chrono::seconds> announcedIdleTime(std::string_view field)
@@ -115,59 +84,14 @@
 
 } // namespace
 
-/// The pool of idle connections. A connection is bound to the thread that opened it, so the
-/// execution context is part of the key.
-struct Client::Shared
-{
-    struct Key
-    {
-        const void *context;
-        Endpoint endpoint;
-        auto operator<=>(const Key &other) const
-        {
-            if (const auto order = context <=> other.context; std::is_neq(order))
-                return order;
-            if (endpoint == other.endpoint)
-                return std::strong_ordering::equal;
-            return endpoint < other.endpoint ? std::strong_ordering::less
-                                             : std::strong_ordering::greater;
-        }
-        bool operator==(const Key &) const = default;
-    };
-
-    ConnectionPtr take(const Key &key)
-    {
-        std::scoped_lock lock(mutex);
-        auto &pooled = idle[key];
-        while (!pooled.empty()) {
-            auto connection = std::move(pooled.back());
-            pooled.pop_back();
-            if (isUsable(*connection))
-                return connection;
-        }
-        return nullptr;
-    }
-
-    void put(const Key &key, ConnectionPtr connection)
-    {
-        std::scoped_lock lock(mutex);
-        auto &pooled = idle[key];
-        if (pooled.size() < MaxIdleConnectionsPerEndpoint)
-            pooled.push_back(std::move(connection));
-    }
-
-    std::mutex mutex;
-    std::map<Key, std::vector<ConnectionPtr>> idle;
-};
-
 namespace {
 
 class PooledExchange final : public ClientExchange
 {
 public:
-    PooledExchange(std::weak_ptr<Client::Shared> shared, Client::Shared::Key key,
-                   ConnectionPtr connection, ClientTimeouts timeouts)
-        : m_shared(std::move(shared))
+    PooledExchange(std::weak_ptr<ConnectionPool> pool, ConnectionPool::Key key,
+                   ClientConnectionPtr connection, ClientTimeouts timeouts)
+        : m_pool(std::move(pool))
         , m_key(std::move(key))
         , m_connection(std::move(connection))
         , m_timeouts(timeouts)
@@ -246,17 +170,18 @@
         // Do not reuse a connection with bytes after the end of the response.
         if (!m_connection || !m_parser->keep_alive() || m_connection->buf.size() > 0)
             return;
+        auto idleTime = DefaultIdleTime;
         if (const auto idle = announcedIdleTime(m_parser->get()[http::field::keep_alive]))
-            m_connection->idleUntil = std::chrono::steady_clock::now() + *idle - IdleMargin;
+            idleTime = *idle - IdleMargin;
         m_connection->stream.expires_never();
         ++m_connection->call;
-        if (const auto shared = m_shared.lock())
-            shared->put(m_key, std::move(m_connection));
+        if (const auto pool = m_pool.lock())
+            pool->put(m_key, std::move(m_connection), idleTime);
     }
 
-    std::weak_ptr<Client::Shared> m_shared;
-    Client::Shared::Key m_key;
-    ConnectionPtr m_connection;
+    std::weak_ptr<ConnectionPool> m_pool;
+    ConnectionPool::Key m_key;
+    ClientConnectionPtr m_connection;
     ClientTimeouts m_timeouts;
     bool m_isFirst;
     /// Set when a response is read.
@@ -265,7 +190,7 @@
 };
 
 /// Lets options.abort close the connection while it still serves this call.
-void bindAbort(const SendOptions &options, const ConnectionPtr &connection)
+void bindAbort(const SendOptions &options, const ClientConnectionPtr &connection)
 {
     if (!options.abort)
         return;
@@ -293,15 +218,24 @@
     socket.set_option(Count(ProbeCount), ec);
 }
 
-asio::awaitable<ConnectionPtr> connect(const asio::any_io_executor &executor, Endpoint endpoint,
-                                       std::chrono::milliseconds limit, const SendOptions &options)
+asio::awaitable<ClientConnectionPtr> connect(const asio::any_io_executor &executor,
+                                             ConnectionPool &pool, Endpoint endpoint,
+                                             std::chrono::milliseconds limit,
+                                             const SendOptions &options)
 {
-    auto connection = std::make_shared<Connection>(executor);
+    auto connection = std::make_shared<ClientConnection>(executor, BufferLimitBytes);
     bindAbort(options, connection);
     connection->stream.expires_after(limit);
     boost::system::error_code ec;
     co_await connection->stream.async_connect(endpoint,
                                               asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == asio::error::no_descriptors) {
+        pool.closeHalf();
+        // The connections are closed by handlers of this thread.
+        co_await asio::post(executor, asio::use_awaitable);
+        co_await connection->stream.async_connect(endpoint,
+                                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (ec)
         throw Core::Error(Core::ErrorKind::UpstreamUnreachable,
                           formatEndpoint(endpoint) + ": " + ec.message());
@@ -318,11 +252,16 @@
 } // namespace
 
 Client::Client()
-    : m_shared(std::make_shared<Shared>())
+    : m_pool(std::make_shared<ConnectionPool>())
 { }
 
 Client::~Client() = default;
 
+void Client::closeIdleHalf()
+{
+    m_pool->closeHalf();
+}
+
 void CallAbort::abort()
 {
     m_isAborted = true;
@@ -349,7 +288,7 @@
 Client::open(Endpoint endpoint, Request request, ClientTimeouts timeouts, SendOptions options)
 {
     const auto executor = co_await asio::this_coro::executor;
-    const Shared::Key key {&asio::query(executor, asio::execution::context), endpoint};
+    const ConnectionPool::Key key {&asio::query(executor, asio::execution::context), endpoint};
     const auto prepareToSend = [&options, &request] {
         if ((options.abort && options.abort->isAborted())
             || (options.maySend && !options.maySend()))
@@ -357,11 +296,10 @@
         if (options.onSend)
             options.onSend(request);
     };
-    if (auto pooled = options.use == ConnectionUse::PooledOrNew ? m_shared->take(key) : nullptr) {
+    if (auto pooled = options.use == ConnectionUse::PooledOrNew ? m_pool->take(key) : nullptr) {
         prepareToSend();
         bindAbort(options, pooled);
-        auto exchange =
-            std::make_unique<PooledExchange>(m_shared, key, std::move(pooled), timeouts);
+        auto exchange = std::make_unique<PooledExchange>(m_pool, key, std::move(pooled), timeouts);
         const auto ec = co_await exchange->sendAndReadHeaders(endpoint, request, options.body);
         if (!ec)
             co_return exchange;
@@ -370,10 +308,9 @@
             throw errorAfterSend(ec);
         // The idle connection failed, and the request may be repeated on a new one.
     }
-    auto connection = co_await connect(executor, endpoint, timeouts.connect, options);
+    auto connection = co_await connect(executor, *m_pool, endpoint, timeouts.connect, options);
     prepareToSend();
-    auto exchange =
-        std::make_unique<PooledExchange>(m_shared, key, std::move(connection), timeouts);
+    auto exchange = std::make_unique<PooledExchange>(m_pool, key, std::move(connection), timeouts);
     if (const auto ec = co_await exchange->sendAndReadHeaders(endpoint, request, options.body); ec)
         throw errorAfterSend(ec);
     co_return exchange;
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -12,6 +12,8 @@
 
 namespace Http {
 
+class ConnectionPool;
+
 /// The timeouts of a client's request.
 struct ClientTimeouts
 {
@@ -100,10 +102,11 @@
 
     static constexpr std::size_t DefaultBodyLimit = 64 * 1024 * 1024;
 
-    struct Shared;
+    /// Closes half of the idle connections, to free descriptors. Safe from any thread.
+    void closeIdleHalf();
 
 private:
-    std::shared_ptr<Shared> m_shared;
+    std::shared_ptr<ConnectionPool> m_pool;
 };
 
 } // namespace Http
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -62,6 +62,10 @@
                 context, asio::redirect_error(asio::use_awaitable, ec));
             if (ec == asio::error::operation_aborted || m_shared->stopping)
                 co_return;
+            const bool isTableFull = ec == asio::error::no_descriptors
+                                     || ec == boost::system::errc::too_many_files_open_in_system;
+            if (isTableFull && m_shared->onDescriptorsExhausted)
+                m_shared->onDescriptorsExhausted();
             if (ec) {
                 asio::steady_timer timer(m_acceptor.get_executor(), AcceptPause);
                 co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -79,10 +83,12 @@
 
 Core::Result<std::unique_ptr<Server>> Server::create(Core::IoThreads &threads,
                                                      const Endpoint &endpoint,
-                                                     const ServerLimits &limits, Handler handler)
+                                                     const ServerLimits &limits, Handler handler,
+                                                     std::function<void()> onDescriptorsExhausted)
 {
     auto shared = std::make_shared<Shared>(limits);
     shared->handler = std::move(handler);
+    shared->onDescriptorsExhausted = std::move(onDescriptorsExhausted);
     auto acceptor = std::make_shared<Acceptor>(threads, shared);
     try {
         acceptor->open(endpoint);
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -40,11 +40,11 @@
 public:
     using Handler = std::function<boost::asio::awaitable<void>(ServerExchange &)>;
 
-    /// Opens the port; 0 selects a free one. Fails with SettingsInvalid.
-    static Core::Result<std::unique_ptr<Server>> create(Core::IoThreads &threads,
-                                                        const Endpoint &endpoint,
-                                                        const ServerLimits &limits,
-                                                        Handler handler);
+    /// Opens the port; 0 selects a free one. Fails with SettingsInvalid. The hook is called when a
+    /// connection finds no free descriptor, which is tried again shortly after; it may be empty.
+    static Core::Result<std::unique_ptr<Server>>
+    create(Core::IoThreads &threads, const Endpoint &endpoint, const ServerLimits &limits,
+           Handler handler, std::function<void()> onDescriptorsExhausted = {});
     ~Server();
 
     Endpoint localEndpoint() const;
@@ -78,6 +78,7 @@
 
     Core::Snapshot<ServerLimits> limits;
     Handler handler;
+    std::function<void()> onDescriptorsExhausted;
     std::atomic<std::size_t> activeExchanges {0};
     std::atomic<bool> stopping {false};
     std::atomic<bool> draining {false};
--- a/Utilities/jujubectl/main.cpp
+++ b/Utilities/jujubectl/main.cpp
@@ -22,6 +22,8 @@
 int run(const Settings &settings)
 {
     const auto callLimit = std::min(settings.timeout, MaxCallDuration);
+    // Outlives the connections of the clients below.
+    boost::asio::io_context io;
     std::unique_ptr<Platform::HttpLogService> log;
     std::unique_ptr<Platform::HttpInstanceDirectory> directory;
     if (settings.platform) {
@@ -34,7 +36,6 @@
     std::mt19937_64 random(std::random_device {}());
     Context context {settings, log.get(), directory.get(), admin,
                      clock,    random,    std::cout,       std::cerr};
-    boost::asio::io_context io;
     auto code = ExitCode::Failure;
     boost::asio::co_spawn(io, runCommand(context),
                           [&](const std::exception_ptr &error, ExitCode result) {
