--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -12,6 +12,8 @@
 
 namespace Http {
 
+class ConnectionPool;
+
 /// The timeouts of a client's request.
 struct ClientTimeouts
 {
@@ -59,6 +61,9 @@
     std::function<bool()> maySend;
     /// Called after that, to set what depends on the time of sending. May be empty.
     std::function<void(Request &)> onSend;
+    /// Sent in place of the request's own body, without a copy. Must exist until open() returns;
+    /// may be null.
+    const std::string *body = nullptr;
     /// The TCP user timeout: how long sent bytes may stay unacknowledged before the connection is
     /// closed. An idle connection is probed, and closed when the probes stay unacknowledged about
     /// as long. Zero uses the system's default.
@@ -97,10 +102,11 @@
 
     static constexpr std::size_t DefaultBodyLimit = 64 * 1024 * 1024;
 
-    struct Shared;
+    /// Closes half of the idle connections, to free descriptors. Safe from any thread.
+    void closeIdleHalf();
 
 private:
-    std::shared_ptr<Shared> m_shared;
+    std::shared_ptr<ConnectionPool> m_pool;
 };
 
 } // namespace Http
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -3,6 +3,7 @@
 #include <LibCore/IoThreads.h>
 #include <LibCore/Result.h>
 #include <LibCore/Snapshot.h>
+#include <LibHttp/BodyBudget.h>
 #include <LibHttp/Endpoint.h>
 #include <LibHttp/IdleConnections.h>
 #include <LibHttp/ServerExchange.h>
@@ -28,6 +29,9 @@
     std::chrono::milliseconds idleTime {60'000};
     /// A connection whose caller accepts no bytes for this long is closed.
     std::chrono::milliseconds writeTime {30'000};
+    /// Holds the bodies of requests until their response has been sent. A request that finds no
+    /// room is refused with Overloaded before its body is read. Null means no limit.
+    std::shared_ptr<BodyBudget> bodyBudget;
 };
 
 /// Serves HTTP/1.1 on one port, with connections spread over the threads.
@@ -36,11 +40,11 @@
 public:
     using Handler = std::function<boost::asio::awaitable<void>(ServerExchange &)>;
 
-    /// Opens the port; 0 selects a free one. Fails with SettingsInvalid.
-    static Core::Result<std::unique_ptr<Server>> create(Core::IoThreads &threads,
-                                                        const Endpoint &endpoint,
-                                                        const ServerLimits &limits,
-                                                        Handler handler);
+    /// Opens the port; 0 selects a free one. Fails with SettingsInvalid. The hook is called when a
+    /// connection finds no free descriptor, which is tried again shortly after; it may be empty.
+    static Core::Result<std::unique_ptr<Server>>
+    create(Core::IoThreads &threads, const Endpoint &endpoint, const ServerLimits &limits,
+           Handler handler, std::function<void()> onDescriptorsExhausted = {});
     ~Server();
 
     Endpoint localEndpoint() const;
@@ -78,6 +82,7 @@
 
     Core::Snapshot<ServerLimits> limits;
     Handler handler;
+    std::function<void()> onDescriptorsExhausted;
     std::atomic<std::size_t> activeExchanges {0};
     std::atomic<bool> stopping {false};
     std::atomic<bool> draining {false};
