LibGateway: Apply a changed report interval and weights bound to what is read from then on

Cause: FleetWatcher and ExpiryOutages kept the values of the start.

Now the watcher refers to the settings in force.

Evidence: TestFleetWatcher "the report interval that the settings name since a reload decides what is an outage" fails with the interval of the start and passes now.

--- a/Libraries/LibGateway/ExpiryOutages.cpp
+++ b/Libraries/LibGateway/ExpiryOutages.cpp
@@ -15,16 +15,13 @@
 
 } // namespace
 
-ExpiryOutages::ExpiryOutages(std::chrono::milliseconds reportInterval)
-    : m_reportInterval(reportInterval)
-{ }
-
 void ExpiryOutages::noteFailure(Core::Clock::Monotonic time)
 {
     m_lastFailure = std::max(m_lastFailure, time);
 }
 
-void ExpiryOutages::noteAnswer(Core::Clock::Monotonic time)
+void ExpiryOutages::noteAnswer(Core::Clock::Monotonic time,
+                               std::chrono::milliseconds reportInterval)
 {
     if (time <= m_lastAnswer)
         return;
@@ -34,7 +31,7 @@
         return;
     // Upstreams that have not registered again yet miss their next report, too.
     const bool isRepeated = previous < m_registrationEnd;
-    if (time - previous >= m_reportInterval * (isRepeated ? 1 : IntervalsToExpiry))
+    if (time - previous >= reportInterval * (isRepeated ? 1 : IntervalsToExpiry))
         m_registrationEnd = time + RegistrationTime;
 }
 
--- a/Libraries/LibGateway/ExpiryOutages.h
+++ b/Libraries/LibGateway/ExpiryOutages.h
@@ -16,12 +16,11 @@
 class ExpiryOutages
 {
 public:
-    explicit ExpiryOutages(std::chrono::milliseconds reportInterval);
-
     /// Records that the store did not answer this instance, or the one that it reads through.
     void noteFailure(Core::Clock::Monotonic time);
-    /// Records that the store answered this instance or one that it reads through.
-    void noteAnswer(Core::Clock::Monotonic time);
+    /// Records that the store answered this instance or one that it reads through, given the
+    /// interval between two reports of an upstream.
+    void noteAnswer(Core::Clock::Monotonic time, std::chrono::milliseconds reportInterval);
     /// Returns whether an upstream that is missing in the list may be about to register again.
     bool mayRegisterAgain(Core::Clock::Monotonic now) const { return now < m_registrationEnd; }
     /// Returns until when that is so; the minimum time before the first outage.
@@ -30,7 +29,6 @@
     Core::Clock::Monotonic lastFailure() const { return m_lastFailure; }
 
 private:
-    std::chrono::milliseconds m_reportInterval;
     Core::Clock::Monotonic m_lastAnswer = Core::Clock::Monotonic::min();
     Core::Clock::Monotonic m_lastFailure = Core::Clock::Monotonic::min();
     Core::Clock::Monotonic m_registrationEnd = Core::Clock::Monotonic::min();
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -55,7 +55,6 @@
 FleetWatcher::FleetWatcher(Dependencies dependencies, std::function<void()> onConfigurationChanged)
     : m_dependencies(dependencies)
     , m_onConfigurationChanged(std::move(onConfigurationChanged))
-    , m_outages(dependencies.reportInterval)
 { }
 
 void FleetWatcher::noteStoreStatus(FleetTopic topic, bool isAnswering, const std::string &reason)
@@ -142,15 +141,20 @@
     m_onConfigurationChanged();
 }
 
+std::chrono::milliseconds FleetWatcher::assumedWeightsAge() const
+{
+    return m_dependencies.settings.weightsBound / 2;
+}
+
 void FleetWatcher::applyTarget(const WeightsTarget &target)
 {
     // The record was accepted after the previous read, which did not contain it.
     const auto now = m_dependencies.clock.now();
     const auto age = m_dependencies.configuration.age(now);
     WeightsTargets::Target entry {target.version, now - age, now};
-    if (age > m_dependencies.assumedWeightsAge) {
+    if (age > assumedWeightsAge()) {
         // It may have been named at any time before this instance started, or in an outage.
-        entry.namedAt = now - m_dependencies.assumedWeightsAge;
+        entry.namedAt = now - assumedWeightsAge();
         entry.evidence = WeightsTargets::Evidence::Assumed;
     }
     if (!m_dependencies.weights.addTarget(target.model, entry))
@@ -224,7 +228,8 @@
 {
     noteStoreStatus(FleetTopic::Upstreams, true, {});
     m_outages.noteFailure(page.lastStoreFailure);
-    m_outages.noteAnswer(std::max(page.asOf, page.answeredAt));
+    m_outages.noteAnswer(std::max(page.asOf, page.answeredAt),
+                         m_dependencies.settings.reportInterval);
     if (page.isHistoryTruncated) {
         m_nextUpstreamsOffset.reset();
         return;
--- a/Libraries/LibGateway/FleetWatcher.h
+++ b/Libraries/LibGateway/FleetWatcher.h
@@ -33,11 +33,8 @@
         ConfigurationState &configuration;
         WeightsTargets &weights;
         UpstreamFleet &fleet;
-        /// The assumed age of weights that were named before the instance started or in an outage,
-        /// until a sibling tells it.
-        std::chrono::milliseconds assumedWeightsAge {0};
-        /// The interval between two reports of an upstream.
-        std::chrono::milliseconds reportInterval = GatewaySettings().reportInterval;
+        /// May change at any time.
+        const GatewaySettings &settings;
     };
 
     FleetWatcher(Dependencies dependencies, std::function<void()> onConfigurationChanged);
@@ -63,6 +60,9 @@
     boost::asio::awaitable<void> followUpstreams();
     void applyOperatorPage(const FleetPage &page);
     void applyTarget(const WeightsTarget &target);
+    /// Returns the assumed age of weights that were named before the instance started or in an
+    /// outage, until a sibling tells it.
+    std::chrono::milliseconds assumedWeightsAge() const;
     /// Removes upstreams in time when no further page arrives before.
     boost::asio::awaitable<void> removePendingInTime();
     /// Removes the upstreams that are missing in a newly read list.
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -59,7 +59,7 @@
     , m_relay(m_interfaces.clock)
     , m_log({m_interfaces.log, m_relay, m_members, m_interfaces.clock, m_settings})
     , m_watcher({m_log, m_interfaces.decoder, m_interfaces.clock, m_configuration, m_weights,
-                 m_fleet, m_settings.weightsBound / 2, m_settings.reportInterval},
+                 m_fleet, m_settings},
                 [this] { applyConfiguration(); })
     , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_gateway.poisonParts(),
                 m_members)
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -77,7 +77,8 @@
     int changes = 0;
     /// That of the last record of applyUpstream(); pages have lower ones.
     std::uint64_t offset = 100;
-    Gateway::FleetWatcher watcher {{log, decoder, clock, configuration, weights, fleet, 3s},
+    Gateway::GatewaySettings settings;
+    Gateway::FleetWatcher watcher {{log, decoder, clock, configuration, weights, fleet, settings},
                                    [this] { ++changes; }};
 
     Fixture() { clock.advance(1h); }
@@ -206,6 +207,18 @@
     CHECK_FALSE(fixture.find("w"));
 }
 
+TEST_CASE("the report interval that the settings name since a reload decides what is an outage")
+{
+    Fixture fixture;
+    fixture.readPage({{0, "w", "app:10:1"}});
+    fixture.settings.reportInterval = 5s;
+    fixture.clock.advance(2s);
+    fixture.failRead();
+    fixture.clock.advance(2s);
+    fixture.readPage({{1, "w", std::nullopt}});
+    CHECK_FALSE(fixture.find("w"));
+}
+
 TEST_CASE("a removal that is read after one read without an answer takes effect at once")
 {
     const bool hasSiblingFailed = GENERATE(false, true);
