LibGateway: End the pause of an upstream with the incarnation that it was for

What callers saw: nothing is reported; found by the review. An engine that had named a Retry-After and then restarted under its id got no requests of that instance until the time was over, however long it was.

Cause: a short pause after a rejection was extended to the longest one known, the Retry-After among them, and a new incarnation only dropped the Retry-After itself.

Now the two are kept apart, and a new incarnation starts without a pause.

Evidence: TestFleetWatcher "a restarted upstream is not paused for what the incarnation before it stated" fails without the reset of the pause and passes now.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -619,7 +619,7 @@
     if (!m_plan->engine)
         return;
     // The engine is full, executes an order, or has other weights than expected.
-    m_plan->upstream->pauseUntil(std::max(m_plan->upstream->pausedUntil(), now + BusyPause));
+    m_plan->upstream->extendPause(now + BusyPause);
     if (head.isOtherUpstream && m_gateway.onWeightsMismatch)
         m_gateway.onWeightsMismatch(m_plan->upstream);
 }
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -46,6 +46,7 @@
     m_notices = std::move(notices);
     if (isNewIncarnation) {
         m_failedContacts = 0;
+        m_pausedUntil = Core::Clock::Monotonic::min();
         m_prefixCache.clear();
         m_failureShare = 0;
         m_slowness = 1;
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -136,6 +136,8 @@
         return std::max(m_pausedUntil, m_notices->refusingUntil);
     }
     void pauseUntil(Core::Clock::Monotonic time) { m_pausedUntil = time; }
+    /// Pauses the upstream at least until the given time.
+    void extendPause(Core::Clock::Monotonic time) { m_pausedUntil = std::max(m_pausedUntil, time); }
 
 private:
     UpstreamReport m_report;
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -324,6 +324,18 @@
     CHECK(fixture.find("w")->report().isDraining);
 }
 
+TEST_CASE("a restarted upstream is not paused for what the incarnation before it stated")
+{
+    Fixture fixture;
+    fixture.applyUpstream("w", "app:10:1");
+    const auto upstream = fixture.find("w");
+    const auto now = fixture.clock.now();
+    upstream->notices()->refusingUntil = now + 60s;
+    upstream->extendPause(now + 1s);
+    fixture.applyUpstream("w", "app:20:0");
+    CHECK(upstream->pausedUntil() <= now);
+}
+
 TEST_CASE("a report with a start in the future hides later reports for one of them only")
 {
     Fixture fixture;
