--- a/Tests/LibHttp/TestRequestFraming.cpp
+++ b/Tests/LibHttp/TestRequestFraming.cpp
@@ -39,7 +39,7 @@
     ~Fixture() { threads.stop(); }
 
     /// Sends the bytes and returns what arrives until the server closes the connection.
-    std::string send(const std::string &bytes)
+    std::string send(const std::string &bytes) const
     {
         asio::io_context context;
         asio::ip::tcp::socket socket(context);
@@ -52,7 +52,7 @@
     }
 };
 
-const std::string Inner = "GET /inner HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string innerRequest = "GET /inner HTTP/1.1\r\nHost: x\r\n\r\n";
 
 std::string post(const std::string &fields, const std::string &body, char version = '1')
 {
@@ -71,40 +71,42 @@
 
 TEST_CASE("a request whose end is not certain is refused, and nothing in its body is executed")
 {
-    const auto length = std::to_string(Inner.size());
+    const auto length = std::to_string(innerRequest.size());
     const auto bytes = GENERATE_COPY(
-        post("Transfer-Encoding: xchunked\r\n", Inner), post("Transfer-Encoding: gzip\r\n", Inner),
-        post("Transfer-Encoding: chunked, identity\r\n", Inner),
-        post("Transfer-Encoding: chunked, chunked\r\n", Inner),
-        post("Transfer-Encoding: gzip, chunked\r\n", chunked(Inner)),
-        post("Transfer-Encoding: identity\r\n", Inner), post("Transfer-Encoding:\r\n", Inner),
-        post("Transfer-Encoding: \"chunked\"\r\n", Inner),
-        post("Transfer-Encoding: chunked;q=1\r\n", chunked(Inner)),
-        post("Transfer-Encoding: x\r\n chunked\r\n", chunked(Inner)),
-        post("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunked(Inner)),
-        post("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", chunked(Inner)),
-        post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunked(Inner)),
-        post("Transfer-Encoding : chunked\r\n", chunked(Inner)),
-        post("Transfer-Encoding: chunked\r\n", chunked(Inner), '0'),
-        post("Transfer-Encoding: chunked\r\nContent-Length: 0\r\n", chunked(Inner)),
-        post("Content-Length: 0\r\nTransfer-Encoding: chunked\r\n", chunked(Inner)),
-        post("Content-Length: 0\r\nTransfer-Encoding: xchunked\r\n", Inner),
-        post("Transfer-Encoding: xchunked\r\nContent-Length: 0\r\n", Inner),
-        post("Content-Length: 0\r\nContent-Length: " + length + "\r\n", Inner),
-        post("Content-Length: " + length + "\r\nContent-Length: " + length + "\r\n", Inner),
-        post("Content-Length: " + length + ", " + length + "\r\n", Inner),
-        post("Content-Length: 0, " + length + "\r\n", Inner),
-        post("Content-Length: +" + length + "\r\n", Inner), post("Content-Length: -1\r\n", Inner),
-        post("Content-Length: 0x0\r\n", Inner), post("Content-Length:\r\n", Inner),
-        post("Content-Length : 0\r\n", Inner),
-        post("Content-Length: 18446744073709551616\r\n", Inner),
-        post("X: a\rContent-Length: 0\r\n", Inner),
-        post("Host: y\r\nContent-Length: " + length + "\r\n", Inner),
-        post("Transfer-Encoding: chunked\r\n", "0x0\r\n\r\n" + Inner),
-        post("Transfer-Encoding: chunked\r\n", "-1\r\n\r\n" + Inner),
-        post("Transfer-Encoding: chunked\r\n", "10000000000000000\r\n\r\n" + Inner),
-        post("Transfer-Encoding: chunked\r\n", "1\r\nab\r\n0\r\n\r\n" + Inner),
-        post("Transfer-Encoding: chunked\r\n", "0\r\nContent-Length: 5\r\n\r\n" + Inner));
+        post("Transfer-Encoding: xchunked\r\n", innerRequest),
+        post("Transfer-Encoding: gzip\r\n", innerRequest),
+        post("Transfer-Encoding: chunked, identity\r\n", innerRequest),
+        post("Transfer-Encoding: chunked, chunked\r\n", innerRequest),
+        post("Transfer-Encoding: gzip, chunked\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding: identity\r\n", innerRequest),
+        post("Transfer-Encoding:\r\n", innerRequest),
+        post("Transfer-Encoding: \"chunked\"\r\n", innerRequest),
+        post("Transfer-Encoding: chunked;q=1\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding: x\r\n chunked\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding : chunked\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding: chunked\r\n", chunked(innerRequest), '0'),
+        post("Transfer-Encoding: chunked\r\nContent-Length: 0\r\n", chunked(innerRequest)),
+        post("Content-Length: 0\r\nTransfer-Encoding: chunked\r\n", chunked(innerRequest)),
+        post("Content-Length: 0\r\nTransfer-Encoding: xchunked\r\n", innerRequest),
+        post("Transfer-Encoding: xchunked\r\nContent-Length: 0\r\n", innerRequest),
+        post("Content-Length: 0\r\nContent-Length: " + length + "\r\n", innerRequest),
+        post("Content-Length: " + length + "\r\nContent-Length: " + length + "\r\n", innerRequest),
+        post("Content-Length: " + length + ", " + length + "\r\n", innerRequest),
+        post("Content-Length: 0, " + length + "\r\n", innerRequest),
+        post("Content-Length: +" + length + "\r\n", innerRequest),
+        post("Content-Length: -1\r\n", innerRequest), post("Content-Length: 0x0\r\n", innerRequest),
+        post("Content-Length:\r\n", innerRequest), post("Content-Length : 0\r\n", innerRequest),
+        post("Content-Length: 18446744073709551616\r\n", innerRequest),
+        post("X: a\rContent-Length: 0\r\n", innerRequest),
+        post("Host: y\r\nContent-Length: " + length + "\r\n", innerRequest),
+        post("Transfer-Encoding: chunked\r\n", "0x0\r\n\r\n" + innerRequest),
+        post("Transfer-Encoding: chunked\r\n", "-1\r\n\r\n" + innerRequest),
+        post("Transfer-Encoding: chunked\r\n", "10000000000000000\r\n\r\n" + innerRequest),
+        post("Transfer-Encoding: chunked\r\n", "1\r\nab\r\n0\r\n\r\n" + innerRequest),
+        post("Transfer-Encoding: chunked\r\n", "0\r\nContent-Length: 5\r\n\r\n" + innerRequest));
     INFO(bytes);
     Fixture fixture;
     const auto answer = fixture.send(bytes);
@@ -119,15 +121,16 @@
 {
     Fixture fixture;
     const auto bytes = GENERATE_COPY(
-        post("Content-Length: " + std::to_string(Inner.size()) + "\r\n", Inner),
-        post("Transfer-Encoding: chunked\r\n", chunked(Inner)),
-        post("transfer-encoding: Chunked\r\n", chunked(Inner)),
-        post("Transfer-Encoding:\r\n chunked\r\n", chunked(Inner)),
+        post("Content-Length: " + std::to_string(innerRequest.size()) + "\r\n", innerRequest),
+        post("Transfer-Encoding: chunked\r\n", chunked(innerRequest)),
+        post("transfer-encoding: Chunked\r\n", chunked(innerRequest)),
+        post("Transfer-Encoding:\r\n chunked\r\n", chunked(innerRequest)),
         post("Transfer-Encoding: chunked\r\n",
-             chunked(Inner).insert(chunked(Inner).size() - 2, "Authorization: x\r\n")));
+             chunked(innerRequest)
+                 .insert(chunked(innerRequest).size() - 2, "Authorization: x\r\n")));
     INFO(bytes);
     fixture.send(bytes);
     REQUIRE(fixture.executed.size() == 1);
-    CHECK(fixture.executed.front().body == Inner);
+    CHECK(fixture.executed.front().body == innerRequest);
     CHECK(!fixture.executed.front().headers.find("Authorization"));
 }
