Tests: Start processes without the sockets of the test

Cause: it is the test. A port that it held was inherited by the gateways that started meanwhile, so that it stayed open, without anybody who accepts, after the test had closed it; the gateway of that port logged port_unavailable until the end of the run, and callers connected to nobody. Ports of upstreams that crashed and connections of clients were inherited alike.

Processes are now started with the standard descriptors only.

--- a/Tests/Processes/Process.cpp
+++ b/Tests/Processes/Process.cpp
@@ -56,6 +56,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
+    // A port of the test would stay open as long as the process.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int fault = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     ::close(output);
