--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -324,6 +324,17 @@
     CHECK(fixture.find("w")->report().isDraining);
 }
 
+TEST_CASE("late reports of an earlier incarnation do not replace the one that leaves")
+{
+    Fixture fixture;
+    for (const auto *report : {"app:10:1", "app:10:2", "app:20:0", "app:20:1d"})
+        fixture.applyUpstream("w", report);
+    for (const auto *late : {"app:10:3", "app:10:4"}) {
+        fixture.applyUpstream("w", late);
+        CHECK(fixture.find("w")->report().isDraining);
+    }
+}
+
 TEST_CASE("a restarted upstream is not paused for what the incarnation before it stated")
 {
     Fixture fixture;
