LibHttp: Refuse answers whose transfer coding is not chunked alone

The client now checks the coding right after the head and refuses the answer as malformed: 502 to the caller, or another attempt where the route allows one. Its connection is closed, so that no byte of it is taken for another answer. All readers of answers use this client: relayed requests, engines' reports, the store and siblings. RequestFraming becomes MessageFraming, since it serves both sides.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Error.h>
 #include <LibHttp/Client.h>
 #include <LibHttp/ConnectionPool.h>
+#include <LibHttp/MessageFraming.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -131,6 +132,8 @@
         }
         for (const auto &field : m_parser->get())
             m_headers.add(field.name_string(), field.value());
+        if (responseFramingFault(m_headers, m_parser->get().version()))
+            ec = make_error_code(http::error::bad_transfer_encoding);
         co_return ec;
     }
 
--- a/Libraries/LibHttp/RequestFraming.cpp
+++ b/Libraries/LibHttp/MessageFraming.cpp
@@ -1,4 +1,4 @@
-#include <LibHttp/RequestFraming.h>
+#include <LibHttp/MessageFraming.h>
 
 #include <algorithm>
 #include <string_view>
@@ -21,25 +21,36 @@
     return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
-} // namespace
-
-std::optional<std::string> framingFault(const Headers &headers, unsigned version)
+/// Returns why the Transfer-Encoding, if there is one, is not the supported one.
+std::optional<std::string> transferCodingFault(const Headers &headers, unsigned version)
 {
-    const auto length = headers.find("Content-Length");
     const auto coding = headers.find("Transfer-Encoding");
-    if (count(headers, "Content-Length") > 1 || (length && !isNumber(*length)))
-        return "the Content-Length is not a single number";
-    if (count(headers, "Host") > 1)
-        return "the request has several Host fields";
     if (!coding)
         return std::nullopt;
     if (version < FirstVersionWithTransferEncoding)
         return "HTTP/1.0 has no Transfer-Encoding";
-    if (length)
-        return "the request has both a Content-Length and a Transfer-Encoding";
     if (count(headers, "Transfer-Encoding") > 1 || !equalIgnoringCase(*coding, "chunked"))
         return "the Transfer-Encoding is not chunked alone";
     return std::nullopt;
 }
 
+} // namespace
+
+std::optional<std::string> requestFramingFault(const Headers &headers, unsigned version)
+{
+    const auto length = headers.find("Content-Length");
+    if (count(headers, "Content-Length") > 1 || (length && !isNumber(*length)))
+        return "the Content-Length is not a single number";
+    if (count(headers, "Host") > 1)
+        return "the request has several Host fields";
+    if (length && headers.find("Transfer-Encoding"))
+        return "the request has both a Content-Length and a Transfer-Encoding";
+    return transferCodingFault(headers, version);
+}
+
+std::optional<std::string> responseFramingFault(const Headers &headers, unsigned version)
+{
+    return transferCodingFault(headers, version);
+}
+
 } // namespace Http
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -1,5 +1,5 @@
 #include <LibCore/EventLog.h>
-#include <LibHttp/RequestFraming.h>
+#include <LibHttp/MessageFraming.h>
 #include <LibHttp/ServerSession.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -386,7 +386,7 @@
     std::optional<std::string> fault;
     if (!ec) {
         head = RequestHead(parser.get());
-        fault = framingFault(head.request.headers, head.version);
+        fault = requestFramingFault(head.request.headers, head.version);
     }
     if (!ec && !fault)
         ec = co_await readBody(stream, buf, parser, bodyShare);
