LibHttp: Refuse requests with fields that go on in another line

What callers could do: a field in a folded line is joined by the parser. RFC 9112, 5.2, allows to join or to answer 400.

Cause: the parser joins the lines and does not tell, so a check of its fields comes too late.

Evidence: on the new test of 34 folded forms (five methods) fails in 128 of 170 assertions, and the one of forms behind two sound requests, in pieces of 1, 7 and 100 bytes, in 387 of 1,260; both hold now. Tests/Platform "the text of a request in the body of another one" fails there for the two folded forms, alone and behind another request.

The head of a request is now read by readRequestHead(), which looks at the bytes that the parser takes: whole fields, so that a folded one is always among them, however the head is cut. It fails with bad_obs_fold, which becomes 400 and closes the connection. One input of an older test, a Transfer-Encoding in a folded line that was read as chunked, moves to the refused forms: the check is stricter now. Answers keep joining, as the RFC allows: callers get a head of our own.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibHttp/MessageFraming.h>
+#include <LibHttp/RequestHeadReader.h>
 #include <LibHttp/ServerSession.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -24,8 +25,6 @@
 
 constexpr std::size_t ReadBytes = 16 * 1024;
 
-using RequestParser = http::request_parser<http::string_body>;
-
 /// What a request states before its body. The default refers to a request that could not be read.
 struct RequestHead
 {
@@ -380,8 +379,7 @@
     stream.expires_never();
     std::optional<ReadDeadline> deadline(std::in_place, stream, limits->requestTime);
     boost::system::error_code ec;
-    co_await http::async_read_header(stream, buf, parser,
-                                     asio::redirect_error(asio::use_awaitable, ec));
+    ec = co_await readRequestHead(stream, buf, parser);
     RequestHead head;
     std::optional<std::string> fault;
     if (!ec) {
