LibGateway: Send no request that a planned stop may cut

What callers saw: in a planned stop, requests that were held by the instance were sent to an upstream near the end of the grace period, and cut with the process (LOST), among them calls that may not be repeated.

Cause: the stop was checked when a request arrived and never again, so one that waited in an engine's queue or for its team's usage cap, or was rejected by its first upstream, went on as before. The times were counted in a loop, so that a busy process began to refuse late. With a grace period much longer than 8 s, a request that may take longer than its rest was accepted as well.

PlannedStop holds the times of a stop, counted from SIGTERM. A request that no upstream may have executed is checked before each send: if the time that it has left is longer than the rest of the grace period, it is refused as not run, which is true and lets its caller go elsewhere at once. One that fits is still sent. New requests are refused as before, and also by this check.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -47,10 +47,15 @@
     return m_retries[service].use(limits, m_retrySlack.part(limits.window, now), now);
 }
 
+void Gateway::beginStop(std::chrono::milliseconds grace)
+{
+    m_plannedStop.begin(m_dependencies.clock.now(), grace);
+}
+
 bool Gateway::isReady() const
 {
     // Without the number of members, the usage caps have no share.
-    return !m_isDraining && m_dependencies.configuration.current() && hasUpToDateKeys()
+    return !m_plannedStop.hasBegun() && m_dependencies.configuration.current() && hasUpToDateKeys()
            && !m_dependencies.fleet.all().empty() && m_instanceCount;
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -7,6 +7,7 @@
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/KvCacheStores.h>
+#include <LibGateway/PlannedStop.h>
 #include <LibGateway/PoisonPartTable.h>
 #include <LibGateway/PoisonRequestTable.h>
 #include <LibGateway/PromptAdmission.h>
@@ -66,11 +67,10 @@
     bool tryRepeat(const std::string &service);
     /// Returns the use of this instance's share of the service's budget.
     RetryBudgetShare::Use retryUse(const std::string &service);
-    /// Makes isReady() return false. Requests are still served.
-    void beginDrain() { m_isDraining = true; }
-    /// Refuses all requests that arrive later, since they could not finish before the process ends.
-    void refuseAll() { m_isRefusing = true; }
-    bool isRefusing() const { return m_isRefusing; }
+    /// Makes isReady() return false, and refuses requests that could not finish within the grace
+    /// period.
+    void beginStop(std::chrono::milliseconds grace);
+    const PlannedStop &plannedStop() const { return m_plannedStop; }
 
     const GatewayDependencies &dependencies() const { return m_dependencies; }
     GatewayMetrics &metrics() { return m_metrics; }
@@ -128,8 +128,7 @@
     QuotaExchange *m_quotas = nullptr;
     std::minstd_rand m_random;
     std::optional<unsigned> m_instanceCount;
-    bool m_isDraining = false;
-    bool m_isRefusing = false;
+    PlannedStop m_plannedStop;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -23,13 +23,6 @@
 
 // One thread serves everything, so that requests and prefix-cache estimates need no locks.
 constexpr std::size_t ThreadCount = 1;
-// The balancer checks the readiness every second and removes an instance after two failed checks.
-constexpr auto BalancerDetectionTime = 2'300ms;
-// The part of the grace period that is reserved for the exit of the process.
-constexpr auto ExitMargin = 500ms;
-// New requests are refused during this last part of the grace period, because they might not finish
-// in time.
-constexpr auto RefusalLeadTime = 5'000ms;
 constexpr auto DrainPollInterval = 50ms;
 constexpr auto CountInterval = 200ms;
 // Shorter until the members are known, because the instance is not ready before.
@@ -402,25 +395,20 @@
 asio::awaitable<void> GatewayDaemon::drain()
 {
     Core::logEvent(Core::EventId::DrainStarted);
-    const auto begin = m_interfaces.clock.now();
-    m_gateway.beginDrain();
+    m_gateway.beginStop(m_settings.grace);
     m_callers->beginDrain();
+    const auto &stop = m_gateway.plannedStop();
     // New connections may arrive until the balancer has noticed the drain.
-    while (m_interfaces.clock.now() - begin < m_settings.grace - ExitMargin) {
+    while (m_interfaces.clock.now() < stop.requestsEnd()) {
         co_await sleepFor(DrainPollInterval);
-        const auto elapsed = m_interfaces.clock.now() - begin;
-        if (elapsed < BalancerDetectionTime)
+        if (!stop.isNoticed(m_interfaces.clock.now()))
             continue;
         m_callers->closeIdle();
         if (m_callers->activeExchanges() == 0)
             m_callers->stopAccepting();
         if (m_callers->hasEnded())
-            break;
-        if (elapsed >= m_settings.grace - RefusalLeadTime && !m_gateway.isRefusing())
-            m_gateway.refuseAll();
+            co_return;
     }
-    // What is read from here on would be cut by the exit of the process.
-    m_gateway.refuseAll();
     m_callers->stopAccepting();
 }
 
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -66,6 +66,11 @@
     return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
 }
 
+Refusal stopRefusal()
+{
+    return {Core::ErrorKind::Draining, "the instance is shutting down", MinRetryAfter};
+}
+
 /// Returns whether the events of an answer may go on in a stream that began with the given status
 /// and headers.
 bool mayContinueStream(const Http::ClientExchange &answer, unsigned status,
@@ -95,11 +100,11 @@
 asio::awaitable<void> RequestRelay::run()
 {
     auto refusal = m_request.decode(m_gateway.dependencies().dialect, m_exchange.request());
-    if (!refusal && m_gateway.isRefusing())
-        refusal =
-            Refusal {Core::ErrorKind::Draining, "the instance is shutting down", MinRetryAfter};
     if (!refusal)
         refusal = m_request.authorize(m_gateway, m_exchange.request());
+    const auto &stop = m_gateway.plannedStop();
+    if (!refusal && stop.refuses(m_request.arrival, remainingTime()))
+        refusal = stopRefusal();
     if (refusal) {
         co_await refuse(*refusal);
         co_return;
@@ -173,10 +178,22 @@
         m_abort->abort();
 }
 
+std::optional<Refusal> RequestRelay::refuseForStop() const
+{
+    const auto now = m_gateway.dependencies().clock.now();
+    if (m_mayHaveExecuted || !m_gateway.plannedStop().mayCut(now, remainingTime()))
+        return std::nullopt;
+    return stopRefusal();
+}
+
 asio::awaitable<void> RequestRelay::runAttempts()
 {
     bool isFirst = true;
     for (;;) {
+        if (const auto refusal = refuseForStop()) {
+            co_await refuse(*refusal);
+            co_return;
+        }
         auto plan = co_await this->plan();
         if (m_cancelReason != CancelReason::None) {
             co_await finish(AttemptOutcome::Cancelled);
@@ -268,7 +285,7 @@
     // The timer may not have been served yet if the process was frozen.
     if (remainingTime() <= 0ms)
         cancel(CancelReason::DeadlineExpired);
-    if (m_cancelReason != CancelReason::None)
+    if (m_cancelReason != CancelReason::None || refuseForStop())
         return false;
     const auto &dependencies = m_gateway.dependencies();
     if (m_plan->upstream->isRemoved() || m_plan->upstream->isLeaving()
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -71,6 +71,9 @@
     /// than known, the choice is repeated.
     boost::asio::awaitable<std::variant<RequestPlan, Refusal>> plan();
     bool mayStillSend();
+    /// Returns a refusal if a request that no upstream may have executed might not be answered
+    /// before the instance stops.
+    std::optional<Refusal> refuseForStop() const;
     /// Returns whether the engine's weights are too old to begin to answer now.
     bool isTooLateToBegin() const;
     /// Withdraws the request when its engine has not begun in time. Newer weights may be named
--- a/Tests/Platform/RawWorkersFixture.cpp
+++ b/Tests/Platform/RawWorkersFixture.cpp
@@ -29,14 +29,15 @@
              R"("ColdLeftMs":0,"Models":[{"Name":"model","Version":1}],"Seq":1})";
 }
 
-RawWorkersFixture::RawWorkersFixture(const std::string &service, RawServer::Script script)
+RawWorkersFixture::RawWorkersFixture(const std::string &service, RawServer::Script script,
+                                     const GatewayOptions &options, const std::string &routes)
 {
     for (const std::string id : {"w-1", "w-2"}) {
         m_workers.push_back(std::make_unique<RawServer>(script));
         store.put("keyed.servers", id, rawWorkerEntry(service, *m_workers.back()));
     }
-    configure(1);
-    startGateway();
+    configure(1, routes);
+    m_gateway = &startGateway(options);
 }
 
 ReceivedAnswer RawWorkersFixture::receive(Http::Request request)
--- a/Tests/Platform/RawWorkersFixture.h
+++ b/Tests/Platform/RawWorkersFixture.h
@@ -24,7 +24,11 @@
 class RawWorkersFixture : public GatewayFixture
 {
 public:
-    RawWorkersFixture(const std::string &service, StandIns::RawServer::Script script);
+    RawWorkersFixture(const std::string &service, StandIns::RawServer::Script script,
+                      const GatewayOptions &options = {},
+                      const std::string &routes = defaultRoutes());
+
+    Processes::Process &gateway() { return *m_gateway; }
 
     /// Sends a request to the gateway, and reads its answer until it ends or fails.
     StandIns::ReceivedAnswer receive(Http::Request request);
@@ -38,6 +42,7 @@
 
 private:
     Http::Client m_client;
+    Processes::Process *m_gateway = nullptr;
     std::vector<std::unique_ptr<StandIns::RawServer>> m_workers;
 };
 
