LibGateway: Answer the requests that run at the end of a planned stop

What callers saw: at the end of the grace period, a request that was still running ended with a closed connection and no answer (LOST), also one that had never been sent. Callers could not tell whether to send it again, and nothing was logged.

Cause: only the exit of the process ended requests.

0.5 s before the end of the grace period the gateway now ends its running requests: one that no upstream may have executed gets 503 "not run", one that may have run gets 502, a stream that has begun is cut. The process exits when the answers are sent, at most 0.3 s later. Requests register while they run; the set is shared, because a request may be destroyed after the gateway.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -52,6 +52,12 @@
     m_plannedStop.begin(m_dependencies.clock.now(), grace);
 }
 
+void Gateway::endRequests()
+{
+    for (auto *request : *m_activeRequests)
+        request->end();
+}
+
 bool Gateway::isReady() const
 {
     // Without the number of members, the usage caps have no share.
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -22,12 +22,16 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace Gateway {
 
+class RequestRelay;
+
 /// References to the services that request handling uses.
 struct GatewayDependencies
 {
@@ -71,6 +75,12 @@
     /// period.
     void beginStop(std::chrono::milliseconds grace);
     const PlannedStop &plannedStop() const { return m_plannedStop; }
+    /// Ends the requests that are still running, before the process exits: each gets an answer that
+    /// says whether it may have run, unless part of its own answer was relayed.
+    void endRequests();
+    /// The requests that are running. Shared, since a request may be destroyed after the gateway.
+    using ActiveRequests = std::set<RequestRelay *>;
+    const std::shared_ptr<ActiveRequests> &activeRequests() const { return m_activeRequests; }
 
     const GatewayDependencies &dependencies() const { return m_dependencies; }
     GatewayMetrics &metrics() { return m_metrics; }
@@ -129,6 +139,7 @@
     std::minstd_rand m_random;
     std::optional<unsigned> m_instanceCount;
     PlannedStop m_plannedStop;
+    std::shared_ptr<ActiveRequests> m_activeRequests = std::make_shared<ActiveRequests>();
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -24,6 +24,7 @@
 // One thread serves everything, so that requests and prefix-cache estimates need no locks.
 constexpr std::size_t ThreadCount = 1;
 constexpr auto DrainPollInterval = 50ms;
+constexpr auto EndPollInterval = 10ms;
 constexpr auto CountInterval = 200ms;
 // Shorter until the members are known, because the instance is not ready before.
 constexpr auto InitialCountInterval = 20ms;
@@ -410,6 +411,9 @@
             co_return;
     }
     m_callers->stopAccepting();
+    m_gateway.endRequests();
+    while (m_callers->activeExchanges() > 0 && m_interfaces.clock.now() < stop.exit())
+        co_await sleepFor(EndPollInterval);
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/PlannedStop.cpp
+++ b/Libraries/LibGateway/PlannedStop.cpp
@@ -15,8 +15,9 @@
 // New requests are refused during this last part of the grace period, because they might not finish
 // in time.
 constexpr auto RefusalLeadTime = 5'000ms;
-// The part of the grace period that is reserved for the exit of the process.
+// The parts of the grace period that are reserved for the last answers and for the exit.
 constexpr auto EndMargin = 500ms;
+constexpr auto ExitMargin = 200ms;
 
 } // namespace
 
@@ -27,6 +28,7 @@
     m_refusalsBegin = std::max(m_noticed, now + grace - RefusalLeadTime);
     m_arrivalsEnd = std::min(m_refusalsBegin, now + ArrivalTime);
     m_requestsEnd = now + std::max(0ms, grace - EndMargin);
+    m_exit = now + std::max(0ms, grace - ExitMargin);
 }
 
 bool PlannedStop::refuses(Core::Clock::Monotonic now, std::chrono::milliseconds timeLeft) const
--- a/Libraries/LibGateway/PlannedStop.h
+++ b/Libraries/LibGateway/PlannedStop.h
@@ -24,8 +24,10 @@
     /// might not be answered before requests end.
     bool mayCut(Core::Clock::Monotonic now, std::chrono::milliseconds timeLeft) const;
 
-    /// When the requests that are still running are cut by the exit.
+    /// When the requests that are still running end, answered as far as possible.
     Core::Clock::Monotonic requestsEnd() const { return m_requestsEnd; }
+    /// When the process exits at the latest.
+    Core::Clock::Monotonic exit() const { return m_exit; }
 
 private:
     Core::Clock::Monotonic m_begin = Core::Clock::Monotonic::max();
@@ -33,6 +35,7 @@
     Core::Clock::Monotonic m_arrivalsEnd = Core::Clock::Monotonic::max();
     Core::Clock::Monotonic m_refusalsBegin = Core::Clock::Monotonic::max();
     Core::Clock::Monotonic m_requestsEnd = Core::Clock::Monotonic::max();
+    Core::Clock::Monotonic m_exit = Core::Clock::Monotonic::max();
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -87,12 +87,15 @@
 RequestRelay::RequestRelay(Gateway &gateway, Http::ServerExchange &exchange)
     : m_gateway(gateway)
     , m_exchange(exchange)
+    , m_activeRequests(gateway.activeRequests())
 {
     m_request.arrival = gateway.dependencies().clock.now();
+    m_activeRequests->insert(this);
 }
 
 RequestRelay::~RequestRelay()
 {
+    m_activeRequests->erase(this);
     returnUnusedQuota();
     *m_isAlive = false;
 }
@@ -178,6 +181,11 @@
         m_abort->abort();
 }
 
+void RequestRelay::end()
+{
+    cancel(CancelReason::InstanceStops);
+}
+
 std::optional<Refusal> RequestRelay::refuseForStop() const
 {
     const auto now = m_gateway.dependencies().clock.now();
@@ -829,6 +837,8 @@
         // A named object, because GCC 12 destroys aggregate temporaries of a co_await twice.
         Refusal refusal {Core::ErrorKind::NoUpstream, "no upstream accepted the request",
                          ShortRetryAfter};
+        if (m_cancelReason == CancelReason::InstanceStops)
+            refusal = stopRefusal();
         if (m_cancelReason == CancelReason::DeadlineExpired)
             refusal = {Core::ErrorKind::DeadlineUnreachable,
                        "the deadline expired before an upstream accepted the request",
@@ -846,7 +856,11 @@
                     {"upstream", m_plan->upstream->report().id.value()},
                     {"outcome", std::string(Core::errorKindRow(kind).name)},
                     {"sends", text(m_progress.sends)}});
-    co_await respondError(kind, "the upstream did not return a complete answer", {});
+    co_await respondError(kind,
+                          m_cancelReason == CancelReason::InstanceStops
+                              ? "the instance stops before the upstream has answered"
+                              : "the upstream did not return a complete answer",
+                          {});
 }
 
 asio::awaitable<void> RequestRelay::refuse(const Refusal &refusal)
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -31,6 +31,8 @@
     RequestRelay &operator=(const RequestRelay &) = delete;
 
     boost::asio::awaitable<void> run();
+    /// Ends the request, because the process is about to exit. run() then sends the last answer.
+    void end();
 
 private:
     /// The outcome of one attempt.
@@ -49,13 +51,14 @@
         Withdrawn,
         /// The upstream failed after part of the answer was relayed.
         StreamInterrupted,
-        /// The caller disconnected or the deadline expired.
+        /// The caller disconnected, the deadline expired or the instance stops.
         Cancelled,
     };
     enum class CancelReason {
         None,
         CallerDisconnected,
         DeadlineExpired,
+        InstanceStops,
     };
     /// Authorizes the request again before another attempt. If that is denied, the previous route
     /// and tenant stay set.
@@ -123,6 +126,7 @@
 
     Gateway &m_gateway;
     Http::ServerExchange &m_exchange;
+    std::shared_ptr<Gateway::ActiveRequests> m_activeRequests;
     AcceptedRequest m_request;
     /// The plan of the current or last attempt; empty before the first.
     std::optional<RequestPlan> m_plan;
--- a/Tests/LibGateway/TestPlannedStop.cpp
+++ b/Tests/LibGateway/TestPlannedStop.cpp
@@ -42,7 +42,8 @@
 {
     const auto grace = GENERATE(1s, 4s, 8s, 30s, 600s);
     const auto stop = begun(grace);
-    CHECK(stop.requestsEnd() < Begin + grace);
+    CHECK(stop.requestsEnd() < stop.exit());
+    CHECK(stop.exit() < Begin + grace);
     for (auto elapsed = 3'000ms; elapsed < grace + 1s; elapsed += 100ms) {
         const auto now = Begin + elapsed;
         for (auto timeLeft = 0ms; timeLeft < 20s; timeLeft += 500ms) {
--- a/Tests/Platform/TestPlannedStops.cpp
+++ b/Tests/Platform/TestPlannedStops.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr auto Grace = 4s;
+constexpr std::string_view FirstEvent = "id: 1\ndata: 1\n\n";
 
 GatewayOptions stopOptions()
 {
@@ -55,6 +56,57 @@
 
 } // namespace
 
+// Guards against requests that a planned stop cuts without an answer (LOST).
+TEST_CASE("requests that still run at the end of a planned stop are answered, not cut")
+{
+    RawWorkersFixture fixture(
+        "app", [](RawConnection &connection, const auto &) { connection.keep(); }, stopOptions(),
+        longRoutes());
+    std::vector<std::future<ReceivedAnswer>> answers;
+    for (int n = 0; n < 20; ++n) {
+        const auto id = "id-" + std::to_string(n);
+        answers.push_back(sendLater(fixture, n % 2 == 0
+                                                 ? GatewayFixture::request("/calls/a", id)
+                                                 : GatewayFixture::request("/views/a", id, "GET")));
+    }
+    REQUIRE(GatewayFixture::eventually([&] { return fixture.received() == answers.size(); }));
+    const auto begin = std::chrono::steady_clock::now();
+    fixture.gateway().signal(SIGTERM);
+    for (auto &pending : answers) {
+        const auto answer = pending.get();
+        CHECK(!answer.failure);
+        // The worker may have run it.
+        CHECK(answer.response.status == 502);
+        CHECK(answer.header("Connection") == "close");
+    }
+    CHECK(fixture.gateway().wait() == 0);
+    CHECK(std::chrono::steady_clock::now() - begin < Grace);
+    CHECK(fixture.received() == answers.size());
+}
+
+TEST_CASE("at the end of a planned stop a stream that began is cut, one that did not is answered")
+{
+    RawWorkersFixture fixture(
+        "llm",
+        [](RawConnection &connection, const Http::Request &request) {
+            if (request.target == "/streams/begun")
+                connection.send(head(request) + std::string(FirstEvent));
+            connection.keep();
+        },
+        stopOptions(), longRoutes());
+    auto begun = sendLater(fixture, GatewayFixture::streamRequest("/streams/begun", "id-1"));
+    auto waiting = sendLater(fixture, GatewayFixture::streamRequest("/streams/waits", "id-2"));
+    REQUIRE(GatewayFixture::eventually([&] { return fixture.received() == 2; }));
+    fixture.gateway().signal(SIGTERM);
+    const auto cut = begun.get();
+    CHECK(cut.failure);
+    CHECK(cut.response.body == FirstEvent);
+    const auto answered = waiting.get();
+    CHECK(!answered.failure);
+    CHECK(answered.response.status == 502);
+    CHECK(fixture.gateway().wait() == 0);
+}
+
 // Guards against requests that are checked when they arrive, but sent late in the grace period.
 TEST_CASE("a request that an upstream rejects late in a planned stop is refused, not sent again")
 {
