LibGateway: End an answer that is passed on unheld at the size limit

What callers saw: when the memory for bodies was full, an answer without an end was passed on to its caller until the deadline, as a 200 with megabytes of no meaning.

Cause: relayUnheld(), which passes on what finds no room, counts no bytes, while relayWhole() ends an answer at 16 MiB.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -696,12 +696,18 @@
         co_return AttemptOutcome::Cancelled;
     m_gateway.metrics().firstByte.observe(m_gateway.dependencies().clock.now() - m_request.arrival,
                                           m_request.labels());
+    auto size = begin.body.size() + next.size();
     co_await m_exchange.startStream(begin.status, begin.headers);
     co_await m_exchange.write(std::move(begin.body));
     co_await m_exchange.write(std::move(next));
     m_exchange.reserve(0);
-    while (auto chunk = co_await answer.readSome())
+    while (auto chunk = co_await answer.readSome()) {
+        size += chunk->size();
+        if (size > AnswerLimitBytes)
+            co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
+                                                  "the answer body exceeds the size limit"));
         co_await m_exchange.write(std::move(*chunk));
+    }
     if (m_evidence && begin.status < 300)
         m_evidence->noteAnswered();
     co_await m_exchange.finishStream();
--- a/Tests/Platform/TestBodyMemory.cpp
+++ b/Tests/Platform/TestBodyMemory.cpp
@@ -1,8 +1,11 @@
+#include "../StandIns/ReceivedAnswer.h"
 #include "GatewayFixture.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -19,6 +22,7 @@
 constexpr std::size_t MemoryMb = 110;
 constexpr std::size_t MemoryBytes = MemoryMb * 1024 * 1024;
 constexpr std::size_t BodyBytes = 4 * 1024 * 1024;
+constexpr std::size_t PieceBytes = 64 * 1024;
 constexpr std::size_t Count = 16;
 
 /// A gateway on a machine with little memory, and one worker of which requests wait.
@@ -133,3 +137,39 @@
     }));
     CHECK(peak < MemoryBytes);
 }
+
+// Guards against bytes without an end that are passed on for as long as the caller waits.
+TEST_CASE("answers without an end are cut at the size limit, also without memory to hold them")
+{
+    constexpr std::size_t AnswerLimitBytes = 16 * 1024 * 1024;
+    constexpr std::size_t EndlessBytes = 3 * AnswerLimitBytes;
+    Fixture fixture;
+    fixture.worker.setBehaviour([&](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        co_await exchange.startStream(200, WorkerStandIn::answerHeaders(exchange.request()));
+        for (std::size_t sent = 0; sent < EndlessBytes; sent += PieceBytes)
+            co_await exchange.write(std::string(PieceBytes, 'z'));
+        co_await fixture.awaitSettling();
+        co_return true;
+    });
+    Http::Client client;
+    std::vector<std::future<StandIns::ReceivedAnswer>> answers;
+    for (std::size_t n = 0; n < Count; ++n) {
+        auto request = GatewayFixture::request("/calls/endless", "id-" + std::to_string(n));
+        request.headers.remove("X-Jujubesaddle-Deadline-Ms");
+        request.headers.add("X-Jujubesaddle-Deadline-Ms", "30000");
+        answers.push_back(
+            asio::co_spawn(fixture.threads().next(),
+                           StandIns::receiveAnswer(client, fixture.callers(), std::move(request)),
+                           asio::use_future));
+    }
+    std::size_t cut = 0;
+    for (auto &pending : answers) {
+        const auto answer = pending.get();
+        CHECK(answer.response.body.size() <= AnswerLimitBytes);
+        CHECK((answer.failure || answer.response.status == 502));
+        cut += answer.failure ? 1 : 0;
+    }
+    // Some were passed on as they arrived.
+    CHECK(cut > 0);
+    CHECK(fixture.gateway->residentBytes() < MemoryBytes);
+}
