Tests: Let the soak's clients read answers up to the gateway's limit

They called an answer of more than 8 MB "bytes that are no answer" (MIXED), since that is the default limit of their parser. No page and no code has that bound; a gateway passes on up to 16 MiB. The check is as strict at that limit: what is longer is still reported, and a body that breaks off is no complete answer.

--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -27,6 +27,8 @@
 // Beyond the deadline, so that an answer at the deadline still arrives.
 constexpr auto Patience = 700ms;
 constexpr auto ReconnectPause = 200ms;
+// The longest answer that a gateway passes on.
+constexpr std::uint64_t AnswerLimitBytes = 16 * 1024 * 1024;
 
 http::request<http::string_body> encode(const Request &request, Time deadline)
 {
@@ -168,6 +170,7 @@
     stream.expires_after(leavesEarly ? dice.time(5, 400) : deadline + Patience);
     co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
     http::response_parser<http::string_body> parser;
+    parser.body_limit(AnswerLimitBytes);
     if (!ec)
         co_await http::async_read(stream, buf, parser,
                                   asio::redirect_error(asio::use_awaitable, ec));
