LibGateway: Do not end a request before its caller's time has passed

Cause: the timer that ends a request was set to the time left in whole milliseconds, rounded down.

The timer now runs to the deadline.

--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -164,7 +164,8 @@
         if (const auto alive = guard.lock(); alive && *alive)
             cancel(CancelReason::CallerDisconnected);
     });
-    m_timer->expires_after(remainingTime());
+    // remainingTime() is rounded down, so a timer of that length would end the request early.
+    m_timer->expires_after(m_request.deadline - m_gateway.dependencies().clock.now());
     m_timer->async_wait([this, guard](const auto &ec) {
         const auto alive = guard.lock();
         if (!ec && alive && *alive)
@@ -830,6 +831,7 @@
                         {"route", m_request.route->name},
                         {"upstream", m_plan->upstream->report().id.value()},
                         {"outcome", "stream cut"},
+                        {"ended_by", endedBy()},
                         {"last_event", m_events.lastId()}});
         // Closing the connection is the only way to signal that the stream is incomplete.
         throw boost::system::system_error(asio::error::connection_aborted);
@@ -861,6 +863,7 @@
                     {"route", m_request.route->name},
                     {"upstream", m_plan->upstream->report().id.value()},
                     {"outcome", std::string(Core::errorKindRow(kind).name)},
+                    {"ended_by", endedBy()},
                     {"sends", text(m_progress.sends)}});
     co_await respondError(kind,
                           m_cancelReason == CancelReason::InstanceStops
@@ -869,6 +872,21 @@
                           {});
 }
 
+std::string RequestRelay::endedBy() const
+{
+    switch (m_cancelReason) {
+    case CancelReason::None:
+        return "upstream";
+    case CancelReason::CallerDisconnected:
+        return "caller";
+    case CancelReason::DeadlineExpired:
+        return "deadline";
+    case CancelReason::InstanceStops:
+        return "stop";
+    }
+    return "";
+}
+
 asio::awaitable<void> RequestRelay::refuse(const Refusal &refusal)
 {
     logRefusal(m_gateway, m_request, refusal);
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -121,6 +121,8 @@
     /// Records what the answer states about the upstream itself.
     void noteUpstreamState(const AnswerHead &head);
     void noteRefusedByUpstream(unsigned status, const AnswerHead &head);
+    /// Returns what ended a request that failed, for the log.
+    std::string endedBy() const;
     void noteAttempt(std::string_view end, const std::string &reason) const;
     std::chrono::milliseconds remainingTime() const;
 
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <future>
+#include <optional>
 #include <thread>
 
 namespace asio = boost::asio;
@@ -517,3 +518,46 @@
     CHECK(answer.status == 502);
     CHECK(answer.body.find("for the first") == std::string::npos);
 }
+
+// Guards against a stream that is cut before its caller's time ends, by rounding (LOST).
+TEST_CASE("a stream whose upstream falls silent is not cut before its deadline")
+{
+    constexpr std::size_t Count = 100;
+    constexpr auto ShortestTime = 500ms;
+    GatewayFixture fixture;
+    fixture.addWorker("w-1", "llm")
+        .setBehaviour([](Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+            co_await exchange.startStream(200, WorkerStandIn::answerHeaders(exchange.request()));
+            co_await exchange.write("id: 1\ndata: 1\n\n");
+            asio::steady_timer timer(co_await asio::this_coro::executor, 2s);
+            co_await timer.async_wait(asio::use_awaitable);
+            co_return true;
+        });
+    fixture.configure(1);
+    fixture.startGateway();
+    // What was left of the caller's time when the stream was cut; empty if it was not.
+    using TimeLeft = std::optional<std::chrono::nanoseconds>;
+    std::vector<std::future<TimeLeft>> streams;
+    for (std::size_t n = 0; n < Count; ++n) {
+        const auto time = ShortestTime + std::chrono::milliseconds(n);
+        auto request = GatewayFixture::streamRequest("/streams/once/a", "id-" + std::to_string(n));
+        request.headers.remove("X-Jujubesaddle-Deadline-Ms");
+        request.headers.add("X-Jujubesaddle-Deadline-Ms", std::to_string(time.count()));
+        streams.push_back(std::async(std::launch::async, [&fixture, time, request]() -> TimeLeft {
+            const auto deadline = std::chrono::steady_clock::now() + time;
+            try {
+                fixture.send(request);
+            } catch (const Core::Error &) {
+                return deadline - std::chrono::steady_clock::now();
+            }
+            return std::nullopt;
+        }));
+    }
+    std::size_t cut = 0;
+    for (auto &stream : streams) {
+        const auto left = stream.get();
+        cut += left ? 1 : 0;
+        CHECK(left.value_or(0ns) <= 0ns);
+    }
+    CHECK(cut > Count / 2);
+}
