--- a/Tests/Platform/TestSmuggledRequests.cpp
+++ b/Tests/Platform/TestSmuggledRequests.cpp
@@ -6,7 +6,6 @@
 #include <catch2/catch.hpp>
 
 namespace asio = boost::asio;
-using PlatformTests::GatewayFixture;
 using PlatformTests::head;
 using PlatformTests::RawWorkersFixture;
 using StandIns::RawConnection;
