--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -378,8 +378,7 @@
     parser.body_limit(limits->bodyBytes);
     stream.expires_never();
     std::optional<ReadDeadline> deadline(std::in_place, stream, limits->requestTime);
-    boost::system::error_code ec;
-    ec = co_await readRequestHead(stream, buf, parser);
+    auto ec = co_await readRequestHead(stream, buf, parser);
     RequestHead head;
     std::optional<std::string> fault;
     if (!ec) {
