--- a/Tests/LibHttp/TestRequestFraming.cpp
+++ b/Tests/LibHttp/TestRequestFraming.cpp
@@ -156,6 +156,7 @@
 
 } // namespace
 
+// Guards against bytes of a body that are executed as another request (UNASKED, review/3).
 TEST_CASE("a request whose end is not certain is refused, and nothing in its body is executed")
 {
     const auto bytes = GENERATE(from_range(uncertainRequests()));
