Tests: Do not destroy an answer of the soak's upstream twice

Cause: a report of an upstream is written by a co_await whose argument is a conditional expression with temporaries in both branches. GCC 12 destroys those of the branch that was not taken, too. A program of 30 lines with this expression aborts with the same words (and with AddressSanitizer's "attempting double-free" in that line). No other co_await in the tree has a conditional argument with such temporaries.

The answer is now made before.

--- a/Tests/Soak/Upstream.cpp
+++ b/Tests/Soak/Upstream.cpp
@@ -244,8 +244,9 @@
         const auto report = R"({"Stage":"colocated","Models":[{"Name":"model","Version":1}],)"
                             R"("Busy":false,"Seq":0,"Waiting":0,"Running":0})";
         const bool isOther = !expected.empty() && expected != m_id;
-        const bool isWritten = co_await write(stream, isOther ? wholeAnswer(421, "", "")
-                                                              : wholeAnswer(200, "", report));
+        // A named object, because GCC 12 destroys the temporaries of both branches in a co_await.
+        const auto bytes = isOther ? wholeAnswer(421, "", "") : wholeAnswer(200, "", report);
+        const bool isWritten = co_await write(stream, bytes);
         co_return isWritten ? Next::Keep : Next::Close;
     }
     // Arrivals keep their place, so that a reference stays valid while others arrive.
