LibGateway: Declare the messages and settings of the capacity decisions

Cause: parts that are built side by side need the same messages. Nothing sends or reads the fields yet.

--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -56,6 +56,10 @@
 struct PoisonNews;
 struct PoisonNewsBuilder;
 
+struct UpstreamSpeed;
+
+struct TeamDemand;
+
 struct SiblingReport;
 struct SiblingReportBuilder;
 
@@ -515,6 +519,81 @@
 };
 FLATBUFFERS_STRUCT_END(AnsweredPart, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamSpeed FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint32_t speed_permille_;
+  uint32_t samples_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  UpstreamSpeed()
+      : upstream_(0),
+        speed_permille_(0),
+        samples_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  UpstreamSpeed(uint64_t _upstream, uint32_t _speed_permille, uint32_t _samples, uint32_t _age_ms)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        speed_permille_(flatbuffers::EndianScalar(_speed_permille)),
+        samples_(flatbuffers::EndianScalar(_samples)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t speed_permille() const {
+    return flatbuffers::EndianScalar(speed_permille_);
+  }
+  uint32_t samples() const {
+    return flatbuffers::EndianScalar(samples_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamSpeed, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TeamDemand FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  uint64_t team_;
+  uint32_t asked_per_second_;
+  uint32_t admitted_per_second_;
+
+ public:
+  TeamDemand()
+      : service_(0),
+        team_(0),
+        asked_per_second_(0),
+        admitted_per_second_(0) {
+  }
+  TeamDemand(uint64_t _service, uint64_t _team, uint32_t _asked_per_second, uint32_t _admitted_per_second)
+      : service_(flatbuffers::EndianScalar(_service)),
+        team_(flatbuffers::EndianScalar(_team)),
+        asked_per_second_(flatbuffers::EndianScalar(_asked_per_second)),
+        admitted_per_second_(flatbuffers::EndianScalar(_admitted_per_second)) {
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint64_t team() const {
+    return flatbuffers::EndianScalar(team_);
+  }
+  uint32_t asked_per_second() const {
+    return flatbuffers::EndianScalar(asked_per_second_);
+  }
+  uint32_t admitted_per_second() const {
+    return flatbuffers::EndianScalar(admitted_per_second_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TeamDemand, 24);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QueueAsk FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t number_;
@@ -1346,7 +1425,9 @@
     VT_LINK_MEGABITS = 28,
     VT_UNREACHABLE = 30,
     VT_NAMED_WEIGHTS = 32,
-    VT_POISON_NEWS = 34
+    VT_POISON_NEWS = 34,
+    VT_SPEEDS = 36,
+    VT_TEAM_DEMANDS = 38
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1396,6 +1477,12 @@
   const Gateway::Wire::PoisonNews *poison_news() const {
     return GetPointer<const Gateway::Wire::PoisonNews *>(VT_POISON_NEWS);
   }
+  const flatbuffers::Vector<const Gateway::Wire::UpstreamSpeed *> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::UpstreamSpeed *> *>(VT_SPEEDS);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::TeamDemand *> *team_demands() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::TeamDemand *> *>(VT_TEAM_DEMANDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -1425,6 +1512,10 @@
            verifier.VerifyVector(named_weights()) &&
            VerifyOffset(verifier, VT_POISON_NEWS) &&
            verifier.VerifyTable(poison_news()) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
+           VerifyOffset(verifier, VT_TEAM_DEMANDS) &&
+           verifier.VerifyVector(team_demands()) &&
            verifier.EndTable();
   }
 };
@@ -1481,6 +1572,12 @@
   void add_poison_news(flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news) {
     fbb_.AddOffset(SiblingReport::VT_POISON_NEWS, poison_news);
   }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::UpstreamSpeed *>> speeds) {
+    fbb_.AddOffset(SiblingReport::VT_SPEEDS, speeds);
+  }
+  void add_team_demands(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::TeamDemand *>> team_demands) {
+    fbb_.AddOffset(SiblingReport::VT_TEAM_DEMANDS, team_demands);
+  }
   explicit SiblingReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1509,10 +1606,14 @@
     uint32_t link_megabits = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::NamedWeights *>> named_weights = 0,
-    flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news = 0) {
+    flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::UpstreamSpeed *>> speeds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::TeamDemand *>> team_demands = 0) {
   SiblingReportBuilder builder_(_fbb);
   builder_.add_life(life);
   builder_.add_number(number);
+  builder_.add_team_demands(team_demands);
+  builder_.add_speeds(speeds);
   builder_.add_poison_news(poison_news);
   builder_.add_named_weights(named_weights);
   builder_.add_unreachable(unreachable);
@@ -1547,7 +1648,9 @@
     uint32_t link_megabits = 0,
     const std::vector<uint64_t> *unreachable = nullptr,
     const std::vector<Gateway::Wire::NamedWeights> *named_weights = nullptr,
-    flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news = 0) {
+    flatbuffers::Offset<Gateway::Wire::PoisonNews> poison_news = 0,
+    const std::vector<Gateway::Wire::UpstreamSpeed> *speeds = nullptr,
+    const std::vector<Gateway::Wire::TeamDemand> *team_demands = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<Gateway::Wire::Load>(*loads) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<Gateway::Wire::KeptPart>(*parts) : 0;
@@ -1558,6 +1661,8 @@
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto unreachable__ = unreachable ? _fbb.CreateVector<uint64_t>(*unreachable) : 0;
   auto named_weights__ = named_weights ? _fbb.CreateVectorOfStructs<Gateway::Wire::NamedWeights>(*named_weights) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<Gateway::Wire::UpstreamSpeed>(*speeds) : 0;
+  auto team_demands__ = team_demands ? _fbb.CreateVectorOfStructs<Gateway::Wire::TeamDemand>(*team_demands) : 0;
   return Gateway::Wire::CreateSiblingReport(
       _fbb,
       instance__,
@@ -1575,7 +1680,9 @@
       link_megabits,
       unreachable__,
       named_weights__,
-      poison_news);
+      poison_news,
+      speeds__,
+      team_demands__);
 }
 
 struct QueueMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -40,6 +40,12 @@
     /// The time for which the store retains the records of the fleet's journal.
     std::chrono::milliseconds journalRetention {300'000};
     RetryBudgetLimits retries;
+    /// The memory that the process may use, 0 if unknown.
+    std::size_t memoryBytes = 0;
+    /// Whether callers and upstreams may read slowly and engines end when the requests that they
+    /// hold exceed their memory. Switches on the limits on the memory of instances and engines, the
+    /// division of scarce engines among teams, and waiting for room.
+    bool isMemoryScarce = false;
     /// The memory for the bodies of requests and answers that are held at the same time.
     std::size_t bodyMemoryBytes = std::size_t {64} * 1024 * 1024;
 };
