LibCapacity: Bound what all instances send to an engine by its memory

An engine terminates when the prompts that it holds exceed its memory, and before that it puts requests back in its queue. The expected delay that memoryWait() adds to an engine's cost does not bound what all instances send together.

EngineMemory decides for one engine: send, choose another, wait, or never. While memory is scarce, UpstreamChooser skips engines whose contents and the prompt together exceed 0.95 of their memory. After the keeper of the queue has answered, RequestRelay decides again by the exact contents and chooses another engine, or refuses with the time at which memory is expected to be free. A prompt larger than the engines of all services of its route is refused without Retry-After. The keeper remembers a running prompt until its deadline, no longer only for five seconds, if the sender asks for it: the memory of longer answers was not counted.

--- a/Libraries/LibGateway/EngineQueue.cpp
+++ b/Libraries/LibGateway/EngineQueue.cpp
@@ -49,6 +49,8 @@
     if (it == m_prompts.end())
         return;
     stopWaiting(it->second);
+    auto &prompt = it->second.prompt;
+    prompt.expiry = std::max(prompt.expiry, prompt.runningExpiry);
     updateCurrent(now);
 }
 
--- a/Libraries/LibGateway/EngineQueue.h
+++ b/Libraries/LibGateway/EngineQueue.h
@@ -33,6 +33,8 @@
         bool isUrgent = false;
         /// When the prompt is forgotten if nothing is heard of it.
         Core::Clock::Monotonic expiry;
+        /// The same once the prompt has its first token, if that is later.
+        Core::Clock::Monotonic runningExpiry = Core::Clock::Monotonic::min();
     };
 
     /// Returns the load of the engine. The tokens that the engine has prefilled of the prompt in
--- a/Libraries/LibGateway/EngineQueueExchange.cpp
+++ b/Libraries/LibGateway/EngineQueueExchange.cpp
@@ -27,6 +27,8 @@
 constexpr auto ExpiryInterval = 250ms;
 // A prompt of an instance that has ended is forgotten after this time.
 constexpr milliseconds MaxExpiry = 5'000ms;
+// The same for one that has begun to answer, if its instance asks for it.
+constexpr milliseconds MaxRunningExpiry = 60'000ms;
 // Only the members with the fastest links keep queues, if there are many.
 constexpr std::size_t MinKeepers = 4;
 constexpr std::size_t KeeperDivisor = 2;
@@ -134,12 +136,14 @@
     const auto keeper = keeperOf(*engine);
     const auto upstream = UpstreamFleet::hashOf(engine->report().id);
     const auto number = ++m_lastNumber;
-    const auto expiry = std::min(MaxExpiry, demand.remaining);
+    const auto expiry =
+        std::min(demand.isKeptWhileRunning ? MaxRunningExpiry : MaxExpiry, demand.remaining);
     if (keeper.instance == m_dependencies.members.self().instance) {
         const auto now = m_dependencies.clock.now();
         noteLoad(*engine, loadOf(upstream));
         m_queues[upstream].add({m_incarnation, number},
-                               {demand.tokens, demand.memoryTokens, demand.isUrgent, now + expiry},
+                               {demand.tokens, demand.memoryTokens, demand.isUrgent,
+                                now + std::min(MaxExpiry, expiry), now + expiry},
                                now);
         co_return std::make_unique<QueuePlace>(*this, keeper, number, upstream);
     }
@@ -226,10 +230,11 @@
     std::vector<Wire::QueueAnswer> answers;
     for (const auto *ask : *message.asks()) {
         answers.emplace_back(ask->number(), wireLoad(ask->upstream(), loadOf(ask->upstream())));
-        const milliseconds expiry = std::min(MaxExpiry, milliseconds(ask->expires_ms()));
-        m_queues[ask->upstream()].add(
-            {message.life(), ask->number()},
-            {ask->tokens(), ask->memory_tokens(), ask->is_urgent(), now + expiry}, now);
+        const auto expiry = std::min(MaxRunningExpiry, milliseconds(ask->expires_ms()));
+        m_queues[ask->upstream()].add({message.life(), ask->number()},
+                                      {ask->tokens(), ask->memory_tokens(), ask->is_urgent(),
+                                       now + std::min(MaxExpiry, expiry), now + expiry},
+                                      now);
     }
     flatbuffers::FlatBufferBuilder builder;
     const auto list = builder.CreateVectorOfStructs(answers);
--- a/Libraries/LibGateway/EngineQueueExchange.h
+++ b/Libraries/LibGateway/EngineQueueExchange.h
@@ -74,6 +74,9 @@
         std::uint64_t memoryTokens = 0;
         bool isUrgent = false;
         std::chrono::milliseconds remaining {0};
+        /// Whether the keeper remembers the prompt until its deadline once it has begun to answer,
+        /// so that its memory counts for that long.
+        bool isKeptWhileRunning = false;
     };
 
     EngineQueueExchange(boost::asio::io_context &context, Dependencies dependencies);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCapacity/EngineMemory.h>
 #include <LibCore/Clock.h>
 #include <LibGateway/ConfigurationState.h>
 #include <LibGateway/EngineModel.h>
@@ -91,6 +92,8 @@
     /// it still crashes engines.
     bool mayTryPart(std::uint64_t part);
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
+    /// Returns what is learned of the memory of the service's engines.
+    Capacity::EngineMemory &engineMemory(const std::string &service) { return m_memory[service]; }
     RetryBudgetShare &retries(const std::string &service) { return m_retries[service]; }
     ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
     /// The queues of engines; null if instances decide by load reports alone.
@@ -131,6 +134,7 @@
     PoisonRequestTable m_poison;
     PoisonPartTable m_poisonParts;
     std::map<std::string, EngineModel> m_models;
+    std::map<std::string, Capacity::EngineMemory> m_memory;
     std::map<std::string, RetryBudgetShare> m_retries;
     RetrySlack m_retrySlack;
     std::map<std::string, ReturningCallers> m_returning;
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -1,3 +1,4 @@
+#include <LibGateway/MemoryAdmission.h>
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/RequestPlan.h>
 #include <LibGateway/Urgency.h>
@@ -33,14 +34,22 @@
     return std::to_string(static_cast<std::uint64_t>(time.count()));
 }
 
-/// Picks one of the route's services at random, in proportion to their weights.
-std::string pickService(Gateway &gateway, const Route &route)
+/// Picks one of the route's services at random, in proportion to their weights. Services whose
+/// engines can never hold the prompt are left out; the result is empty if that leaves none.
+std::string pickService(Gateway &gateway, const AcceptedRequest &request)
 {
+    const auto &services = request.route->services;
     std::vector<double> weights;
-    for (const auto &entry : route.services)
-        weights.push_back(entry.weight);
+    bool isPossible = false;
+    for (const auto &entry : services) {
+        const bool isTooLarge = exceedsEngines(gateway, request, entry.service);
+        weights.push_back(isTooLarge ? 0 : entry.weight);
+        isPossible = isPossible || !isTooLarge;
+    }
+    if (!isPossible)
+        return {};
     std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-    return route.services[pick(gateway.random())].service;
+    return services[pick(gateway.random())].service;
 }
 
 /// Returns the rate at which a link transfers cached parts, in tokens per millisecond; 0 if the
@@ -60,9 +69,9 @@
                                        * gateway.dependencies().settings.weightsBound);
 }
 
-EngineDemand demandOf(const Gateway &gateway, const AcceptedRequest &request,
-                      const EngineLimits &engine)
+EngineDemand demandOf(Gateway &gateway, const AcceptedRequest &request, const Service &service)
 {
+    const auto &engine = *service.engine;
     const auto &dependencies = gateway.dependencies();
     EngineDemand demand;
     demand.parts = request.parts;
@@ -84,6 +93,8 @@
     demand.slots = engine.slots;
     demand.memoryTokens = request.memoryTokens();
     demand.memoryCapacity = engine.cacheTokens;
+    if (dependencies.settings.isMemoryScarce)
+        demand.memory = &gateway.engineMemory(service.name);
     demand.fetchTokensPerMillisecond = transferRate(engine.linkMegabitsPerSecond, engine);
     return demand;
 }
@@ -122,7 +133,7 @@
 std::variant<RequestPlan, Refusal> planEngine(Gateway &gateway, const AcceptedRequest &request,
                                               const Service &service, const ChoiceLimits &limits)
 {
-    auto demand = demandOf(gateway, request, *service.engine);
+    auto demand = demandOf(gateway, request, service);
     auto *store = gateway.stores().storeFor(demand.affinityKey);
     demand.store = store;
     if (store) {
@@ -136,6 +147,8 @@
         return Refusal {Core::ErrorKind::NoUpstream,
                         "no engine of service " + service.name + " accepts requests",
                         ShortRetryAfter};
+    if (chosen->memoryWait > EngineModel::Milliseconds::zero())
+        return refuseForMemory(service.name, chosen->memoryWait);
     if (auto refusal = refuseIfTooSlow(request, *chosen, limits.now))
         return std::move(*refusal);
     RequestPlan plan;
@@ -182,7 +195,9 @@
 {
     if (request.route->services.empty())
         return Refusal {Core::ErrorKind::NoUpstream, "the route has no services", {}};
-    const auto name = pickService(gateway, *request.route);
+    const auto name = pickService(gateway, request);
+    if (name.empty())
+        return refuseTooLarge(request);
     const auto *service = request.configuration->findService(name);
     if (!service)
         return Refusal {Core::ErrorKind::NoUpstream, "service " + name + " is not configured",
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
+#include <LibGateway/MemoryAdmission.h>
 #include <LibGateway/RequestRelay.h>
 #include <LibGateway/Urgency.h>
 
@@ -281,10 +282,16 @@
         const auto known = entered->tokensAhead(false);
         m_place = co_await queues->enter(
             entered, {plan->uncachedTokens(m_request), m_request.memoryTokens(),
-                      isUrgent(*m_request.route, m_request.tenant), remainingTime()});
+                      isUrgent(*m_request.route, m_request.tenant), remainingTime(),
+                      m_gateway.dependencies().settings.isMemoryScarce});
         const bool isAsKnown = entered->tokensAhead(false) <= known + MaxUnknownTokens;
-        if (!m_place || isAsKnown || ++queries > MaxQueueQueries
-            || m_cancelReason != CancelReason::None)
+        const auto full = m_place ? refuseIfFull(m_gateway, m_request, *plan) : std::nullopt;
+        const bool isLast = (!isAsKnown || full) && ++queries > MaxQueueQueries;
+        if (full && isLast) {
+            m_place.reset();
+            co_return *full;
+        }
+        if (!m_place || (isAsKnown && !full) || isLast || m_cancelReason != CancelReason::None)
             co_return planned;
     }
 }
@@ -389,6 +396,9 @@
     const auto end = co_await sendToUpstream(load);
     m_beginTimer.reset();
     const auto now = m_gateway.dependencies().clock.now();
+    if (m_plan->engine && end == AttemptOutcome::Answered)
+        m_gateway.engineMemory(m_plan->service)
+            .noteAnswer(m_request.memoryTokens(), now - load.sent());
     // A prompt that did not start in time has waited at least this long.
     if (m_plan->engine && !load.hasFirstToken() && m_cancelReason == CancelReason::DeadlineExpired)
         noteWait(now - load.sent());
--- a/Libraries/LibGateway/UpstreamChooser.cpp
+++ b/Libraries/LibGateway/UpstreamChooser.cpp
@@ -124,6 +124,9 @@
 /// request needs.
 Milliseconds memoryWait(const Upstream &engine, const EngineDemand &demand)
 {
+    if (demand.memory)
+        return demand.memory->expectedWait({engine.allMemoryTokens(), demand.memoryCapacity},
+                                           {demand.promptTokens, demand.memoryTokens});
     const auto needed = engine.allMemoryTokens() + demand.memoryTokens;
     if (demand.memoryCapacity == 0 || needed <= demand.memoryCapacity)
         return Milliseconds(0);
@@ -216,9 +219,11 @@
     choice.readyTokens = source.tokens;
     const auto ownTokens = demand.promptTokens - choice.readyTokens;
     const double waitFactor = demand.isUrgent ? 1 : model.ordinaryWaitFactor();
+    const auto memory = memoryWait(*engine, demand);
+    choice.memoryWait = demand.memory ? memory : Milliseconds(0);
     choice.expectedWait =
         waitFactor * engine->slowness() * model.prefillTime(engine->tokensAhead(demand.isUrgent))
-        + memoryWait(*engine, demand);
+        + memory;
     choice.expectedFirstToken =
         choice.expectedWait + engine->slowness() * model.firstToken(ownTokens) + source.transfer;
     return choice;
@@ -248,6 +253,19 @@
     choice.isSpeculative = choice.source || choice.isFromStore;
 }
 
+/// Removes the candidates whose memory has no room for the prompt, unless none has.
+void skipWithoutMemory(UpstreamFleet::Members &candidates, const EngineDemand &demand)
+{
+    if (!demand.memory)
+        return;
+    const auto hasRoom = [&demand](const auto &engine) {
+        return Capacity::EngineMemory::hasRoom({engine->allMemoryTokens(), demand.memoryCapacity},
+                                               {demand.promptTokens, demand.memoryTokens});
+    };
+    if (std::any_of(candidates.begin(), candidates.end(), hasRoom))
+        std::erase_if(candidates, [&](const auto &engine) { return !hasRoom(engine); });
+}
+
 /// Returns how much the pauses that prefill causes matter, from 0 (well below the target) to 1.
 double pauseWeight(const EngineModel &model, const EngineDemand &demand)
 {
@@ -329,6 +347,7 @@
             candidates.push_back(member);
     }
     const auto preferred = preferredUpstreamOf(candidates, demand.affinityKey);
+    skipWithoutMemory(candidates, demand);
     auto bestCaches = findBestCaches(members, demand, limits);
     std::uniform_real_distribution<double> variation(
         0, std::min(MaxVariationTokens, VariationTokensPerInstance * limits.instances));
--- a/Libraries/LibGateway/UpstreamChooser.h
+++ b/Libraries/LibGateway/UpstreamChooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCapacity/EngineMemory.h>
 #include <LibGateway/EngineModel.h>
 #include <LibGateway/KvCacheStore.h>
 #include <LibGateway/PrefixCacheEstimate.h>
@@ -54,6 +55,8 @@
     /// tokens.
     std::uint64_t memoryTokens = 0;
     std::uint64_t memoryCapacity = 0;
+    /// Skips engines whose memory has no room for the prompt; null if they are not skipped.
+    const Capacity::EngineMemory *memory = nullptr;
     /// The KV cache store of the session's parts; null if none answers.
     const KvCacheStore *store = nullptr;
     /// The rate at which engines transfer cached parts to each other; zero if they cannot.
@@ -81,6 +84,9 @@
     /// The expected wait for the prompts ahead and for memory, without the prompt's own prefill.
     EngineModel::Milliseconds expectedWait {0};
     EngineModel::Milliseconds expectedFirstToken {0};
+    /// The expected wait until the engine's memory has room; more than zero only if that of no
+    /// candidate has room now, so that the prompt must not be sent yet. Contained in expectedWait.
+    EngineModel::Milliseconds memoryWait {0};
 };
 
 /// Chooses the engine with the lowest cost: the expected time to the first token, plus the delay
--- a/Tests/LibGateway/TestEngineQueue.cpp
+++ b/Tests/LibGateway/TestEngineQueue.cpp
@@ -239,3 +239,19 @@
     network.all[0]->queues.apply(forged, endpoint(1'001));
     CHECK(network.enter(*network.all[0], 0, 100));
 }
+
+TEST_CASE("the memory of a running prompt counts for longer than a prompt that is not heard of")
+{
+    Core::ManualClock clock;
+    clock.advance(1h);
+    EngineQueue queue;
+    for (std::uint64_t number = 1; number <= 2; ++number)
+        queue.add({1, number}, {0, 1'000, false, clock.now() + 5s, clock.now() + 12s}, clock.now());
+    queue.noteFirstToken({1, 1}, clock.now());
+    clock.advance(6s);
+    queue.dropExpired(clock.now());
+    CHECK(queue.load(Rate, clock.now()).memoryTokens == 1'000);
+    clock.advance(6s);
+    queue.dropExpired(clock.now());
+    CHECK(queue.isEmpty());
+}
--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -450,3 +450,28 @@
     tenant.priority = 40;
     CHECK(urgencyLevel(second, &tenant, true) == 9);
 }
+
+TEST_CASE("an engine without memory for the prompt is chosen only if none has any")
+{
+    Fixture fixture;
+    const Capacity::EngineMemory memory;
+    fixture.demand.memoryTokens = 12'000;
+    fixture.demand.memoryCapacity = 100'000;
+    fixture.demand.memory = &memory;
+    const auto first = fixture.chosen();
+    fixture.engine(first).reserveMemory(50'000);
+    CHECK(fixture.chosen() == first);
+    // What other instances have sent counts like the own requests.
+    fixture.engine(first).setSiblingLoad({{}, 0, 33'001});
+    CHECK(fixture.chosen() != first);
+    CHECK(fixture.choose()->memoryWait.count() == 0);
+    for (const auto &engine : fixture.fleet.members("llm"))
+        engine->setSiblingLoad({{}, 0, 95'000});
+    const auto full = fixture.choose();
+    CHECK(full->memoryWait.count() > 0);
+    CHECK(full->expectedWait >= full->memoryWait);
+    // Its own requests fill the first one further, so another has room earlier.
+    CHECK(full->upstream->report().id.value() != first);
+    fixture.demand.memory = nullptr;
+    CHECK(fixture.choose()->memoryWait.count() == 0);
+}
--- a/Tests/LibGateway/TestRequestPlan.cpp
+++ b/Tests/LibGateway/TestRequestPlan.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/ManualClock.h>
 #include <LibGateway/Gateway.h>
+#include <LibGateway/MemoryAdmission.h>
 #include <LibGateway/RequestPlan.h>
 
 #include <catch2/catch.hpp>
@@ -82,3 +83,42 @@
     CHECK_FALSE(fixture.isSent(RequestKind::Stream, false));
     CHECK(fixture.isSent(RequestKind::Stream, true));
 }
+
+TEST_CASE("a prompt without room in any engine is refused, for good if it is larger than all")
+{
+    Fixture fixture;
+    fixture.route.kind = RequestKind::Stream;
+    fixture.request.deadline = fixture.clock.now() + 10s;
+    fixture.request.caller.promptTokens = 20'000;
+    const auto engine = fixture.fleet.find(Core::UpstreamId("w1"));
+    const auto refusal = [&]() -> std::optional<Gateway::Refusal> {
+        auto planned = planRequest(fixture.gateway, fixture.request, {});
+        auto *refused = std::get_if<Gateway::Refusal>(&planned);
+        return refused ? std::optional(*refused) : std::nullopt;
+    };
+    engine->setSiblingLoad({{}, 0, 180'000});
+    CHECK_FALSE(refusal());
+    auto planned = planRequest(fixture.gateway, fixture.request, {});
+    const auto plan = std::get<Gateway::RequestPlan>(planned);
+    CHECK_FALSE(refuseIfFull(fixture.gateway, fixture.request, plan));
+    fixture.settings.isMemoryScarce = true;
+    // As if the keeper of the queue had answered after the choice.
+    REQUIRE(refuseIfFull(fixture.gateway, fixture.request, plan));
+    REQUIRE(refusal());
+    CHECK(refusal()->kind == Core::ErrorKind::Overloaded);
+    CHECK(refusal()->retryAfter > 100ms);
+    engine->setSiblingLoad({{}, 0, 160'000});
+    CHECK_FALSE(refusal());
+    CHECK_FALSE(refuseIfFull(fixture.gateway, fixture.request, plan));
+    fixture.request.caller.promptTokens = 200'001;
+    REQUIRE(refusal());
+    CHECK_FALSE(refusal()->retryAfter);
+    // Another service of the route has larger engines.
+    auto version = std::make_shared<Gateway::GatewayConfiguration>(*fixture.request.configuration);
+    version->services["large"].name = "large";
+    version->services["large"].engine = Gateway::EngineLimits {8, 300'000, 0, 0};
+    fixture.request.configuration = version;
+    fixture.route.services.push_back({"large", 1});
+    CHECK(refusal()->kind == Core::ErrorKind::NoUpstream);
+    CHECK(refusal()->retryAfter);
+}
