--- a/Libraries/LibAdmission/Forward.h
+++ b/Libraries/LibAdmission/Forward.h
@@ -9,6 +9,7 @@
 class SlotScheduler;
 class SuspectTable;
 class TeamLimits;
+class TeamRoom;
 class UpstreamCircuit;
 struct Grant;
 struct GroupPolicy;
