LibGateway: Queue requests that find no capacity

A prompt whose expected wait exceeded its limit was refused at once, even if an engine would have had room a moment later and the caller still had time. While isMemoryScarce is set, such a request now waits at its instance before its first attempt. The disconnect of the caller, the deadline, a planned stop and a changed configuration end the wait.

Metrics: jujube_gateway_waiting, jujube_gateway_waited_seconds.

--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCapacity/WaitingRoom.h>
 #include <LibCore/Error.h>
 #include <LibGateway/ConfigurationState.h>
 #include <LibGateway/PrefixCacheEstimate.h>
@@ -23,6 +24,8 @@
     std::string reason;
     /// When the caller may retry; empty if a retry would not help.
     std::optional<std::chrono::milliseconds> retryAfter;
+    /// Set if the request was refused for want of capacity, so that it may be queued instead.
+    std::optional<Capacity::WaitingOutlook> shortage;
 };
 
 /// A decoded request together with the route and tenant that one version of the configuration
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,4 +1,5 @@
 #include <LibGateway/Gateway.h>
+#include <LibGateway/RequestQueue.h>
 #include <LibGateway/RequestRelay.h>
 
 namespace Gateway {
@@ -13,7 +14,19 @@
 Gateway::Gateway(GatewayDependencies dependencies)
     : m_dependencies(dependencies)
     , m_random(std::random_device {}())
-{ }
+    , m_queue(std::make_shared<RequestQueue>(dependencies.clock, dependencies.configuration))
+{
+    m_metrics.addGauge("jujube_gateway_waiting",
+                       "Requests that wait for capacity at this instance, by route.", "route",
+                       [this] {
+                           std::vector<Metrics::Gauge::Sample> samples;
+                           for (const auto &[route, count] : m_queue->room().sizes())
+                               samples.push_back({route, static_cast<double>(count)});
+                           return samples;
+                       });
+}
+
+Gateway::~Gateway() = default;
 
 boost::asio::awaitable<void> Gateway::handle(Http::ServerExchange &exchange)
 {
@@ -50,6 +63,7 @@
 void Gateway::beginStop(std::chrono::milliseconds grace)
 {
     m_plannedStop.begin(m_dependencies.clock.now(), grace);
+    m_queue->wakeAll();
 }
 
 void Gateway::endRequests()
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -30,6 +30,7 @@
 
 namespace Gateway {
 
+class RequestQueue;
 class RequestRelay;
 
 /// References to the services that request handling uses.
@@ -50,6 +51,7 @@
 {
 public:
     explicit Gateway(GatewayDependencies dependencies);
+    ~Gateway();
 
     /// Handles one request; suitable as a handler of Http::Server.
     boost::asio::awaitable<void> handle(Http::ServerExchange &exchange);
@@ -93,6 +95,8 @@
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     RetryBudgetShare &retries(const std::string &service) { return m_retries[service]; }
     ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
+    /// The requests that wait for capacity at this instance.
+    RequestQueue &queue() { return *m_queue; }
     /// The queues of engines; null if instances decide by load reports alone.
     EngineQueueExchange *engineQueues() const { return m_engineQueues; }
     void setEngineQueues(EngineQueueExchange *queues) { m_engineQueues = queues; }
@@ -139,6 +143,7 @@
     std::minstd_rand m_random;
     std::optional<unsigned> m_instanceCount;
     PlannedStop m_plannedStop;
+    std::shared_ptr<RequestQueue> m_queue;
     std::shared_ptr<ActiveRequests> m_activeRequests = std::make_shared<ActiveRequests>();
 };
 
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -14,6 +14,7 @@
     m_registry.add(storeCalls);
     m_registry.add(firstByte);
     m_registry.add(expectedFirstToken);
+    m_registry.add(waited);
     m_registry.add(weightsOutdated);
 }
 
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -38,6 +38,9 @@
     Metrics::DurationHistogram expectedFirstToken {
         "jujube_gateway_expected_first_token_seconds",
         "Expected time to the first token when the engine was chosen."};
+    Metrics::DurationHistogram waited {
+        "jujube_gateway_waited_seconds",
+        "Time for which requests were queued at this instance, until they were sent or refused."};
     Metrics::DurationHistogram weightsOutdated {
         "jujube_gateway_outdated_weights_seconds",
         "Time since newer weights were named, of prompts that began on outdated ones."};
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -1,6 +1,8 @@
 #include <LibCore/EventLog.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/RequestLog.h>
+#include <LibGateway/RequestQueue.h>
+#include <LibGateway/RequestWait.h>
 
 #include <array>
 #include <cinttypes>
@@ -43,6 +45,37 @@
          {"age_ms", formatMilliseconds(dependencies.configuration.age(dependencies.clock.now()))}});
 }
 
+void logCapacityRefusal(Gateway &gateway, const AcceptedRequest &request,
+                        const Capacity::WaitingOutlook &outlook, std::chrono::nanoseconds waited,
+                        std::optional<std::chrono::milliseconds> retryAfter)
+{
+    const auto &dependencies = gateway.dependencies();
+    const auto now = dependencies.clock.now();
+    // The upstream whose load is known the longest determines how old the expected wait may be.
+    auto loadKnownAt = now;
+    for (const auto &service : request.route->services)
+        for (const auto &upstream : dependencies.fleet.members(service.service))
+            loadKnownAt = std::min(loadKnownAt, upstream->loadKnownAt());
+    const bool isLoadKnown = loadKnownAt != Core::Clock::Monotonic::min();
+    Core::logEvent(
+        Core::EventId::CapacityRefused,
+        {{"request", request.caller.attemptId},
+         {"route", request.route->name},
+         {"tenant", request.tenantName()},
+         {"wait_ms", formatMilliseconds(outlook.wait)},
+         {"own_ms", formatMilliseconds(outlook.ownTime)},
+         {"excess_ms", formatMilliseconds(outlook.excess)},
+         {"left_ms", formatMilliseconds(request.remainingTime(now))},
+         {"returning", request.isReturning ? "true" : "false"},
+         {"team_use_percent", formatInteger(teamUseOf(gateway, request) * Percent)},
+         {"waited_ms", formatMilliseconds(waited)},
+         {"waiting", std::to_string(gateway.queue().room().size())},
+         {"promised_ms", formatMilliseconds(gateway.queue().returns().promisedWork(now))},
+         {"retry_after_ms", retryAfter ? formatMilliseconds(*retryAfter) : "none"},
+         {"list_age_ms", formatMilliseconds(dependencies.fleet.age(now))},
+         {"load_age_ms", isLoadKnown ? formatMilliseconds(now - loadKnownAt) : "unknown"}});
+}
+
 void logServed(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
                const RequestProgress &progress)
 {
--- a/Libraries/LibGateway/RequestLog.h
+++ b/Libraries/LibGateway/RequestLog.h
@@ -35,6 +35,11 @@
 
 /// Functions that log the events of a request. Each event contains the attempt id of the caller.
 void logRefusal(const Gateway &gateway, const AcceptedRequest &request, const Refusal &refusal);
+/// Logs the inputs of a refusal for want of capacity and their age, the time that the request was
+/// queued, and the time after which its caller may return.
+void logCapacityRefusal(Gateway &gateway, const AcceptedRequest &request,
+                        const Capacity::WaitingOutlook &outlook, std::chrono::nanoseconds waited,
+                        std::optional<std::chrono::milliseconds> retryAfter);
 void logServed(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
                const RequestProgress &progress);
 void logAttempt(Gateway &gateway, const AcceptedRequest &request, const RequestPlan &plan,
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -88,6 +88,27 @@
     return demand;
 }
 
+/// Returns what the request lacks; empty if no engine could serve it in time.
+std::optional<Capacity::WaitingOutlook> shortageOf(const PromptOutlook &outlook,
+                                                   const PromptRefusal &refusal)
+{
+    if (!refusal.retryAfter)
+        return std::nullopt;
+    return Capacity::WaitingOutlook {outlook.wait, outlook.ownTime, *refusal.retryAfter};
+}
+
+/// Returns the refusal of a request for which no upstream of the service has room now.
+Refusal noUpstreamRefusal(const Gateway &gateway, const std::string &service,
+                          const std::string &noun)
+{
+    Refusal refusal {Core::ErrorKind::NoUpstream,
+                     "no " + noun + " of service " + service + " accepts requests",
+                     ShortRetryAfter};
+    if (!gateway.dependencies().fleet.members(service).empty())
+        refusal.shortage = Capacity::WaitingOutlook {.excess = ShortRetryAfter};
+    return refusal;
+}
+
 std::optional<Refusal> refuseIfTooSlow(const AcceptedRequest &request, const EngineChoice &choice,
                                        Core::Clock::Monotonic now)
 {
@@ -104,7 +125,7 @@
     return Refusal {Core::ErrorKind::Overloaded,
                     "the expected wait, " + formatMilliseconds(outlook.wait) + " ms, and prefill, "
                         + formatMilliseconds(outlook.ownTime) + " ms, are too long",
-                    refusal->retryAfter};
+                    refusal->retryAfter, shortageOf(outlook, *refusal)};
 }
 
 /// Returns whether the prompt's parts should be saved to the store, which does not have all of them
@@ -133,9 +154,7 @@
     auto chosen = chooseEngine(gateway.dependencies().fleet.members(service.name),
                                gateway.engineModel(service.name), demand, limits);
     if (!chosen)
-        return Refusal {Core::ErrorKind::NoUpstream,
-                        "no engine of service " + service.name + " accepts requests",
-                        ShortRetryAfter};
+        return noUpstreamRefusal(gateway, service.name, "engine");
     if (auto refusal = refuseIfTooSlow(request, *chosen, limits.now))
         return std::move(*refusal);
     RequestPlan plan;
@@ -201,8 +220,7 @@
     plan.upstream =
         chooseLeastLoaded(gateway.dependencies().fleet.members(name), limits, gateway.random());
     if (!plan.upstream)
-        return Refusal {Core::ErrorKind::NoUpstream,
-                        "no upstream of service " + name + " accepts requests", ShortRetryAfter};
+        return noUpstreamRefusal(gateway, name, "upstream");
     return plan;
 }
 
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
+#include <LibGateway/RequestQueue.h>
 #include <LibGateway/RequestRelay.h>
 #include <LibGateway/Urgency.h>
 
@@ -180,6 +181,8 @@
     m_cancelReason = reason;
     if (m_abort)
         m_abort->abort();
+    if (m_wait)
+        m_wait->wake();
 }
 
 void RequestRelay::end()
@@ -203,7 +206,7 @@
             co_await refuse(*refusal);
             co_return;
         }
-        auto plan = co_await this->plan();
+        auto plan = co_await planOrWait();
         if (m_cancelReason != CancelReason::None) {
             co_await finish(AttemptOutcome::Cancelled);
             co_return;
@@ -222,6 +225,7 @@
             m_gateway.retries(m_plan->service).noteRequest(m_gateway.dependencies().clock.now());
         isFirst = false;
         const auto end = co_await runAttempt();
+        m_gateway.queue().noteCapacity();
         if (end == AttemptOutcome::Answered || !mayRetry(end)) {
             co_await finish(end);
             co_return;
@@ -289,6 +293,73 @@
     }
 }
 
+bool RequestRelay::mayWait() const
+{
+    return m_gateway.dependencies().settings.isMemoryScarce && m_progress.sends == 0
+           && !m_gateway.plannedStop().hasBegun();
+}
+
+asio::awaitable<std::variant<RequestPlan, Refusal>> RequestRelay::planOrWait()
+{
+    if (!mayWait())
+        co_return co_await plan();
+    std::variant<RequestPlan, Refusal> planned;
+    if (isPrecededInQueue(m_gateway, m_request))
+        planned = Refusal {Core::ErrorKind::Overloaded,
+                           "requests that precede this one wait for capacity", ShortRetryAfter,
+                           Capacity::WaitingOutlook {.excess = ShortRetryAfter}};
+    else
+        planned = co_await plan();
+    const auto *refusal = std::get_if<Refusal>(&planned);
+    if (!refusal || !refusal->shortage || m_cancelReason != CancelReason::None)
+        co_return planned;
+    const auto first = *refusal;
+    const auto executor = co_await asio::this_coro::executor;
+    m_wait = RequestWait::enter(m_gateway, m_request, m_exchange.request().body.size(),
+                                *first.shortage, executor);
+    if (!m_wait)
+        co_return planned;
+    const auto start = m_gateway.dependencies().clock.now();
+    planned = co_await waitForCapacity(first);
+    m_wait.reset();
+    m_waited = m_gateway.dependencies().clock.now() - start;
+    m_gateway.metrics().waited.observe(m_waited, m_request.labels());
+    co_return planned;
+}
+
+asio::awaitable<std::variant<RequestPlan, Refusal>>
+RequestRelay::waitForCapacity(const Refusal &first)
+{
+    auto refusal = first;
+    for (;;) {
+        const auto call = co_await m_wait->next();
+        // The timer may not have been served yet if the process was frozen.
+        if (remainingTime() <= 0ms)
+            cancel(CancelReason::DeadlineExpired);
+        if (m_cancelReason != CancelReason::None || call == RequestWait::Call::Leave)
+            co_return refusal;
+        if (auto denied = checkWhileWaiting())
+            co_return *denied;
+        if (call == RequestWait::Call::Check)
+            continue;
+        auto planned = co_await plan();
+        if (m_cancelReason != CancelReason::None || std::holds_alternative<RequestPlan>(planned))
+            co_return planned;
+        refusal = std::get<Refusal>(planned);
+        if (!refusal.shortage || !m_wait->stay(*refusal.shortage))
+            co_return refusal;
+    }
+}
+
+std::optional<Refusal> RequestRelay::checkWhileWaiting()
+{
+    if (m_gateway.plannedStop().hasBegun())
+        return stopRefusal();
+    if (m_gateway.dependencies().configuration.current() == m_request.configuration)
+        return std::nullopt;
+    return reauthorize();
+}
+
 bool RequestRelay::mayStillSend()
 {
     // The timer may not have been served yet if the process was frozen.
@@ -767,6 +838,8 @@
         m_gateway.metrics().firstByte.observe(now - m_request.arrival, m_request.labels());
     }
     m_beginTimer.reset();
+    // The engine's prefill is what prompts wait for, not the rest of the answer.
+    m_gateway.queue().noteCapacity();
     if (!m_plan->engine)
         return;
     noteWeightsUsed();
@@ -889,11 +962,16 @@
 
 asio::awaitable<void> RequestRelay::refuse(const Refusal &refusal)
 {
+    auto retryAfter = refusal.retryAfter;
+    if (refusal.shortage && m_gateway.dependencies().settings.isMemoryScarce) {
+        retryAfter = promiseReturn(m_gateway, m_request, *refusal.shortage);
+        logCapacityRefusal(m_gateway, m_request, *refusal.shortage, m_waited, retryAfter);
+    }
     logRefusal(m_gateway, m_request, refusal);
     m_gateway.metrics().requests.add(1, m_request.labels(), "refused");
     m_gateway.metrics().refusals.add(1, m_request.labels(),
                                      std::string(Core::errorKindRow(refusal.kind).name));
-    co_await respondError(refusal.kind, refusal.reason, refusal.retryAfter);
+    co_await respondError(refusal.kind, refusal.reason, retryAfter);
 }
 
 asio::awaitable<void>
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -5,6 +5,7 @@
 #include <LibGateway/Gateway.h>
 #include <LibGateway/RequestLog.h>
 #include <LibGateway/RequestPlan.h>
+#include <LibGateway/RequestWait.h>
 #include <LibGateway/UpstreamLoad.h>
 #include <LibHttp/EventSplitter.h>
 
@@ -73,6 +74,15 @@
     /// Plans an attempt. If an engine is chosen, enters the prompt in its queue; if that is longer
     /// than known, the choice is repeated.
     boost::asio::awaitable<std::variant<RequestPlan, Refusal>> plan();
+    /// Plans the first attempt. If there is no capacity, the request waits for it if it may.
+    boost::asio::awaitable<std::variant<RequestPlan, Refusal>> planOrWait();
+    /// Waits until the request can be sent, or has to be refused or ended.
+    boost::asio::awaitable<std::variant<RequestPlan, Refusal>>
+    waitForCapacity(const Refusal &first);
+    /// Returns a refusal if the instance stops, or if a changed configuration denies the request.
+    std::optional<Refusal> checkWhileWaiting();
+    /// Returns whether the request may wait for capacity: nothing of it was sent.
+    bool mayWait() const;
     bool mayStillSend();
     /// Returns a refusal if a request that no upstream may have executed might not be answered
     /// before the instance stops.
@@ -138,6 +148,10 @@
     std::set<Http::Endpoint> m_triedEndpoints;
     /// The entry in the queue of the planned engine; null if there is none.
     std::unique_ptr<QueuePlace> m_place;
+    /// The request's place in the queue of this instance while it waits for capacity, else null.
+    std::unique_ptr<RequestWait> m_wait;
+    /// How long it has waited.
+    std::chrono::nanoseconds m_waited {0};
     /// Whether an attempt has reached an upstream, and the service whose retry budget allowed the
     /// next one.
     bool m_isRetry = false;
--- a/Libraries/LibGateway/Upstream.cpp
+++ b/Libraries/LibGateway/Upstream.cpp
@@ -93,12 +93,15 @@
 {
     m_siblingLoad = load;
     m_keptLoadAt = now;
+    m_loadKnownAt = now;
 }
 
 void Upstream::setReportedLoad(const SiblingLoad &load, Core::Clock::Monotonic now)
 {
-    if (m_keptLoadAt == Core::Clock::Monotonic::min() || now - m_keptLoadAt > KeptLoadValidity)
+    if (m_keptLoadAt == Core::Clock::Monotonic::min() || now - m_keptLoadAt > KeptLoadValidity) {
         m_siblingLoad = load;
+        m_loadKnownAt = now;
+    }
 }
 
 std::uint64_t Upstream::tokensAhead(bool isUrgent) const
--- a/Libraries/LibGateway/Upstream.h
+++ b/Libraries/LibGateway/Upstream.h
@@ -83,6 +83,8 @@
     /// of the queue, whose knowledge is newer.
     void setReportedLoad(const SiblingLoad &load, Core::Clock::Monotonic now);
     const SiblingLoad &siblingLoad() const { return m_siblingLoad; }
+    /// Returns when that load was last set; the minimum if it never was.
+    Core::Clock::Monotonic loadKnownAt() const { return m_loadKnownAt; }
     /// Returns the tokens of all instances that are prefilled before those of a new request. An
     /// urgent request precedes the prompts that wait for admission, but an engine completes the
     /// prefill of the prompt that it has admitted.
@@ -147,6 +149,7 @@
     std::uint64_t m_memoryTokens = 0;
     SiblingLoad m_siblingLoad;
     Core::Clock::Monotonic m_keptLoadAt = Core::Clock::Monotonic::min();
+    Core::Clock::Monotonic m_loadKnownAt = Core::Clock::Monotonic::min();
     unsigned m_inFlight = 0;
     double m_failureShare = 0;
     Core::Clock::Monotonic m_lastOutcome = Core::Clock::Monotonic::min();
