--- a/Libraries/LibGateway/MemoryAdmission.cpp
+++ b/Libraries/LibGateway/MemoryAdmission.cpp
@@ -39,7 +39,8 @@
     return {Core::ErrorKind::Overloaded,
             "the engines of service " + service + " are expected to have memory in "
                 + std::to_string(wait.count()) + " ms",
-            std::max<milliseconds>(MinRetryAfter, wait)};
+            std::max<milliseconds>(MinRetryAfter, wait),
+            Capacity::WaitingOutlook {.wait = expectedWait, .excess = expectedWait}};
 }
 
 std::optional<Refusal> refuseIfFull(Gateway &gateway, const AcceptedRequest &request,
