LibAdmission: Find the capacity of a short service sooner

In the first seconds of a service the decaying sums cover less time than they are divided by, so the capacity was measured too low and one team alone got 0.80 of a pool after 20 s of overload. Listing the standings updates a service before it iterates over its teams, which an update may remove.

--- a/Libraries/LibAdmission/TeamRoom.cpp
+++ b/Libraries/LibAdmission/TeamRoom.cpp
@@ -14,9 +14,11 @@
 
 using Milliseconds = TeamRoom::Milliseconds;
 
-// Over which rates are measured. Shorter times take the gaps between large prompts for changes.
+// Over which rates are measured. With 3 s the capacity oscillates, and engines are idle at times.
 constexpr Milliseconds RateTime {6'000};
-// Over which the waits of prompts are averaged. Longer than the age of load reports.
+// The least time that a rate is computed over, after a service gets its first prompt.
+constexpr Milliseconds MinMeasuredTime {500};
+// Over which the waits of prompts are averaged. With 1 s the capacity follows them too late.
 constexpr Milliseconds WaitTime {300};
 // A division is reused for this long, because it sorts all teams.
 constexpr auto DivisionInterval = 100ms;
@@ -26,7 +28,7 @@
 constexpr double LongWaitShare = 0.5;
 // A service becomes short when this share of its prompts would wait long.
 constexpr double ShortPromptShare = 0.1;
-// It ends to be short after waits below this share of a long one for this time.
+// It is no longer short after waits below this share of a long one for this time.
 constexpr double RelaxedWait = 0.1;
 constexpr auto RelaxedTime = 3s;
 // The waits of fewer prompts, weighted by age, say nothing about the present.
@@ -39,18 +41,18 @@
 // How much the capacity is above or below what was admitted, for the difference to that wait.
 constexpr double CapacityGain = 0.3;
 constexpr double MinCapacityFactor = 0.75;
-constexpr double MaxCapacityFactor = 1.25;
+// While prompts hardly wait, the capacity doubles in this time: what was measured is too low.
+constexpr std::chrono::duration<double> GrowthTime = 1s;
+// The capacity is at least this share of the most that was admitted in about a minute. Without it,
+// waits that do not depend on what is admitted would lower the capacity without end.
+constexpr double MinPeakShare = 0.6;
+constexpr Milliseconds PeakTime {60'000};
 // The credit that a limited team collects while it sends nothing.
 constexpr double MaxCreditSeconds = 0.5;
 constexpr auto MinRetryAfter = 100ms;
 // Teams below this rate are forgotten.
 constexpr double MinTokensPerSecond = 0.01;
 
-double perSecond(double sum)
-{
-    return sum / std::chrono::duration<double>(RateTime).count();
-}
-
 } // namespace
 
 void TeamRoom::DecayingSum::add(double amount, Milliseconds decayTime, Monotonic now)
@@ -59,6 +61,12 @@
     m_updated = std::max(m_updated, now);
 }
 
+void TeamRoom::DecayingSum::set(double amount, Monotonic now)
+{
+    m_sum = amount;
+    m_updated = now;
+}
+
 double TeamRoom::DecayingSum::value(Milliseconds decayTime, Monotonic now) const
 {
     const Milliseconds age = std::max(now, m_updated) - m_updated;
@@ -81,6 +89,13 @@
     return it == m_weights.end() ? m_leastWeight : it->second;
 }
 
+double TeamRoom::rateOf(const Service &service, const DecayingSum &sum, Monotonic now)
+{
+    const Milliseconds age = std::max<Milliseconds>(MinMeasuredTime, now - service.since);
+    const auto measuredTime = RateTime * (1 - std::exp(-age / RateTime));
+    return sum.value(RateTime, now) / std::chrono::duration<double>(measuredTime).count();
+}
+
 TeamRoom::Service &TeamRoom::serviceOf(const std::string &name)
 {
     auto &service = m_services[Core::hash64(name)];
@@ -100,7 +115,10 @@
 void TeamRoom::noteAsked(const std::string &service, const std::string &team, std::uint64_t tokens,
                          Monotonic now)
 {
-    teamOf(serviceOf(service), team).asked.add(static_cast<double>(tokens), RateTime, now);
+    auto &state = serviceOf(service);
+    if (state.teams.empty())
+        state.since = now;
+    teamOf(state, team).asked.add(static_cast<double>(tokens), RateTime, now);
 }
 
 void TeamRoom::noteWait(const std::string &service, Milliseconds wait, Milliseconds target,
@@ -199,8 +217,8 @@
     std::vector<TeamRate> rates;
     for (const auto &[service, state] : m_services) {
         for (const auto &[team, entry] : state.teams)
-            rates.push_back({service, team, perSecond(entry.asked.value(RateTime, now)),
-                             perSecond(entry.admitted.value(RateTime, now))});
+            rates.push_back({service, team, rateOf(state, entry.asked, now),
+                             rateOf(state, entry.admitted, now)});
     }
     return largestRates(std::move(rates), maxEntries);
 }
@@ -229,7 +247,9 @@
 std::vector<TeamRoom::NamedStanding> TeamRoom::standings(Monotonic now)
 {
     std::vector<NamedStanding> all;
-    for (const auto &[hash, service] : m_services) {
+    for (auto &[hash, service] : m_services) {
+        // Before the loop, because an update removes teams.
+        update(hash, service, now);
         for (const auto &[team, entry] : service.teams)
             all.push_back({service.name, entry.name, standing(service.name, entry.name, now)});
     }
@@ -241,13 +261,13 @@
     if (service.divided && now - *service.divided < DivisionInterval)
         return;
     service.divided = now;
-    std::erase_if(service.teams, [now](const auto &item) {
-        return perSecond(item.second.asked.value(RateTime, now)) < MinTokensPerSecond
-               && perSecond(item.second.admitted.value(RateTime, now)) < MinTokensPerSecond;
+    std::erase_if(service.teams, [&service, now](const auto &item) {
+        return rateOf(service, item.second.asked, now) < MinTokensPerSecond
+               && rateOf(service, item.second.admitted, now) < MinTokensPerSecond;
     });
     updateShortage(service, now);
     sumRates(hash, service, now);
-    divide(service);
+    divide(service, now);
     updateCredits(service, now);
 }
 
@@ -263,8 +283,10 @@
         service.lastPressure = now;
     if (now - service.lastPressure >= RelaxedTime)
         service.isShort = false;
-    service.capacityFactor =
-        std::clamp(1 + CapacityGain * (TargetWait - wait), MinCapacityFactor, MaxCapacityFactor);
+    const std::chrono::duration<double> relaxed =
+        std::min<std::chrono::duration<double>>(RelaxedTime, now - service.lastPressure);
+    service.capacityFactor = std::max(MinCapacityFactor, 1 + CapacityGain * (TargetWait - wait))
+                             * std::exp2(relaxed / GrowthTime);
 }
 
 void TeamRoom::sumRates(std::uint64_t hash, Service &service, Monotonic now)
@@ -272,8 +294,8 @@
     service.standings.clear();
     for (const auto &[team, entry] : service.teams) {
         auto &standing = service.standings[team];
-        standing.askedPerSecond = perSecond(entry.asked.value(RateTime, now));
-        standing.admittedPerSecond = perSecond(entry.admitted.value(RateTime, now));
+        standing.askedPerSecond = rateOf(service, entry.asked, now);
+        standing.admittedPerSecond = rateOf(service, entry.admitted, now);
     }
     if (!hasReports(now))
         return;
@@ -286,7 +308,7 @@
     }
 }
 
-void TeamRoom::divide(Service &service) const
+void TeamRoom::divide(Service &service, Monotonic now) const
 {
     double admitted = 0;
     std::vector<Claimant> claimants;
@@ -295,7 +317,11 @@
         claimants.push_back({standing.askedPerSecond, weightOf(team)});
         admitted += standing.admittedPerSecond;
     }
-    service.capacity = service.isShort ? service.capacityFactor * admitted : 0;
+    // The first prompts of a service fill the queues, so that more is admitted than is served.
+    if (now - service.since >= RateTime && service.peak.value(PeakTime, now) < admitted)
+        service.peak.set(admitted, now);
+    const auto least = MinPeakShare * service.peak.value(PeakTime, now);
+    service.capacity = service.isShort ? std::max(service.capacityFactor * admitted, least) : 0;
     std::size_t n = 0;
     const auto shares = weightedMaxMin(service.capacity, claimants);
     for (auto &[team, standing] : service.standings) {
@@ -310,7 +336,7 @@
         const auto &standing = service.standings[team];
         const bool isLimited = standing.sharePerSecond < standing.askedPerSecond;
         addCredit(entry, now);
-        const auto own = perSecond(entry.asked.value(RateTime, now));
+        const auto own = rateOf(service, entry.asked, now);
         entry.creditPerSecond =
             isLimited ? standing.sharePerSecond * own / standing.askedPerSecond : 0;
         if (isLimited != entry.isLimited)
--- a/Libraries/LibAdmission/TeamRoom.h
+++ b/Libraries/LibAdmission/TeamRoom.h
@@ -113,6 +113,7 @@
     {
     public:
         void add(double amount, Milliseconds decayTime, Monotonic now);
+        void set(double amount, Monotonic now);
         double value(Milliseconds decayTime, Monotonic now) const;
 
     private:
@@ -135,6 +136,8 @@
     {
         std::string name;
         std::unordered_map<std::uint64_t, Team> teams;
+        /// When the first of them was counted.
+        Monotonic since;
         /// Prompts, those of them with a long wait, and the sum of their waits as a multiple of
         /// what is a long wait.
         DecayingSum prompts;
@@ -146,18 +149,22 @@
         /// What is divided, as a multiple of what is admitted.
         double capacityFactor = 1;
         double capacity = 0;
+        /// The most that was admitted, in tokens per second.
+        DecayingSum peak;
         std::optional<Monotonic> divided;
         std::unordered_map<std::uint64_t, TeamStanding> standings;
     };
 
     Service &serviceOf(const std::string &name);
     static Team &teamOf(Service &service, const std::string &name);
+    /// Returns tokens per second. In the first seconds of a service, the sum covers less time.
+    static double rateOf(const Service &service, const DecayingSum &sum, Monotonic now);
     double weightOf(std::uint64_t team) const;
     /// Divides the service again if the last division is too old.
     void update(std::uint64_t hash, Service &service, Monotonic now);
     static void updateShortage(Service &service, Monotonic now);
     void sumRates(std::uint64_t hash, Service &service, Monotonic now);
-    void divide(Service &service) const;
+    void divide(Service &service, Monotonic now) const;
     static void updateCredits(Service &service, Monotonic now);
     static void addCredit(Team &team, Monotonic now);
     bool hasReports(Monotonic now) const;
