LibGateway: Divide scarce engines among teams

A team that sent twelve times its usual rate was refused no sooner than one that sent its usual rate. Where memory is scarce, each instance now reports what its teams asked and were admitted (at most the 128 largest entries, summed by data centre at hubs), and refuses the prompts of a team that exceed its share of engines that are short of capacity. The refusal is of kind overloaded, names the team's use and share, and has the time until the instance admits more of the team; event 211 has its inputs and their age, the gauge jujube_gateway_team_tokens the figures.

A request counts as asked once, however often it is planned, and as admitted when it is sent; that is taken back if no upstream ran it. Without the setting nothing is counted, sent or refused.

--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -25,6 +25,16 @@
     std::optional<std::chrono::milliseconds> retryAfter;
 };
 
+/// What the division of engines among teams has counted of a request, which is planned several
+/// times.
+struct TeamCounts
+{
+    bool isAsked = false;
+    bool isSent = false;
+    /// Whether the log has the reason for which the request was held back.
+    bool isLogged = false;
+};
+
 /// A decoded request together with the route and tenant that one version of the configuration
 /// assigns to it.
 struct AcceptedRequest
@@ -45,6 +55,7 @@
     std::vector<std::uint64_t> partHashes;
     /// The poison part that this request may try.
     std::optional<std::uint64_t> triedPart;
+    mutable TeamCounts teamCounts;
 
     /// Decodes the request. Returns a refusal if it is malformed.
     std::optional<Refusal> decode(const RequestDialect &dialect, const Http::Request &request);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/TeamRoom.h>
 #include <LibCore/Clock.h>
 #include <LibGateway/ConfigurationState.h>
 #include <LibGateway/EngineModel.h>
@@ -93,6 +94,8 @@
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     RetryBudgetShare &retries(const std::string &service) { return m_retries[service]; }
     ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
+    /// The division of scarce engines among teams.
+    Admission::TeamRoom &teamRoom() { return m_teamRoom; }
     /// The queues of engines; null if instances decide by load reports alone.
     EngineQueueExchange *engineQueues() const { return m_engineQueues; }
     void setEngineQueues(EngineQueueExchange *queues) { m_engineQueues = queues; }
@@ -133,6 +136,7 @@
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, RetryBudgetShare> m_retries;
     RetrySlack m_retrySlack;
+    Admission::TeamRoom m_teamRoom;
     std::map<std::string, ReturningCallers> m_returning;
     EngineQueueExchange *m_engineQueues = nullptr;
     QuotaExchange *m_quotas = nullptr;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/StartRetry.h>
 #include <LibGateway/GatewayDaemon.h>
 #include <LibGateway/RequestLog.h>
+#include <LibGateway/TeamAdmission.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -58,8 +59,9 @@
     , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_gateway.poisonParts(),
                 m_members)
     , m_poisonNews(m_gateway.poisonParts(), m_interfaces.clock)
-    , m_siblings(m_threads.at(0), {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(),
-                                   m_weights, m_poisonNews})
+    , m_siblings(m_threads.at(0),
+                 {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(), m_weights,
+                  m_poisonNews, m_settings.isMemoryScarce ? &m_gateway.teamRoom() : nullptr})
     , m_engineQueues(m_threads.at(0),
                      {m_interfaces.clock, m_members, m_fleet,
                       [this](const std::string &service) {
@@ -298,6 +300,9 @@
                              m_gateway.poisonParts().poisonParts(m_interfaces.clock.now());
                          return Samples {{"", static_cast<double>(parts.size())}};
                      });
+    metrics.addGauge("jujube_gateway_team_tokens",
+                     "Prompt tokens a second by service and team: asked, admitted, and the share.",
+                     "team", [this] { return teamSamples(m_gateway); });
 }
 
 asio::awaitable<void> GatewayDaemon::countInstances()
@@ -355,6 +360,7 @@
     }
     m_gateway.stores().configure(stores);
     applyQuotas();
+    m_gateway.teamRoom().setWeights(teamWeights(*m_configuration.current()));
 }
 
 void GatewayDaemon::applyQuotas()
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/RequestPlan.h>
+#include <LibGateway/TeamAdmission.h>
 #include <LibGateway/Urgency.h>
 
 #include <algorithm>
@@ -136,6 +137,8 @@
         return Refusal {Core::ErrorKind::NoUpstream,
                         "no engine of service " + service.name + " accepts requests",
                         ShortRetryAfter};
+    if (auto refusal = refuseForTeam(gateway, request, service.name, *chosen))
+        return std::move(*refusal);
     if (auto refusal = refuseIfTooSlow(request, *chosen, limits.now))
         return std::move(*refusal);
     RequestPlan plan;
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
 #include <LibGateway/RequestRelay.h>
+#include <LibGateway/TeamAdmission.h>
 #include <LibGateway/Urgency.h>
 
 #include <boost/asio/this_coro.hpp>
@@ -461,6 +462,7 @@
     options.onSend = [this, endpoint](Http::Request &request) {
         request.headers = upstreamHeaders();
         m_triedEndpoints.insert(endpoint);
+        noteTeamSent(m_gateway, m_request, *m_plan);
         m_notices = m_plan->upstream->notices();
         const auto &dependencies = m_gateway.dependencies();
         m_progress.listAge = dependencies.fleet.age(dependencies.clock.now());
@@ -483,6 +485,8 @@
     }
     if (failure && failure->kind() == Core::ErrorKind::UpstreamUnreachable) {
         noteAttempt("not_sent", failure->detail());
+        if (!m_mayHaveExecuted)
+            noteTeamNotExecuted(m_gateway, m_request, *m_plan);
         if (!m_isPlanOutdated && m_cancelReason == CancelReason::None)
             noteUnreachable();
         co_return m_cancelReason == CancelReason::None ? AttemptOutcome::NotSent
@@ -497,6 +501,8 @@
     if (end == AttemptOutcome::NotExecuted) {
         m_mayHaveExecuted = mayHaveExecutedBefore;
         --m_executions;
+        if (!m_mayHaveExecuted)
+            noteTeamNotExecuted(m_gateway, m_request, *m_plan);
     }
     if (end != AttemptOutcome::Answered && end != AttemptOutcome::ServerError
         && end != AttemptOutcome::NotExecuted)
--- a/Libraries/LibGateway/SiblingExchange.cpp
+++ b/Libraries/LibGateway/SiblingExchange.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/FleetMessages_generated.h>
 #include <LibGateway/FleetWatcher.h>
 #include <LibGateway/SiblingExchange.h>
+#include <LibGateway/TeamReports.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -266,6 +267,7 @@
         stores.emplace_back(holder, epoch);
     const auto [pauses, weights] = wireUpdates(std::exchange(m_reportUpdates, {}));
     const auto namedWeights = wireNamedWeights();
+    const auto teamDemands = wireTeamRates(ownTeamRates());
     const auto &self = m_dependencies.members.self();
     flatbuffers::FlatBufferBuilder builder;
     const auto news = m_dependencies.poisonNews.encode(builder, Wire::Scope::Instance);
@@ -273,30 +275,39 @@
         builder, self.instance.value().c_str(), ++m_reportNumber, m_incarnation, &loads, &parts,
         &weights, &pauses, &stores, self.dataCentre.c_str(),
         Http::formatEndpoint(self.endpoint).c_str(), false, Wire::Scope::Instance,
-        self.linkMegabits, nullptr, &namedWeights, news));
+        self.linkMegabits, nullptr, &namedWeights, news, nullptr,
+        teamDemands.empty() ? nullptr : &teamDemands));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
 std::string SiblingExchange::encodeDataCentre()
 {
-    auto loads = sumOf([](const Source &it) { return !it.isDataCentre && !it.isRemote; });
+    const auto isLocal = [](const Source &it) { return !it.isDataCentre && !it.isRemote; };
+    auto loads = sumOf(isLocal);
     for (const auto &[upstream, load] : ownLoads())
         add(loads[upstream], load);
-    return encodeSum(loads, std::exchange(m_dataCentreParts, {}), Wire::Scope::DataCentre);
+    auto teamRates = teamRatesOf(isLocal);
+    const auto own = ownTeamRates();
+    teamRates.insert(teamRates.end(), own.begin(), own.end());
+    return encodeSum(loads, std::exchange(m_dataCentreParts, {}), teamRates,
+                     Wire::Scope::DataCentre);
 }
 
 std::string SiblingExchange::encodeRemoteSum()
 {
-    return encodeSum(sumOf([](const Source &it) { return it.isDataCentre; }),
-                     std::exchange(m_remoteParts, {}), Wire::Scope::Elsewhere);
+    const auto isDataCentre = [](const Source &it) { return it.isDataCentre; };
+    return encodeSum(sumOf(isDataCentre), std::exchange(m_remoteParts, {}),
+                     teamRatesOf(isDataCentre), Wire::Scope::Elsewhere);
 }
 
 std::string SiblingExchange::encodeSum(const Loads &loads, const PartQueue &parts,
+                                       const std::vector<Admission::TeamRate> &teamRates,
                                        Wire::Scope scope)
 {
     const auto &self = m_dependencies.members.self();
     const auto sums = wireLoads(loads);
     const auto cachedParts = wireParts(parts);
+    const auto teamDemands = wireTeamRates(teamRates);
     const auto namedWeights = wireNamedWeights();
     flatbuffers::FlatBufferBuilder builder;
     const auto news = m_dependencies.poisonNews.encode(builder, scope);
@@ -304,10 +315,17 @@
         builder, self.instance.value().c_str(), ++m_reportNumber, m_incarnation, &sums,
         &cachedParts, nullptr, nullptr, nullptr, self.dataCentre.c_str(),
         Http::formatEndpoint(self.endpoint).c_str(), false, scope, self.linkMegabits, nullptr,
-        &namedWeights, news));
+        &namedWeights, news, nullptr, teamDemands.empty() ? nullptr : &teamDemands));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
+std::vector<Admission::TeamRate> SiblingExchange::ownTeamRates() const
+{
+    const auto *room = m_dependencies.teamRoom;
+    return room ? room->ownRates(MaxTeamsPerReport, m_dependencies.clock.now())
+                : std::vector<Admission::TeamRate> {};
+}
+
 SiblingExchange::Loads SiblingExchange::ownLoads() const
 {
     Loads loads;
@@ -416,6 +434,7 @@
     source.number = report.number();
     if (report.is_urgent())
         return true;
+    source.teamRates = readTeamRates(report);
     source.loads.clear();
     if (report.loads()) {
         for (const auto *load : *report.loads())
@@ -520,6 +539,18 @@
     return sums;
 }
 
+template <typename Predicate>
+std::vector<Admission::TeamRate> SiblingExchange::teamRatesOf(Predicate isIncluded) const
+{
+    std::vector<Admission::TeamRate> rates;
+    const auto now = m_dependencies.clock.now();
+    for (const auto &[name, source] : m_sources) {
+        if (isIncluded(source) && now - source.lastReport < MaxTeamReportAge)
+            rates.insert(rates.end(), source.teamRates.begin(), source.teamRates.end());
+    }
+    return rates;
+}
+
 void SiblingExchange::applySums()
 {
     // A hub receives the sums of the other data centres directly. The sum forwarded by a former hub
@@ -528,9 +559,20 @@
         std::any_of(m_sources.begin(), m_sources.end(), [](const auto &item) {
             return item.second.isDataCentre && !item.second.isSilent;
         });
-    auto sums = sumOf([receivesDataCentreSums](const Source &source) {
+    const auto isIncluded = [receivesDataCentreSums](const Source &source) {
         return !source.isRemote || !receivesDataCentreSums;
-    });
+    };
+    auto sums = sumOf(isIncluded);
+    if (m_dependencies.teamRoom) {
+        const auto now = m_dependencies.clock.now();
+        auto measured = now;
+        for (const auto &[name, source] : m_sources) {
+            if (isIncluded(source) && !source.teamRates.empty()
+                && now - source.lastReport < MaxTeamReportAge)
+                measured = std::min(measured, source.lastReport);
+        }
+        m_dependencies.teamRoom->setReported(teamRatesOf(isIncluded), measured);
+    }
     for (const auto &[id, upstream] : m_dependencies.fleet.all())
         upstream->setReportedLoad(sums[upstreamHash(*upstream)], m_dependencies.clock.now());
 }
@@ -544,6 +586,7 @@
         Core::logEvent(Core::EventId::SiblingSilent, {{"sibling", name}});
         source.isSilent = true;
         source.loads.clear();
+        source.teamRates.clear();
         applySums();
     }
     // Only hubs send, and thereby clear, these queues.
--- a/Libraries/LibGateway/SiblingExchange.h
+++ b/Libraries/LibGateway/SiblingExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/TeamRoom.h>
 #include <LibGateway/FleetMembers.h>
 #include <LibGateway/KvCacheStores.h>
 #include <LibGateway/PoisonNews.h>
@@ -51,6 +52,8 @@
         KvCacheStores &stores;
         WeightsTargets &weights;
         PoisonNews &poisonNews;
+        /// What teams ask, here and elsewhere; null if it is not exchanged.
+        Admission::TeamRoom *teamRoom = nullptr;
     };
 
     SiblingExchange(boost::asio::io_context &context, Dependencies dependencies);
@@ -126,6 +129,7 @@
         /// The sender of the last report.
         FleetMember sender;
         Loads loads;
+        std::vector<Admission::TeamRate> teamRates;
     };
     /// Parts that wait to be sent.
     using PartQueue = std::vector<Part>;
@@ -149,12 +153,17 @@
     std::vector<FleetMember> allMembers() const;
     /// Returns the members that receive the sum of this data centre.
     std::vector<FleetMember> otherHubs() const;
-    std::string encodeSum(const Loads &loads, const PartQueue &parts, Wire::Scope scope);
+    std::string encodeSum(const Loads &loads, const PartQueue &parts,
+                          const std::vector<Admission::TeamRate> &teamRates, Wire::Scope scope);
     /// Returns the load of the requests of this instance.
     Loads ownLoads() const;
+    std::vector<Admission::TeamRate> ownTeamRates() const;
     /// Returns the sum of the loads of the sources that match the predicate.
     template <typename Predicate>
     Loads sumOf(Predicate isIncluded) const;
+    /// Returns what those sources report about teams, not added up.
+    template <typename Predicate>
+    std::vector<Admission::TeamRate> teamRatesOf(Predicate isIncluded) const;
 
     Source &source(const Wire::SiblingReport &report);
     void noteMember(const Wire::SiblingReport &report, Source &source);
--- a/Tests/LibGateway/TestRequestPlan.cpp
+++ b/Tests/LibGateway/TestRequestPlan.cpp
@@ -1,9 +1,12 @@
 #include <LibCore/ManualClock.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/RequestPlan.h>
+#include <LibGateway/TeamAdmission.h>
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace std::chrono_literals;
 using Gateway::RequestKind;
 
@@ -82,3 +85,123 @@
     CHECK_FALSE(fixture.isSent(RequestKind::Stream, false));
     CHECK(fixture.isSent(RequestKind::Stream, true));
 }
+
+namespace {
+
+/// Two teams at a service whose prompts are expected to wait for a given time.
+struct TeamFixture : Fixture
+{
+    Gateway::Tenant large;
+    Gateway::Tenant small;
+    Gateway::EngineModel::Milliseconds wait {0};
+    unsigned refused = 0;
+    std::string reason;
+
+    explicit TeamFixture(bool isMemoryScarce)
+    {
+        settings.isMemoryScarce = isMemoryScarce;
+        large.name = "large";
+        small.name = "small";
+        route.target = 100ms;
+    }
+
+    /// Plans a prompt twice, as a relay does when the queue is longer than known, and sends it.
+    void arrive(const Gateway::Tenant &tenant)
+    {
+        request.tenant = &tenant;
+        request.teamCounts = {};
+        request.deadline = clock.now() + 10s;
+        Gateway::EngineChoice choice;
+        choice.expectedWait = wait;
+        for (int n = 0; n < 2; ++n) {
+            const auto refusal = refuseForTeam(gateway, request, "llm", choice);
+            if (!refusal)
+                continue;
+            CHECK(refusal->kind == Core::ErrorKind::Overloaded);
+            CHECK(refusal->retryAfter);
+            reason = refusal->reason;
+            ++refused;
+            return;
+        }
+        Gateway::RequestPlan plan;
+        plan.service = "llm";
+        plan.engine = choice;
+        noteTeamSent(gateway, request, plan);
+        noteTeamSent(gateway, request, plan);
+    }
+};
+
+} // namespace
+
+TEST_CASE("only the team above its share of a short service is refused, and the reason names it")
+{
+    TeamFixture fixture(true);
+    unsigned refusedSmall = 0;
+    for (int step = 0; step < 1'700; ++step) {
+        // The rates are known before the service becomes short.
+        if (step == 700)
+            fixture.wait = 0.7 * fixture.route.target;
+        fixture.clock.advance(10ms);
+        for (int n = 0; n < 9; ++n)
+            fixture.arrive(fixture.large);
+        const auto before = fixture.refused;
+        fixture.arrive(fixture.small);
+        refusedSmall += fixture.refused - before;
+    }
+    CHECK(refusedSmall == 0);
+    CHECK(fixture.refused > 1'000);
+    CHECK(fixture.reason.find("team large") != std::string::npos);
+    CHECK(fixture.reason.find("share") != std::string::npos);
+    // Each prompt counts once, although it is planned and sent twice.
+    const auto now = fixture.clock.now();
+    const auto small = fixture.gateway.teamRoom().standing("llm", "small", now);
+    CHECK(small.askedPerSecond == Approx(50'000).epsilon(0.02));
+    CHECK(small.admittedPerSecond == Approx(small.askedPerSecond));
+    CHECK(teamSamples(fixture.gateway).size() == 6);
+}
+
+TEST_CASE("a prompt that was not executed does not count as admitted")
+{
+    TeamFixture fixture(true);
+    fixture.clock.advance(10ms);
+    fixture.arrive(fixture.small);
+    const auto admitted = [&] {
+        fixture.clock.advance(200ms);
+        return fixture.gateway.teamRoom()
+            .standing("llm", "small", fixture.clock.now())
+            .admittedPerSecond;
+    };
+    CHECK(admitted() > 0);
+    Gateway::RequestPlan plan;
+    plan.service = "llm";
+    plan.engine.emplace();
+    noteTeamNotExecuted(fixture.gateway, fixture.request, plan);
+    noteTeamNotExecuted(fixture.gateway, fixture.request, plan);
+    CHECK(admitted() == Approx(0).margin(1));
+}
+
+TEST_CASE("teams are not counted unless memory is scarce")
+{
+    TeamFixture fixture(false);
+    for (int step = 0; step < 100; ++step) {
+        fixture.clock.advance(10ms);
+        fixture.arrive(fixture.large);
+    }
+    CHECK(fixture.refused == 0);
+    CHECK(teamSamples(fixture.gateway).empty());
+}
+
+TEST_CASE("teams weigh as their usage caps only if all have one in tokens")
+{
+    Gateway::GatewayConfiguration configuration;
+    configuration.tenants.resize(2);
+    for (std::size_t n = 0; n < 2; ++n) {
+        configuration.tenants[n].name = std::to_string(n);
+        configuration.tenants[n].unitsPerSecond = 100 * static_cast<double>(n + 1);
+        configuration.tenants[n].isCappedByTokens = true;
+    }
+    CHECK(Gateway::teamWeights(configuration)
+          == std::map<std::string, double> {{"0", 100}, {"1", 200}});
+    configuration.tenants[1].isCappedByTokens = false;
+    CHECK(Gateway::teamWeights(configuration).empty());
+}
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -27,7 +27,7 @@
             clock);
         exchange = std::make_unique<Gateway::SiblingExchange>(
             context, Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores,
-                                                             weights, poisonNews});
+                                                             weights, poisonNews, &teamRoom});
         clock.advance(1h);
         Gateway::UpstreamReport report;
         report.id = Core::UpstreamId("w1");
@@ -44,6 +44,7 @@
     Gateway::UpstreamFleet fleet;
     Gateway::KvCacheStores stores;
     Gateway::WeightsTargets weights;
+    Admission::TeamRoom teamRoom;
     Gateway::PoisonPartTable poisonParts;
     Gateway::PoisonNews poisonNews {poisonParts, clock};
     std::unique_ptr<Gateway::FleetMembers> members;
@@ -241,6 +242,54 @@
     CHECK(southMember.engine().prefixCache().cachedTokens(parts) == 100);
 }
 
+TEST_CASE("teams' demands are added up over data centres, and dropped with a silent sibling")
+{
+    // Guards against counting a team twice that two hubs or two datagrams report.
+    Instance northHub("north", "n", 200);
+    Instance northMember("onother", "n", 10);
+    Instance southHub("south", "s", 200);
+    const auto all = {&northHub, &northMember, &southHub};
+    for (auto *instance : all)
+        instance->teamRoom.noteAsked("llm", "a", 6'000, instance->clock.now());
+    northMember.teamRoom.noteAdmitted("llm", "a", 3'000, northMember.clock.now());
+    const auto unit = southHub.teamRoom.ownRates(1, southHub.clock.now()).at(0).askedPerSecond;
+    const auto standing = [](Instance &instance) {
+        return instance.teamRoom.standing("llm", "a", instance.clock.now());
+    };
+    const auto report = northMember.exchange->encode();
+    northHub.exchange->apply(report);
+    northHub.exchange->apply(report);
+    CHECK(standing(northHub).askedPerSecond == Approx(2 * unit).epsilon(0.001));
+    CHECK(standing(northHub).admittedPerSecond == Approx(unit / 2).epsilon(0.001));
+    southHub.exchange->apply(northHub.exchange->encodeDataCentre());
+    CHECK(standing(southHub).askedPerSecond == Approx(3 * unit).epsilon(0.001));
+    northHub.exchange->apply(southHub.exchange->encodeDataCentre());
+    northMember.exchange->apply(northHub.exchange->encode());
+    northMember.exchange->apply(northHub.exchange->encodeRemoteSum());
+    northMember.clock.advance(100ms);
+    CHECK(standing(northMember).askedPerSecond == Approx(3 * unit).epsilon(0.02));
+    CHECK(standing(northMember).reportAge == 100ms);
+    northMember.clock.advance(2s);
+    northMember.exchange->dropSilent();
+    CHECK(standing(northMember).askedPerSecond < unit);
+    CHECK_FALSE(standing(northMember).reportAge);
+}
+
+TEST_CASE("a report has the largest demands of teams only")
+{
+    Instance one("one");
+    Instance other("other");
+    const auto empty = one.exchange->encode().size();
+    for (int n = 1; n <= 1'000; ++n)
+        one.teamRoom.noteAsked("llm", std::to_string(n), 600 * n, one.clock.now());
+    const auto report = one.exchange->encode();
+    CHECK(report.size() < empty + 128 * 24 + 64);
+    other.teamRoom.noteAsked("llm", "own", 1, other.clock.now());
+    other.exchange->apply(report);
+    CHECK(other.teamRoom.standing("llm", "1000", other.clock.now()).askedPerSecond > 0);
+    CHECK(other.teamRoom.standing("llm", "800", other.clock.now()).askedPerSecond == 0);
+}
+
 TEST_CASE("the next fastest instance becomes the hub when the hub goes silent")
 {
     Instance hub("hub", "n", 200);
