--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/TeamRoom.h>
 #include <LibCapacity/EngineMemory.h>
 #include <LibCore/Clock.h>
 #include <LibGateway/ConfigurationState.h>
@@ -100,6 +101,8 @@
     ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
     /// The requests that wait for capacity at this instance.
     RequestQueue &queue() { return *m_queue; }
+    /// The division of scarce engines among teams.
+    Admission::TeamRoom &teamRoom() { return m_teamRoom; }
     /// The queues of engines; null if instances decide by load reports alone.
     EngineQueueExchange *engineQueues() const { return m_engineQueues; }
     void setEngineQueues(EngineQueueExchange *queues) { m_engineQueues = queues; }
@@ -141,6 +144,7 @@
     std::map<std::string, Capacity::EngineMemory> m_memory;
     std::map<std::string, RetryBudgetShare> m_retries;
     RetrySlack m_retrySlack;
+    Admission::TeamRoom m_teamRoom;
     std::map<std::string, ReturningCallers> m_returning;
     EngineQueueExchange *m_engineQueues = nullptr;
     QuotaExchange *m_quotas = nullptr;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/StartRetry.h>
 #include <LibGateway/GatewayDaemon.h>
 #include <LibGateway/RequestLog.h>
+#include <LibGateway/TeamAdmission.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -63,7 +64,8 @@
                     m_gateway.engineModel(service).setMedianRate(rate);
                 }})
     , m_siblings(m_threads.at(0), {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(),
-                                   m_weights, m_poisonNews, &m_speeds})
+                                   m_weights, m_poisonNews, &m_speeds,
+                                   m_settings.isMemoryScarce ? &m_gateway.teamRoom() : nullptr})
     , m_engineQueues(m_threads.at(0),
                      {m_interfaces.clock, m_members, m_fleet,
                       [this](const std::string &service) {
@@ -314,6 +316,9 @@
                              m_gateway.poisonParts().poisonParts(m_interfaces.clock.now());
                          return Samples {{"", static_cast<double>(parts.size())}};
                      });
+    metrics.addGauge("jujube_gateway_team_tokens",
+                     "Prompt tokens a second by service and team: asked, admitted, and the share.",
+                     "team", [this] { return teamSamples(m_gateway); });
 }
 
 asio::awaitable<void> GatewayDaemon::countInstances()
@@ -371,6 +376,7 @@
     }
     m_gateway.stores().configure(stores);
     applyQuotas();
+    m_gateway.teamRoom().setWeights(teamWeights(*m_configuration.current()));
 }
 
 void GatewayDaemon::applyQuotas()
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/MemoryAdmission.h>
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/RequestPlan.h>
+#include <LibGateway/TeamAdmission.h>
 #include <LibGateway/Urgency.h>
 
 #include <algorithm>
@@ -166,6 +167,8 @@
                                gateway.engineModel(service.name), demand, limits);
     if (!chosen)
         return noUpstreamRefusal(gateway, service.name, "engine");
+    if (auto refusal = refuseForTeam(gateway, request, service.name, *chosen))
+        return std::move(*refusal);
     if (chosen->memoryWait > EngineModel::Milliseconds::zero())
         return refuseForMemory(service.name, chosen->memoryWait);
     if (auto refusal = refuseIfTooSlow(request, *chosen, limits.now))
--- a/Libraries/LibGateway/RequestWait.cpp
+++ b/Libraries/LibGateway/RequestWait.cpp
@@ -25,7 +25,7 @@
 // The part of the memory for bodies that waiting requests may occupy.
 constexpr std::size_t BodyMemoryPart = 4;
 
-WaitingRequest waitingRequest(const Gateway &gateway, const AcceptedRequest &request,
+WaitingRequest waitingRequest(Gateway &gateway, const AcceptedRequest &request,
                               std::size_t bytes)
 {
     const auto &route = *request.route;
@@ -116,10 +116,14 @@
     m_timer.cancel();
 }
 
-double teamUseOf(const Gateway &, const AcceptedRequest &)
+double teamUseOf(Gateway &gateway, const AcceptedRequest &request)
 {
-    // Until teams' shares are known here, each team counts as within its share.
-    return 1;
+    const auto now = gateway.dependencies().clock.now();
+    double use = 0;
+    for (const auto &service : request.route->services)
+        use = std::max(use,
+                       gateway.teamRoom().use(service.service, request.tenantName(), now));
+    return use;
 }
 
 bool isPrecededInQueue(Gateway &gateway, const AcceptedRequest &request)
--- a/Libraries/LibGateway/RequestWait.h
+++ b/Libraries/LibGateway/RequestWait.h
@@ -52,7 +52,7 @@
 };
 
 /// Returns the team's use of its share of the route's engines; 1 or less is within the share.
-double teamUseOf(const Gateway &gateway, const AcceptedRequest &request);
+double teamUseOf(Gateway &gateway, const AcceptedRequest &request);
 
 /// Returns whether a queued request of the same route precedes this one, which is then queued
 /// without being planned.
