LibHttp, LibGateway: Read answers at the upstream's pace under pressure

A caller that does not read its answer stalls the send of the upstream, which aborts an answer that stays unread for some seconds. The memory for bodies was a quarter of the machine's, whatever it was used for.

While memory is scarce, AnswerBuffer holds what a caller of a stream has not read, up to 16 MB and within the budget, and sends it in a coroutine of its own; without room, the upstream is read at the caller's pace as before. An upstream counts as free once its answer was read; CallerOutput sends the rest after the attempt, for at most 30 s. An interrupted answer keeps its missing end: what was read is sent, then the connection is closed. Above nine tenths of the budget, a stream that needs room makes UnreadAnswers reset the connection of the caller that has read nothing for the longest, repeatable answers first. The budget is half of what exceeds 48 MB, and its use is counted by purpose.

jujube_gateway_memory_refusals_total and event 210 show prompts that were refused and answers that were dropped for lack of memory.

The new cases pass: nine in TestLibHttp, three in TestPlatform. 30 of 31 cases of TestPlatform (TestRequests, TestBodyMemory, TestResumedStreams and TestSlowCallers) passed with the contract on pressure in the settings of all gateways. "many large answers at once ..." failed with and without it on a machine with a load of 20 on 7 cores: its requests have a deadline of 4 s.

--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Gateway {
@@ -23,6 +24,8 @@
     std::string reason;
     /// When the caller may retry; empty if a retry would not help.
     std::optional<std::chrono::milliseconds> retryAfter;
+    /// What memory was lacking, for metrics and log; empty for other reasons.
+    std::string_view memoryCause = {};
 };
 
 /// A decoded request together with the route and tenant that one version of the configuration
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -20,6 +20,7 @@
 #include <LibGateway/WeightsTargets.h>
 #include <LibHttp/Client.h>
 #include <LibHttp/ServerExchange.h>
+#include <LibHttp/UnreadAnswers.h>
 
 #include <functional>
 #include <map>
@@ -102,6 +103,9 @@
     /// The usage caps of teams; null if they are not enforced.
     QuotaExchange *quotas() const { return m_quotas; }
     void setQuotas(QuotaExchange *quotas) { m_quotas = quotas; }
+    /// The answers that are being sent to callers. Shared, since a request may be destroyed after
+    /// the gateway.
+    const std::shared_ptr<Http::UnreadAnswers> &unreadAnswers() const { return m_unreadAnswers; }
     std::minstd_rand &random() { return m_random; }
 
     /// Called with the digest of a request during which an upstream failed.
@@ -144,6 +148,7 @@
     std::optional<unsigned> m_instanceCount;
     PlannedStop m_plannedStop;
     std::shared_ptr<ActiveRequests> m_activeRequests = std::make_shared<ActiveRequests>();
+    std::shared_ptr<Http::UnreadAnswers> m_unreadAnswers = std::make_shared<Http::UnreadAnswers>();
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/StartRetry.h>
 #include <LibGateway/GatewayDaemon.h>
+#include <LibGateway/MemoryAdmission.h>
 #include <LibGateway/RequestLog.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,6 +33,17 @@
 // One may be cut off from the store.
 constexpr std::size_t PoisonPartWriters = 2;
 
+/// Returns the memory for what the instance holds for others: requests, answers and what callers
+/// have not read.
+std::size_t bodyLimit(const GatewaySettings &settings)
+{
+    // For the program itself, its connections and what the kernel holds for them.
+    constexpr std::size_t ProgramBytes = std::size_t {48} * 1024 * 1024;
+    if (!settings.isMemoryScarce || settings.memoryBytes <= ProgramBytes)
+        return settings.bodyMemoryBytes;
+    return std::max(settings.bodyMemoryBytes, (settings.memoryBytes - ProgramBytes) / 2);
+}
+
 /// Returns the key of the duties of a poison part: to record it and to try it again.
 std::string dutyOf(std::uint64_t part)
 {
@@ -44,7 +56,7 @@
     : m_settings(settings)
     , m_interfaces(interfaces)
     , m_threads(ThreadCount)
-    , m_bodyBudget(std::make_shared<Http::BodyBudget>(m_settings.bodyMemoryBytes))
+    , m_bodyBudget(std::make_shared<Http::BodyBudget>(bodyLimit(m_settings)))
     , m_gateway({m_settings, m_interfaces.clock, m_interfaces.dialect, m_configuration, m_weights,
                  m_fleet, m_client})
     , m_members({m_settings.instance, m_settings.dataCentre, m_settings.siblings,
@@ -178,6 +190,10 @@
         m_gateway.metrics().storeCalls.add(1, {},
                                            std::string(nameOf(topic)) + " " + std::string(call));
     };
+    m_gateway.unreadAnswers()->onDropped = [this](bool isRepeatable,
+                                                  std::chrono::nanoseconds unread) {
+        noteUnreadDropped(m_gateway, isRepeatable, unread);
+    };
     m_gateway.setEngineQueues(&m_engineQueues);
     m_gateway.setQuotas(&m_quotas);
     m_siblings.onDatagram = [this](std::string_view datagram, const Http::Endpoint &from) {
@@ -283,11 +299,19 @@
                                          {"log_reader", m_log.isReader() ? 1.0 : 0.0},
                                          {"hub", m_members.isHub() ? 1.0 : 0.0}};
                      });
-    metrics.addGauge(
-        "jujube_gateway_body_bytes", "Memory for bodies: held, and the limit.", "kind", [this] {
-            return Samples {{"held", static_cast<double>(m_bodyBudget->heldBytes())},
-                            {"limit", static_cast<double>(m_settings.bodyMemoryBytes)}};
-        });
+    metrics.addGauge("jujube_gateway_body_bytes",
+                     "Memory for bodies: held in all and by purpose, and the limit.", "kind",
+                     [this] {
+                         const auto held = [this](Http::BodyPurpose purpose) {
+                             return static_cast<double>(m_bodyBudget->heldBytes(purpose));
+                         };
+                         return Samples {{"held", static_cast<double>(m_bodyBudget->heldBytes())},
+                                         {"limit", static_cast<double>(bodyLimit(m_settings))},
+                                         {"requests", held(Http::BodyPurpose::Requests)},
+                                         {"answers", held(Http::BodyPurpose::Answers)},
+                                         {"streams", held(Http::BodyPurpose::Streams)},
+                                         {"waiting", held(Http::BodyPurpose::Waiting)}};
+                     });
     metrics.addGauge("jujube_gateway_body_refusals",
                      "How often a body found no room in the memory for bodies.", "", [this] {
                          return Samples {{"", static_cast<double>(m_bodyBudget->refusals())}};
@@ -322,7 +346,7 @@
     updated.readiness = m_settings.readiness;
     updated.siblings = m_settings.siblings;
     m_settings = std::move(updated);
-    m_bodyBudget->setLimit(m_settings.bodyMemoryBytes);
+    m_bodyBudget->setLimit(bodyLimit(m_settings));
     Core::logEvent(Core::EventId::SettingsReloaded,
                    {{"revocation_ms", std::to_string(m_settings.revocationBound.count())}});
 }
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -6,6 +6,7 @@
 {
     m_registry.add(requests);
     m_registry.add(refusals);
+    m_registry.add(memoryRefusals);
     m_registry.add(attempts);
     m_registry.add(promptTokens);
     m_registry.add(cachedTokens);
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -20,6 +20,9 @@
     Metrics::Counter requests {"jujube_gateway_requests_total", "Requests by outcome.", "outcome"};
     Metrics::Counter refusals {"jujube_gateway_refusals_total",
                                "Requests refused by this instance, by reason.", "reason"};
+    Metrics::Counter memoryRefusals {
+        "jujube_gateway_memory_refusals_total",
+        "Prompts refused and answers dropped for lack of memory, by cause.", "cause"};
     Metrics::Counter attempts {"jujube_gateway_attempts_total", "Attempts by outcome.", "end"};
     Metrics::Counter promptTokens {"jujube_gateway_prompt_tokens_total",
                                    "Prompt tokens of requests sent to engines."};
--- a/Libraries/LibGateway/MemoryAdmission.cpp
+++ b/Libraries/LibGateway/MemoryAdmission.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/EventLog.h>
 #include <LibGateway/MemoryAdmission.h>
 
 #include <algorithm>
@@ -30,7 +31,7 @@
     return {Core::ErrorKind::Overloaded,
             "the prompt's " + std::to_string(request.promptTokens())
                 + " tokens exceed the memory of all engines",
-            std::nullopt};
+            std::nullopt, "prompt_too_large"};
 }
 
 Refusal refuseForMemory(const std::string &service, EngineModel::Milliseconds expectedWait)
@@ -39,7 +40,7 @@
     return {Core::ErrorKind::Overloaded,
             "the engines of service " + service + " are expected to have memory in "
                 + std::to_string(wait.count()) + " ms",
-            std::max<milliseconds>(MinRetryAfter, wait)};
+            std::max<milliseconds>(MinRetryAfter, wait), "engine_memory"};
 }
 
 std::optional<Refusal> refuseIfFull(Gateway &gateway, const AcceptedRequest &request,
@@ -58,4 +59,26 @@
     return refuseForMemory(plan.service, decision.wait);
 }
 
+void noteMemoryRefusal(Gateway &gateway, const AcceptedRequest &request, const Refusal &refusal)
+{
+    if (refusal.memoryCause.empty())
+        return;
+    const std::string cause(refusal.memoryCause);
+    gateway.metrics().memoryRefusals.add(1, request.labels(), cause);
+    Core::logEvent(Core::EventId::MemoryLimited,
+                   {{"request", request.caller.attemptId},
+                    {"cause", cause},
+                    {"prompt_tokens", std::to_string(request.promptTokens())},
+                    {"memory_tokens", std::to_string(request.memoryTokens())}});
+}
+
+void noteUnreadDropped(Gateway &gateway, bool isRepeatable, std::chrono::nanoseconds unread)
+{
+    gateway.metrics().memoryRefusals.add(1, {}, "unread_answer");
+    Core::logEvent(Core::EventId::MemoryLimited,
+                   {{"cause", "unread_answer"},
+                    {"repeatable", isRepeatable ? "true" : "false"},
+                    {"unread_ms", std::to_string(ceil<milliseconds>(unread).count())}});
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/MemoryAdmission.h
+++ b/Libraries/LibGateway/MemoryAdmission.h
@@ -26,4 +26,10 @@
 std::optional<Refusal> refuseIfFull(Gateway &gateway, const AcceptedRequest &request,
                                     const RequestPlan &plan);
 
+/// Counts and logs a refusal for lack of memory. Ignores others.
+void noteMemoryRefusal(Gateway &gateway, const AcceptedRequest &request, const Refusal &refusal);
+
+/// Counts and logs an answer that was dropped because its caller left it unread.
+void noteUnreadDropped(Gateway &gateway, bool isRepeatable, std::chrono::nanoseconds unread);
+
 } // namespace Gateway
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -88,6 +88,7 @@
 RequestRelay::RequestRelay(Gateway &gateway, Http::ServerExchange &exchange)
     : m_gateway(gateway)
     , m_exchange(exchange)
+    , m_output(gateway, exchange)
     , m_activeRequests(gateway.activeRequests())
 {
     m_request.arrival = gateway.dependencies().clock.now();
@@ -120,7 +121,15 @@
         co_await refuse(*refusal);
         co_return;
     }
-    co_await runAttempts();
+    std::exception_ptr failure;
+    try {
+        co_await runAttempts();
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    co_await m_output.stop();
+    if (failure)
+        std::rethrow_exception(failure);
 }
 
 asio::awaitable<std::optional<Refusal>> RequestRelay::spendQuota()
@@ -179,6 +188,7 @@
     if (m_cancelReason != CancelReason::None)
         return;
     m_cancelReason = reason;
+    m_output.limitTime(reason == CancelReason::CallerDisconnected ? 0ms : CallerOutput::SettleTime);
     if (m_abort)
         m_abort->abort();
 }
@@ -692,10 +702,20 @@
                                           m_request.labels());
     if (m_evidence && response.status < 300)
         m_evidence->noteAnswered();
-    co_await m_exchange.respond(std::move(response));
+    co_await m_output.respond(std::move(response), m_request.route->mayRunAgain());
     co_return AttemptOutcome::Answered;
 }
 
+asio::awaitable<void> RequestRelay::startStream(unsigned status, Http::Headers headers)
+{
+    const auto onFailure = [this, guard = std::weak_ptr(m_isAlive)] {
+        if (const auto alive = guard.lock(); alive && *alive)
+            cancel(CancelReason::CallerDisconnected);
+    };
+    co_await m_output.startStream(status, std::move(headers), m_request.route->mayRunAgain(),
+                                  onFailure);
+}
+
 asio::awaitable<RequestRelay::AttemptOutcome>
 RequestRelay::relayUnheld(Http::ClientExchange &answer, Http::Response begin, std::string next)
 {
@@ -708,20 +728,20 @@
     m_gateway.metrics().firstByte.observe(m_gateway.dependencies().clock.now() - m_request.arrival,
                                           m_request.labels());
     auto size = begin.body.size() + next.size();
-    co_await m_exchange.startStream(begin.status, begin.headers);
-    co_await m_exchange.write(std::move(begin.body));
-    co_await m_exchange.write(std::move(next));
+    co_await startStream(begin.status, begin.headers);
+    co_await m_output.writeReserved(std::move(begin.body));
+    co_await m_output.write(std::move(next));
     m_exchange.reserve(0);
     while (auto chunk = co_await answer.readSome()) {
         size += chunk->size();
         if (size > AnswerLimitBytes)
             co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamAnswerMalformed,
                                                   "the answer body exceeds the size limit"));
-        co_await m_exchange.write(std::move(*chunk));
+        co_await m_output.write(std::move(*chunk));
     }
     if (m_evidence && begin.status < 300)
         m_evidence->noteAnswered();
-    co_await m_exchange.finishStream();
+    co_await m_output.finishStream();
     co_return AttemptOutcome::Answered;
 }
 
@@ -752,9 +772,9 @@
         if (!m_exchange.hasStarted()) {
             m_streamStatus = answer.status();
             m_streamHeaders = headers;
-            co_await m_exchange.startStream(answer.status(), headers);
+            co_await startStream(answer.status(), headers);
         }
-        co_await m_exchange.write(events);
+        co_await m_output.write(events);
     }
     if (m_events.hasPartialEvent())
         co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamFailed,
@@ -762,10 +782,10 @@
     if (m_evidence)
         m_evidence->noteAnswered();
     if (!m_exchange.hasStarted())
-        co_await m_exchange.startStream(answer.status(), headers);
+        co_await startStream(answer.status(), headers);
     if (m_plan->engine)
         m_gateway.engineModel(m_plan->service).addPause(m_progress.longestPause);
-    co_await m_exchange.finishStream();
+    co_await m_output.finishStream();
     co_return AttemptOutcome::Answered;
 }
 
@@ -825,6 +845,7 @@
 asio::awaitable<void> RequestRelay::finish(AttemptOutcome end)
 {
     if (end == AttemptOutcome::Answered) {
+        co_await m_output.settle();
         m_gateway.metrics().requests.add(1, m_request.labels(), "served");
         logServed(m_gateway, m_request, *m_plan, m_progress);
         co_return;
@@ -843,6 +864,7 @@
                         {"outcome", "stream cut"},
                         {"ended_by", endedBy()},
                         {"last_event", m_events.lastId()}});
+        co_await m_output.settle();
         // Closing the connection is the only way to signal that the stream is incomplete.
         throw boost::system::system_error(asio::error::connection_aborted);
     }
@@ -900,6 +922,7 @@
 asio::awaitable<void> RequestRelay::refuse(const Refusal &refusal)
 {
     logRefusal(m_gateway, m_request, refusal);
+    noteMemoryRefusal(m_gateway, m_request, refusal);
     m_gateway.metrics().requests.add(1, m_request.labels(), "refused");
     m_gateway.metrics().refusals.add(1, m_request.labels(),
                                      std::string(Core::errorKindRow(refusal.kind).name));
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibGateway/AnswerEvidence.h>
+#include <LibGateway/CallerOutput.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/RequestLog.h>
 #include <LibGateway/RequestPlan.h>
@@ -102,6 +103,7 @@
                                                        Http::Response begin, std::string next);
     boost::asio::awaitable<AttemptOutcome> relayStream(Http::ClientExchange &answer,
                                                        Http::Headers headers, UpstreamLoad &load);
+    boost::asio::awaitable<void> startStream(unsigned status, Http::Headers headers);
     /// Reads the rest of an answer that is not relayed, or closes the connection if it is long.
     boost::asio::awaitable<void> discardBody(Http::ClientExchange &answer);
     void noteFirstToken(const UpstreamLoad &load);
@@ -128,6 +130,7 @@
 
     Gateway &m_gateway;
     Http::ServerExchange &m_exchange;
+    CallerOutput m_output;
     std::shared_ptr<Gateway::ActiveRequests> m_activeRequests;
     AcceptedRequest m_request;
     /// The plan of the current or last attempt; empty before the first.
--- a/Libraries/LibHttp/BodyBudget.cpp
+++ b/Libraries/LibHttp/BodyBudget.cpp
@@ -19,22 +19,33 @@
 
 BodyBudget::Share::Share(Share &&other) noexcept
     : m_budget(std::move(other.m_budget))
+    , m_purpose(other.m_purpose)
     , m_bytes(std::exchange(other.m_bytes, 0))
 { }
 
 BodyBudget::Share &BodyBudget::Share::operator=(Share &&other) noexcept
 {
     std::swap(m_budget, other.m_budget);
+    std::swap(m_purpose, other.m_purpose);
     std::swap(m_bytes, other.m_bytes);
     return *this;
 }
 
-bool BodyBudget::Share::growTo(std::size_t bytes)
+bool BodyBudget::isNearlyFull() const
+{
+    const std::size_t limit = m_limit;
+    return m_held > limit - limit / 10;
+}
+
+bool BodyBudget::Share::growTo(std::size_t bytes, std::size_t otherBytes)
 {
     if (bytes <= m_bytes)
         return true;
-    if (m_budget && !m_budget->take(bytes - m_bytes, bytes <= SmallShareBytes))
-        return false;
+    if (m_budget) {
+        if (!m_budget->take(bytes - m_bytes, otherBytes + bytes <= SmallShareBytes))
+            return false;
+        m_budget->m_heldFor[index(m_purpose)] += bytes - m_bytes;
+    }
     m_bytes = bytes;
     return true;
 }
@@ -43,8 +54,10 @@
 {
     if (bytes >= m_bytes)
         return;
-    if (m_budget)
+    if (m_budget) {
         m_budget->m_held -= m_bytes - bytes;
+        m_budget->m_heldFor[index(m_purpose)] -= m_bytes - bytes;
+    }
     m_bytes = bytes;
 }
 
--- a/Libraries/LibHttp/ServerExchange.cpp
+++ b/Libraries/LibHttp/ServerExchange.cpp
@@ -14,9 +14,17 @@
 
 bool ServerExchange::reserve(std::size_t bytes)
 {
-    const auto total = m_request.body.capacity() + bytes;
-    m_bodyShare.shrinkTo(total);
-    return m_bodyShare.growTo(total);
+    const auto body = m_request.body.capacity();
+    m_bodyShare.shrinkTo(body);
+    if (!m_reserved.budget())
+        m_reserved = BodyBudget::Share(bodyBudget(), BodyPurpose::Answers);
+    m_reserved.shrinkTo(bytes);
+    return m_bodyShare.growTo(body) && m_reserved.growTo(bytes, body);
+}
+
+BodyBudget::Share ServerExchange::takeReserved()
+{
+    return std::exchange(m_reserved, {});
 }
 
 Response jsonResponse(unsigned status, std::string body)
--- a/Libraries/LibHttp/ServerExchange.h
+++ b/Libraries/LibHttp/ServerExchange.h
@@ -29,6 +29,10 @@
     /// Reserves memory for that many bytes of a response that the handler holds, in place of those
     /// reserved before. Returns false, and changes nothing, if there is no room for them.
     bool reserve(std::size_t bytes);
+    /// Returns the memory that reserve() has obtained; the exchange no longer holds it.
+    BodyBudget::Share takeReserved();
+    /// Returns the budget of that memory; null if there is no limit.
+    const std::shared_ptr<BodyBudget> &bodyBudget() const { return m_bodyShare.budget(); }
 
     /// Sends a complete response.
     virtual boost::asio::awaitable<void> respond(Response response) = 0;
@@ -38,13 +42,17 @@
     virtual boost::asio::awaitable<void> write(std::string chunk) = 0;
     /// Ends a chunked response.
     virtual boost::asio::awaitable<void> finishStream() = 0;
+    /// Closes the caller's connection so that the response does not look complete; a pending write
+    /// fails.
+    virtual void drop() = 0;
 
 protected:
     void noteCallerGone();
 
     Request m_request;
-    /// Memory for the bodies of the request and of a response that is held.
+    /// Memory for the body of the request, and for a response that is held.
     BodyBudget::Share m_bodyShare;
+    BodyBudget::Share m_reserved;
     bool m_started = false;
     bool m_callerGone = false;
 
--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -119,6 +119,14 @@
         m_finished = true;
     }
 
+    void drop() override
+    {
+        // A reset, because an orderly close may make the response look complete.
+        boost::system::error_code ec;
+        m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+        m_stream.close();
+    }
+
     /// Whether another request may follow on this connection.
     bool mayContinue() const { return m_finished && m_keepAlive && !m_callerGone; }
 
