--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Gateway {
@@ -26,6 +27,8 @@
     std::optional<std::chrono::milliseconds> retryAfter;
     /// Set if the request was refused for want of capacity, so that it may be queued instead.
     std::optional<Capacity::WaitingOutlook> shortage;
+    /// What memory was lacking, for metrics and log; empty for other reasons.
+    std::string_view memoryCause = {};
 };
 
 /// What the division of engines among teams has counted of a request, which is planned several
