--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -88,6 +88,7 @@
     connectPoisonParts();
     connectRetrySlack();
     addGauges();
+    addSpeedGauges();
 }
 
 GatewayDaemon::~GatewayDaemon()
@@ -316,6 +317,31 @@
                      });
 }
 
+void GatewayDaemon::addSpeedGauges()
+{
+    using Samples = std::vector<Metrics::Gauge::Sample>;
+    auto &metrics = m_gateway.metrics();
+    metrics.addGauge("jujube_gateway_upstream_speed",
+                     "Measured speed of an engine, 1 being that of its service's median engine.",
+                     "upstream", [this] {
+                         Samples samples;
+                         for (const auto &[service, isUneven] : m_speeds.services()) {
+                             for (const auto &engine : m_fleet.members(service))
+                                 samples.push_back({engine->report().id.value(),
+                                                    m_speeds.relativeSpeed(*engine)});
+                         }
+                         return samples;
+                     });
+    metrics.addGauge("jujube_gateway_uneven_services",
+                     "1 for each service whose engines are placed by their own speeds.", "service",
+                     [this] {
+                         Samples samples;
+                         for (const auto &[service, isUneven] : m_speeds.services())
+                             samples.push_back({service, isUneven ? 1.0 : 0.0});
+                         return samples;
+                     });
+}
+
 asio::awaitable<void> GatewayDaemon::countInstances()
 {
     for (;;) {
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -74,6 +74,7 @@
     /// Adds the prefill to the speed of the engine, unless it waited for a free slot.
     void noteEnginePrefill(std::uint64_t upstream, const EngineQueue::Prefill &prefill);
     void addGauges();
+    void addSpeedGauges();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
     /// Applies the time limits of the new settings. Names and addresses cannot change at run time.
