LibGateway: Admit requests for plain services by the exact load

Cause: instances choose a plain upstream by load reports that are older than an answer takes, so many send to the same one, and nothing refuses a request before the queues are full. Change: for a plain service with fewer slots than instances, RoomSearch enters a request at the keeper of the upstream with a limit; the keeper does not enter it if the upstream is full. Up to three upstreams are asked, then the request is refused (overloaded, event 209). Requests that may run once avoid upstreams whose refusals cannot be trusted. A plain keeper is passed over after two unanswered queries in a row, because a lost datagram would otherwise split the count. Gauges for slots and room. TestLibCapacity was built but not run again after maxCounted() was bounded and two limits were tightened.

--- a/Libraries/LibCapacity/ServiceRoom.cpp
+++ b/Libraries/LibCapacity/ServiceRoom.cpp
@@ -70,7 +70,8 @@
 {
     const auto expected =
         answerTime(load.upstream, request.target) * (1 + roundsUntilSlot(load.ahead, load.slots));
-    return std::min(request.remaining, MaxCountedFactor * expected + MaxCountedMargin);
+    return std::clamp(MaxCountedFactor * expected + MaxCountedMargin, Milliseconds(0),
+                      std::max(Milliseconds(0), request.remaining));
 }
 
 Milliseconds ServiceRoom::untilRoom(const RoomLoad &load, const RoomRequest &request, double spread,
--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -28,6 +28,7 @@
     EventRow {EventId::AttemptFailed, EventLevel::Info, "attempt_failed", "One attempt of a request failed at an upstream; another may follow."},
     EventRow {EventId::LinesLeftOut, EventLevel::Warning, "lines_left_out", "Log lines were dropped because of the rate limit or a slow reader."},
     EventRow {EventId::RetryDecided, EventLevel::Info, "retry_decided", "The retry budget of a service allowed or refused another attempt of a request."},
+    EventRow {EventId::ServiceFull, EventLevel::Info, "service_full", "The upstreams of a plain service that were asked had no room for a request."},
     EventRow {EventId::UpstreamAdded, EventLevel::Info, "upstream_added", "A new upstream accepts work."},
     EventRow {EventId::UpstreamLeaving, EventLevel::Info, "upstream_leaving", "An upstream no longer accepts new work."},
     EventRow {EventId::UpstreamSuspected, EventLevel::Warning, "upstream_suspected", "An upstream failed and is skipped for a while."},
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -34,6 +34,7 @@
     AttemptFailed = 206,
     LinesLeftOut = 207,
     RetryDecided = 208,
+    ServiceFull = 209,
     UpstreamAdded = 300,
     UpstreamLeaving = 301,
     UpstreamSuspected = 302,
--- a/Libraries/LibGateway/AcceptedRequest.cpp
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -65,8 +65,11 @@
     if (auto refusal = refusePoison(gateway))
         return refusal;
     deadline = arrival + std::min(caller.callerTimeout.value_or(route->timeout), route->timeout);
-    if (caller.callerTimeout)
-        isReturning = gateway.returningCallers(route->name).noteArrival(*caller.callerTimeout);
+    if (caller.callerTimeout) {
+        auto &callers = gateway.returningCallers(route->name);
+        isReturning = callers.noteArrival(*caller.callerTimeout);
+        timeSpentBefore = isReturning ? callers.timeSpent(*caller.callerTimeout) : 0ms;
+    }
     parts.clear();
     std::uint64_t prefixHash = Core::hash64(cacheScope(), Core::hash64(caller.model));
     for (const auto &part : caller.parts) {
--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -39,6 +39,8 @@
     std::vector<PromptPart> parts;
     /// Whether the caller was refused before and has returned.
     bool isReturning = false;
+    /// How long a caller that has returned had waited when the request arrived.
+    std::chrono::milliseconds timeSpentBefore {0};
     /// Identifies the request in the poison request table; equal for all attempts of one request.
     std::uint64_t digest = 0;
     /// Hashes of the ids of the prompt's parts, without the last one, which is specific to it.
--- a/Libraries/LibGateway/EngineQueue.h
+++ b/Libraries/LibGateway/EngineQueue.h
@@ -43,6 +43,8 @@
     void remove(const Key &key, Core::Clock::Monotonic now);
     void dropExpired(Core::Clock::Monotonic now);
     bool isEmpty() const { return m_prompts.empty(); }
+    /// Returns the number of prompts, including those that are no longer prefilled.
+    unsigned requests() const { return m_load.inFlight; }
 
 private:
     struct Entry
--- a/Libraries/LibGateway/EngineQueueExchange.cpp
+++ b/Libraries/LibGateway/EngineQueueExchange.cpp
@@ -23,6 +23,9 @@
 constexpr auto AnswerTimeout = 25ms;
 // A keeper that did not answer is passed over for this long.
 constexpr auto SkipTime = 2'000ms;
+// A lost datagram must not split the count of a plain upstream between two keepers, since many
+// requests share few slots there.
+constexpr unsigned MaxMissedByPlain = 2;
 constexpr auto NoteInterval = 3ms;
 constexpr auto ExpiryInterval = 250ms;
 // A prompt of an instance that has ended is forgotten after this time.
@@ -136,16 +139,17 @@
     const auto number = ++m_lastNumber;
     const auto expiry = std::min(MaxExpiry, demand.remaining);
     if (keeper.instance == m_dependencies.members.self().instance) {
-        const auto now = m_dependencies.clock.now();
-        noteLoad(*engine, loadOf(upstream));
-        m_queues[upstream].add({m_incarnation, number},
-                               {demand.tokens, demand.memoryTokens, demand.isUrgent, now + expiry},
-                               now);
-        co_return std::make_unique<QueuePlace>(*this, keeper, number, upstream);
+        const auto load = add(upstream, {m_incarnation, number}, demand);
+        noteLoad(*engine, load);
+        auto own = std::make_unique<QueuePlace>(*this, keeper, number, upstream);
+        own->m_requestsAhead = load.inFlight;
+        co_return own;
     }
+    // A request of a plain service occupies no tokens, so the field carries its limit.
+    const auto memoryTokens = demand.requestLimit > 0 ? demand.requestLimit : demand.memoryTokens;
     flatbuffers::FlatBufferBuilder builder;
     const Wire::QueueAsk ask(number, upstream, static_cast<std::uint32_t>(demand.tokens),
-                             static_cast<std::uint32_t>(demand.memoryTokens),
+                             static_cast<std::uint32_t>(memoryTokens),
                              static_cast<std::uint32_t>(expiry.count()), demand.isUrgent);
     const auto asks = builder.CreateVectorOfStructs(&ask, 1);
     const auto message = Wire::CreateQueueMessage(builder, m_incarnation, asks);
@@ -159,8 +163,13 @@
     const auto pending = m_pending.extract(number);
     if (pending.mapped().isAnswered) {
         m_skippedUntil.erase(keeper.instance);
+        m_missed.erase(keeper.instance);
+        place->m_requestsAhead = pending.mapped().requestsAhead;
         co_return place;
     }
+    if (demand.requestLimit > 0 && ++m_missed[keeper.instance] < MaxMissedByPlain)
+        co_return nullptr;
+    m_missed.erase(keeper.instance);
     Core::logEvent(Core::EventId::SiblingPassedOver,
                    {{"sibling", keeper.instance.value()},
                     {"upstream", engine->report().id.value()},
@@ -169,6 +178,24 @@
     co_return nullptr;
 }
 
+SiblingLoad EngineQueueExchange::add(std::uint64_t upstream, const EngineQueue::Key &key,
+                                     const Demand &demand)
+{
+    const auto now = m_dependencies.clock.now();
+    auto &queue = m_queues[upstream];
+    if (demand.requestLimit > 0)
+        queue.dropExpired(now);
+    const auto load = loadOf(upstream);
+    // Entered although it is not sent, it would count until its instance has learned the load.
+    if (demand.requestLimit > 0 && queue.requests() >= demand.requestLimit)
+        return load;
+    queue.add(key,
+              {demand.tokens, demand.memoryTokens, demand.isUrgent,
+               now + std::min(MaxExpiry, demand.remaining)},
+              now);
+    return load;
+}
+
 SiblingLoad EngineQueueExchange::loadOf(std::uint64_t upstream) const
 {
     const auto queue = m_queues.find(upstream);
@@ -222,14 +249,16 @@
 {
     if (!message.asks() || message.asks()->size() == 0)
         return;
-    const auto now = m_dependencies.clock.now();
     std::vector<Wire::QueueAnswer> answers;
     for (const auto *ask : *message.asks()) {
-        answers.emplace_back(ask->number(), wireLoad(ask->upstream(), loadOf(ask->upstream())));
-        const milliseconds expiry = std::min(MaxExpiry, milliseconds(ask->expires_ms()));
-        m_queues[ask->upstream()].add(
-            {message.life(), ask->number()},
-            {ask->tokens(), ask->memory_tokens(), ask->is_urgent(), now + expiry}, now);
+        Demand demand {ask->tokens(), ask->memory_tokens(), ask->is_urgent(),
+                       milliseconds(ask->expires_ms())};
+        const auto upstream = m_dependencies.fleet.findByHash(ask->upstream());
+        if (upstream && m_dependencies.isPlain
+            && m_dependencies.isPlain(upstream->report().service))
+            demand.requestLimit = static_cast<unsigned>(std::exchange(demand.memoryTokens, 0));
+        const auto load = add(ask->upstream(), {message.life(), ask->number()}, demand);
+        answers.emplace_back(ask->number(), wireLoad(ask->upstream(), load));
     }
     flatbuffers::FlatBufferBuilder builder;
     const auto list = builder.CreateVectorOfStructs(answers);
@@ -252,6 +281,7 @@
                    load.ordinary_prompts()},
                   load.in_flight(),
                   load.memory_tokens()});
+        it->second.requestsAhead = load.in_flight();
         it->second.isAnswered = true;
         it->second.timer->cancel();
     }
@@ -312,6 +342,9 @@
         it->second.dropExpired(now);
         it = it->second.isEmpty() ? m_queues.erase(it) : std::next(it);
     }
+    std::erase_if(m_missed, [this](const auto &item) {
+        return !m_dependencies.members.siblings().contains(item.first);
+    });
     std::erase_if(m_skippedUntil, [now](const auto &item) { return item.second <= now; });
 }
 
--- a/Libraries/LibGateway/EngineQueueExchange.h
+++ b/Libraries/LibGateway/EngineQueueExchange.h
@@ -38,12 +38,18 @@
     QueuePlace &operator=(const QueuePlace &) = delete;
 
     void noteFirstToken();
+    /// Returns the number of requests of all instances that were at the upstream when this one was
+    /// entered.
+    unsigned requestsAhead() const { return m_requestsAhead; }
 
 private:
+    friend class EngineQueueExchange;
+
     EngineQueueExchange &m_exchange;
     FleetMember m_keeper;
     std::uint64_t m_number;
     std::uint64_t m_upstream;
+    unsigned m_requestsAhead = 0;
 };
 
 /// Keeps the queues of engines, each at one instance, the keeper, which all others ask before they
@@ -66,6 +72,8 @@
         std::function<double(const std::string &service)> prefillRate;
         /// Sends a datagram to a sibling.
         std::function<void(const Http::Endpoint &, std::string_view)> send;
+        /// Returns whether the service has no engines.
+        std::function<bool(const std::string &service)> isPlain = nullptr;
     };
     /// The prompt that a place is requested for.
     struct Demand
@@ -74,6 +82,9 @@
         std::uint64_t memoryTokens = 0;
         bool isUrgent = false;
         std::chrono::milliseconds remaining {0};
+        /// For a request of a plain service: it is entered only if fewer requests than this are at
+        /// the upstream. 0 for a prompt, which is always entered.
+        unsigned requestLimit = 0;
     };
 
     EngineQueueExchange(boost::asio::io_context &context, Dependencies dependencies);
@@ -104,6 +115,7 @@
         std::shared_ptr<Upstream> engine;
         boost::asio::steady_timer *timer = nullptr;
         bool isAnswered = false;
+        unsigned requestsAhead = 0;
     };
     struct NoteBatch
     {
@@ -114,6 +126,9 @@
 
     void note(const FleetMember &keeper, std::uint64_t number, std::uint64_t upstream,
               Wire::QueueStep step);
+    /// Adds a request to a queue that this instance keeps, unless its demand forbids it. Returns
+    /// the load before that.
+    SiblingLoad add(std::uint64_t upstream, const EngineQueue::Key &key, const Demand &demand);
     void applyNote(const EngineQueue::Key &key, std::uint64_t upstream, Wire::QueueStep step);
     void applyAsks(const Wire::QueueMessage &message, const Http::Endpoint &from);
     void applyAnswers(const Wire::QueueMessage &message);
@@ -129,6 +144,8 @@
     std::map<std::uint64_t, PendingAsk> m_pending;
     std::map<Core::InstanceId, NoteBatch> m_notes;
     boost::asio::steady_timer m_noteTimer;
+    /// The number of requests of plain services in a row that a keeper did not answer.
+    std::map<Core::InstanceId, unsigned> m_missed;
     /// Keepers that did not answer, with the time until which they are not asked.
     std::map<Core::InstanceId, Core::Clock::Monotonic> m_skippedUntil;
 };
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCapacity/ServiceRoom.h>
 #include <LibCore/Clock.h>
 #include <LibGateway/ConfigurationState.h>
 #include <LibGateway/EngineModel.h>
@@ -93,6 +94,8 @@
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     RetryBudgetShare &retries(const std::string &service) { return m_retries[service]; }
     ReturningCallers &returningCallers(const std::string &route) { return m_returning[route]; }
+    /// The answer times of a plain service's upstreams, by which requests for it are admitted.
+    Capacity::ServiceRoom &serviceRoom(const std::string &service) { return m_rooms[service]; }
     /// The queues of engines; null if instances decide by load reports alone.
     EngineQueueExchange *engineQueues() const { return m_engineQueues; }
     void setEngineQueues(EngineQueueExchange *queues) { m_engineQueues = queues; }
@@ -132,6 +135,7 @@
     PoisonPartTable m_poisonParts;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, RetryBudgetShare> m_retries;
+    std::map<std::string, Capacity::ServiceRoom> m_rooms;
     RetrySlack m_retrySlack;
     std::map<std::string, ReturningCallers> m_returning;
     EngineQueueExchange *m_engineQueues = nullptr;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/StartRetry.h>
 #include <LibGateway/GatewayDaemon.h>
 #include <LibGateway/RequestLog.h>
+#include <LibGateway/RoomSearch.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -67,6 +68,11 @@
                       },
                       [this](const Http::Endpoint &sibling, std::string_view datagram) {
                           m_siblings.sendTo(sibling, datagram);
+                      },
+                      [this](const std::string &name) {
+                          const auto &current = m_configuration.current();
+                          const auto *service = current ? current->findService(name) : nullptr;
+                          return service && !service->engine;
                       }})
     , m_quotas(m_threads.at(0), {m_interfaces.clock, m_members,
                                  [this](const Http::Endpoint &sibling, std::string_view datagram) {
@@ -292,6 +298,22 @@
                      "How often a body found no room in the memory for bodies.", "", [this] {
                          return Samples {{"", static_cast<double>(m_bodyBudget->refusals())}};
                      });
+    metrics.addGauge("jujube_gateway_service_room",
+                     "Slots of the upstreams of a plain service that are free, of all instances; "
+                     "negative while requests wait for one.",
+                     "service", [this] {
+                         Samples samples;
+                         for (const auto &[service, use] : useOfPlainServices(m_gateway))
+                             samples.push_back({service, use.slots - use.inFlight});
+                         return samples;
+                     });
+    metrics.addGauge("jujube_gateway_service_slots", "Slots of the upstreams of a plain service.",
+                     "service", [this] {
+                         Samples samples;
+                         for (const auto &[service, use] : useOfPlainServices(m_gateway))
+                             samples.push_back({service, use.slots});
+                         return samples;
+                     });
     metrics.addGauge("jujube_gateway_poison_parts",
                      "Parts of prompts that are known to crash engines.", "", [this] {
                          const auto parts =
--- a/Libraries/LibGateway/PromptAdmission.cpp
+++ b/Libraries/LibGateway/PromptAdmission.cpp
@@ -52,4 +52,9 @@
     return isReturning;
 }
 
+milliseconds ReturningCallers::timeSpent(milliseconds callerTime) const
+{
+    return std::max(0ms, duration_cast<milliseconds>(m_fullTime) - callerTime);
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/PromptAdmission.h
+++ b/Libraries/LibGateway/PromptAdmission.h
@@ -45,6 +45,9 @@
 public:
     /// Records the time that a new arrival will wait, and returns whether the caller has returned.
     bool noteArrival(std::chrono::milliseconds callerTime);
+    /// Returns how long a caller that has returned has waited so far, given the time that it will
+    /// still wait.
+    std::chrono::milliseconds timeSpent(std::chrono::milliseconds callerTime) const;
 
 private:
     /// The longest recent time of a caller. It decays, so that it follows a change of the callers.
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/RequestPlan.h>
+#include <LibGateway/RoomSearch.h>
 #include <LibGateway/Urgency.h>
 
 #include <algorithm>
@@ -178,7 +179,8 @@
 }
 
 std::variant<RequestPlan, Refusal> planRequest(Gateway &gateway, const AcceptedRequest &request,
-                                               const std::set<Core::UpstreamId> &excluded)
+                                               const std::set<Core::UpstreamId> &excluded,
+                                               const std::set<Core::UpstreamId> &full)
 {
     if (request.route->services.empty())
         return Refusal {Core::ErrorKind::NoUpstream, "the route has no services", {}};
@@ -196,6 +198,8 @@
     limits.instances = gateway.instanceCount().value_or(1);
     if (service->engine && !request.caller.model.empty())
         return planEngine(gateway, request, *service, limits);
+    if (isRoomLimited(gateway, request, *service))
+        limitToRoom(gateway, request, *service, full, limits);
     RequestPlan plan;
     plan.service = name;
     plan.upstream =
--- a/Libraries/LibGateway/RequestPlan.h
+++ b/Libraries/LibGateway/RequestPlan.h
@@ -25,6 +25,9 @@
     std::uint64_t storeHolder = 0;
     /// Whether the engine should save the prompt's parts to the store.
     bool isSaving = false;
+    /// The number of requests of all instances that were at the upstream when this one was
+    /// admitted; set only for requests whose room is looked for with RoomSearch.
+    std::optional<unsigned> requestsAhead;
 
     /// Returns the number of prompt tokens that the engine is expected to prefill.
     std::uint64_t uncachedTokens(const AcceptedRequest &request) const;
@@ -36,9 +39,11 @@
 
 /// Chooses an upstream, or returns a refusal if none is suitable. Sheds load that exceeds the
 /// prefill capacity of the engines: a request whose expected time to the first token exceeds its
-/// wait limit is refused immediately with a time for a retry.
+/// wait limit is refused immediately with a time for a retry. Upstreams that are `full` are not
+/// chosen, but may be healthier than the others.
 std::variant<RequestPlan, Refusal> planRequest(Gateway &gateway, const AcceptedRequest &request,
-                                               const std::set<Core::UpstreamId> &excluded);
+                                               const std::set<Core::UpstreamId> &excluded,
+                                               const std::set<Core::UpstreamId> &full = {});
 
 /// Returns the time after which the engine must not begin to answer the prompt, because its weights
 /// are too old by then; empty if they are the newest.
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/Hash.h>
 #include <LibGateway/RequestRelay.h>
+#include <LibGateway/RoomSearch.h>
 #include <LibGateway/Urgency.h>
 
 #include <boost/asio/this_coro.hpp>
@@ -205,6 +206,7 @@
         }
         auto plan = co_await this->plan();
         if (m_cancelReason != CancelReason::None) {
+            m_place.reset();
             co_await finish(AttemptOutcome::Cancelled);
             co_return;
         }
@@ -265,9 +267,12 @@
 {
     auto *queues = m_gateway.engineQueues();
     std::shared_ptr<Upstream> entered;
+    RoomSearch search(m_gateway, m_request);
     for (unsigned queries = 0;;) {
-        auto planned = planRequest(m_gateway, m_request, m_excluded);
-        const auto *plan = std::get_if<RequestPlan>(&planned);
+        auto planned = planRequest(m_gateway, m_request, m_excluded, search.full());
+        auto *plan = std::get_if<RequestPlan>(&planned);
+        if (!plan && search.hasAsked())
+            co_return search.refuse();
         if (plan && plan->upstream == entered)
             co_return planned;
         m_place.reset();
@@ -275,6 +280,16 @@
             co_return Refusal {Core::ErrorKind::NoUpstream,
                                "the retry budget of service " + plan->service + " is used up",
                                ShortRetryAfter};
+        if (plan && queues && search.appliesTo(*plan)) {
+            const auto demand = search.demand(*plan);
+            m_place = co_await queues->enter(plan->upstream, demand);
+            if (m_cancelReason != CancelReason::None || search.hasRoom(*plan, m_place.get()))
+                co_return planned;
+            m_place.reset();
+            if (search.hasEnded())
+                co_return search.refuse();
+            continue;
+        }
         if (!plan || !plan->engine || !queues)
             co_return planned;
         entered = plan->upstream;
@@ -576,7 +591,7 @@
                             "status " + text(answer.status()) + " of a request that may have run"));
         if (isSuccess && m_request.route->kind == RequestKind::Stream)
             co_return co_await relayStream(answer, std::move(headers), load);
-        co_return co_await relayWhole(answer, std::move(headers));
+        co_return co_await relayWhole(answer, std::move(headers), load);
     } catch (const Core::Error &error) {
         failure = error;
     }
@@ -642,16 +657,19 @@
                               MaxMissedReports * m_gateway.dependencies().settings.reportInterval);
         return;
     }
-    if (!m_plan->engine)
+    if (!m_plan->engine) {
+        if (!head.isOtherUpstream)
+            noteRejectionOfPlain(m_gateway, *m_plan);
         return;
+    }
     // The engine is full, executes an order, or has other weights than expected.
     m_plan->upstream->extendPause(now + BusyPause);
     if (head.isOtherUpstream && m_gateway.onWeightsMismatch)
         m_gateway.onWeightsMismatch(m_plan->upstream);
 }
 
-asio::awaitable<RequestRelay::AttemptOutcome> RequestRelay::relayWhole(Http::ClientExchange &answer,
-                                                                       Http::Headers headers)
+asio::awaitable<RequestRelay::AttemptOutcome>
+RequestRelay::relayWhole(Http::ClientExchange &answer, Http::Headers headers, UpstreamLoad &load)
 {
     m_beginTimer.reset();
     Http::Response response(answer.status(), std::move(headers), {});
@@ -668,6 +686,7 @@
         }
         response.body += *chunk;
     }
+    noteAnswerOfPlain(m_gateway, *m_plan, response.status, load);
     if (response.status >= 500) {
         noteAttempt("failed", std::to_string(response.status));
         m_errorResponse = std::move(response);
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -96,7 +96,7 @@
     boost::asio::awaitable<AttemptOutcome> relayAnswer(Http::ClientExchange &answer,
                                                        UpstreamLoad &load);
     boost::asio::awaitable<AttemptOutcome> relayWhole(Http::ClientExchange &answer,
-                                                      Http::Headers headers);
+                                                      Http::Headers headers, UpstreamLoad &load);
     /// Relays an answer as it arrives, because there is no room to hold it until its end.
     boost::asio::awaitable<AttemptOutcome> relayUnheld(Http::ClientExchange &answer,
                                                        Http::Response begin, std::string next);
--- a/Libraries/LibGateway/UpstreamLoad.h
+++ b/Libraries/LibGateway/UpstreamLoad.h
@@ -4,6 +4,7 @@
 #include <LibGateway/Upstream.h>
 
 #include <memory>
+#include <utility>
 
 namespace Gateway {
 
@@ -25,12 +26,7 @@
         m_upstream->noteSent(m_tokens, m_isUrgent);
         m_upstream->reserveMemory(m_memoryTokens);
     }
-    ~UpstreamLoad()
-    {
-        noteFirstToken();
-        m_upstream->releaseMemory(m_memoryTokens);
-        m_upstream->noteEnd();
-    }
+    ~UpstreamLoad() { end(); }
     UpstreamLoad(const UpstreamLoad &) = delete;
     UpstreamLoad &operator=(const UpstreamLoad &) = delete;
 
@@ -45,6 +41,17 @@
             m_place->noteFirstToken();
         return true;
     }
+    /// Ends the request's part of the load, if the upstream has completed its answer before the
+    /// caller has read it.
+    void end()
+    {
+        if (std::exchange(m_hasEnded, true))
+            return;
+        noteFirstToken();
+        m_upstream->releaseMemory(m_memoryTokens);
+        m_upstream->noteEnd();
+        m_place.reset();
+    }
     std::uint64_t tokens() const { return m_tokens; }
     bool hasFirstToken() const { return m_hasFirstToken; }
     /// Whether no other prompts were queued for prefill when this request was sent.
@@ -58,6 +65,7 @@
     bool m_isUrgent;
     bool m_isOnlyPrompt;
     bool m_hasFirstToken = false;
+    bool m_hasEnded = false;
     Core::Clock::Monotonic m_sent;
     /// The prompt's entry at the keeper of the engine's queue; may be null.
     std::unique_ptr<QueuePlace> m_place;
--- a/Tests/LibCapacity/TestServiceRoom.cpp
+++ b/Tests/LibCapacity/TestServiceRoom.cpp
@@ -487,11 +487,11 @@
     partitioned.silentFrom = 2'000;
     partitioned.silentTo = 3'000;
     partitioned.isPartition = true;
-    CHECK(simulate(partitioned).goodput() >= 0.8 * usual.goodput());
+    CHECK(simulate(partitioned).goodput() >= 0.9 * usual.goodput());
     auto slow = shape;
     slow.keeperDelay = 15;
     CHECK(simulate(slow).goodput() >= 0.9 * usual.goodput());
     auto lossy = shape;
     lossy.loss = 0.05;
-    CHECK(simulate(lossy).goodput() >= 0.85 * usual.goodput());
+    CHECK(simulate(lossy).goodput() >= 0.9 * usual.goodput());
 }
--- a/Tests/LibGateway/TestEngineQueue.cpp
+++ b/Tests/LibGateway/TestEngineQueue.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -36,8 +37,14 @@
                      {network.clock, members, fleet, [](const auto &) { return Rate; },
                       [&network, number](const Http::Endpoint &to, std::string_view datagram) {
                           network.send(number, to, datagram);
-                      }})
+                      },
+                      [](const std::string &service) { return service == "orders"; }})
         {
+            Gateway::UpstreamReport plain;
+            plain.id = Core::UpstreamId("p");
+            plain.service = "orders";
+            plain.dataCentre = "south";
+            fleet.apply(plain);
             for (int n = 0; n < 6; ++n) {
                 Gateway::UpstreamReport report;
                 report.id = Core::UpstreamId("w" + std::to_string(n));
@@ -51,6 +58,11 @@
             return fleet.find(Core::UpstreamId("w" + std::to_string(number)));
         }
 
+        std::shared_ptr<Gateway::Upstream> plain() const
+        {
+            return fleet.find(Core::UpstreamId("p"));
+        }
+
         Gateway::UpstreamFleet fleet;
         Gateway::FleetMembers members;
         EngineQueueExchange queues;
@@ -92,6 +104,20 @@
         run();
         return place;
     }
+    /// Enters a request at the upstream of a plain service, if fewer than `limit` are there.
+    std::unique_ptr<Gateway::QueuePlace> enterPlain(Instance &instance, unsigned limit)
+    {
+        std::unique_ptr<Gateway::QueuePlace> place;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                EngineQueueExchange::Demand demand {0, 0, false, 300ms, limit};
+                place = co_await instance.queues.enter(instance.plain(), demand);
+            },
+            asio::detached);
+        run();
+        return place;
+    }
     void run()
     {
         context.restart();
@@ -228,6 +254,42 @@
     }
 }
 
+TEST_CASE("a request that finds a plain upstream full does not count there for others")
+{
+    Network network(6);
+    std::vector<std::unique_ptr<Gateway::QueuePlace>> places;
+    for (unsigned n = 0; n < 6; ++n) {
+        places.push_back(network.enterPlain(*network.all[n], 3));
+        REQUIRE(places.back());
+        CHECK(places.back()->requestsAhead() == std::min(n, 3U));
+    }
+    // The refused ones, which have not left yet, are not among the requests ahead.
+    CHECK(network.enterPlain(*network.all[0], 4)->requestsAhead() == 3);
+    network.run();
+    places[1].reset();
+    network.run();
+    CHECK(network.enterPlain(*network.all[2], 1)->requestsAhead() == 2);
+    // An end that is lost counts no longer than the request may take.
+    network.clock.advance(301ms);
+    CHECK(network.enterPlain(*network.all[5], 1)->requestsAhead() == 0);
+}
+
+TEST_CASE("one lost datagram does not split the count of a plain upstream between two keepers")
+{
+    Network network(4);
+    const auto keeper = network.all[0]->queues.keeperOf(*network.all[0]->plain()).instance;
+    const auto asker = std::find_if(network.all.begin(), network.all.end(), [&](const auto &it) {
+        return it->members.self().instance != keeper;
+    });
+    auto &instance = **asker;
+    for (auto &other : network.all)
+        other->isSilent = other->members.self().instance == keeper;
+    CHECK_FALSE(network.enterPlain(instance, 6));
+    CHECK(instance.queues.keeperOf(*instance.plain()).instance == keeper);
+    CHECK_FALSE(network.enterPlain(instance, 6));
+    CHECK(instance.queues.keeperOf(*instance.plain()).instance != keeper);
+}
+
 TEST_CASE("malformed queue datagrams are ignored")
 {
     Network network(2);
