--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -28,6 +28,7 @@
     EventRow {EventId::AttemptFailed, EventLevel::Info, "attempt_failed", "One attempt of a request failed at an upstream; another may follow."},
     EventRow {EventId::LinesLeftOut, EventLevel::Warning, "lines_left_out", "Log lines were dropped because of the rate limit or a slow reader."},
     EventRow {EventId::RetryDecided, EventLevel::Info, "retry_decided", "The retry budget of a service allowed or refused another attempt of a request."},
+    EventRow {EventId::ServiceFull, EventLevel::Info, "service_full", "The upstreams of a plain service that were asked had no room for a request."},
     EventRow {EventId::MemoryLimited, EventLevel::Info, "memory_limited", "A prompt was refused, or an answer that its caller left unread was dropped, for lack of memory."},
     EventRow {EventId::TeamOverShare, EventLevel::Info, "team_over_share", "A prompt exceeds its team's share of a service that is short of capacity."},
     EventRow {EventId::CapacityRefused, EventLevel::Info, "capacity_refused", "A request was refused for want of capacity; the event has the inputs of that decision."},
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -34,6 +34,7 @@
     AttemptFailed = 206,
     LinesLeftOut = 207,
     RetryDecided = 208,
+    ServiceFull = 209,
     MemoryLimited = 210,
     TeamOverShare = 211,
     CapacityRefused = 212,
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include <LibAdmission/TeamRoom.h>
 #include <LibCapacity/EngineMemory.h>
+#include <LibCapacity/ServiceRoom.h>
 #include <LibCore/Clock.h>
 #include <LibGateway/ConfigurationState.h>
 #include <LibGateway/EngineModel.h>
@@ -104,6 +105,8 @@
     RequestQueue &queue() { return *m_queue; }
     /// The division of scarce engines among teams.
     Admission::TeamRoom &teamRoom() { return m_teamRoom; }
+    /// The answer times of a plain service's upstreams, by which requests for it are admitted.
+    Capacity::ServiceRoom &serviceRoom(const std::string &service) { return m_rooms[service]; }
     /// The queues of engines; null if instances decide by load reports alone.
     EngineQueueExchange *engineQueues() const { return m_engineQueues; }
     void setEngineQueues(EngineQueueExchange *queues) { m_engineQueues = queues; }
@@ -147,6 +150,7 @@
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, Capacity::EngineMemory> m_memory;
     std::map<std::string, RetryBudgetShare> m_retries;
+    std::map<std::string, Capacity::ServiceRoom> m_rooms;
     RetrySlack m_retrySlack;
     Admission::TeamRoom m_teamRoom;
     std::map<std::string, ReturningCallers> m_returning;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -4,6 +4,7 @@
 #include <LibGateway/GatewayDaemon.h>
 #include <LibGateway/MemoryAdmission.h>
 #include <LibGateway/RequestLog.h>
+#include <LibGateway/RoomSearch.h>
 #include <LibGateway/TeamAdmission.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -88,6 +89,11 @@
                       },
                       [this](std::uint64_t upstream, const EngineQueue::Prefill &prefill) {
                           noteEnginePrefill(upstream, prefill);
+                      },
+                      [this](const std::string &name) {
+                          const auto &current = m_configuration.current();
+                          const auto *service = current ? current->findService(name) : nullptr;
+                          return service && !service->engine;
                       }})
     , m_quotas(m_threads.at(0), {m_interfaces.clock, m_members,
                                  [this](const Http::Endpoint &sibling, std::string_view datagram) {
@@ -335,6 +341,22 @@
                      "How often a body found no room in the memory for bodies.", "", [this] {
                          return Samples {{"", static_cast<double>(m_bodyBudget->refusals())}};
                      });
+    metrics.addGauge("jujube_gateway_service_room",
+                     "Slots of the upstreams of a plain service that are free, of all instances; "
+                     "negative while requests wait for one.",
+                     "service", [this] {
+                         Samples samples;
+                         for (const auto &[service, use] : useOfPlainServices(m_gateway))
+                             samples.push_back({service, use.slots - use.inFlight});
+                         return samples;
+                     });
+    metrics.addGauge("jujube_gateway_service_slots", "Slots of the upstreams of a plain service.",
+                     "service", [this] {
+                         Samples samples;
+                         for (const auto &[service, use] : useOfPlainServices(m_gateway))
+                             samples.push_back({service, use.slots});
+                         return samples;
+                     });
     metrics.addGauge("jujube_gateway_poison_parts",
                      "Parts of prompts that are known to crash engines.", "", [this] {
                          const auto parts =
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/MemoryAdmission.h>
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/RequestPlan.h>
+#include <LibGateway/RoomSearch.h>
 #include <LibGateway/TeamAdmission.h>
 #include <LibGateway/Urgency.h>
 
@@ -213,7 +214,8 @@
 }
 
 std::variant<RequestPlan, Refusal> planRequest(Gateway &gateway, const AcceptedRequest &request,
-                                               const std::set<Core::UpstreamId> &excluded)
+                                               const std::set<Core::UpstreamId> &excluded,
+                                               const std::set<Core::UpstreamId> &full)
 {
     if (request.route->services.empty())
         return Refusal {Core::ErrorKind::NoUpstream, "the route has no services", {}};
@@ -233,6 +235,8 @@
     limits.instances = gateway.instanceCount().value_or(1);
     if (service->engine && !request.caller.model.empty())
         return planEngine(gateway, request, *service, limits);
+    if (isRoomLimited(gateway, request, *service))
+        limitToRoom(gateway, request, *service, full, limits);
     RequestPlan plan;
     plan.service = name;
     plan.upstream =
