Tests: Adapt the fakes of the gateway's tests to the joined interfaces

Cause: the parts were built apart; the keeper's dependencies, its demand and the exchange of a request each gained members. Change: the fakes name them; no check changed.

--- a/Libraries/LibGateway/RequestWait.cpp
+++ b/Libraries/LibGateway/RequestWait.cpp
@@ -25,8 +25,7 @@
 // The part of the memory for bodies that waiting requests may occupy.
 constexpr std::size_t BodyMemoryPart = 4;
 
-WaitingRequest waitingRequest(Gateway &gateway, const AcceptedRequest &request,
-                              std::size_t bytes)
+WaitingRequest waitingRequest(Gateway &gateway, const AcceptedRequest &request, std::size_t bytes)
 {
     const auto &route = *request.route;
     WaitingRequest waiting {.lane = route.name,
@@ -121,8 +120,7 @@
     const auto now = gateway.dependencies().clock.now();
     double use = 0;
     for (const auto &service : request.route->services)
-        use = std::max(use,
-                       gateway.teamRoom().use(service.service, request.tenantName(), now));
+        use = std::max(use, gateway.teamRoom().use(service.service, request.tenantName(), now));
     return use;
 }
 
--- a/Tests/LibGateway/TestEngineQueue.cpp
+++ b/Tests/LibGateway/TestEngineQueue.cpp
@@ -34,10 +34,14 @@
                        endpoint(1'000 + number), 100},
                       network.clock)
             , queues(network.context,
-                     {network.clock, members, fleet, [](const auto &) { return Rate; },
+                     {network.clock,
+                      members,
+                      fleet,
+                      [](const auto &) { return Rate; },
                       [&network, number](const Http::Endpoint &to, std::string_view datagram) {
                           network.send(number, to, datagram);
                       },
+                      {},
                       [](const std::string &service) { return service == "orders"; }})
         {
             Gateway::UpstreamReport plain;
@@ -111,7 +115,9 @@
         asio::co_spawn(
             context,
             [&]() -> asio::awaitable<void> {
-                EngineQueueExchange::Demand demand {0, 0, false, 300ms, limit};
+                EngineQueueExchange::Demand demand;
+                demand.remaining = 300ms;
+                demand.requestLimit = limit;
                 place = co_await instance.queues.enter(instance.plain(), demand);
             },
             asio::detached);
--- a/Tests/LibGateway/TestRequestWait.cpp
+++ b/Tests/LibGateway/TestRequestWait.cpp
@@ -43,6 +43,7 @@
     boost::asio::awaitable<void> startStream(unsigned, Http::Headers) override { co_return; }
     boost::asio::awaitable<void> write(std::string) override { co_return; }
     boost::asio::awaitable<void> finishStream() override { co_return; }
+    void drop() override { noteCallerGone(); }
     void disconnect() { noteCallerGone(); }
 
     std::optional<Http::Response> response;
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -26,8 +26,8 @@
                                   linkMegabits},
             clock);
         exchange = std::make_unique<Gateway::SiblingExchange>(
-            context, Gateway::SiblingExchange::Dependencies {clock, *members, fleet, stores,
-                                                             weights, poisonNews, &teamRoom});
+            context, Gateway::SiblingExchange::Dependencies {
+                         clock, *members, fleet, stores, weights, poisonNews, nullptr, &teamRoom});
         clock.advance(1h);
         Gateway::UpstreamReport report;
         report.id = Core::UpstreamId("w1");
