LibCapacity: Measure engines by short prompts sooner

Cause: on a twin of a deployment with speeds 0.7 : 0.7 : 1.7, prompts of some 2,000 tokens take a fast engine less than 20 ms, so it got no samples, and the service was never found uneven in 40 s. Change: prompts from 10 ms on count, in proportion to their time, and the fixed time per prompt is fitted to 60 prompts.

--- a/Libraries/LibCapacity/OverheadEstimate.cpp
+++ b/Libraries/LibCapacity/OverheadEstimate.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Milliseconds MaxOverhead {60};
-constexpr double BlockSize = 100;
+constexpr double BlockSize = 60;
 // The smoothing factor of blocks after the first one.
 constexpr double BlockGain = 0.3;
 // The least standard deviation of the expected times, as a share of their mean. Prompts of nearly
--- a/Libraries/LibCapacity/SpeedEstimate.cpp
+++ b/Libraries/LibCapacity/SpeedEstimate.cpp
@@ -13,7 +13,7 @@
 // phase is not taken for a lasting change.
 constexpr Milliseconds FullWeightTime {100};
 // The times of shorter prompts depend more on the fixed time per prompt than on the speed.
-constexpr Milliseconds MinSampleTime {20};
+constexpr Milliseconds MinSampleTime {10};
 // The smoothing factor during a lasting change.
 constexpr double ChangeGain = 0.5;
 // A sample that deviates by more than this factor is odd.
