LibGateway: Let a deployment choose the division among teams and the queueing of requests

Prompts were held back although the engine chosen for them had no queue, and new requests waited behind queued ones that could not be sent. Change: both have a flag of the process and are off without it. A team is limited only where its prompt would wait for a quarter of its target, and a new request is planned before it is queued.

--- a/Libraries/LibCapacity/WaitingRoom.cpp
+++ b/Libraries/LibCapacity/WaitingRoom.cpp
@@ -184,13 +184,6 @@
     return next;
 }
 
-bool WaitingRoom::isPreceded(const WaitingRequest &request) const
-{
-    const auto lane = m_lanes.find(request.lane);
-    return lane != m_lanes.end()
-           && precedesByClass(m_requests.at(firstOf(lane->second)).request, request);
-}
-
 std::optional<Monotonic> WaitingRoom::leavesAt(Number number) const
 {
     const auto found = m_requests.find(number);
--- a/Libraries/LibCapacity/WaitingRoom.h
+++ b/Libraries/LibCapacity/WaitingRoom.h
@@ -96,10 +96,6 @@
     std::vector<Number> takeLeaving(Monotonic now);
     /// Returns when takeNext() or takeLeaving() has to be called again; empty if nothing waits.
     std::optional<Monotonic> nextLook() const;
-
-    /// Returns whether a waiting request of the lane precedes the given one for another reason than
-    /// its deadline, so that the given one is not planned before it.
-    bool isPreceded(const WaitingRequest &request) const;
     /// Returns when the queued request leaves if it is not sent before.
     std::optional<Monotonic> leavesAt(Number number) const;
     std::size_t size() const { return m_requests.size(); }
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -76,9 +76,10 @@
                 [this](const std::string &service, std::optional<double> rate) {
                     m_gateway.engineModel(service).setMedianRate(rate);
                 }})
-    , m_siblings(m_threads.at(0), {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(),
-                                   m_weights, m_poisonNews, &m_speeds,
-                                   m_settings.isMemoryScarce ? &m_gateway.teamRoom() : nullptr})
+    , m_siblings(m_threads.at(0),
+                 {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(), m_weights,
+                  m_poisonNews, &m_speeds,
+                  m_settings.sharesEnginesAmongTeams ? &m_gateway.teamRoom() : nullptr})
     , m_engineQueues(m_threads.at(0),
                      {m_interfaces.clock, m_members, m_fleet,
                       [this](const std::string &service) {
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -42,10 +42,14 @@
     RetryBudgetLimits retries;
     /// The memory that the process may use, 0 if unknown.
     std::size_t memoryBytes = 0;
-    /// Whether callers and upstreams may read slowly and engines end when the requests that they
-    /// hold exceed their memory. Switches on the limits on the memory of instances and engines, the
-    /// division of scarce engines among teams, and waiting for room.
+    /// Whether callers and upstreams may read slowly and engines terminate when the requests that
+    /// they hold exceed their memory. Switches on the limits on the memory of instances and
+    /// engines.
     bool isMemoryScarce = false;
+    /// Whether the capacity of engines that are short of it is divided among teams.
+    bool sharesEnginesAmongTeams = false;
+    /// Whether requests that find no capacity are queued at their instance.
+    bool queuesRequests = false;
     /// The memory for the bodies of requests and answers that are held at the same time.
     std::size_t bodyMemoryBytes = std::size_t {64} * 1024 * 1024;
 };
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -328,7 +328,7 @@
 
 bool RequestRelay::mayWait() const
 {
-    return m_gateway.dependencies().settings.isMemoryScarce && m_progress.sends == 0
+    return m_gateway.dependencies().settings.queuesRequests && m_progress.sends == 0
            && !m_gateway.plannedStop().hasBegun();
 }
 
@@ -336,13 +336,7 @@
 {
     if (!mayWait())
         co_return co_await plan();
-    std::variant<RequestPlan, Refusal> planned;
-    if (isPrecededInQueue(m_gateway, m_request))
-        planned = Refusal {Core::ErrorKind::Overloaded,
-                           "requests that precede this one wait for capacity", ShortRetryAfter,
-                           Capacity::WaitingOutlook {.excess = ShortRetryAfter}};
-    else
-        planned = co_await plan();
+    auto planned = co_await plan();
     const auto *refusal = std::get_if<Refusal>(&planned);
     if (!refusal || !refusal->shortage || m_cancelReason != CancelReason::None)
         co_return planned;
@@ -1020,7 +1014,7 @@
 asio::awaitable<void> RequestRelay::refuse(const Refusal &refusal)
 {
     auto retryAfter = refusal.retryAfter;
-    if (refusal.shortage && m_gateway.dependencies().settings.isMemoryScarce) {
+    if (refusal.shortage && m_gateway.dependencies().settings.queuesRequests) {
         retryAfter = promiseReturn(m_gateway, m_request, *refusal.shortage);
         logCapacityRefusal(m_gateway, m_request, *refusal.shortage, m_waited, retryAfter);
     }
--- a/Libraries/LibGateway/RequestWait.cpp
+++ b/Libraries/LibGateway/RequestWait.cpp
@@ -124,11 +124,6 @@
     return use;
 }
 
-bool isPrecededInQueue(Gateway &gateway, const AcceptedRequest &request)
-{
-    return gateway.queue().room().isPreceded(waitingRequest(gateway, request, 0));
-}
-
 std::optional<std::chrono::milliseconds>
 promiseReturn(Gateway &gateway, const AcceptedRequest &request, const WaitingOutlook &outlook)
 {
--- a/Libraries/LibGateway/RequestWait.h
+++ b/Libraries/LibGateway/RequestWait.h
@@ -54,10 +54,6 @@
 /// Returns the team's use of its share of the route's engines; 1 or less is within the share.
 double teamUseOf(Gateway &gateway, const AcceptedRequest &request);
 
-/// Returns whether a queued request of the same route precedes this one, which is then queued
-/// without being planned.
-bool isPrecededInQueue(Gateway &gateway, const AcceptedRequest &request);
-
 /// Returns when the caller of a request that is refused for want of capacity should return; empty
 /// if it has no time for that.
 std::optional<std::chrono::milliseconds> promiseReturn(Gateway &gateway,
--- a/Libraries/LibGateway/TeamAdmission.cpp
+++ b/Libraries/LibGateway/TeamAdmission.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Shorter waits, as a share of the target, do not show that teams compete for the engines.
+constexpr double MinContestedWait = 0.25;
+
 std::string formatInteger(double number)
 {
     return std::to_string(static_cast<std::uint64_t>(number));
@@ -33,7 +36,7 @@
 
 bool isCounted(const Gateway &gateway, const RequestPlan &plan)
 {
-    return gateway.dependencies().settings.isMemoryScarce && plan.engine.has_value();
+    return gateway.dependencies().settings.sharesEnginesAmongTeams && plan.engine.has_value();
 }
 
 } // namespace
@@ -53,7 +56,7 @@
                                      const std::string &service, const EngineChoice &choice)
 {
     auto &counts = request.teamCounts;
-    if (!gateway.dependencies().settings.isMemoryScarce || counts.isSent)
+    if (!gateway.dependencies().settings.sharesEnginesAmongTeams || counts.isSent)
         return std::nullopt;
     auto &room = gateway.teamRoom();
     const auto now = gateway.dependencies().clock.now();
@@ -62,6 +65,10 @@
         room.noteAsked(service, team, request.promptTokens(), now);
         room.noteWait(service, choice.expectedWait, request.route->target, now);
     }
+    // A prompt that hardly waits takes nothing from other teams, and the capacity that is divided
+    // may be underestimated.
+    if (choice.expectedWait < MinContestedWait * EngineModel::Milliseconds(request.route->target))
+        return std::nullopt;
     const auto excess = room.refuse(service, team, request.promptTokens(), now);
     if (!excess)
         return std::nullopt;
--- a/Libraries/LibGateway/TeamAdmission.h
+++ b/Libraries/LibGateway/TeamAdmission.h
@@ -19,7 +19,7 @@
 /// Counts the prompt among those that its team asks of the service, the first time that it is
 /// planned, and returns a refusal if it exceeds the team's share of a service that is short of
 /// capacity. A prompt that was sent before, as an earlier attempt, is not refused. Does nothing
-/// unless memory is scarce.
+/// unless GatewaySettings::sharesEnginesAmongTeams.
 std::optional<Refusal> refuseForTeam(Gateway &gateway, const AcceptedRequest &request,
                                      const std::string &service, const EngineChoice &choice);
 
--- a/Tests/LibGateway/TestEngineSpeeds.cpp
+++ b/Tests/LibGateway/TestEngineSpeeds.cpp
@@ -160,19 +160,19 @@
 using GatewayTests::FleetSimulation;
 using GatewayTests::PromptKind;
 
-const std::vector<PromptKind> Kinds {{.name = "long",
-                                      .perSecond = 65,
-                                      .ownTokens = 6'600,
-                                      .spread = 0.7,
-                                      .target = 800ms,
-                                      .callerTime = 15'000ms},
-                                     {.name = "short",
-                                      .perSecond = 120,
-                                      .ownTokens = 1'800,
-                                      .spread = 0.7,
-                                      .target = 400ms,
-                                      .callerTime = 3'000ms,
-                                      .isUrgent = true}};
+const std::vector<PromptKind> promptKinds {{.name = "long",
+                                            .perSecond = 65,
+                                            .ownTokens = 6'600,
+                                            .spread = 0.7,
+                                            .target = 800ms,
+                                            .callerTime = 15'000ms},
+                                           {.name = "short",
+                                            .perSecond = 120,
+                                            .ownTokens = 1'800,
+                                            .spread = 0.7,
+                                            .target = 400ms,
+                                            .callerTime = 3'000ms,
+                                            .isUrgent = true}};
 
 FleetShape unevenShape(bool measuresSpeeds)
 {
@@ -192,7 +192,7 @@
 {
     double inTime[2] = {};
     for (const bool measuresSpeeds : {false, true}) {
-        FleetSimulation fleet(unevenShape(measuresSpeeds), Kinds);
+        FleetSimulation fleet(unevenShape(measuresSpeeds), promptKinds);
         const auto begin = fleet.now();
         // One of the fast engines is slow for the middle third.
         constexpr unsigned Changed = 2;
@@ -236,7 +236,7 @@
             auto shape = unevenShape(measuresSpeeds);
             shape.seed = seed;
             shape.length = 20s;
-            FleetSimulation fleet(shape, Kinds);
+            FleetSimulation fleet(shape, promptKinds);
             fleet.run();
             inTime[measuresSpeeds ? 1 : 0] = fleet.tally("long").inTimeShare();
         }
--- a/Tests/LibGateway/TestRequestPlan.cpp
+++ b/Tests/LibGateway/TestRequestPlan.cpp
@@ -137,9 +137,9 @@
     unsigned refused = 0;
     std::string reason;
 
-    explicit TeamFixture(bool isMemoryScarce)
+    explicit TeamFixture(bool sharesEngines)
     {
-        settings.isMemoryScarce = isMemoryScarce;
+        settings.sharesEnginesAmongTeams = sharesEngines;
         large.name = "large";
         small.name = "small";
         route.target = 100ms;
@@ -220,7 +220,7 @@
     CHECK(admitted() == Approx(0).margin(1));
 }
 
-TEST_CASE("teams are not counted unless memory is scarce")
+TEST_CASE("teams are not counted unless engines are shared among them")
 {
     TeamFixture fixture(false);
     for (int step = 0; step < 100; ++step) {
--- a/Tests/LibGateway/TestRequestWait.cpp
+++ b/Tests/LibGateway/TestRequestWait.cpp
@@ -64,10 +64,10 @@
     Exchange exchange;
     static constexpr std::uint64_t Queued = 100'000;
 
-    explicit Fixture(bool isMemoryScarce = true)
+    explicit Fixture(bool queuesRequests = true)
     {
         clock.advance(1h);
-        settings.isMemoryScarce = isMemoryScarce;
+        settings.queuesRequests = queuesRequests;
         Gateway::UpstreamReport report;
         report.id = Core::UpstreamId("w1");
         report.service = "llm";
