LibGateway: Let a deployment choose placement by speed and the limit on engine memory

Change: both have a flag of the process and are off without it; speeds are still measured, shared and shown.

--- a/Libraries/LibGateway/EngineSpeeds.cpp
+++ b/Libraries/LibGateway/EngineSpeeds.cpp
@@ -77,11 +77,12 @@
     });
     table.refresh(m_dependencies.clock.now());
     const bool isUneven = table.isUneven();
-    m_dependencies.setRate(name, isUneven ? std::optional(table.medianRate()) : std::nullopt);
+    const bool isInForce = isUneven && (!m_dependencies.isInForce || m_dependencies.isInForce());
+    m_dependencies.setRate(name, isInForce ? std::optional(table.medianRate()) : std::nullopt);
     for (const auto &engine : m_dependencies.fleet.members(name))
-        engine->setSpeed(isUneven ? std::optional(
+        engine->setSpeed(isInForce ? std::optional(
                              table.relativeSpeed(UpstreamFleet::hashOf(engine->report().id)))
-                                  : std::nullopt);
+                                   : std::nullopt);
     if (isUneven != std::exchange(service.wasUneven, isUneven))
         logChange(name, service);
 }
--- a/Libraries/LibGateway/EngineSpeeds.h
+++ b/Libraries/LibGateway/EngineSpeeds.h
@@ -28,6 +28,8 @@
         /// Sets the rate of the service's median engine, in tokens per millisecond; empty while the
         /// engines are even, so that the common rate of the service applies.
         std::function<void(const std::string &service, std::optional<double> rate)> setRate;
+        /// Whether prompts are placed by the speeds. If it is empty, they are.
+        std::function<bool()> isInForce = {};
     };
 
     explicit EngineSpeeds(Dependencies dependencies);
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -75,7 +75,8 @@
     , m_speeds({m_interfaces.clock, m_fleet,
                 [this](const std::string &service, std::optional<double> rate) {
                     m_gateway.engineModel(service).setMedianRate(rate);
-                }})
+                },
+                [this] { return m_settings.placesByEngineSpeed; }})
     , m_siblings(m_threads.at(0),
                  {m_interfaces.clock, m_members, m_fleet, m_gateway.stores(), m_weights,
                   m_poisonNews, &m_speeds,
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -43,9 +43,13 @@
     /// The memory that the process may use, 0 if unknown.
     std::size_t memoryBytes = 0;
     /// Whether callers and upstreams may read slowly and engines terminate when the requests that
-    /// they hold exceed their memory. Switches on the limits on the memory of instances and
-    /// engines.
+    /// they hold exceed their memory. Switches on the limit on the memory of an instance.
     bool isMemoryScarce = false;
+    /// Whether the prompts of all instances at an engine are limited by its memory.
+    bool limitsEngineMemory = false;
+    /// Whether prompts are placed by the measured speeds of engines while those of a service are
+    /// uneven.
+    bool placesByEngineSpeed = false;
     /// Whether the capacity of engines that are short of it is divided among teams.
     bool sharesEnginesAmongTeams = false;
     /// Whether requests that find no capacity are queued at their instance.
--- a/Libraries/LibGateway/MemoryAdmission.cpp
+++ b/Libraries/LibGateway/MemoryAdmission.cpp
@@ -18,7 +18,7 @@
 bool exceedsEngines(const Gateway &gateway, const AcceptedRequest &request,
                     const std::string &service)
 {
-    if (!gateway.dependencies().settings.isMemoryScarce || request.caller.model.empty())
+    if (!gateway.dependencies().settings.limitsEngineMemory || request.caller.model.empty())
         return false;
     const auto *found = request.configuration->findService(service);
     return found && found->engine
@@ -49,7 +49,7 @@
                                     const RequestPlan &plan)
 {
     const auto *service = request.configuration->findService(plan.service);
-    if (!gateway.dependencies().settings.isMemoryScarce || !plan.engine || !service
+    if (!gateway.dependencies().settings.limitsEngineMemory || !plan.engine || !service
         || !service->engine)
         return std::nullopt;
     const Capacity::EngineContents engine {plan.upstream->allMemoryTokens(),
--- a/Libraries/LibGateway/MemoryAdmission.h
+++ b/Libraries/LibGateway/MemoryAdmission.h
@@ -8,7 +8,7 @@
 namespace Gateway {
 
 /// Functions that apply Capacity::EngineMemory to requests. They admit everything unless
-/// GatewaySettings::isMemoryScarce.
+/// GatewaySettings::limitsEngineMemory.
 
 /// Returns whether the prompt is larger than the memory of any engine of the service.
 bool exceedsEngines(const Gateway &gateway, const AcceptedRequest &request,
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -95,7 +95,7 @@
     demand.slots = engine.slots;
     demand.memoryTokens = request.memoryTokens();
     demand.memoryCapacity = engine.cacheTokens;
-    if (dependencies.settings.isMemoryScarce)
+    if (dependencies.settings.limitsEngineMemory)
         demand.memory = &gateway.engineMemory(service.name);
     demand.fetchTokensPerMillisecond = transferRate(engine.linkMegabitsPerSecond, engine);
     return demand;
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -313,7 +313,7 @@
         m_place = co_await queues->enter(
             entered, {plan->uncachedTokens(m_request), m_request.memoryTokens(),
                       isUrgent(*m_request.route, m_request.tenant), remainingTime(),
-                      m_gateway.dependencies().settings.isMemoryScarce});
+                      m_gateway.dependencies().settings.limitsEngineMemory});
         const bool isAsKnown = entered->tokensAhead(false) <= known + MaxUnknownTokens;
         const auto full = m_place ? refuseIfFull(m_gateway, m_request, *plan) : std::nullopt;
         const bool isLast = (!isAsKnown || full) && ++queries > MaxQueueQueries;
--- a/Tests/LibGateway/TestRequestPlan.cpp
+++ b/Tests/LibGateway/TestRequestPlan.cpp
@@ -104,7 +104,7 @@
     auto planned = planRequest(fixture.gateway, fixture.request, {});
     const auto plan = std::get<Gateway::RequestPlan>(planned);
     CHECK_FALSE(refuseIfFull(fixture.gateway, fixture.request, plan));
-    fixture.settings.isMemoryScarce = true;
+    fixture.settings.limitsEngineMemory = true;
     // As if the keeper of the queue had answered after the choice.
     REQUIRE(refuseIfFull(fixture.gateway, fixture.request, plan));
     REQUIRE(refusal());
