LibGateway: Log when a configuration takes effect late and when a read is late

Cause: nothing told a version that was read late from one that was put in force late, nor that a read of the store got no answer in time. Result: no decision changes; not measured by itself.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -76,6 +76,7 @@
     EventRow {EventId::LogRecordInvalid, EventLevel::Warning, "log_record_invalid", "A record in the platform's log cannot be decoded and is skipped."},
     EventRow {EventId::LogSourceChanged, EventLevel::Info, "log_source_changed", "The source of a log changed from the store to siblings, or back to the store."},
     EventRow {EventId::StoreCalled, EventLevel::Debug, "store_called", "The store was called, for the given log and purpose."},
+    EventRow {EventId::StoreReadLate, EventLevel::Info, "store_read_late", "The answer to a read of the store is late."},
     EventRow {EventId::UsageAppended, EventLevel::Debug, "usage_appended", "Usage records were appended."},
     EventRow {EventId::UsageLost, EventLevel::Warning, "usage_lost", "Usage records could not be appended before the process ended."},
 };
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -82,6 +82,7 @@
     LogRecordInvalid = 702,
     LogSourceChanged = 703,
     StoreCalled = 704,
+    StoreReadLate = 705,
     UsageAppended = 800,
     UsageLost = 801,
 };
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -110,13 +110,13 @@
         return;
     }
     for (const auto &record : page.records)
-        applyOperator(record);
+        applyOperator(record, page.isFromSibling ? "sibling" : "store");
     m_nextOperatorOffset = page.next;
     if (page.isComplete)
         m_dependencies.configuration.confirm(page.asOf);
 }
 
-void FleetWatcher::applyOperator(const FleetRecord &record)
+void FleetWatcher::applyOperator(const FleetRecord &record, std::string_view source)
 {
     if (!record.value)
         return;
@@ -137,7 +137,11 @@
     if (!m_dependencies.configuration.adopt(
             std::make_shared<const GatewayConfiguration>(std::move(*configuration))))
         return;
-    Core::logEvent(Core::EventId::ConfigurationInForce, {{"version", std::to_string(version)}});
+    Core::logEvent(
+        Core::EventId::ConfigurationInForce,
+        {{"version", std::to_string(version)},
+         {"source", std::string(source)},
+         {"previous_read_ms", text(m_dependencies.configuration.age(m_dependencies.clock.now()))}});
     m_onConfigurationChanged();
 }
 
--- a/Libraries/LibGateway/FleetWatcher.h
+++ b/Libraries/LibGateway/FleetWatcher.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace Gateway {
 
@@ -44,8 +45,8 @@
     /// Reads the upstreams' records until the process ends.
     boost::asio::awaitable<void> watchUpstreams();
 
-    /// Applies a record that was read from the store. Public for tests.
-    void applyOperator(const FleetRecord &record);
+    /// Applies a record; the source, "store" or "sibling", is logged. Public for tests.
+    void applyOperator(const FleetRecord &record, std::string_view source = "store");
     void applyUpstream(const FleetRecord &record);
     void applyUpstreamsPage(const FleetPage &page);
     /// Removes the upstreams whose entries disappeared around an outage of the store and were not
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -363,6 +363,8 @@
             page = co_await m_dependencies.store.read(topic, from, wait);
             page.asOf = requestTime;
         }
+        if (m_dependencies.clock.now() > requestTime + wait + LateAnswerTime)
+            logLateRead(topic, requestTime);
         if (page.isFromSibling) {
             noteStoreFailure(topic);
             co_return page;
@@ -379,10 +381,26 @@
     } catch (const Core::Error &error) {
         failure = error;
     }
+    if (m_dependencies.clock.now() > requestTime + wait + LateAnswerTime)
+        logLateRead(topic, requestTime);
     noteStoreFailure(topic);
     throw *failure;
 }
 
+void SharedLog::logLateRead(FleetTopic topic, Core::Clock::Monotonic requestTime)
+{
+    const auto now = m_dependencies.clock.now();
+    const auto inMs = [](auto time) {
+        return std::to_string(duration_cast<milliseconds>(time).count());
+    };
+    const auto known = m_dependencies.relay.tail(topic).asOf();
+    Core::logEvent(
+        Core::EventId::StoreReadLate,
+        {{"log", std::string(nameOf(topic))},
+         {"read_ms", inMs(now - requestTime)},
+         {"age_ms", known == Core::Clock::Monotonic::min() ? "none" : inMs(now - known)}});
+}
+
 void SharedLog::noteStoreFailure(FleetTopic topic)
 {
     auto &state = m_topics[topic];
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -98,6 +98,7 @@
     std::chrono::milliseconds maxAgeOf(FleetTopic topic) const;
     boost::asio::awaitable<FleetPage> readStore(FleetTopic topic, std::uint64_t from,
                                                 std::chrono::milliseconds wait);
+    void logLateRead(FleetTopic topic, Core::Clock::Monotonic requestTime);
     /// Records that a read of the store failed, or that a sibling had newer records before it
     /// ended.
     void noteStoreFailure(FleetTopic topic);
