--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -34,6 +34,7 @@
     asio::awaitable<FleetPage> newest(FleetTopic) override
     {
         countCall();
+        co_await hangIfAsked();
         FleetPage page;
         page.next = m_records.size();
         if (!m_records.empty())
@@ -45,11 +46,7 @@
     {
         countCall();
         lastWait = wait;
-        if (isHanging || std::exchange(isNextHanging, false)) {
-            const HangingCall call(*this);
-            asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
+        co_await hangIfAsked();
         FleetPage page;
         page.next = m_records.size();
         for (auto n = from; n < m_records.size(); ++n)
@@ -66,7 +63,7 @@
 
     bool isUnavailable = false;
     bool isHanging = false;
-    /// Whether only the next read hangs.
+    /// Whether only the next call hangs.
     bool isNextHanging = false;
     int calls = 0;
     int hangingCalls = 0;
@@ -88,6 +85,14 @@
         StoreConnection &store;
     };
 
+    asio::awaitable<void> hangIfAsked()
+    {
+        if (isHanging || std::exchange(isNextHanging, false)) {
+            const HangingCall call(*this);
+            asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
     void countCall()
     {
         ++calls;
@@ -542,3 +547,47 @@
     CHECK(one.store.mostHangingCalls == 1);
     CHECK(one.store.hangingCalls == 0);
 }
+
+TEST_CASE("one read of the store without an answer does not make a log older than its bound")
+{
+    const auto [topic, bound] =
+        GENERATE(std::pair(FleetTopic::Operator, Gateway::GatewaySettings().configurationBound),
+                 std::pair(FleetTopic::Journal, std::chrono::milliseconds(10s)));
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    fleet.read(one, 0, 0ms, topic);
+    fleet.records.emplace_back("newer");
+    one.store.isNextHanging = true;
+    auto answer = asio::co_spawn(fleet.threads.at(0), one.log.read(topic, 1, 1s), asio::use_future);
+    REQUIRE(answer.wait_for(bound) == std::future_status::ready);
+    CHECK(answer.get().records.size() == 1);
+    CHECK(one.store.hangingCalls == 0);
+}
+
+TEST_CASE("a list of the newest records without an answer is requested again within the bound")
+{
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    one.store.isNextHanging = true;
+    auto answer =
+        asio::co_spawn(fleet.threads.at(0), one.log.newest(FleetTopic::Operator), asio::use_future);
+    REQUIRE(answer.wait_for(one.settings.configurationBound) == std::future_status::ready);
+    CHECK(answer.get().records.size() == 1);
+}
+
+TEST_CASE("after a failed read the store is read again before the configuration is too old")
+{
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    auto &other = fleet.add("n1");
+    fleet.read(one, 0);
+    fleet.read(other, 0);
+    one.store.isUnavailable = true;
+    fleet.read(one, 1);
+    one.store.isUnavailable = false;
+    fleet.records.emplace_back("newer");
+    // The rest of the bound is left for the read itself.
+    fleet.clock.advance(one.settings.configurationBound / 2);
+    fleet.exchangeDatagrams();
+    CHECK(fleet.read(one, 1).records.size() == 1);
+}
