LibGateway: Repeat late reads of every log, not only of the list of upstreams

What callers saw: a request on a route that had been added more than ConfigApplyMs before got 404 or was sent to the old service. Cause: a read of the operator's log that gets no answer ended after its wait and 1,200 ms and was not repeated, so one lost answer made the configuration 2.2 s old with a bound of 2.0 s, and then counted as a failed store.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -53,7 +53,7 @@
 // instances start at once, the readers know the records by then.
 constexpr auto StartPollInterval = 100ms;
 constexpr unsigned MaxStartPolls = 10;
-// When a read of the list of upstreams takes this much longer than its wait, a sibling is queried.
+// When a read takes this much longer than its wait, a sibling is queried, and the read is repeated.
 constexpr auto LateAnswerTime = 300ms;
 // The members become known when the journal has been read up to the own announcement.
 constexpr auto MembersPollInterval = 20ms;
@@ -80,6 +80,35 @@
     return "beliefs";
 }
 
+/// A read of the store that can be cancelled while the caller waits for it.
+struct SharedLog::PendingRead
+{
+    explicit PendingRead(const asio::any_io_executor &executor)
+        : done(executor)
+    { }
+
+    /// Waits for the end of the read; returns whether it has ended in time.
+    asio::awaitable<bool> awaitEnd(milliseconds time)
+    {
+        if (isDone)
+            co_return true;
+        done.expires_after(time);
+        boost::system::error_code ec;
+        co_await done.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_return isDone;
+    }
+
+    /// Ends the call, and with it its connection.
+    void cancel() { cancellation.emit(asio::cancellation_type::terminal); }
+
+    asio::cancellation_signal cancellation;
+    asio::steady_timer done;
+    bool isDone = false;
+    Core::Clock::Monotonic requestTime;
+    std::exception_ptr failure;
+    FleetPage page;
+};
+
 SharedLog::SharedLog(Dependencies dependencies)
     : m_dependencies(dependencies)
 { }
@@ -268,40 +297,11 @@
     throw *failure;
 }
 
-/// A read of the store that can be cancelled while the caller waits for it.
-struct SharedLog::PendingRead
-{
-    explicit PendingRead(const asio::any_io_executor &executor)
-        : done(executor)
-    { }
-
-    /// Waits for the end of the read; returns whether it has ended in time.
-    asio::awaitable<bool> awaitEnd(milliseconds time)
-    {
-        if (isDone)
-            co_return true;
-        done.expires_after(time);
-        boost::system::error_code ec;
-        co_await done.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        co_return isDone;
-    }
-
-    /// Ends the call, and with it its connection.
-    void cancel() { cancellation.emit(asio::cancellation_type::terminal); }
-
-    asio::cancellation_signal cancellation;
-    asio::steady_timer done;
-    bool isDone = false;
-    Core::Clock::Monotonic requestTime;
-    std::exception_ptr failure;
-    FleetPage page;
-};
-
 std::shared_ptr<SharedLog::PendingRead>
 SharedLog::startStoreRead(const asio::any_io_executor &executor, FleetTopic topic,
-                          std::uint64_t from, milliseconds wait)
+                          std::string_view name, asio::awaitable<FleetPage> call)
 {
-    noteStoreCall(topic, "read");
+    noteStoreCall(topic, name);
     auto read = std::make_shared<PendingRead>(executor);
     read->requestTime = m_dependencies.clock.now();
     auto finish = [read](std::exception_ptr failure, FleetPage page) {
@@ -310,7 +310,7 @@
         read->page = std::move(page);
         read->done.cancel();
     };
-    asio::co_spawn(executor, m_dependencies.store.read(topic, from, wait),
+    asio::co_spawn(executor, std::move(call),
                    asio::bind_cancellation_slot(read->cancellation.slot(), std::move(finish)));
     return read;
 }
@@ -325,22 +325,21 @@
     co_return page;
 }
 
-asio::awaitable<FleetPage> SharedLog::readUpstreams(std::uint64_t from, milliseconds wait)
+asio::awaitable<std::shared_ptr<SharedLog::PendingRead>>
+SharedLog::repeatRead(std::shared_ptr<PendingRead> late, FleetTopic topic, std::string_view name,
+                      std::function<asio::awaitable<FleetPage>()> call)
 {
-    constexpr auto Unlimited = 1h;
+    // A store that is known to fail gets no further calls.
+    if (late->isDone || m_topics[topic].isStoreFailing)
+        co_return late;
+    late->cancel();
     const auto executor = co_await asio::this_coro::executor;
-    auto read = startStoreRead(executor, FleetTopic::Upstreams, from, wait);
-    if (!co_await read->awaitEnd(wait + LateAnswerTime)) {
-        if (auto page = co_await readNewerFromSibling(FleetTopic::Upstreams, from)) {
-            read->cancel();
-            co_return std::move(*page);
-        }
-        // The answer may be lost. A store that is only slow has more time for the second one.
-        if (!read->isDone && !m_topics[FleetTopic::Upstreams].isStoreFailing) {
-            read->cancel();
-            read = startStoreRead(executor, FleetTopic::Upstreams, from, 0ms);
-        }
-    }
+    co_return startStoreRead(executor, topic, name, call());
+}
+
+asio::awaitable<FleetPage> SharedLog::finishRead(std::shared_ptr<PendingRead> read)
+{
+    constexpr auto Unlimited = 1h;
     while (!co_await read->awaitEnd(Unlimited)) { }
     if (read->failure)
         std::rethrow_exception(read->failure);
@@ -348,23 +347,35 @@
     co_return std::move(read->page);
 }
 
+asio::awaitable<FleetPage> SharedLog::readRepeatedly(FleetTopic topic, std::uint64_t from,
+                                                     milliseconds wait)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto read =
+        startStoreRead(executor, topic, "read", m_dependencies.store.read(topic, from, wait));
+    const bool isInTime = co_await read->awaitEnd(wait + LateAnswerTime);
+    if (!isInTime) {
+        logLateRead(topic, read->requestTime);
+        if (auto page = co_await readNewerFromSibling(topic, from)) {
+            read->cancel();
+            co_return std::move(*page);
+        }
+        // A store that is only slow has more time for the second answer.
+        std::function<asio::awaitable<FleetPage>()> call = [this, topic, from] {
+            return m_dependencies.store.read(topic, from, 0ms);
+        };
+        read = co_await repeatRead(std::move(read), topic, "read", std::move(call));
+    }
+    co_return co_await finishRead(std::move(read));
+}
+
 asio::awaitable<FleetPage> SharedLog::readStore(FleetTopic topic, std::uint64_t from,
                                                 milliseconds wait)
 {
     auto &state = m_topics[topic];
-    const auto requestTime = m_dependencies.clock.now();
     std::optional<Core::Error> failure;
     try {
-        FleetPage page;
-        if (topic == FleetTopic::Upstreams) {
-            page = co_await readUpstreams(from, wait);
-        } else {
-            noteStoreCall(topic, "read");
-            page = co_await m_dependencies.store.read(topic, from, wait);
-            page.asOf = requestTime;
-        }
-        if (m_dependencies.clock.now() > requestTime + wait + LateAnswerTime)
-            logLateRead(topic, requestTime);
+        auto page = co_await readRepeatedly(topic, from, wait);
         if (page.isFromSibling) {
             noteStoreFailure(topic);
             co_return page;
@@ -381,8 +392,6 @@
     } catch (const Core::Error &error) {
         failure = error;
     }
-    if (m_dependencies.clock.now() > requestTime + wait + LateAnswerTime)
-        logLateRead(topic, requestTime);
     noteStoreFailure(topic);
     throw *failure;
 }
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -104,12 +104,19 @@
     void noteStoreFailure(FleetTopic topic);
     struct PendingRead;
     std::shared_ptr<PendingRead> startStoreRead(const boost::asio::any_io_executor &executor,
-                                                FleetTopic topic, std::uint64_t from,
-                                                std::chrono::milliseconds wait);
-    /// Reads the list of upstreams from the store, or from a sibling that has newer records while
-    /// the store's answer is late. A late read is repeated once.
-    boost::asio::awaitable<FleetPage> readUpstreams(std::uint64_t from,
-                                                    std::chrono::milliseconds wait);
+                                                FleetTopic topic, std::string_view name,
+                                                boost::asio::awaitable<FleetPage> call);
+    /// Ends a late read and starts the call in its place, on a new connection. Returns the late one
+    /// if it has ended meanwhile, or if the store is known to fail.
+    boost::asio::awaitable<std::shared_ptr<PendingRead>>
+    repeatRead(std::shared_ptr<PendingRead> late, FleetTopic topic, std::string_view name,
+               std::function<boost::asio::awaitable<FleetPage>()> call);
+    /// Waits for the end of the read; throws Error if it failed.
+    boost::asio::awaitable<FleetPage> finishRead(std::shared_ptr<PendingRead> read);
+    /// Reads the store, or a sibling that has newer records while the store's answer is late. A
+    /// late read is repeated once.
+    boost::asio::awaitable<FleetPage> readRepeatedly(FleetTopic topic, std::uint64_t from,
+                                                     std::chrono::milliseconds wait);
     /// Returns nothing when no sibling has newer records than this instance.
     boost::asio::awaitable<std::optional<FleetPage>> readNewerFromSibling(FleetTopic topic,
                                                                           std::uint64_t from);
