--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -31,6 +31,8 @@
 // after the first failed read, and after many.
 constexpr int FirstRetriesPerMaxAge = 8;
 constexpr int RetriesPerMaxAge = 2;
+// A list of the newest records may have several pages, so it is late after this fraction.
+constexpr int LateListsPerMaxAge = 4;
 constexpr auto ReadersKey = "log readers";
 
 // Upstream reports and journal records arrive continuously. Reading them in batches reduces the
@@ -232,10 +234,17 @@
         if (auto page = co_await newestFromSiblings(topic))
             co_return std::move(*page);
     }
-    const auto requestTime = m_dependencies.clock.now();
-    noteStoreCall(topic, "newest");
-    auto page = co_await m_dependencies.store.newest(topic);
-    page.asOf = requestTime;
+    const auto executor = co_await asio::this_coro::executor;
+    auto read = startStoreRead(executor, topic, "newest", m_dependencies.store.newest(topic));
+    const bool isInTime = co_await read->awaitEnd(maxAgeOf(topic) / LateListsPerMaxAge);
+    if (!isInTime) {
+        logLateRead(topic, read->requestTime);
+        std::function<asio::awaitable<FleetPage>()> call = [this, topic] {
+            return m_dependencies.store.newest(topic);
+        };
+        read = co_await repeatRead(std::move(read), topic, "newest", std::move(call));
+    }
+    auto page = co_await finishRead(std::move(read));
     page.answeredAt = m_dependencies.clock.now();
     page.lastStoreFailure = m_topics[topic].lastStoreFailure;
     m_dependencies.relay.tail(topic).restart(page);
