LibGateway: Read the store again within the bound of the log after a failed read

What callers saw: an older version for seconds after a store had answered again. Cause: after a failed read the store was left alone for 3,000 ms while any sibling had data of up to twice the bound, and after an outage for all the siblings' data is as old as the own. The pause was a constant, the bound (2,000 ms) is a setting. Change: the pause begins with an eighth of the bound of the log and grows to half of it, 3 s at most, as it did for the list of upstreams.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -25,12 +25,11 @@
 
 // A sibling without useful data is queried again after this time.
 constexpr auto SkipTime = 2'000ms;
-// While reads of the store fail, it is read again after this time if siblings have recent data.
-constexpr auto StoreRetryPause = 3'000ms;
-// The fractions of the maximum age of the list of upstreams after which the store is read again
-// after the first failed read, and after many.
+// While reads of the store fail and siblings have recent data, the store is read again after these
+// fractions of the maximum age of the log: after the first failed read, and after many.
 constexpr int FirstRetriesPerMaxAge = 8;
 constexpr int RetriesPerMaxAge = 2;
+constexpr milliseconds MaxStoreRetryPause {3'000};
 // A list of the newest records may have several pages, so it is late after this fraction.
 constexpr int LateListsPerMaxAge = 4;
 constexpr auto ReadersKey = "log readers";
@@ -217,10 +216,7 @@
 
 milliseconds SharedLog::storeRetryPause(FleetTopic topic) const
 {
-    // Only the age of the list of upstreams has no other limit.
-    if (topic != FleetTopic::Upstreams)
-        return StoreRetryPause;
-    const auto maxPause = maxAgeOf(topic) / RetriesPerMaxAge;
+    const auto maxPause = std::min(maxAgeOf(topic) / RetriesPerMaxAge, MaxStoreRetryPause);
     auto pause = maxAgeOf(topic) / FirstRetriesPerMaxAge;
     for (unsigned n = 1; n < m_topics.at(topic).failedStoreReads && pause < maxPause; ++n)
         pause *= 2;
