LibGateway, LibHttp: Read the store on a new connection after one went silent

What callers saw: an older version for seconds after open connections had gone silent without a reset. Cause: each read after the first took another idle connection of the pool, silent too, and waited 1,200 ms on it.

--- a/Libraries/LibGateway/FleetLog.h
+++ b/Libraries/LibGateway/FleetLog.h
@@ -84,6 +84,9 @@
     /// Appends a record. With an expected end, appends only if the log ends at that offset.
     virtual boost::asio::awaitable<AppendOutcome>
     append(FleetTopic topic, std::string value, std::optional<std::uint64_t> expectedEnd) = 0;
+    /// Closes the connections that no call uses, so that the next calls are made on new ones. For a
+    /// log that is not reached over connections, this has no effect.
+    virtual void dropIdleConnections() { }
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -338,6 +338,8 @@
     if (late->isDone || m_topics[topic].isStoreFailing)
         co_return late;
     late->cancel();
+    // Other connections may have gone silent together with that of the late read.
+    m_dependencies.store.dropIdleConnections();
     const auto executor = co_await asio::this_coro::executor;
     co_return startStoreRead(executor, topic, name, call());
 }
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -265,6 +265,11 @@
     m_pool->closeHalf();
 }
 
+void Client::closeIdle(const Endpoint &endpoint)
+{
+    m_pool->close(endpoint);
+}
+
 void CallAbort::abort()
 {
     m_isAborted = true;
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -104,6 +104,9 @@
 
     /// Closes half of the idle connections, to free descriptors. Safe from any thread.
     void closeIdleHalf();
+    /// Closes the idle connections to the endpoint, because they may have gone silent. Safe from
+    /// any thread.
+    void closeIdle(const Endpoint &endpoint);
 
 private:
     std::shared_ptr<ConnectionPool> m_pool;
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -104,18 +104,34 @@
     const std::scoped_lock lock(m_mutex);
     for (auto at = m_idle.begin(); at != m_idle.end();) {
         auto &connections = at->second;
-        const auto end =
-            connections.begin() + static_cast<std::ptrdiff_t>((connections.size() + 1) / 2);
-        // Each connection is destroyed on its own thread.
-        std::for_each(connections.begin(), end, [](auto &connection) {
-            const auto executor = connection->stream.get_executor();
-            asio::post(executor, [closing = std::move(connection)] {});
-        });
-        connections.erase(connections.begin(), end);
+        closeFirst(connections, (connections.size() + 1) / 2);
         at = connections.empty() ? m_idle.erase(at) : std::next(at);
     }
 }
 
+void ConnectionPool::close(const Endpoint &endpoint)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (auto at = m_idle.begin(); at != m_idle.end();) {
+        if (at->first.endpoint != endpoint) {
+            ++at;
+            continue;
+        }
+        closeFirst(at->second, at->second.size());
+        at = m_idle.erase(at);
+    }
+}
+
+void ConnectionPool::closeFirst(Connections &connections, std::size_t count)
+{
+    const auto end = connections.begin() + static_cast<std::ptrdiff_t>(count);
+    std::for_each(connections.begin(), end, [](auto &connection) {
+        const auto executor = connection->stream.get_executor();
+        asio::post(executor, [closing = std::move(connection)] {});
+    });
+    connections.erase(connections.begin(), end);
+}
+
 std::size_t ConnectionPool::size() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -60,6 +60,8 @@
     void put(const Key &key, ClientConnectionPtr connection, std::chrono::milliseconds idleTime);
     /// Closes the half of each endpoint's connections that have been idle longest.
     void closeHalf();
+    /// Closes all connections to the endpoint.
+    void close(const Endpoint &endpoint);
     std::size_t size() const;
 
     static constexpr std::size_t MaxConnectionsPerEndpoint = 64;
@@ -70,6 +72,8 @@
     void watch(const Key &key, const ClientConnectionPtr &connection,
                std::chrono::milliseconds idleTime);
     void remove(const Key &key, const ClientConnectionPtr &connection);
+    /// Destroys the first connections of a list, each on its own thread.
+    static void closeFirst(Connections &connections, std::size_t count);
 
     mutable std::mutex m_mutex;
     /// Of each endpoint, those that have been idle longest come first.
