LibGateway: Leave a store that rejects an instance alone for half of the bound

Change: only the list of upstreams is read again so soon, as before; the other logs after half of their bound, 3 s at most.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -25,10 +25,11 @@
 
 // A sibling without useful data is queried again after this time.
 constexpr auto SkipTime = 2'000ms;
-// While reads of the store fail and siblings have recent data, the store is read again after these
-// fractions of the maximum age of the log: after the first failed read, and after many.
-constexpr int FirstRetriesPerMaxAge = 8;
+// While reads of the store fail and siblings have recent data, the store is read again after this
+// fraction of the maximum age of the log; for the list of upstreams, the first time after a shorter
+// one.
 constexpr int RetriesPerMaxAge = 2;
+constexpr int FirstRetriesPerMaxAge = 8;
 constexpr milliseconds MaxStoreRetryPause {3'000};
 // A list of the newest records may have several pages, so it is late after this fraction.
 constexpr int LateListsPerMaxAge = 4;
@@ -217,6 +218,9 @@
 milliseconds SharedLog::storeRetryPause(FleetTopic topic) const
 {
     const auto maxPause = std::min(maxAgeOf(topic) / RetriesPerMaxAge, MaxStoreRetryPause);
+    // Only the age of the list of upstreams has no other limit.
+    if (topic != FleetTopic::Upstreams)
+        return maxPause;
     auto pause = maxAgeOf(topic) / FirstRetriesPerMaxAge;
     for (unsigned n = 1; n < m_topics.at(topic).failedStoreReads && pause < maxPause; ++n)
         pause *= 2;
