LibGateway: Move the choice of an upstream's keeper out of its queues

Cause: the limits of upstreams need the same choice with other members passed over. Change: chooseKeeper(), unchanged.

--- a/Libraries/LibGateway/EngineQueueExchange.cpp
+++ b/Libraries/LibGateway/EngineQueueExchange.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/EngineQueueExchange.h>
 #include <LibGateway/FleetMessages_generated.h>
 #include <LibGateway/FleetWatcher.h>
+#include <LibGateway/KeeperChoice.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -32,9 +33,6 @@
 constexpr milliseconds MaxExpiry = 5'000ms;
 // The same for one that has begun to answer, if its instance asks for it.
 constexpr milliseconds MaxRunningExpiry = 60'000ms;
-// Only the members with the fastest links keep queues, if there are many.
-constexpr std::size_t MinKeepers = 4;
-constexpr std::size_t KeeperDivisor = 2;
 
 std::uint64_t random64()
 {
@@ -100,37 +98,8 @@
 
 FleetMember EngineQueueExchange::keeperOf(const Upstream &engine) const
 {
-    const auto &members = m_dependencies.members;
-    const auto &dataCentre = engine.report().dataCentre;
-    // Datagrams of other data centres do not arrive in a large fleet, so whether their members are
-    // reachable shows only when they do not answer.
-    const bool isUnseen = members.isLarge() && dataCentre != members.self().dataCentre;
-    std::vector<const FleetMember *> candidates;
-    const auto collect = [&](bool isAnyDataCentre) {
-        const auto &self = members.self();
-        if (isAnyDataCentre || self.dataCentre == dataCentre)
-            candidates.push_back(&self);
-        for (const auto &[instance, sibling] : members.siblings()) {
-            if ((isAnyDataCentre || sibling.member.dataCentre == dataCentre)
-                && (isUnseen || members.isReachable(sibling)) && !isSkipped(instance))
-                candidates.push_back(&sibling.member);
-        }
-    };
-    collect(false);
-    if (candidates.empty())
-        collect(true);
-    std::sort(candidates.begin(), candidates.end(), [](const auto *left, const auto *right) {
-        return std::pair(right->linkMegabits, left->instance)
-               < std::pair(left->linkMegabits, right->instance);
-    });
-    candidates.resize(
-        std::min(candidates.size(), std::max(MinKeepers, candidates.size() / KeeperDivisor)));
-    const auto key = UpstreamFleet::hashOf(engine.report().id);
-    return **std::max_element(candidates.begin(), candidates.end(),
-                              [key](const auto *left, const auto *right) {
-                                  return Core::hash64(left->instance.value(), key)
-                                         < Core::hash64(right->instance.value(), key);
-                              });
+    return chooseKeeper(m_dependencies.members, engine.report(),
+                        [this](const Core::InstanceId &instance) { return isSkipped(instance); });
 }
 
 asio::awaitable<std::unique_ptr<QueuePlace>>
