LibGateway: Keep all instances together within the limit that an upstream names

What callers saw: an upstream in need got eleven times the requests that it takes. Cause: nothing read Server-Limit. Change: answers' limits are kept with the incarnation that named them. Before a request is sent there, the instance asks the upstream's keeper for a sending time (RateLimitExchange); if there is none, another upstream is chosen (LimitSearch), or the request waits for its time, or is refused with the time at which there is room. The limit ends with an answer without it; the keeper passes that on to the others as they ask.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -51,6 +51,7 @@
     EventRow {EventId::UpstreamRemovalDelayed, EventLevel::Info, "upstream_removal_delayed", "An upstream is no longer listed and stays in use for a while, because its entry may have expired in an outage of the store."},
     EventRow {EventId::UpstreamSpeedChanged, EventLevel::Info, "upstream_speed_changed", "The measured speed of an engine changed by a third or more."},
     EventRow {EventId::ServiceUnevenChanged, EventLevel::Info, "service_uneven_changed", "The engines of a service became uneven in speed, or even again; while they are uneven, prompts are placed by the engines' own speeds."},
+    EventRow {EventId::UpstreamLimitChanged, EventLevel::Info, "upstream_limit_changed", "An upstream named, changed or withdrew a limit on the requests a second that it takes from all instances."},
     EventRow {EventId::ConfigurationInForce, EventLevel::Info, "configuration_in_force", "A configuration generation is in force on this instance."},
     EventRow {EventId::ConfigurationRefused, EventLevel::Warning, "configuration_refused", "A published document is invalid, or another publication came first."},
     EventRow {EventId::ConfigurationFromSibling, EventLevel::Info, "configuration_from_sibling", "A starting instance took its configuration from a sibling."},
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -57,6 +57,7 @@
     UpstreamRemovalDelayed = 316,
     UpstreamSpeedChanged = 317,
     ServiceUnevenChanged = 318,
+    UpstreamLimitChanged = 319,
     ConfigurationInForce = 400,
     ConfigurationRefused = 401,
     ConfigurationFromSibling = 402,
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -77,6 +77,11 @@
 struct QuotaMessage;
 struct QuotaMessageBuilder;
 
+struct RateLimitMove;
+
+struct RateLimitMessage;
+struct RateLimitMessageBuilder;
+
 struct PartEntry;
 
 struct HolderBeliefs;
@@ -262,6 +267,42 @@
   return EnumNamesQuotaStep()[index];
 }
 
+enum class RateLimitStep : uint8_t {
+  Ask = 0,
+  Grant = 1,
+  Refuse = 2,
+  End = 3,
+  MIN = Ask,
+  MAX = End
+};
+
+inline const RateLimitStep (&EnumValuesRateLimitStep())[4] {
+  static const RateLimitStep values[] = {
+    RateLimitStep::Ask,
+    RateLimitStep::Grant,
+    RateLimitStep::Refuse,
+    RateLimitStep::End
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesRateLimitStep() {
+  static const char * const names[5] = {
+    "Ask",
+    "Grant",
+    "Refuse",
+    "End",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameRateLimitStep(RateLimitStep e) {
+  if (flatbuffers::IsOutRange(e, RateLimitStep::Ask, RateLimitStep::End)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesRateLimitStep()[index];
+}
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PoisonPart FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t part_;
@@ -763,6 +804,64 @@
 };
 FLATBUFFERS_STRUCT_END(QuotaMove, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RateLimitMove FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t upstream_;
+  double limit_;
+  double wait_ms_;
+  uint32_t age_ms_;
+  uint8_t has_limit_;
+  uint8_t step_;
+  int16_t padding0__;
+
+ public:
+  RateLimitMove()
+      : number_(0),
+        upstream_(0),
+        limit_(0),
+        wait_ms_(0),
+        age_ms_(0),
+        has_limit_(0),
+        step_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RateLimitMove(uint64_t _number, uint64_t _upstream, double _limit, double _wait_ms, uint32_t _age_ms, bool _has_limit, Gateway::Wire::RateLimitStep _step)
+      : number_(flatbuffers::EndianScalar(_number)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        limit_(flatbuffers::EndianScalar(_limit)),
+        wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        has_limit_(flatbuffers::EndianScalar(static_cast<uint8_t>(_has_limit))),
+        step_(flatbuffers::EndianScalar(static_cast<uint8_t>(_step))),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  double limit() const {
+    return flatbuffers::EndianScalar(limit_);
+  }
+  double wait_ms() const {
+    return flatbuffers::EndianScalar(wait_ms_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  bool has_limit() const {
+    return flatbuffers::EndianScalar(has_limit_) != 0;
+  }
+  Gateway::Wire::RateLimitStep step() const {
+    return static_cast<Gateway::Wire::RateLimitStep>(flatbuffers::EndianScalar(step_));
+  }
+};
+FLATBUFFERS_STRUCT_END(RateLimitMove, 40);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartEntry FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t chain_;
@@ -1839,6 +1938,69 @@
       moves__);
 }
 
+struct RateLimitMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateLimitMessageBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIFE = 4,
+    VT_MOVES = 6
+  };
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
+  }
+  const flatbuffers::Vector<const Gateway::Wire::RateLimitMove *> *moves() const {
+    return GetPointer<const flatbuffers::Vector<const Gateway::Wire::RateLimitMove *> *>(VT_MOVES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyOffset(verifier, VT_MOVES) &&
+           verifier.VerifyVector(moves()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RateLimitMessageBuilder {
+  typedef RateLimitMessage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(RateLimitMessage::VT_LIFE, life, 0);
+  }
+  void add_moves(flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::RateLimitMove *>> moves) {
+    fbb_.AddOffset(RateLimitMessage::VT_MOVES, moves);
+  }
+  explicit RateLimitMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateLimitMessage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateLimitMessage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateLimitMessage> CreateRateLimitMessage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t life = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Gateway::Wire::RateLimitMove *>> moves = 0) {
+  RateLimitMessageBuilder builder_(_fbb);
+  builder_.add_life(life);
+  builder_.add_moves(moves);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RateLimitMessage> CreateRateLimitMessageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t life = 0,
+    const std::vector<Gateway::Wire::RateLimitMove> *moves = nullptr) {
+  auto moves__ = moves ? _fbb.CreateVectorOfStructs<Gateway::Wire::RateLimitMove>(*moves) : 0;
+  return Gateway::Wire::CreateRateLimitMessage(
+      _fbb,
+      life,
+      moves__);
+}
+
 struct HolderBeliefs FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HolderBeliefsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -15,6 +15,7 @@
 #include <LibGateway/PoisonRequestTable.h>
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/QuotaExchange.h>
+#include <LibGateway/RateLimitExchange.h>
 #include <LibGateway/RequestDialect.h>
 #include <LibGateway/RetryBudgetShare.h>
 #include <LibGateway/RetrySlack.h>
@@ -113,6 +114,9 @@
     /// The usage caps of teams; null if they are not enforced.
     QuotaExchange *quotas() const { return m_quotas; }
     void setQuotas(QuotaExchange *quotas) { m_quotas = quotas; }
+    /// The limits that upstreams name; null if they are not enforced.
+    RateLimitExchange *rateLimits() const { return m_rateLimits; }
+    void setRateLimits(RateLimitExchange *limits) { m_rateLimits = limits; }
     /// The answers that are being sent to callers. Shared, since a request may be destroyed after
     /// the gateway.
     const std::shared_ptr<Http::UnreadAnswers> &unreadAnswers() const { return m_unreadAnswers; }
@@ -156,6 +160,7 @@
     std::map<std::string, ReturningCallers> m_returning;
     EngineQueueExchange *m_engineQueues = nullptr;
     QuotaExchange *m_quotas = nullptr;
+    RateLimitExchange *m_rateLimits = nullptr;
     std::minstd_rand m_random;
     std::optional<unsigned> m_instanceCount;
     PlannedStop m_plannedStop;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -101,6 +101,11 @@
                                  [this](const Http::Endpoint &sibling, std::string_view datagram) {
                                      m_siblings.sendTo(sibling, datagram);
                                  }})
+    , m_rateLimits(m_threads.at(0),
+                   {m_interfaces.clock, m_members, m_fleet,
+                    [this](const Http::Endpoint &sibling, std::string_view datagram) {
+                        m_siblings.sendTo(sibling, datagram);
+                    }})
     , m_storeMonitor({m_gateway.stores(), m_interfaces.engines, m_members, m_interfaces.clock})
     , m_cacheSnapshots({m_log, m_members, m_fleet, m_gateway.stores(), m_interfaces.clock})
     , m_weightsRollout({m_journal, m_members, m_interfaces.engines, m_fleet, m_weights,
@@ -111,6 +116,7 @@
     connectRetrySlack();
     addGauges();
     addSpeedGauges();
+    addLimitGauge();
 }
 
 GatewayDaemon::~GatewayDaemon()
@@ -186,6 +192,7 @@
     spawn("urgent reports to siblings", [this] { return m_siblings.sendUrgent(); });
     spawn("datagrams of siblings", [this] { return m_siblings.receive(); });
     spawn("queues of engines", [this] { return m_engineQueues.run(); });
+    spawn("limits of upstreams", [this] { return m_rateLimits.run(); });
     spawn("speeds of engines", [this] { return m_speeds.run(); });
     spawn("cache snapshots", [this] { return m_cacheSnapshots.run(); });
     spawn("weights rollout", [this] { return m_weightsRollout.run(); });
@@ -215,11 +222,14 @@
     };
     m_gateway.setEngineQueues(&m_engineQueues);
     m_gateway.setQuotas(&m_quotas);
+    m_gateway.setRateLimits(&m_rateLimits);
     m_siblings.onDatagram = [this](std::string_view datagram, const Http::Endpoint &from) {
         if (EngineQueueExchange::isQueueMessage(datagram))
             m_engineQueues.apply(datagram, from);
         else if (QuotaExchange::isQuotaMessage(datagram))
             m_quotas.apply(datagram, from);
+        else if (RateLimitExchange::isRateLimitMessage(datagram))
+            m_rateLimits.apply(datagram, from);
         else
             return false;
         return true;
@@ -370,6 +380,21 @@
                      "team", [this] { return teamSamples(m_gateway); });
 }
 
+void GatewayDaemon::addLimitGauge()
+{
+    m_gateway.metrics().addGauge(
+        "jujube_gateway_upstream_limit",
+        "Requests a second that an upstream takes from all instances, if it names a limit.",
+        "upstream", [this] {
+            std::vector<Metrics::Gauge::Sample> samples;
+            for (const auto &[id, upstream] : m_fleet.all()) {
+                if (const auto limit = upstream->notices()->requestsPerSecond)
+                    samples.push_back({id.value(), *limit});
+            }
+            return samples;
+        });
+}
+
 void GatewayDaemon::addSpeedGauges()
 {
     using Samples = std::vector<Metrics::Gauge::Sample>;
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -75,6 +75,7 @@
     void noteEnginePrefill(std::uint64_t upstream, const EngineQueue::Prefill &prefill);
     void addGauges();
     void addSpeedGauges();
+    void addLimitGauge();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
     /// Applies the time limits of the new settings. Names and addresses cannot change at run time.
@@ -104,6 +105,7 @@
     SiblingExchange m_siblings;
     EngineQueueExchange m_engineQueues;
     QuotaExchange m_quotas;
+    RateLimitExchange m_rateLimits;
     KvCacheStoreMonitor m_storeMonitor;
     CacheSnapshotService m_cacheSnapshots;
     WeightsRollout m_weightsRollout;
--- a/Libraries/LibGateway/RequestDialect.h
+++ b/Libraries/LibGateway/RequestDialect.h
@@ -69,6 +69,10 @@
     bool isLeaving = false;
     /// The time for which an upstream that refused the request wants no further ones.
     std::optional<std::chrono::milliseconds> retryAfter;
+    /// The requests a second that the upstream states to take from all instances together.
+    std::optional<double> requestsPerSecond;
+    /// Whether it states a limit that cannot be read.
+    bool hasUnreadableLimit = false;
     /// Whether the answer has the seal header that only upstreams set.
     bool isSealed = false;
     std::string attemptId;
--- a/Libraries/LibGateway/RequestPlan.cpp
+++ b/Libraries/LibGateway/RequestPlan.cpp
@@ -233,10 +233,13 @@
     limits.now = gateway.dependencies().clock.now();
     limits.random = &gateway.random();
     limits.instances = gateway.instanceCount().value_or(1);
-    if (service->engine && !request.caller.model.empty())
-        return planEngine(gateway, request, *service, limits);
-    if (isRoomLimited(gateway, request, *service))
+    const bool isEngine = service->engine && !request.caller.model.empty();
+    if (!isEngine && isRoomLimited(gateway, request, *service))
         limitToRoom(gateway, request, *service, full, limits);
+    else
+        limits.excluded.insert(full.begin(), full.end());
+    if (isEngine)
+        return planEngine(gateway, request, *service, limits);
     RequestPlan plan;
     plan.service = name;
     plan.upstream =
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -7,7 +7,9 @@
 #include <LibGateway/TeamAdmission.h>
 #include <LibGateway/Urgency.h>
 
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <array>
@@ -196,6 +198,8 @@
         m_abort->abort();
     if (m_wait)
         m_wait->wake();
+    if (m_sendTimer)
+        m_sendTimer->cancel();
 }
 
 void RequestRelay::end()
@@ -284,19 +288,36 @@
     auto *queues = m_gateway.engineQueues();
     std::shared_ptr<Upstream> entered;
     RoomSearch search(m_gateway, m_request);
+    LimitSearch limits(m_gateway, m_request, m_excluded);
     for (unsigned queries = 0;;) {
-        auto planned = planRequest(m_gateway, m_request, m_excluded, search.full());
+        auto withoutRoom = search.full();
+        withoutRoom.insert(limits.full().begin(), limits.full().end());
+        auto planned = planRequest(m_gateway, m_request, m_excluded, withoutRoom);
         auto *plan = std::get_if<RequestPlan>(&planned);
         if (!plan && search.hasAsked())
             co_return search.refuse();
         if (plan && plan->upstream == entered)
             co_return planned;
         m_place.reset();
-        if (plan && !isWithinBudget(*plan))
+        if (!plan)
+            co_return limits.refuse(std::get<Refusal>(planned));
+        if (!isWithinBudget(*plan))
             co_return Refusal {Core::ErrorKind::NoUpstream,
                                "the retry budget of service " + plan->service + " is used up",
                                ShortRetryAfter};
-        if (plan && queues && search.appliesTo(*plan)) {
+        if (needsPermit(m_gateway, *plan->upstream, m_permit)) {
+            const bool isPermitted = co_await awaitPermit(limits, *plan);
+            if (m_cancelReason != CancelReason::None)
+                co_return planned;
+            if (!isPermitted)
+                continue;
+            if (m_gateway.dependencies().configuration.current() != m_request.configuration) {
+                if (const auto denied = reauthorize())
+                    co_return *denied;
+                continue;
+            }
+        }
+        if (queues && search.appliesTo(*plan)) {
             const auto demand = search.demand(*plan);
             m_place = co_await queues->enter(plan->upstream, demand);
             if (m_cancelReason != CancelReason::None || search.hasRoom(*plan, m_place.get()))
@@ -306,7 +327,7 @@
                 co_return search.refuse();
             continue;
         }
-        if (!plan || !plan->engine || !queues)
+        if (!plan->engine || !queues)
             co_return planned;
         entered = plan->upstream;
         const auto known = entered->tokensAhead(false);
@@ -326,6 +347,22 @@
     }
 }
 
+asio::awaitable<bool> RequestRelay::awaitPermit(LimitSearch &search, const RequestPlan &plan)
+{
+    m_permit = co_await search.reserve(plan);
+    if (!m_permit)
+        co_return false;
+    const auto wait = m_permit->sendAt - m_gateway.dependencies().clock.now();
+    if (wait > 0ms && m_cancelReason == CancelReason::None) {
+        m_sendTimer =
+            std::make_unique<asio::steady_timer>(co_await asio::this_coro::executor, wait);
+        boost::system::error_code ec;
+        co_await m_sendTimer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        m_sendTimer.reset();
+    }
+    co_return true;
+}
+
 bool RequestRelay::mayWait() const
 {
     return m_gateway.dependencies().settings.queuesRequests && m_progress.sends == 0
@@ -396,7 +433,8 @@
         return false;
     const auto &dependencies = m_gateway.dependencies();
     if (m_plan->upstream->isRemoved() || m_plan->upstream->isLeaving()
-        || m_plan->upstream->pausedUntil() > dependencies.clock.now() || isTooLateToBegin())
+        || m_plan->upstream->pausedUntil() > dependencies.clock.now() || isTooLateToBegin()
+        || needsPermit(m_gateway, *m_plan->upstream, m_permit))
         return false;
     if (m_request.poisonPart(m_gateway))
         return false;
@@ -562,6 +600,7 @@
     options.onSend = [this, endpoint](Http::Request &request) {
         request.headers = upstreamHeaders();
         m_triedEndpoints.insert(endpoint);
+        m_permit.reset();
         noteTeamSent(m_gateway, m_request, *m_plan);
         m_notices = m_plan->upstream->notices();
         const auto &dependencies = m_gateway.dependencies();
@@ -699,6 +738,7 @@
         && m_notices == upstream.notices() && !upstream.report().isDraining)
         Core::logEvent(Core::EventId::UpstreamLeaving,
                        {{"upstream", upstream.report().id.value()}, {"reason", "its answer"}});
+    noteLimit(m_gateway, upstream, m_notices, head);
     if (head.retryAfter)
         m_notices->refusingUntil = std::max(
             m_notices->refusingUntil, m_gateway.dependencies().clock.now() + *head.retryAfter);
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -4,6 +4,7 @@
 #include <LibGateway/AnswerEvidence.h>
 #include <LibGateway/CallerOutput.h>
 #include <LibGateway/Gateway.h>
+#include <LibGateway/LimitSearch.h>
 #include <LibGateway/RequestLog.h>
 #include <LibGateway/RequestPlan.h>
 #include <LibGateway/RequestWait.h>
@@ -75,6 +76,9 @@
     /// Plans an attempt. If an engine is chosen, enters the prompt in its queue; if that is longer
     /// than known, the choice is repeated.
     boost::asio::awaitable<std::variant<RequestPlan, Refusal>> plan();
+    /// Reserves the sending of the request to an upstream that limits the rate of its requests, and
+    /// waits until its time. Returns whether there is one.
+    boost::asio::awaitable<bool> awaitPermit(LimitSearch &search, const RequestPlan &plan);
     /// Plans the first attempt. If there is no capacity, the request waits for it if it may.
     boost::asio::awaitable<std::variant<RequestPlan, Refusal>> planOrWait();
     /// Waits until the request can be sent, or has to be refused or ended.
@@ -151,6 +155,10 @@
     std::set<Http::Endpoint> m_triedEndpoints;
     /// The entry in the queue of the planned engine; null if there is none.
     std::unique_ptr<QueuePlace> m_place;
+    /// The permission to send to an upstream that limits the rate of its requests.
+    std::optional<RatePermit> m_permit;
+    /// Runs until the time of the permit; null otherwise.
+    std::unique_ptr<boost::asio::steady_timer> m_sendTimer;
     /// The request's place in the queue of this instance while it waits for capacity, else null.
     std::unique_ptr<RequestWait> m_wait;
     /// How long it has waited.
