LibGateway, platform: Limit the answers to the gateway's own calls

What could be seen: the memory of an instance filled by a store, a sibling or an engine that answers a call of the gateway itself without end. Several such calls are under way at a time, on machines with 110 MB.

--- a/Libraries/LibGateway/LogRelay.cpp
+++ b/Libraries/LibGateway/LogRelay.cpp
@@ -21,6 +21,8 @@
 // Older data is useless. The limit also bounds the effect of a wrong answer.
 constexpr milliseconds MaxAge = 1h;
 constexpr auto LogPath = "/log";
+// The newest records of all upstreams of a large fleet, or LogTail::MaxBytes of records.
+constexpr std::size_t AnswerLimitBytes = std::size_t {8} * 1024 * 1024;
 // Queries with this offset are for the newest record of each key.
 constexpr std::uint64_t NewestOffset = std::numeric_limits<std::uint64_t>::max();
 // Cache snapshots are not followed.
@@ -92,7 +94,8 @@
     timeouts.body = AnswerTimeout;
     Http::Request request("POST", LogPath, {}, toBytes(builder));
     const auto requestTime = m_clock.now();
-    const auto response = co_await m_client.fetch(sibling, std::move(request), timeouts);
+    const auto response =
+        co_await m_client.fetch(sibling, std::move(request), timeouts, AnswerLimitBytes);
     if (response.status != 200)
         throw Core::Error(Core::ErrorKind::PlatformUnavailable,
                           "the sibling answered with status " + std::to_string(response.status));
--- a/Tests/StandIns/RawServer.cpp
+++ b/Tests/StandIns/RawServer.cpp
@@ -64,6 +64,7 @@
     // The client may have closed the connection.
     boost::system::error_code ec;
     asio::write(m_socket, asio::buffer(bytes), ec);
+    m_isClosed = m_isClosed || ec;
 }
 
 void RawConnection::sendSlowly(std::string_view bytes)
--- a/Tests/StandIns/RawServer.h
+++ b/Tests/StandIns/RawServer.h
@@ -32,6 +32,8 @@
     void end();
     void reset();
     bool isReset() const { return m_isReset; }
+    /// Returns whether bytes could not be sent, because the client has closed the connection.
+    bool isClosed() const { return m_isClosed; }
     /// Lets the connection serve another request after this one.
     void keep() { m_isKept = true; }
     /// Returns whether keep() was called for this request, and starts over.
@@ -43,6 +45,7 @@
 private:
     boost::asio::ip::tcp::socket &m_socket;
     bool m_isReset = false;
+    bool m_isClosed = false;
     bool m_isKept = false;
     std::size_t m_served = 0;
 };
