--- a/Tests/PlatformParts/TestSilentStore.cpp
+++ b/Tests/PlatformParts/TestSilentConnections.cpp
@@ -36,9 +36,14 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/// A store whose connections stop answering, all but those that are opened later.
-struct SilentStore
+/// A server whose connections stop answering, all but those that are opened later.
+struct SilentServer
 {
+    explicit SilentServer(std::string body)
+        : answer(answerWith(body))
+    { }
+
+    std::string answer;
     std::atomic<bool> isSilent {false};
     StandIns::RawServer server {[this](auto &connection, const auto &) {
         connection.keep();
@@ -46,7 +51,7 @@
             return;
         // Calls that overlap need a connection each.
         std::this_thread::sleep_for(50ms);
-        connection.send(answerWith(emptyPage(1)));
+        connection.send(answer);
     }};
 };
 
@@ -54,7 +59,7 @@
 
 TEST_CASE("store connections that went silent delay the configuration by one read only")
 {
-    SilentStore store;
+    SilentServer store(emptyPage(1));
     Core::IoThreads threads {1};
     const Core::SystemClock clock;
     Gateway::GatewaySettings settings;
@@ -76,3 +81,28 @@
     CHECK(answer.wait_for(settings.configurationBound) == std::future_status::ready);
     threads.stop();
 }
+
+TEST_CASE("sibling connections that went silent delay one query only")
+{
+    Core::IoThreads threads {1};
+    const Core::SystemClock clock;
+    Gateway::FleetPage page;
+    page.next = 1;
+    page.asOf = clock.now();
+    SilentServer sibling(Gateway::LogRelay::encode(page, clock.now(), 0ms));
+    Gateway::LogRelay relay(clock);
+    const auto query = [&](FleetTopic topic) {
+        return asio::co_spawn(threads.at(0), relay.query(sibling.server.endpoint(), topic, 1, 0ms),
+                              asio::use_future);
+    };
+    std::vector<std::future<Gateway::FleetPage>> queries;
+    for (const auto topic : {FleetTopic::Operator, FleetTopic::Upstreams, FleetTopic::Journal})
+        queries.push_back(query(topic));
+    for (auto &it : queries)
+        it.get();
+    REQUIRE(sibling.server.openConnections() == 3);
+    sibling.isSilent = true;
+    CHECK_THROWS_AS(query(FleetTopic::Operator).get(), Core::Error);
+    CHECK(query(FleetTopic::Operator).get().next == 1);
+    threads.stop();
+}
