--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -101,7 +101,7 @@
                         << "[Bounds]\nRevokeMs = " << options.revokeMs
                         << "\nGraceS = " << options.graceS << "\nVersionMs = " << options.versionMs
                         << "\nRetryBudgetRatio = 0.2\nBudgetSlack = 52\n[Platform]\nAddress = \""
-                        << Http::formatEndpoint(store.endpoint()) << "\"\n";
+                        << Http::formatEndpoint(options.store.value_or(store.endpoint())) << "\"\n";
     return path;
 }
 
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -8,6 +8,7 @@
 #include <Processes/Process.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
     unsigned versionMs = 6'000;
     std::uint16_t callersPort = 0;
     std::uint16_t readinessPort = 0;
+    /// The address of the store, if the gateway has one of its own (StoreStandIn::addCaller()).
+    std::optional<Http::Endpoint> store;
 };
 
 /// A store, workers and gateway processes.
