--- a/Libraries/LibCapacity/RateSchedule.h
+++ b/Libraries/LibCapacity/RateSchedule.h
@@ -10,8 +10,8 @@
 /// per upstream, at the instance that keeps its limit for all others.
 ///
 /// Requests are spaced evenly, so that a limit below one request a second holds over any time. A
-/// time without requests is made up for by a short burst only, and a new schedule begins at a random
-/// time of its first interval.
+/// time without requests is made up for by a short burst only, and a new schedule begins at a
+/// random time of its first interval.
 class RateSchedule
 {
 public:
