--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -75,6 +75,7 @@
     void noteEnginePrefill(std::uint64_t upstream, const EngineQueue::Prefill &prefill);
     void addGauges();
     void addSpeedGauges();
+    /// Shows the limits that upstreams name.
     void addLimitGauge();
     /// Keeps the number of instances that share budgets up to date.
     boost::asio::awaitable<void> countInstances();
--- a/Libraries/LibGateway/RateLimitExchange.h
+++ b/Libraries/LibGateway/RateLimitExchange.h
@@ -104,6 +104,7 @@
     {
         std::weak_ptr<UpstreamNotices> notices;
         Capacity::UnkeptShare unkept;
+        /// Until when no sending time is expected.
         Core::Clock::Monotonic fullUntil = Core::Clock::Monotonic::min();
     };
     struct PendingAsk
@@ -123,11 +124,15 @@
     };
 
     void dropUnused();
+    /// Returns what identifies the upstream's incarnation in datagrams.
     static std::uint64_t keyOf(const Upstream &upstream);
+    /// Returns the instance that keeps the upstream's limit.
     FleetMember keeperOf(const Upstream &upstream) const;
+    /// Returns whether an instance has not answered and is not asked for a while.
     bool isSilent(const Core::InstanceId &instance) const;
     /// Returns the number of instances that this one reaches, and itself.
     unsigned reachableInstances() const;
+    /// Returns a random number from 0 to 1.
     double spread();
 
     /// Adopts newer evidence. Returns whether it changed the limit.
@@ -139,6 +144,7 @@
     /// Asks the keeper. Returns an unanswered ask if it does not answer in time.
     boost::asio::awaitable<PendingAsk> ask(FleetMember keeper, std::uint64_t upstream,
                                            Evidence evidence, std::chrono::milliseconds maxWait);
+    /// Records that a keeper did not answer in time.
     void noteMissed(const Core::InstanceId &keeper);
     void sendMove(const Http::Endpoint &to, const Wire::RateLimitMove &move) const;
     Wire::RateLimitMove moveOf(std::uint64_t number, std::uint64_t upstream,
--- a/Libraries/LibGateway/RequestPlan.h
+++ b/Libraries/LibGateway/RequestPlan.h
@@ -40,7 +40,8 @@
 /// Chooses an upstream, or returns a refusal if none is suitable. Sheds load that exceeds the
 /// prefill capacity of the engines: a request whose expected time to the first token exceeds its
 /// wait limit is refused immediately with a time for a retry. Upstreams that are `full` are not
-/// chosen, but may be healthier than the others.
+/// chosen, but may be healthier than the others. They have no slot, or have reached the limit on
+/// their requests.
 std::variant<RequestPlan, Refusal> planRequest(Gateway &gateway, const AcceptedRequest &request,
                                                const std::set<Core::UpstreamId> &excluded,
                                                const std::set<Core::UpstreamId> &full = {});
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -98,11 +98,13 @@
     std::chrono::milliseconds maxAgeOf(FleetTopic topic) const;
     boost::asio::awaitable<FleetPage> readStore(FleetTopic topic, std::uint64_t from,
                                                 std::chrono::milliseconds wait);
+    /// Logs that the answer to a read of this time is late, with the age of what is known instead.
     void logLateRead(FleetTopic topic, Core::Clock::Monotonic requestTime);
     /// Records that a read of the store failed, or that a sibling had newer records before it
     /// ended.
     void noteStoreFailure(FleetTopic topic);
     struct PendingRead;
+    /// Makes a call that reads the store; the name of the call is for log and metrics.
     std::shared_ptr<PendingRead> startStoreRead(const boost::asio::any_io_executor &executor,
                                                 FleetTopic topic, std::string_view name,
                                                 boost::asio::awaitable<FleetPage> call);
