--- a/Libraries/LibCapacity/RateSchedule.cpp
+++ b/Libraries/LibCapacity/RateSchedule.cpp
@@ -11,8 +11,9 @@
 constexpr Milliseconds MaxInterval {std::chrono::hours(1)};
 // Requests arrive at random, so that a schedule without bursts would leave sending times unused.
 constexpr Milliseconds MinBurst {100};
-// The number of instances that ask again for each sending time, so that few are left unused.
-constexpr double AsksPerReservation = 4;
+// Refused instances ask again within fewer sending times than there were refusals, by this factor,
+// so that few of these times are left unused.
+constexpr double RefusalsPerInterval = 4;
 
 Milliseconds intervalOf(double perSecond)
 {
@@ -41,7 +42,7 @@
     m_refused = isGranted ? 0 : m_refused + 1;
     if (isGranted)
         return {true, wait};
-    return {false, wait - maxWait + spread * m_refused / AsksPerReservation * interval};
+    return {false, wait - maxWait + spread * m_refused / RefusalsPerInterval * interval};
 }
 
 double keptRate(double limit, unsigned reachable, unsigned instances)
