LibGateway: End streams at their deadline also while the caller reads slowly

Callers saw: a stream that its caller read slowly went on for seconds after the route's timeout. Cause: at the deadline only the call to the upstream was ended. A write to the caller that was under way went on for up to 30 s, and what the kernel had accepted was still sent after it. No event was logged when the caller left meanwhile. Class: a time limit that ends one of two sides. Change: at the deadline, the caller's connection is reset if a stream has begun and is not finished. A whole answer, and a stream that the upstream has finished, is still sent late.

--- a/Libraries/LibGateway/CallerOutput.cpp
+++ b/Libraries/LibGateway/CallerOutput.cpp
@@ -31,6 +31,7 @@
 asio::awaitable<void> CallerOutput::startStream(unsigned status, Http::Headers headers,
                                                 bool isRepeatable, std::function<void()> onFailure)
 {
+    m_isStream = true;
     co_await m_exchange.startStream(status, std::move(headers));
     if (!isHolding())
         co_return;
@@ -64,6 +65,12 @@
         co_await m_exchange.finishStream();
 }
 
+void CallerOutput::cutUnfinished()
+{
+    if (m_isStream && !m_isFinished)
+        m_exchange.drop();
+}
+
 asio::awaitable<void> CallerOutput::settle()
 {
     if (m_response) {
--- a/Libraries/LibGateway/CallerOutput.h
+++ b/Libraries/LibGateway/CallerOutput.h
@@ -32,6 +32,9 @@
     /// Ends the stream, or notes that it ends after what is held.
     boost::asio::awaitable<void> finishStream();
 
+    /// Closes the caller's connection if a stream has begun and is not finished, whatever the
+    /// caller has not read of it; a pending write fails.
+    void cutUnfinished();
     /// Sends what is held. An answer that was not finished stays without an end.
     boost::asio::awaitable<void> settle();
     /// Limits the time for sending what is held: the request has ended.
@@ -51,6 +54,7 @@
     std::unique_ptr<Http::AnswerBuffer> m_buffer;
     std::optional<Http::Response> m_response;
     bool m_isRepeatable = false;
+    bool m_isStream = false;
     bool m_isFinished = false;
 };
 
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -194,6 +194,8 @@
         return;
     m_cancelReason = reason;
     m_output.limitTime(reason == CancelReason::CallerDisconnected ? 0ms : CallerOutput::SettleTime);
+    if (reason == CancelReason::DeadlineExpired)
+        m_output.cutUnfinished();
     if (m_abort)
         m_abort->abort();
     if (m_wait)
@@ -724,8 +726,12 @@
         co_return co_await relayWhole(answer, std::move(headers), load);
     } catch (const Core::Error &error) {
         failure = error;
+    } catch (const boost::system::system_error &) {
+        // The deadline closes the caller's connection, which fails a pending write.
+        if (m_cancelReason != CancelReason::DeadlineExpired)
+            throw;
     }
-    co_return noteInterrupted(*failure);
+    co_return failure ? noteInterrupted(*failure) : AttemptOutcome::Cancelled;
 }
 
 void RequestRelay::noteUpstreamState(const AnswerHead &head)
