LibHttp: Close idle connections when a call gets no answer in time

Cause: open connections can fall silent without a reset. Calls to the store and to siblings closed the others after a time-out; reports of engines and all calls of the daemon to its platform waited on the next silent one. Change: Client::fetch() does it for every caller, in place of two copies of it.

--- a/Libraries/LibGateway/LogRelay.cpp
+++ b/Libraries/LibGateway/LogRelay.cpp
@@ -94,15 +94,8 @@
     timeouts.body = AnswerTimeout;
     Http::Request request("POST", LogPath, {}, toBytes(builder));
     const auto requestTime = m_clock.now();
-    Http::Response response;
-    try {
-        response = co_await m_client.fetch(sibling, std::move(request), timeouts, AnswerLimitBytes);
-    } catch (const Core::Error &error) {
-        // The next query must not wait on another connection that has gone silent.
-        if (error.kind() == Core::ErrorKind::UpstreamTimedOut)
-            m_client.closeIdle(sibling);
-        throw;
-    }
+    const auto response =
+        co_await m_client.fetch(std::move(sibling), std::move(request), timeouts, AnswerLimitBytes);
     if (response.status != 200)
         throw Core::Error(Core::ErrorKind::PlatformUnavailable,
                           "the sibling answered with status " + std::to_string(response.status));
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -335,6 +335,21 @@
 
 asio::awaitable<Response> Client::fetch(Endpoint endpoint, Request request, ClientTimeouts timeouts,
                                         SendOptions options, std::size_t bodyLimit)
+{
+    try {
+        co_return co_await fetchOnce(endpoint, std::move(request), timeouts, std::move(options),
+                                     bodyLimit);
+    } catch (const Core::Error &error) {
+        // The next call must not wait on another connection that has gone silent.
+        if (error.kind() == Core::ErrorKind::UpstreamTimedOut)
+            closeIdle(endpoint);
+        throw;
+    }
+}
+
+asio::awaitable<Response> Client::fetchOnce(Endpoint endpoint, Request request,
+                                            ClientTimeouts timeouts, SendOptions options,
+                                            std::size_t bodyLimit)
 {
     const auto end =
         std::chrono::steady_clock::now() + timeouts.connect + timeouts.head + timeouts.body;
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -90,6 +90,7 @@
     open(Endpoint endpoint, Request request, ClientTimeouts timeouts, SendOptions options);
 
     /// Sends the request and reads the whole response; UpstreamAnswerMalformed above the limit.
+    /// When there is no response in time, the idle connections to the endpoint are closed as well.
     boost::asio::awaitable<Response> fetch(Endpoint endpoint, Request request,
                                            ClientTimeouts timeouts,
                                            std::size_t bodyLimit = DefaultBodyLimit,
@@ -109,6 +110,10 @@
     void closeIdle(const Endpoint &endpoint);
 
 private:
+    boost::asio::awaitable<Response> fetchOnce(Endpoint endpoint, Request request,
+                                               ClientTimeouts timeouts, SendOptions options,
+                                               std::size_t bodyLimit);
+
     std::shared_ptr<ConnectionPool> m_pool;
 };
 
--- a/Tests/PlatformParts/TestSilentConnections.cpp
+++ b/Tests/PlatformParts/TestSilentConnections.cpp
@@ -1,24 +1,24 @@
-#include "../StandIns/RawServer.h"
+#include "../StandIns/SilentServer.h"
 
 #include <LibCore/IoThreads.h>
 #include <LibGateway/SharedLog.h>
 
+#include <PlatformEngines.h>
 #include <PlatformLog.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/endian/conversion.hpp>
 #include <catch2/catch.hpp>
 
-#include <atomic>
 #include <cstring>
 #include <future>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 using Gateway::FleetTopic;
+using StandIns::SilentServer;
 
 namespace {
 
@@ -31,30 +31,6 @@
     return bytes;
 }
 
-std::string answerWith(const std::string &body)
-{
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-/// A server whose connections stop answering, all but those that are opened later.
-struct SilentServer
-{
-    explicit SilentServer(std::string body)
-        : answer(answerWith(body))
-    { }
-
-    std::string answer;
-    std::atomic<bool> isSilent {false};
-    StandIns::RawServer server {[this](auto &connection, const auto &) {
-        connection.keep();
-        if (connection.served() > 0 && isSilent)
-            return;
-        // Calls that overlap need a connection each.
-        std::this_thread::sleep_for(50ms);
-        connection.send(answer);
-    }};
-};
-
 } // namespace
 
 TEST_CASE("store connections that went silent delay the configuration by one read only")
@@ -106,3 +82,26 @@
     CHECK(query(FleetTopic::Operator).get().next == 1);
     threads.stop();
 }
+
+TEST_CASE("engine connections that went silent delay one report only")
+{
+    SilentServer server(R"({"Seq":1,"Models":[]})");
+    Core::IoThreads threads {1};
+    Site::PlatformEngines engines;
+    Gateway::UpstreamReport engine;
+    engine.id = Core::UpstreamId("e");
+    engine.endpoint = server.server.endpoint();
+    const auto report = [&] {
+        return asio::co_spawn(threads.at(0), engines.state(engine), asio::use_future);
+    };
+    std::vector<std::future<Gateway::EngineState>> reports(3);
+    for (auto &it : reports)
+        it = report();
+    for (auto &it : reports)
+        it.get();
+    REQUIRE(server.server.openConnections() == 3);
+    server.isSilent = true;
+    CHECK_THROWS_AS(report().get(), Core::Error);
+    CHECK(report().get().ordersAccepted == 1);
+    threads.stop();
+}
