Tests: Play answers that trickle without an end to the gateway's own calls

Change: a server whose head or body goes on by a byte each 20 ms answers a report, an order, a list of events, a read of a log, a list of newest records and a sibling's query, all at once.

--- a/Tests/PlatformParts/TestEndlessAnswers.cpp
+++ b/Tests/PlatformParts/TestEndlessAnswers.cpp
@@ -10,8 +10,10 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <functional>
+#include <chrono>
+#include <exception>
 #include <string>
+#include <thread>
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -81,3 +83,50 @@
     threads.stop();
     CHECK(endless.sent <= MaxAcceptedBytes);
 }
+
+TEST_CASE("answers that trickle without an end hold none of the gateway's own calls")
+{
+    // More than the longest of these calls may take.
+    constexpr auto Limit = 4s;
+    const std::string begin = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nX-Filler: ",
+                                       "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+    CAPTURE(begin);
+    std::atomic<bool> isOver {false};
+    StandIns::RawServer server([&](auto &connection, const auto &) {
+        connection.send(begin);
+        while (!connection.isClosed() && !isOver) {
+            connection.send("0");
+            std::this_thread::sleep_for(20ms);
+        }
+    });
+    Core::IoThreads threads {1};
+    const Core::SystemClock clock;
+    Site::PlatformEngines engines;
+    Site::PlatformLog log(server.endpoint());
+    Gateway::LogRelay relay(clock);
+    Gateway::UpstreamReport engine;
+    engine.id = Core::UpstreamId("w-1");
+    engine.endpoint = server.endpoint();
+    const Gateway::WeightsOrder order;
+    std::uint64_t position = 0;
+    std::atomic<int> failed {0};
+    const auto start = [&](auto call) {
+        asio::co_spawn(threads.at(0), std::move(call),
+                       [&failed](const std::exception_ptr &failure, const auto &...) {
+                           failed += failure ? 1 : 0;
+                       });
+    };
+    start(engines.state(engine));
+    start(engines.order(engine, order, [] { return true; }));
+    start(engines.storeEpoch(engine.endpoint, position));
+    start(log.read(FleetTopic::Operator, 0, 0ms));
+    start(log.newest(FleetTopic::Operator));
+    start(relay.query(engine.endpoint, FleetTopic::Operator, 0, 0ms));
+    constexpr int Calls = 6;
+    for (const auto end = std::chrono::steady_clock::now() + Limit;
+         failed < Calls && std::chrono::steady_clock::now() < end;)
+        std::this_thread::sleep_for(10ms);
+    CHECK(failed == Calls);
+    isOver = true;
+    threads.stop();
+}
