--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -4,12 +4,13 @@
 #   Meta/soak.sh FIRST LAST [SECONDS [INSTANCES [UPSTREAMS [JOBS]]]]
 # plays the seeds FIRST to LAST, by default 40 s each with 6 instances and 8 upstreams, 2 at once.
 # Every seed's report, settings and logs are in $SOAK_FOLDER/seed-N, by default in /tmp/jujube-soak.
-# $SOAK_CLIENTS (40) and $SOAK_ZONES (at most 2 data centres) change the rest; $SOAK_GATEWAY names
-# the program of another build. The programs are copied first, so that a build may go on meanwhile.
+# $SOAK_CLIENTS (40) and $SOAK_ZONES (at most 2 data centres) change the rest; with SOAK_LIMITS=1,
+# upstreams name limits besides; $SOAK_GATEWAY names the program of another build. The programs are
+# copied first, so that a build may go on meanwhile.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ "$#" -lt 2 ]; then
-    sed -n '2,8s/^# \{0,1\}//p' "$0"
+    sed -n '2,9s/^# \{0,1\}//p' "$0"
     exit 2
 fi
 [ -x Build/release/bin/TestSoak ] || Meta/build.sh release >&2
--- a/Tests/Soak/History.h
+++ b/Tests/Soak/History.h
@@ -68,6 +68,19 @@
     bool saysLeaving = false;
     /// The time for which a 503 asked the instance to send nothing; 0 if it named none.
     Time retryAfter {0};
+    /// When an answer that names a limit began; the greatest time if none did.
+    Time limitNamedAt = Time::max();
+};
+
+/// A time in which the answers of an upstream named a limit on its requests.
+struct Limit
+{
+    std::string upstream;
+    unsigned incarnation = 0;
+    double requestsPerSecond = 0;
+    /// When the first answer with it began; the greatest time before that.
+    Time from = Time::max();
+    Time to = Time::max();
 };
 
 /// A time in which an upstream's entry said that it leaves, or was missing.
@@ -129,6 +142,7 @@
     std::vector<Disturbance> disturbances;
     std::vector<ProcessFault> faults;
     std::vector<Stop> stops;
+    std::vector<Limit> limits;
     std::vector<Configuration> configurations;
 };
 
--- a/Tests/Soak/Judge.cpp
+++ b/Tests/Soak/Judge.cpp
@@ -55,6 +55,8 @@
     }
     judgeUnasked();
     judgeNotices();
+    for (const auto &limit : m_history.limits)
+        judgeLimit(limit);
     judgeTimeouts();
     judgeStops();
     judgeBudget("app");
@@ -266,6 +268,62 @@
     }
 }
 
+std::vector<std::pair<const Request *, Time>> Judge::arrivalsUnder(const Limit &limit) const
+{
+    std::map<std::string, std::vector<Time>> passedOn;
+    std::vector<std::pair<const Request *, Time>> arrivals;
+    for (const auto &[id, request] : m_history.requests) {
+        for (const auto &arrival : arrivalsOf(request)) {
+            if (arrival.upstream != limit.upstream || arrival.incarnation != limit.incarnation)
+                continue;
+            if (!arrival.isMisdirected && arrival.at <= limit.to)
+                arrivals.emplace_back(&request, arrival.at);
+            const bool isNamed =
+                arrival.limitNamedAt >= limit.from && arrival.limitNamedAt <= limit.to;
+            // The head of a stream is passed on before its end.
+            if (isNamed && !arrival.seal.empty() && request.seal == arrival.seal)
+                passedOn[request.instance].push_back(request.isStream() ? arrival.limitNamedAt
+                                                                        : request.endedAt);
+        }
+    }
+    for (auto &[instance, times] : passedOn)
+        std::sort(times.begin(), times.end());
+    std::erase_if(arrivals, [&](const auto &item) {
+        const auto &times = passedOn[item.first->instance];
+        const auto next =
+            std::upper_bound(times.begin(), times.end(), item.second - m_bounds.limitSlackTime);
+        return next == times.begin()
+               || isRestartedOrFrozen(item.first->instance, *std::prev(next), item.second);
+    });
+    std::sort(arrivals.begin(), arrivals.end(),
+              [](const auto &a, const auto &b) { return a.second < b.second; });
+    return arrivals;
+}
+
+void Judge::judgeLimit(const Limit &limit)
+{
+    if (limit.from == Time::max())
+        return;
+    const std::chrono::duration<double> window = m_bounds.limitWindow;
+    const auto allowed =
+        m_bounds.limitTolerance * limit.requestsPerSecond * window.count() + m_bounds.limitSlack;
+    const auto arrivals = arrivalsUnder(limit);
+    std::size_t first = 0;
+    for (std::size_t n = 0; n < arrivals.size(); ++n) {
+        const auto &[request, at] = arrivals[n];
+        while (arrivals[first].second <= at - m_bounds.limitWindow)
+            ++first;
+        const auto count = n - first + 1;
+        if (at < limit.from + m_bounds.stableWindow || static_cast<double>(count) <= allowed)
+            continue;
+        report("LIMIT", at, *request,
+               std::to_string(count) + " requests at " + limit.upstream + " in "
+                   + text(m_bounds.limitWindow) + ", allowed "
+                   + std::to_string(static_cast<int>(allowed)));
+        return;
+    }
+}
+
 void Judge::judgeTimeouts()
 {
     std::vector<const Request *> late;
--- a/Tests/Soak/Judge.h
+++ b/Tests/Soak/Judge.h
@@ -21,6 +21,11 @@
     Time budgetWindow {10'000};
     Time retryAfterSlack {500};
     unsigned arrivalsAfterRejection = 2;
+    Time limitWindow {4'000};
+    double limitTolerance = 1.5;
+    unsigned limitSlack = 5;
+    /// An instance is bound by a limit this long after it passed on an answer that names it.
+    Time limitSlackTime {500};
     Time timeoutSlack {500};
     double retryRatio = 0.2;
     double retrySlack = 52;
@@ -71,6 +76,10 @@
     };
     void judgeLeaving(const Pair &pair);
     void judgeRetryAfter(const Pair &pair);
+    void judgeLimit(const Limit &limit);
+    /// Returns the requests at the upstream from instances that had passed on an answer with the
+    /// limit.
+    std::vector<std::pair<const Request *, Time>> arrivalsUnder(const Limit &limit) const;
     const std::deque<Arrival> &arrivalsOf(const Request &request) const;
     /// Whether the instance, or the store, was disturbed in the span.
     bool isDisturbed(const std::string &instance, Time from, Time to,
--- a/Tests/Soak/Schedule.cpp
+++ b/Tests/Soak/Schedule.cpp
@@ -49,6 +49,7 @@
                             "release",
                             "failures",
                             "full",
+                            "name limit",
                             "odd entry",
                             "change routes",
                             "revoke key"};
@@ -251,6 +252,12 @@
     Theme m_theme;
 };
 
+void sortByTime(std::vector<Step> &steps)
+{
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const auto &a, const auto &b) { return a.at < b.at; });
+}
+
 } // namespace
 
 std::string nameOf(Trouble trouble)
@@ -281,9 +288,24 @@
         planner.planNext(at);
     auto steps = std::move(planner.steps);
     std::erase_if(steps, [&](const auto &step) { return step.at > length - CoolDown; });
-    std::stable_sort(steps.begin(), steps.end(),
-                     [](const auto &a, const auto &b) { return a.at < b.at; });
+    sortByTime(steps);
     return steps;
 }
 
+void addLimits(std::vector<Step> &steps, std::uint64_t seed, Time length)
+{
+    // Other draws than those of the troubles.
+    Dice dice(seed + 2);
+    for (Time at = WarmUp; at < length - CoolDown; at += dice.time(1'000, 6'000)) {
+        Step step;
+        step.at = at;
+        step.trouble = Trouble::NameLimit;
+        step.target = static_cast<unsigned>(dice.between(0, 1));
+        step.time = dice.time(4'000, 14'000);
+        step.form = static_cast<unsigned>(dice.between(0, LimitForms - 1));
+        steps.push_back(step);
+    }
+    sortByTime(steps);
+}
+
 } // namespace Soak
--- a/Tests/Soak/Schedule.h
+++ b/Tests/Soak/Schedule.h
@@ -2,6 +2,7 @@
 
 #include "World.h"
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
     Release,
     Failures,
     Full,
+    NameLimit,
     OddEntry,
     ChangeRoutes,
     RevokeKey
@@ -49,6 +51,12 @@
 constexpr unsigned CallFailures = 5;
 constexpr unsigned CallTopics = 3;
 
+/// Form of a limit: the index of its requests a second, and whether all upstreams of a service or
+/// one in two of them name it.
+constexpr std::array LimitRates {0.5, 3.6, 10.0, 40.0};
+constexpr unsigned ConcernsAll = LimitRates.size();
+constexpr unsigned LimitForms = 2 * LimitRates.size();
+
 /// One trouble of a run. The target is taken modulo the number of things that there are.
 struct Step
 {
@@ -73,4 +81,7 @@
 /// Returns the troubles of a run in their order. The same arguments give the same troubles.
 std::vector<Step> makeSchedule(std::uint64_t seed, Time length, unsigned instances);
 
+/// Adds times in which upstreams name limits to the troubles of a seed.
+void addLimits(std::vector<Step> &steps, std::uint64_t seed, Time length);
+
 } // namespace Soak
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -121,7 +121,10 @@
     , m_upstreams(m_world)
     , m_gateways(m_world, options.folder, options.gateway)
     , m_clients(m_world, m_gateways)
-{ }
+{
+    if (options.hasLimits)
+        addLimits(m_steps, options.seed, options.length);
+}
 
 SoakResult SoakRun::run()
 {
@@ -330,6 +333,9 @@
         faults.rejects = 0.8;
         return m_upstreams.fail(services(step.target), faults, 1, step.time);
     }
+    case Trouble::NameLimit:
+        return m_upstreams.limit(services(step.target), LimitRates.at(step.form % ConcernsAll),
+                                 step.form < ConcernsAll ? 0.5 : 1, step.time);
     default:
         m_upstreams.writeOddEntry(step.target);
     }
@@ -395,6 +401,10 @@
                  : item.instance.empty() ? "the store"
                                          : item.instance)
              << "\n";
+    file << "\nlimits:\n";
+    for (const auto &item : m_world.history.limits)
+        file << item.from.count() << " to " << item.to.count() << " ms: " << item.upstream << " "
+             << item.requestsPerSecond << " a second\n";
     file << "\ndepartures:\n";
     for (const auto &item : m_world.history.departures)
         file << item.from.count() << " ms: " << item.upstream
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -24,6 +24,8 @@
     unsigned upstreams = 8;
     unsigned clients = 40;
     unsigned zones = 1;
+    /// Whether upstreams name limits at times.
+    bool hasLimits = false;
     /// Troubles to play instead of those of the seed.
     std::vector<Step> steps;
     /// A program of this build, or an absolute path.
--- a/Tests/Soak/TestJudge.cpp
+++ b/Tests/Soak/TestJudge.cpp
@@ -463,3 +463,51 @@
     }
     CHECK(history.rules().empty());
 }
+
+TEST_CASE("the requests of instances that passed on a limit are counted, until it ends")
+{
+    SampleHistory history;
+    history.limits.push_back({"app-1", 0, 2, 20s, 40s});
+    const auto add = [&](Time at, unsigned count) {
+        for (unsigned n = 0; n < count; ++n) {
+            const auto id = std::to_string(history.requests.size() + 1);
+            history.add(id, Kind::Once, at + n * 100ms);
+            history.arrivals[id].front().limitNamedAt = at + n * 100ms + 10ms;
+        }
+    };
+    // 2 a second for 4 s, with the tolerance: 17.
+    add(20s, 1);
+    SECTION("as many as are allowed")
+    {
+        add(24s, 17);
+        CHECK(history.rules().empty());
+    }
+    SECTION("one more")
+    {
+        add(24s, 18);
+        CHECK(history.rules() == "LIMIT");
+    }
+    SECTION("spread over two windows")
+    {
+        add(24s, 10);
+        add(29s, 10);
+        CHECK(history.rules().empty());
+    }
+    SECTION("before it was in force long enough")
+    {
+        add(20'600ms, 18);
+        CHECK(history.rules().empty());
+    }
+    SECTION("after its end")
+    {
+        add(41s, 18);
+        CHECK(history.rules().empty());
+    }
+    SECTION("after a restart, which forgets it")
+    {
+        history.disturb("edge-1", 23s, 23'500ms);
+        for (unsigned n = 0; n < 18; ++n)
+            history.add("late-" + std::to_string(n), Kind::Once, 25s + n * 100ms);
+        CHECK(history.rules().empty());
+    }
+}
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -34,31 +34,48 @@
                 : std::filesystem::temp_directory_path() / "jujube-soak";
 }
 
+Soak::SoakOptions optionsOf(std::uint64_t seed, unsigned long seconds)
+{
+    Soak::SoakOptions options;
+    options.seed = seed;
+    options.length = std::chrono::seconds(numberOr("SOAK_SECONDS", seconds));
+    options.instances = static_cast<unsigned>(numberOr("SOAK_INSTANCES", 6));
+    options.upstreams = static_cast<unsigned>(numberOr("SOAK_UPSTREAMS", 8));
+    options.clients = static_cast<unsigned>(numberOr("SOAK_CLIENTS", 40));
+    options.zones = static_cast<unsigned>(numberOr("SOAK_ZONES", 2));
+    options.hasLimits = numberOr("SOAK_LIMITS", 0) > 0;
+    if (const auto *gateway = std::getenv("SOAK_GATEWAY"))
+        options.gateway = gateway;
+    return options;
+}
+
+void play(Soak::SoakOptions options)
+{
+    const auto *limits = options.hasLimits ? "-limits" : "";
+    options.folder = rootFolder() / ("seed-" + std::to_string(options.seed) + limits);
+    std::filesystem::remove_all(options.folder);
+    const auto result = Soak::SoakRun(options).run();
+    std::cout << "seed " << options.seed << ": " << result.summary() << std::endl;
+    INFO("seed " << options.seed << ": " << result.summary() << "; see " << options.folder);
+    CHECK(result.breaks.empty());
+    CHECK(result.served > 0);
+    if (result.breaks.empty() && std::getenv("SOAK_FOLDER") == nullptr)
+        std::filesystem::remove_all(options.folder);
+}
+
 } // namespace
 
 TEST_CASE("gateway processes keep the rules through troubles at any moment")
 {
-    const auto *root = std::getenv("SOAK_FOLDER");
-    for (const auto seed : seeds()) {
-        Soak::SoakOptions options;
-        options.seed = seed;
-        options.length = std::chrono::seconds(numberOr("SOAK_SECONDS", 13));
-        options.instances = static_cast<unsigned>(numberOr("SOAK_INSTANCES", 6));
-        options.upstreams = static_cast<unsigned>(numberOr("SOAK_UPSTREAMS", 8));
-        options.clients = static_cast<unsigned>(numberOr("SOAK_CLIENTS", 40));
-        options.zones = static_cast<unsigned>(numberOr("SOAK_ZONES", 2));
-        if (const auto *gateway = std::getenv("SOAK_GATEWAY"))
-            options.gateway = gateway;
-        options.folder = rootFolder() / ("seed-" + std::to_string(seed));
-        std::filesystem::remove_all(options.folder);
-        const auto result = Soak::SoakRun(options).run();
-        std::cout << "seed " << seed << ": " << result.summary() << std::endl;
-        INFO("seed " << seed << ": " << result.summary() << "; see " << options.folder);
-        CHECK(result.breaks.empty());
-        CHECK(result.served > 0);
-        if (result.breaks.empty() && !root)
-            std::filesystem::remove_all(options.folder);
-    }
+    for (const auto seed : seeds())
+        play(optionsOf(seed, 13));
+}
+
+TEST_CASE("gateway processes keep the limits of upstreams through restarts, kills and freezes")
+{
+    auto options = optionsOf(907, 20);
+    options.hasLimits = true;
+    play(options);
 }
 
 TEST_CASE("a removed upstream stays in use while one read of the list gets no answer")
--- a/Tests/Soak/Upstream.cpp
+++ b/Tests/Soak/Upstream.cpp
@@ -92,6 +92,7 @@
                       .count()
                   + clockError.count();
     m_saysLeaving = false;
+    nameLimit(std::nullopt);
     faults = {};
     m_state = "ready";
     m_sequence = 0;
@@ -280,17 +281,35 @@
     co_return co_await answerWhole(stream, arrival, id);
 }
 
-std::string Upstream::notices() const
+void Upstream::nameLimit(std::optional<double> requestsPerSecond)
 {
-    return m_saysLeaving ? "Server-Leaving: 1\r\n" : "";
+    auto &limits = m_world.history.limits;
+    if (m_limit)
+        limits[*m_limit].to = m_world.now();
+    m_limit.reset();
+    if (!requestsPerSecond)
+        return;
+    m_limit = limits.size();
+    limits.push_back({m_id, m_incarnation, *requestsPerSecond});
+}
+
+std::string Upstream::notices(Arrival &arrival)
+{
+    std::string fields = m_saysLeaving ? "Server-Leaving: 1\r\n" : "";
+    if (!m_limit)
+        return fields;
+    auto &limit = m_world.history.limits[*m_limit];
+    arrival.limitNamedAt = m_world.now();
+    limit.from = std::min(limit.from, arrival.limitNamedAt);
+    return fields + "Server-Limit: " + std::to_string(limit.requestsPerSecond) + "\r\n";
 }
 
 asio::awaitable<Upstream::Next> Upstream::reject(Stream &stream, Arrival &arrival, std::string id)
 {
     auto &dice = m_world.dice;
     arrival.status = 503;
-    auto fields =
-        "X-Jujubesaddle-Not-Executed: 1\r\nX-Jujubesaddle-Attempt-Id: " + id + "\r\n" + notices();
+    auto fields = "X-Jujubesaddle-Not-Executed: 1\r\nX-Jujubesaddle-Attempt-Id: " + id + "\r\n"
+                  + notices(arrival);
     Time retryAfter {0};
     if (dice.chance(faults.namesTimes)) {
         const auto seconds = dice.between(1, 4);
@@ -367,8 +386,8 @@
             co_return Next::Close;
         co_return co_await writeEndlessly(stream, chunk(std::string(EndlessPiece, 'x')));
     }
-    auto bytes =
-        wholeAnswer(arrival.status, answerFields(id, arrival.seal) + notices(), arrival.body);
+    auto bytes = wholeAnswer(arrival.status, answerFields(id, arrival.seal) + notices(arrival),
+                             arrival.body);
     if (dice.chance(faults.truncates)) {
         co_await write(stream, bytes.substr(0, bytes.size() - arrival.body.size() / 2));
         co_return Next::Close;
@@ -405,7 +424,7 @@
     arrival.status = 200;
     bool isWritten = co_await write(
         stream,
-        head(200, answerFields(id, arrival.seal) + notices()
+        head(200, answerFields(id, arrival.seal) + notices(arrival)
                       + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
     arrival.saysLeaving = m_saysLeaving;
     const bool isBroken = dice.chance(faults.breaksStreams);
--- a/Tests/Soak/Upstream.h
+++ b/Tests/Soak/Upstream.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -62,6 +63,8 @@
     void expire() { m_world.store.put("keyed.servers", m_id, std::nullopt); }
     /// All its answers say that it leaves from now on.
     void sayLeaving() { m_saysLeaving = true; }
+    /// Its answers name a limit of so many requests a second from now on, or none.
+    void nameLimit(std::optional<double> requestsPerSecond);
     /// Ends the process: closes the port and all connections.
     void close();
     /// Writes its entry, and from time to time again.
@@ -91,7 +94,8 @@
     boost::asio::awaitable<Next> reject(Stream &stream, Arrival &arrival, std::string id);
     boost::asio::awaitable<Next> stall(Stream &stream);
     boost::asio::awaitable<Next> writeEndlessly(Stream &stream, std::string bytes) const;
-    std::string notices() const;
+    /// Returns the fields of an answer to a request that begins now.
+    std::string notices(Arrival &arrival);
     /// Writes a late copy of an earlier rejection, if one is due on the connection.
     boost::asio::awaitable<bool> writeStale(Stream &stream);
     static boost::asio::awaitable<bool> write(Stream &stream, std::string bytes);
@@ -108,6 +112,8 @@
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
     std::string m_address;
     bool m_saysLeaving = false;
+    /// The index of the limit that is named, in the history.
+    std::optional<std::size_t> m_limit;
     std::set<Stream *> m_streams;
     std::set<Stream *> m_staleStreams;
 };
--- a/Tests/Soak/UpstreamFleet.cpp
+++ b/Tests/Soak/UpstreamFleet.cpp
@@ -69,6 +69,19 @@
     asio::co_spawn(m_world.context, clearFaults(std::move(concerned), time), asio::detached);
 }
 
+void UpstreamFleet::limit(const std::string &service, double requestsPerSecond, double share,
+                          Time time)
+{
+    std::vector<Handle> concerned;
+    for (const auto &upstream : m_upstreams) {
+        if (upstream->service() != service || !m_world.dice.chance(share))
+            continue;
+        upstream->nameLimit(requestsPerSecond);
+        concerned.push_back(upstream);
+    }
+    asio::co_spawn(m_world.context, endLimits(std::move(concerned), time), asio::detached);
+}
+
 void UpstreamFleet::writeOddEntry(unsigned target)
 {
     static const std::array<std::string, 6> entries {
@@ -156,6 +169,13 @@
     }
 }
 
+asio::awaitable<void> UpstreamFleet::endLimits(std::vector<Handle> upstreams, Time time)
+{
+    co_await pause(time);
+    for (const auto &upstream : upstreams)
+        upstream->nameLimit(std::nullopt);
+}
+
 asio::awaitable<void> UpstreamFleet::clearFaults(std::vector<Handle> upstreams, Time time)
 {
     co_await pause(time);
--- a/Tests/Soak/UpstreamFleet.h
+++ b/Tests/Soak/UpstreamFleet.h
@@ -38,6 +38,8 @@
     /// Lets a share of the upstreams of a service fail for a while.
     void fail(const std::string &service, const UpstreamFaults &faults, double share, Time time);
     /// Writes an entry that names no upstream.
+    /// Upstreams of a service, each with the given chance, name a limit for a time.
+    void limit(const std::string &service, double requestsPerSecond, double share, Time time);
     void writeOddEntry(unsigned target);
     void close();
 
@@ -50,6 +52,7 @@
     boost::asio::awaitable<void> restart(Handle upstream, Time time, Time clockError);
     boost::asio::awaitable<void> releaseAll(std::string service);
     boost::asio::awaitable<void> clearFaults(std::vector<Handle> upstreams, Time time);
+    boost::asio::awaitable<void> endLimits(std::vector<Handle> upstreams, Time time);
     boost::asio::awaitable<void> awaitStore() const;
 
     World &m_world;
