Tests: Count no answers without a limit in the soak's LIMIT

Cause: the judge took answers that name no limit for ones that do, if the limit had not ended. Change: such answers no longer count, and a break lists who sent what; the test whose name the soak's pattern matched has another one. Result: the new case of TestJudge fails without the change and passes with it.

--- a/Tests/Soak/Judge.cpp
+++ b/Tests/Soak/Judge.cpp
@@ -278,8 +278,9 @@
                 continue;
             if (!arrival.isMisdirected && arrival.at <= limit.to)
                 arrivals.emplace_back(&request, arrival.at);
-            const bool isNamed =
-                arrival.limitNamedAt >= limit.from && arrival.limitNamedAt <= limit.to;
+            const bool isNamed = arrival.limitNamedAt >= limit.from
+                                 && arrival.limitNamedAt <= limit.to
+                                 && arrival.limitNamedAt != Time::max();
             // The head of a stream is passed on before its end.
             if (isNamed && !arrival.seal.empty() && request.seal == arrival.seal)
                 passedOn[request.instance].push_back(request.isStream() ? arrival.limitNamedAt
@@ -316,10 +317,14 @@
         const auto count = n - first + 1;
         if (at < limit.from + m_bounds.stableWindow || static_cast<double>(count) <= allowed)
             continue;
+        std::string senders;
+        for (auto it = first; it <= n; ++it)
+            senders += " " + arrivals[it].first->instance + "@"
+                       + std::to_string(arrivals[it].second.count());
         report("LIMIT", at, *request,
                std::to_string(count) + " requests at " + limit.upstream + " in "
                    + text(m_bounds.limitWindow) + ", allowed "
-                   + std::to_string(static_cast<int>(allowed)));
+                   + std::to_string(static_cast<int>(allowed)) + ":" + senders);
         return;
     }
 }
--- a/Tests/Soak/TestJudge.cpp
+++ b/Tests/Soak/TestJudge.cpp
@@ -487,6 +487,15 @@
         add(24s, 18);
         CHECK(history.rules() == "LIMIT");
     }
+    SECTION("from an instance that got no answer with it")
+    {
+        history.limits.front().to = Time::max();
+        for (unsigned n = 0; n < 24; ++n)
+            history.add("other-" + std::to_string(n), Kind::Once, 20s + n * 100ms).instance =
+                "edge-2";
+        add(23'100ms, 1);
+        CHECK(history.rules().empty());
+    }
     SECTION("spread over two windows")
     {
         add(24s, 10);
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -71,7 +71,7 @@
         play(optionsOf(seed, 13));
 }
 
-TEST_CASE("gateway processes keep the limits of upstreams through restarts, kills and freezes")
+TEST_CASE("limits that upstreams name hold through restarts, kills and freezes of instances")
 {
     auto options = optionsOf(907, 20);
     options.hasLimits = true;
