LibGateway: Repeat the repeat of a late read of the store as well

Callers saw: with two answers of the store lost in a row, an instance without siblings kept sending to upstreams that had left, and had a configuration in force after 2.5 s where 2.0 s is the bound. Cause: the one repeat of a late read had until its time-out of 1.2 s. Class: as in docs/incidents/late-configuration.md, evidence that is waited for on one way only. Change: the repeat is late after 0.3 s too, and is made once more, with the whole time-out. One call more for each repeat that is late; none while the store is known to fail. Evidence: the new test, for the operator's log and the list of upstreams: before, not within the bound; after, within it.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -56,6 +56,7 @@
 constexpr auto StartPollInterval = 100ms;
 constexpr unsigned MaxStartPolls = 10;
 // When a read takes this much longer than its wait, a sibling is queried, and the read is repeated.
+// So is the repeat, because several answers may be lost.
 constexpr auto LateAnswerTime = 300ms;
 // The members become known when the journal has been read up to the own announcement.
 constexpr auto MembersPollInterval = 20ms;
@@ -371,11 +372,14 @@
             read->cancel();
             co_return std::move(*page);
         }
-        // A store that is only slow has more time for the second answer.
+        // A store that is only slow has more time for the last repeat.
         std::function<asio::awaitable<FleetPage>()> call = [this, topic, from] {
             return m_dependencies.store.read(topic, from, 0ms);
         };
-        read = co_await repeatRead(std::move(read), topic, "read", std::move(call));
+        read = co_await repeatRead(std::move(read), topic, "read", call);
+        const bool isRepeatInTime = co_await read->awaitEnd(LateAnswerTime);
+        if (!isRepeatInTime)
+            read = co_await repeatRead(std::move(read), topic, "read", std::move(call));
     }
     co_return co_await finishRead(std::move(read));
 }
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -63,8 +63,8 @@
 
     bool isUnavailable = false;
     bool isHanging = false;
-    /// Whether only the next call hangs.
-    bool isNextHanging = false;
+    /// How many of the next calls hang.
+    int nextHanging = 0;
     int calls = 0;
     int hangingCalls = 0;
     int mostHangingCalls = 0;
@@ -87,7 +87,7 @@
 
     asio::awaitable<void> hangIfAsked()
     {
-        if (isHanging || std::exchange(isNextHanging, false)) {
+        if (isHanging || (nextHanging > 0 && nextHanging-- > 0)) {
             const HangingCall call(*this);
             asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
             co_await timer.async_wait(asio::use_awaitable);
@@ -537,7 +537,7 @@
     fleet.records.emplace_back("leaving");
     constexpr auto Pause = 800ms;
     fleet.clock.advance(Pause);
-    one.store.isNextHanging = true;
+    one.store.nextHanging = 1;
     auto answer = asio::co_spawn(fleet.threads.at(0), one.log.read(FleetTopic::Upstreams, 1, 2s),
                                  asio::use_future);
     REQUIRE(answer.wait_for(one.settings.drainBound - Pause) == std::future_status::ready);
@@ -557,18 +557,36 @@
     auto &one = fleet.add("n0");
     fleet.read(one, 0, 0ms, topic);
     fleet.records.emplace_back("newer");
-    one.store.isNextHanging = true;
+    one.store.nextHanging = 1;
     auto answer = asio::co_spawn(fleet.threads.at(0), one.log.read(topic, 1, 1s), asio::use_future);
     REQUIRE(answer.wait_for(bound) == std::future_status::ready);
     CHECK(answer.get().records.size() == 1);
     CHECK(one.store.hangingCalls == 0);
 }
 
+TEST_CASE(
+    "two reads of the store without an answer in a row do not make a log older than its bound")
+{
+    // The list of upstreams is read with a pause, which is a part of its age.
+    const auto [topic, pause] =
+        GENERATE(std::pair(FleetTopic::Operator, 0ms), std::pair(FleetTopic::Upstreams, 800ms));
+    Fleet fleet;
+    auto &one = fleet.add("n0");
+    fleet.read(one, 0, 0ms, topic);
+    fleet.records.emplace_back("newer");
+    fleet.clock.advance(pause);
+    one.store.nextHanging = 2;
+    auto answer = asio::co_spawn(fleet.threads.at(0), one.log.read(topic, 1, 1s), asio::use_future);
+    REQUIRE(answer.wait_for(one.settings.configurationBound - pause) == std::future_status::ready);
+    CHECK(answer.get().records.size() == 1);
+    CHECK(one.store.hangingCalls == 0);
+}
+
 TEST_CASE("a list of the newest records without an answer is requested again within the bound")
 {
     Fleet fleet;
     auto &one = fleet.add("n0");
-    one.store.isNextHanging = true;
+    one.store.nextHanging = 1;
     auto answer =
         asio::co_spawn(fleet.threads.at(0), one.log.newest(FleetTopic::Operator), asio::use_future);
     REQUIRE(answer.wait_for(one.settings.configurationBound) == std::future_status::ready);
