LibGateway: Query a sibling at each late read of the store

Cause: after the repeat of a late read was late too, siblings were queried only when the last repeat had failed, 1.2 s later. Change: the reads, their lateness and the siblings' queries form one loop.

--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -56,8 +56,9 @@
 constexpr auto StartPollInterval = 100ms;
 constexpr unsigned MaxStartPolls = 10;
 // When a read takes this much longer than its wait, a sibling is queried, and the read is repeated.
-// So is the repeat, because several answers may be lost.
 constexpr auto LateAnswerTime = 300ms;
+// Several answers in a row may be lost.
+constexpr int MaxRepeats = 2;
 // The members become known when the journal has been read up to the own announcement.
 constexpr auto MembersPollInterval = 20ms;
 constexpr unsigned MaxMembersPolls = 20;
@@ -365,21 +366,21 @@
     const auto executor = co_await asio::this_coro::executor;
     auto read =
         startStoreRead(executor, topic, "read", m_dependencies.store.read(topic, from, wait));
-    const bool isInTime = co_await read->awaitEnd(wait + LateAnswerTime);
-    if (!isInTime) {
+    // A store that is only slow has more time for the last repeat.
+    const std::function<asio::awaitable<FleetPage>()> call = [this, topic, from] {
+        return m_dependencies.store.read(topic, from, 0ms);
+    };
+    for (int n = 0; n < MaxRepeats; ++n) {
+        const auto time = n == 0 ? wait + LateAnswerTime : LateAnswerTime;
+        const bool isInTime = co_await read->awaitEnd(time);
+        if (isInTime)
+            break;
         logLateRead(topic, read->requestTime);
         if (auto page = co_await readNewerFromSibling(topic, from)) {
             read->cancel();
             co_return std::move(*page);
         }
-        // A store that is only slow has more time for the last repeat.
-        std::function<asio::awaitable<FleetPage>()> call = [this, topic, from] {
-            return m_dependencies.store.read(topic, from, 0ms);
-        };
         read = co_await repeatRead(std::move(read), topic, "read", call);
-        const bool isRepeatInTime = co_await read->awaitEnd(LateAnswerTime);
-        if (!isRepeatInTime)
-            read = co_await repeatRead(std::move(read), topic, "read", std::move(call));
     }
     co_return co_await finishRead(std::move(read));
 }
