Tests: Look for a port that is free for datagrams as well

Cause: GatewayFixture::freePort() takes a port that is free for connections and binds it for datagrams without another try; gateways of tests beside it hold ports for datagrams alone. Change: it tries other ports. Result: the new case, 600 ports held for datagrams, fails before after 66 searches; 3 of 3 runs of 600 searches pass after. That the failed run was this one and not the moment between the search and the test's own bind is an inference: both give the same message.

--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -8,6 +8,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 #include <thread>
 
 namespace PlatformTests {
@@ -152,11 +153,20 @@
 
 std::uint16_t GatewayFixture::freePort()
 {
+    constexpr int Attempts = 100;
+    const auto loopback = asio::ip::address_v4::loopback();
     asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-    const asio::ip::udp::socket datagrams(
-        context, {asio::ip::address_v4::loopback(), acceptor.local_endpoint().port()});
-    return acceptor.local_endpoint().port();
+    for (int n = 0; n < Attempts; ++n) {
+        const asio::ip::tcp::acceptor acceptor(context, {loopback, 0});
+        const auto port = acceptor.local_endpoint().port();
+        asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+        // Another test may use the port for datagrams alone.
+        boost::system::error_code ec;
+        datagrams.bind({loopback, port}, ec);
+        if (!ec)
+            return port;
+    }
+    throw std::runtime_error("no port is free for datagrams and connections");
 }
 
 unsigned GatewayFixture::readiness() const
--- a/Tests/Platform/TestProcessLife.cpp
+++ b/Tests/Platform/TestProcessLife.cpp
@@ -124,6 +124,19 @@
     CHECK(gateway.wait() == 0);
 }
 
+TEST_CASE("a free port is found although others are held for datagrams alone")
+{
+    constexpr std::size_t Held = 600;
+    constexpr int Searches = 600;
+    asio::io_context context;
+    std::vector<asio::ip::udp::socket> held;
+    held.reserve(Held);
+    for (std::size_t n = 0; n < Held; ++n)
+        held.emplace_back(context, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    for (int n = 0; n < Searches; ++n)
+        REQUIRE_NOTHROW(GatewayFixture::freePort());
+}
+
 TEST_CASE("a gateway whose ports are held by another process starts when they are free")
 {
     GatewayFixture fixture;
