--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -15,6 +15,7 @@
 constexpr auto CrashTime = 2'000ms;
 constexpr auto FirstEventTime = 150ms;
 constexpr auto EventTime = 50ms;
+constexpr auto HeadTime = 10ms;
 constexpr int Events = 8;
 // The part of the prompt that crashes the workers that begin to answer it.
 constexpr auto DeadlyPart = "dead";
@@ -125,20 +126,22 @@
                 return false;
             m_seen.begun.insert(attempt);
             m_record.line("begins", attempt, id());
-            const auto parts = request.find("X-Jujubesaddle-Prompt-Prefix");
-            if (parts.find(DeadlyPart) != std::string::npos) {
-                m_isCrashing = true;
-                m_seen.crashes.push_back(m_record.now());
-                m_record.line("crashes", id(), "by", attempt);
-                connection.reset();
-                return false;
-            }
         }
         bool isSent = connection.send("HTTP/1.1 200 OK\r\n" + name
                                       + "X-Jujubesaddle-Server-Seal: seal." + id()
                                       + "\r\nX-Jujubesaddle-Weight-Versions: 1\r\n"
                                         "Content-Type: text/event-stream\r\n"
                                         "Transfer-Encoding: chunked\r\n\r\n");
+        if (request.find("X-Jujubesaddle-Prompt-Prefix").find(DeadlyPart) != std::string::npos) {
+            // The head of the answer has left when the worker crashes.
+            sleepFor(HeadTime);
+            const std::scoped_lock lock(m_seen.mutex);
+            m_isCrashing = true;
+            m_seen.crashes.push_back(m_record.now());
+            m_record.line("crashes", id(), "by", attempt);
+            connection.reset();
+            return false;
+        }
         const auto last = std::atoi(request.find("Last-Event-Id").c_str());
         for (int n = last + 1; isSent && n <= Events; ++n) {
             isSent = connection.send(
@@ -278,6 +281,7 @@
     if (offset > BaselineBegin)
         return 2;
     std::vector<std::thread> clients;
+    clients.reserve(Clients + 1);
     for (int n = 0; n < Clients; ++n)
         clients.emplace_back([&, n] { runClient(n, gateways, seen, record); });
     if (hasTrouble)
