--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -93,10 +93,8 @@
     }
     for (const auto &gateway : gateways)
         awaitReady(*gateway);
-    const auto offset = record.now();
+    record.restart();
     record.line("all gateways are ready");
-    if (offset > BaselineBegin)
-        return 2;
     std::vector<std::thread> clients;
     clients.reserve(Clients + 1);
     for (int n = 0; n < Clients; ++n)
