--- a/Libraries/LibGateway/AnswerEvidence.cpp
+++ b/Libraries/LibGateway/AnswerEvidence.cpp
@@ -41,7 +41,7 @@
 {
     if (m_isAnswered || isProven())
         return;
-    const PromptCasualty casualty {
+    const Casualty casualty {
         Core::hash64(m_engine.value(), static_cast<std::uint64_t>(m_startTime.count())),
         m_request.digest, m_request.partHashes, m_hasBegun};
     logCasualty(m_request, m_engine, m_startTime, casualty);
--- a/Libraries/LibGateway/CrashEvidence.cpp
+++ b/Libraries/LibGateway/CrashEvidence.cpp
@@ -1,5 +1,5 @@
 #include <LibGateway/CrashEvidence.h>
-#include <LibGateway/PoisonPartTable.h>
+#include <LibGateway/PoisonTable.h>
 
 #include <algorithm>
 
@@ -14,7 +14,7 @@
 
 } // namespace
 
-bool CrashEvidence::note(const PromptCasualty &casualty, Core::Clock::Monotonic now)
+bool CrashEvidence::note(const Casualty &casualty, Core::Clock::Monotonic now)
 {
     while (!m_crashes.empty() && now - m_crashes.front().time >= RetentionTime)
         removeOldest();
@@ -36,29 +36,28 @@
     return true;
 }
 
-EngineCrash *CrashEvidence::find(std::uint64_t crash)
+UpstreamCrash *CrashEvidence::find(std::uint64_t crash)
 {
     const auto it = std::find_if(m_crashes.rbegin(), m_crashes.rend(),
-                                 [crash](const EngineCrash &item) { return item.id == crash; });
+                                 [crash](const UpstreamCrash &item) { return item.id == crash; });
     return it == m_crashes.rend() ? nullptr : &*it;
 }
 
-EngineCrash &CrashEvidence::add(std::uint64_t crash, Core::Clock::Monotonic now)
+UpstreamCrash &CrashEvidence::add(std::uint64_t crash, Core::Clock::Monotonic now)
 {
     if (m_crashes.size() >= MaxCrashes)
         removeOldest();
     // Casualties that pass hubs arrive later than newer ones.
     const auto next = std::upper_bound(
         m_crashes.begin(), m_crashes.end(), now,
-        [](const auto &time, const EngineCrash &item) { return time < item.time; });
-    auto &added = *m_crashes.insert(next, EngineCrash {});
+        [](const auto &time, const UpstreamCrash &item) { return time < item.time; });
+    auto &added = *m_crashes.insert(next, UpstreamCrash {});
     added.id = crash;
     added.time = now;
     return added;
 }
 
-void CrashEvidence::addPart(EngineCrash &crash, const PromptCasualty &casualty,
-                            std::size_t position)
+void CrashEvidence::addPart(UpstreamCrash &crash, const Casualty &casualty, std::size_t position)
 {
     const auto id = casualty.parts[position];
     const auto [it, isFirst] = crash.parts.try_emplace(id);
@@ -71,7 +70,7 @@
     auto &crashes = m_suspects[id];
     const auto next = std::upper_bound(
         crashes.begin(), crashes.end(), crash.time,
-        [](const auto &time, const EngineCrash *item) { return time < item->time; });
+        [](const auto &time, const UpstreamCrash *item) { return time < item->time; });
     crashes.insert(next, &crash);
 }
 
@@ -81,7 +80,7 @@
     m_crashes.pop_front();
 }
 
-void CrashEvidence::clearParts(EngineCrash &crash)
+void CrashEvidence::clearParts(UpstreamCrash &crash)
 {
     for (const auto &[part, item] : crash.parts) {
         const auto it = m_suspects.find(part);
--- a/Libraries/LibGateway/CrashEvidence.h
+++ b/Libraries/LibGateway/CrashEvidence.h
@@ -10,10 +10,10 @@
 
 namespace Gateway {
 
-struct PromptCasualty;
+struct Casualty;
 
 /// A crash of an engine, with the prompts that were lost in it.
-struct EngineCrash
+struct UpstreamCrash
 {
     struct Part
     {
@@ -35,7 +35,7 @@
 class CrashEvidence
 {
 public:
-    using Crashes = std::vector<const EngineCrash *>;
+    using Crashes = std::vector<const UpstreamCrash *>;
     /// The crashes of each part, the oldest first.
     using Suspects = std::unordered_map<std::uint64_t, Crashes>;
 
@@ -45,21 +45,21 @@
 
     /// Records a casualty, and forgets the crashes that are older than the retention time. Returns
     /// whether the casualty is new.
-    bool note(const PromptCasualty &casualty, Core::Clock::Monotonic now);
+    bool note(const Casualty &casualty, Core::Clock::Monotonic now);
     /// The crashes, the oldest first.
-    const std::list<EngineCrash> &crashes() const { return m_crashes; }
+    const std::list<UpstreamCrash> &crashes() const { return m_crashes; }
     /// The parts of the crashes.
     const Suspects &suspects() const { return m_suspects; }
 
 private:
-    EngineCrash *find(std::uint64_t crash);
-    EngineCrash &add(std::uint64_t crash, Core::Clock::Monotonic now);
-    void addPart(EngineCrash &crash, const PromptCasualty &casualty, std::size_t position);
+    UpstreamCrash *find(std::uint64_t crash);
+    UpstreamCrash &add(std::uint64_t crash, Core::Clock::Monotonic now);
+    void addPart(UpstreamCrash &crash, const Casualty &casualty, std::size_t position);
     void removeOldest();
-    void clearParts(EngineCrash &crash);
+    void clearParts(UpstreamCrash &crash);
 
     /// A list, because the suspects refer to its elements.
-    std::list<EngineCrash> m_crashes;
+    std::list<UpstreamCrash> m_crashes;
     /// Kept up to date, because counting the parts of many waiting prompts takes milliseconds.
     Suspects m_suspects;
 };
--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -69,7 +69,7 @@
 } // namespace
 
 FleetJournal::FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
-                           PoisonRequestTable &poison, PoisonPartTable &poisonParts,
+                           PoisonRequestTable &poison, PoisonTable &poisonParts,
                            FleetMembers &members)
     : m_log(log)
     , m_clock(clock)
@@ -220,7 +220,7 @@
     if (age > FleetMembers::MemberTimeout)
         return;
     for (const auto *entry : *record.parts()) {
-        auto poison = readPoisonPart(*entry);
+        auto poison = readPoisonCause(*entry);
         poison.remaining -= age;
         m_poisonParts.notePoison(poison, m_clock.now());
     }
@@ -342,7 +342,7 @@
             continue;
         m_hasNewPoisonPart = false;
         // The conviction may have been withdrawn since.
-        if (m_poisonParts.poisonParts(m_clock.now()).empty())
+        if (m_poisonParts.causes(m_clock.now()).empty())
             continue;
         const auto offset = co_await append(poisonPartsRecord());
         if (offset)
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -5,8 +5,8 @@
 #include <LibGateway/FleetMembers.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/OrderLease.h>
-#include <LibGateway/PoisonPartTable.h>
 #include <LibGateway/PoisonRequestTable.h>
+#include <LibGateway/PoisonTable.h>
 
 #include <flatbuffers/flatbuffers.h>
 
@@ -31,7 +31,7 @@
 {
 public:
     FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
-                 PoisonRequestTable &poison, PoisonPartTable &poisonParts, FleetMembers &members);
+                 PoisonRequestTable &poison, PoisonTable &poisonParts, FleetMembers &members);
 
     /// Reads the journal until the process ends.
     boost::asio::awaitable<void> watch();
@@ -101,7 +101,7 @@
     const Core::Clock &m_clock;
     const GatewaySettings &m_settings;
     PoisonRequestTable &m_poison;
-    PoisonPartTable &m_poisonParts;
+    PoisonTable &m_poisonParts;
     FleetMembers &m_members;
     OrderLease m_lease;
     std::vector<std::uint64_t> m_upstreamFailures;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -11,8 +11,8 @@
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/KvCacheStores.h>
 #include <LibGateway/PlannedStop.h>
-#include <LibGateway/PoisonPartTable.h>
 #include <LibGateway/PoisonRequestTable.h>
+#include <LibGateway/PoisonTable.h>
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/QuotaExchange.h>
 #include <LibGateway/RateLimitExchange.h>
@@ -93,7 +93,7 @@
     GatewayMetrics &metrics() { return m_metrics; }
     KvCacheStores &stores() { return m_stores; }
     PoisonRequestTable &poison() { return m_poison; }
-    PoisonPartTable &poisonParts() { return m_poisonParts; }
+    PoisonTable &poisonParts() { return m_poisonParts; }
     /// Returns whether this instance may send one prompt with the poison part, to find out whether
     /// it still crashes engines.
     bool mayTryPart(std::uint64_t part);
@@ -125,7 +125,7 @@
     /// Called with the digest of a request during which an upstream failed.
     std::function<void(std::uint64_t)> onUpstreamFailure;
     /// Called when a prompt of this instance was lost because its engine crashed.
-    std::function<void(const PromptCasualty &)> onCasualty;
+    std::function<void(const Casualty &)> onCasualty;
     /// Returns whether this instance is the one that tries a poison part. If it is empty, there are
     /// no others.
     std::function<bool(std::uint64_t part)> isTryingPart;
@@ -150,7 +150,7 @@
     GatewayMetrics m_metrics;
     KvCacheStores m_stores;
     PoisonRequestTable m_poison;
-    PoisonPartTable m_poisonParts;
+    PoisonTable m_poisonParts;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, Capacity::EngineMemory> m_memory;
     std::map<std::string, RetryBudgetShare> m_retries;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -256,9 +256,7 @@
 void GatewayDaemon::connectPoisonParts()
 {
     auto &table = m_gateway.poisonParts();
-    m_gateway.onCasualty = [this](const PromptCasualty &casualty) {
-        m_poisonNews.publish(casualty);
-    };
+    m_gateway.onCasualty = [this](const Casualty &casualty) { m_poisonNews.publish(casualty); };
     m_gateway.isTryingPart = [this](std::uint64_t part) { return m_members.isFirst(dutyOf(part)); };
     table.onPoison = [this](std::uint64_t part, unsigned crashes, unsigned requests) {
         Core::logEvent(Core::EventId::PoisonPartFound, {{"part", formatHash(part)},
@@ -372,7 +370,7 @@
     metrics.addGauge("jujube_gateway_poison_parts",
                      "Parts of prompts that are known to crash engines.", "", [this] {
                          const auto parts =
-                             m_gateway.poisonParts().poisonParts(m_interfaces.clock.now());
+                             m_gateway.poisonParts().causes(m_interfaces.clock.now());
                          return Samples {{"", static_cast<double>(parts.size())}};
                      });
     metrics.addGauge("jujube_gateway_team_tokens",
--- a/Libraries/LibGateway/PoisonNews.cpp
+++ b/Libraries/LibGateway/PoisonNews.cpp
@@ -47,12 +47,12 @@
 
 } // namespace
 
-PoisonNews::PoisonNews(PoisonPartTable &table, const Core::Clock &clock)
+PoisonNews::PoisonNews(PoisonTable &table, const Core::Clock &clock)
     : m_table(table)
     , m_clock(clock)
 { }
 
-void PoisonNews::publish(const PromptCasualty &casualty)
+void PoisonNews::publish(const Casualty &casualty)
 {
     QueuedCasualty entry {casualty, m_clock.now()};
     auto &parts = entry.casualty.parts;
@@ -93,7 +93,7 @@
 {
     const auto now = m_clock.now();
     for (const auto &answered : m_table.takeAnsweredSuspects(now)) {
-        const QueuedAnswer entry {answered.part, now - answered.age};
+        const QueuedAnswer entry {answered.suspect, now - answered.age};
         // Siblings that reported the answer have sent it to all.
         if (!isNew(entry))
             continue;
@@ -188,14 +188,14 @@
     }
     if (news->poison()) {
         for (const auto *entry : *news->poison())
-            m_table.notePoison(readPoisonPart(*entry), m_clock.now());
+            m_table.notePoison(readPoisonCause(*entry), m_clock.now());
     }
 }
 
-void PoisonNews::applyAnswer(const AnsweredPart &answered, Queue *forward)
+void PoisonNews::applyAnswer(const AnsweredSuspect &answered, Queue *forward)
 {
     const auto now = m_clock.now();
-    const QueuedAnswer entry {answered.part, now - answered.age};
+    const QueuedAnswer entry {answered.suspect, now - answered.age};
     if (answered.age >= MaxAge || !isNew(entry))
         return;
     m_table.noteAnsweredBySibling(answered, now);
@@ -221,7 +221,7 @@
         push(*forward, queued);
 }
 
-bool PoisonNews::isNew(const PromptCasualty &casualty)
+bool PoisonNews::isNew(const Casualty &casualty)
 {
     const std::pair key(casualty.crash, casualty.request);
     if (!m_seenCasualties.insert(key).second)
@@ -264,20 +264,19 @@
     queue.answers.push_back(answer);
 }
 
-std::vector<Wire::PoisonPart> wirePoisonParts(const PoisonPartTable &table,
-                                              Core::Clock::Monotonic now)
+std::vector<Wire::PoisonPart> wirePoisonParts(const PoisonTable &table, Core::Clock::Monotonic now)
 {
     std::vector<Wire::PoisonPart> entries;
-    for (const auto &poison : table.poisonParts(now)) {
+    for (const auto &poison : table.causes(now)) {
         if (entries.size() == PoisonNews::MaxPoisonParts)
             break;
-        entries.emplace_back(poison.part, static_cast<std::int32_t>(poison.remaining.count()),
+        entries.emplace_back(poison.cause, static_cast<std::int32_t>(poison.remaining.count()),
                              poison.convictions);
     }
     return entries;
 }
 
-PoisonPart readPoisonPart(const Wire::PoisonPart &entry)
+PoisonCause readPoisonCause(const Wire::PoisonPart &entry)
 {
     return {entry.part(), milliseconds(entry.remaining_ms()), entry.convictions()};
 }
--- a/Libraries/LibGateway/PoisonNews.h
+++ b/Libraries/LibGateway/PoisonNews.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
-#include <LibGateway/PoisonPartTable.h>
+#include <LibGateway/PoisonTable.h>
 
 #include <flatbuffers/flatbuffers.h>
 
@@ -38,10 +38,10 @@
     /// The number of reports that contain a casualty or an answered part.
     static constexpr unsigned Repetitions = 3;
 
-    PoisonNews(PoisonPartTable &table, const Core::Clock &clock);
+    PoisonNews(PoisonTable &table, const Core::Clock &clock);
 
     /// Queues a casualty of this instance for the next reports.
-    void publish(const PromptCasualty &casualty);
+    void publish(const Casualty &casualty);
     /// Returns the news for the next report of the scope; a null offset if there are none.
     flatbuffers::Offset<Wire::PoisonNews> encode(flatbuffers::FlatBufferBuilder &builder,
                                                  Wire::Scope scope);
@@ -53,7 +53,7 @@
 private:
     struct QueuedCasualty
     {
-        PromptCasualty casualty;
+        Casualty casualty;
         Core::Clock::Monotonic time;
         unsigned sendsLeft = Repetitions;
     };
@@ -75,9 +75,9 @@
     Queue *forwardQueueOf(Wire::Scope scope);
     void queueAnswers();
     void applyCasualty(const Wire::Casualty &entry, Queue *forward);
-    void applyAnswer(const AnsweredPart &answered, Queue *forward);
+    void applyAnswer(const AnsweredSuspect &answered, Queue *forward);
     /// Returns whether the casualty was not seen before, and remembers it.
-    bool isNew(const PromptCasualty &casualty);
+    bool isNew(const Casualty &casualty);
     /// Returns whether the answer is newer than the last one that was seen, and remembers it.
     bool isNew(const QueuedAnswer &answer);
     static void push(Queue &queue, const QueuedCasualty &casualty);
@@ -85,7 +85,7 @@
     static std::vector<QueuedCasualty> takeCasualties(Queue &queue);
     static std::vector<QueuedAnswer> takeAnswers(Queue &queue);
 
-    PoisonPartTable &m_table;
+    PoisonTable &m_table;
     const Core::Clock &m_clock;
     Queue m_own;
     /// At a hub: what its data centre, and all others, have reported.
@@ -99,9 +99,8 @@
 };
 
 /// Returns the poison parts as reports and journal records contain them.
-std::vector<Wire::PoisonPart> wirePoisonParts(const PoisonPartTable &table,
-                                              Core::Clock::Monotonic now);
+std::vector<Wire::PoisonPart> wirePoisonParts(const PoisonTable &table, Core::Clock::Monotonic now);
 /// Returns a poison part of a report or journal record.
-PoisonPart readPoisonPart(const Wire::PoisonPart &entry);
+PoisonCause readPoisonCause(const Wire::PoisonPart &entry);
 
 } // namespace Gateway
--- a/Libraries/LibGateway/PoisonPartTable.cpp
+++ b/Libraries/LibGateway/PoisonTable.cpp
@@ -1,4 +1,4 @@
-#include <LibGateway/PoisonPartTable.h>
+#include <LibGateway/PoisonTable.h>
 
 #include <algorithm>
 #include <tuple>
@@ -58,12 +58,12 @@
     return now >= until + convictionTime(convictions) * (KeptConvictionTimes - 1);
 }
 
-bool anyCrash(const EngineCrash &)
+bool anyCrash(const UpstreamCrash &)
 {
     return true;
 }
 
-bool containsAny(const EngineCrash &crash, const std::vector<std::uint64_t> &parts)
+bool containsAny(const UpstreamCrash &crash, const std::vector<std::uint64_t> &parts)
 {
     return std::any_of(parts.begin(), parts.end(),
                        [&crash](std::uint64_t part) { return crash.parts.contains(part); });
@@ -71,7 +71,7 @@
 
 } // namespace
 
-void PoisonPartTable::noteCasualty(const PromptCasualty &casualty, Core::Clock::Monotonic now)
+void PoisonTable::noteCasualty(const Casualty &casualty, Core::Clock::Monotonic now)
 {
     if (m_evidence.note(casualty, now)) {
         m_lastCasualty = std::max(m_lastCasualty, now);
@@ -81,7 +81,7 @@
     judgeIfDue(now);
 }
 
-void PoisonPartTable::renew(const PromptCasualty &casualty, Core::Clock::Monotonic now)
+void PoisonTable::renew(const Casualty &casualty, Core::Clock::Monotonic now)
 {
     const auto isActive = [&](std::uint64_t part) {
         const auto it = m_poison.find(part);
@@ -90,7 +90,7 @@
     // The prompts of a part that is tried again may be lost in another part's crash.
     const auto &crash =
         *std::find_if(m_evidence.crashes().rbegin(), m_evidence.crashes().rend(),
-                      [&casualty](const EngineCrash &item) { return item.id == casualty.crash; });
+                      [&casualty](const UpstreamCrash &item) { return item.id == casualty.crash; });
     const bool isExplained =
         std::any_of(crash.parts.begin(), crash.parts.end(),
                     [&isActive](const auto &item) { return isActive(item.first); });
@@ -106,7 +106,7 @@
     }
 }
 
-void PoisonPartTable::noteAnswered(std::span<const std::uint64_t> parts, Core::Clock::Monotonic now)
+void PoisonTable::noteAnswered(std::span<const std::uint64_t> parts, Core::Clock::Monotonic now)
 {
     if (!m_firstAnswer)
         m_firstAnswer = now;
@@ -123,14 +123,13 @@
     judgeIfDue(now);
 }
 
-void PoisonPartTable::noteAnsweredBySibling(const AnsweredPart &answered,
-                                            Core::Clock::Monotonic now)
+void PoisonTable::noteAnsweredBySibling(const AnsweredSuspect &answered, Core::Clock::Monotonic now)
 {
-    noteAnswer(answered.part, now - answered.age - UsualReportDelay);
+    noteAnswer(answered.suspect, now - answered.age - UsualReportDelay);
     judgeIfDue(now);
 }
 
-void PoisonPartTable::noteAnswer(std::uint64_t part, Core::Clock::Monotonic time)
+void PoisonTable::noteAnswer(std::uint64_t part, Core::Clock::Monotonic time)
 {
     m_answered.note(part, time);
     m_lastAnswer = std::max(m_lastAnswer, time);
@@ -141,21 +140,21 @@
         acquit(part);
 }
 
-void PoisonPartTable::acquit(std::uint64_t part)
+void PoisonTable::acquit(std::uint64_t part)
 {
     m_poison.erase(part);
     if (onAcquitted)
         onAcquitted(part);
 }
 
-std::optional<Core::Clock::Monotonic>
-PoisonPartTable::recentAnswer(std::uint64_t part, Core::Clock::Monotonic now) const
+std::optional<Core::Clock::Monotonic> PoisonTable::recentAnswer(std::uint64_t part,
+                                                                Core::Clock::Monotonic now) const
 {
     const auto time = m_answered.lastAnswer(part);
     return time && now - *time < RetentionTime ? time : std::nullopt;
 }
 
-void PoisonPartTable::notePoison(const PoisonPart &poison, Core::Clock::Monotonic now)
+void PoisonTable::notePoison(const PoisonCause &poison, Core::Clock::Monotonic now)
 {
     removeExpired(now);
     const auto length = convictionTime(poison.convictions);
@@ -163,15 +162,15 @@
     // What one instance has forgotten does not come back from one that forgets it a little later.
     if (isExpired(until, poison.convictions, now + MaxDrift))
         return;
-    const auto lastAnswer = m_answered.lastAnswer(poison.part);
+    const auto lastAnswer = m_answered.lastAnswer(poison.cause);
     if (lastAnswer && *lastAnswer + MaxReportDelay >= until - length)
         return;
-    const auto it = m_poison.find(poison.part);
+    const auto it = m_poison.find(poison.cause);
     if (it == m_poison.end()) {
-        if (isExplained(poison.part, m_evidence.suspects()))
+        if (isExplained(poison.cause, m_evidence.suspects()))
             return;
         makeRoom();
-        m_poison[poison.part] = {now, until - length, until, {}, poison.convictions};
+        m_poison[poison.cause] = {now, until - length, until, {}, poison.convictions};
         return;
     }
     // Instances would otherwise extend each other's convictions by the delay of their reports.
@@ -184,8 +183,8 @@
     own.lastCasualty = std::max(own.lastCasualty, until - length);
 }
 
-std::optional<std::uint64_t> PoisonPartTable::findPoison(std::span<const std::uint64_t> parts,
-                                                         Core::Clock::Monotonic now) const
+std::optional<std::uint64_t> PoisonTable::findPoison(std::span<const std::uint64_t> parts,
+                                                     Core::Clock::Monotonic now) const
 {
     if (m_poison.empty())
         return std::nullopt;
@@ -203,7 +202,7 @@
     return result;
 }
 
-bool PoisonPartTable::mayTry(std::uint64_t part, Core::Clock::Monotonic now)
+bool PoisonTable::mayTry(std::uint64_t part, Core::Clock::Monotonic now)
 {
     const auto it = m_poison.find(part);
     if (it == m_poison.end())
@@ -214,7 +213,7 @@
     return true;
 }
 
-std::vector<AnsweredPart> PoisonPartTable::takeAnsweredSuspects(Core::Clock::Monotonic now)
+std::vector<AnsweredSuspect> PoisonTable::takeAnsweredSuspects(Core::Clock::Monotonic now)
 {
     judgeIfDue(now);
     removeExpired(now);
@@ -224,28 +223,29 @@
     }
     if (m_published.size() > MaxPublishedParts)
         m_published.clear();
-    std::vector<std::pair<std::size_t, AnsweredPart>> news;
+    std::vector<std::pair<std::size_t, AnsweredSuspect>> news;
     for (const auto &[part, crashes] : m_evidence.suspects()) {
         const auto answer = recentAnswer(part, now);
         if (answer && isNews(part, *answer, crashes)) {
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *answer);
-            news.emplace_back(crashes.size(), AnsweredPart {part, age});
+            news.emplace_back(crashes.size(), AnsweredSuspect {part, age});
         }
     }
     // Those in most crashes are closest to a conviction.
     std::sort(news.begin(), news.end(), [](const auto &left, const auto &right) {
-        return std::pair(left.first, left.second.part) > std::pair(right.first, right.second.part);
+        return std::pair(left.first, left.second.suspect)
+               > std::pair(right.first, right.second.suspect);
     });
-    std::vector<AnsweredPart> result;
+    std::vector<AnsweredSuspect> result;
     for (std::size_t n = 0; n < std::min(news.size(), MaxSuspectsPerReport); ++n) {
         const auto &item = result.emplace_back(news[n].second);
-        m_published[item.part] = now - item.age;
+        m_published[item.suspect] = now - item.age;
     }
     return result;
 }
 
-bool PoisonPartTable::isNews(std::uint64_t part, Core::Clock::Monotonic answer,
-                             const CrashEvidence::Crashes &crashes) const
+bool PoisonTable::isNews(std::uint64_t part, Core::Clock::Monotonic answer,
+                         const CrashEvidence::Crashes &crashes) const
 {
     const auto it = m_published.find(part);
     if (it == m_published.end())
@@ -255,9 +255,9 @@
            && answer >= it->second + PublishInterval;
 }
 
-std::vector<PoisonPart> PoisonPartTable::poisonParts(Core::Clock::Monotonic now) const
+std::vector<PoisonCause> PoisonTable::causes(Core::Clock::Monotonic now) const
 {
-    std::vector<PoisonPart> result;
+    std::vector<PoisonCause> result;
     for (const auto &[part, conviction] : m_poison) {
         if (isExpired(conviction.until, conviction.convictions, now))
             continue;
@@ -268,7 +268,7 @@
     return result;
 }
 
-void PoisonPartTable::judgeIfDue(Core::Clock::Monotonic now)
+void PoisonTable::judgeIfDue(Core::Clock::Monotonic now)
 {
     if (!m_isUndecided || now < m_nextJudgement)
         return;
@@ -278,7 +278,7 @@
     judge(now);
 }
 
-void PoisonPartTable::judge(Core::Clock::Monotonic now)
+void PoisonTable::judge(Core::Clock::Monotonic now)
 {
     const auto &suspects = m_evidence.suspects();
     for (std::size_t n = 0; n < MaxPoisonParts; ++n) {
@@ -290,8 +290,8 @@
     withdrawExplained(suspects, now);
 }
 
-std::optional<PoisonPartTable::Charge>
-PoisonPartTable::strongestCharge(const Suspects &suspects, Core::Clock::Monotonic now) const
+std::optional<PoisonTable::Charge> PoisonTable::strongestCharge(const Suspects &suspects,
+                                                                Core::Clock::Monotonic now) const
 {
     std::vector<Charge> proven;
     for (const auto &[part, crashes] : suspects) {
@@ -301,7 +301,7 @@
         if (!total.isSeveralTimes())
             continue;
         const auto others = explanations(total, suspects);
-        const auto isOpen = [&](const EngineCrash &crash) {
+        const auto isOpen = [&](const UpstreamCrash &crash) {
             return now - crash.time >= SettlingTime && !containsAny(crash, others);
         };
         auto open = charge(part, crashes, isOpen);
@@ -335,14 +335,13 @@
     return std::nullopt;
 }
 
-bool PoisonPartTable::Charge::isSeveralTimes() const
+bool PoisonTable::Charge::isSeveralTimes() const
 {
     return moments >= MinMoments || (moments >= 2 && crashes >= MinCrashesQuick);
 }
 
-PoisonPartTable::Charge PoisonPartTable::charge(std::uint64_t part,
-                                                const CrashEvidence::Crashes &crashes,
-                                                const Counts &counts) const
+PoisonTable::Charge PoisonTable::charge(std::uint64_t part, const CrashEvidence::Crashes &crashes,
+                                        const Counts &counts) const
 {
     Charge result;
     result.part = part;
@@ -362,8 +361,8 @@
     return result;
 }
 
-void PoisonPartTable::addRequests(Charge &charge, const CrashEvidence::Crashes &crashes,
-                                  const Counts &counts) const
+void PoisonTable::addRequests(Charge &charge, const CrashEvidence::Crashes &crashes,
+                              const Counts &counts) const
 {
     std::vector<std::uint64_t> requests;
     for (const auto *crash : crashes) {
@@ -378,8 +377,8 @@
     charge.requests = static_cast<unsigned>(end - requests.begin());
 }
 
-PoisonPartTable::Proof PoisonPartTable::proof(const Charge &charge, const Suspects &suspects,
-                                              Core::Clock::Monotonic now) const
+PoisonTable::Proof PoisonTable::proof(const Charge &charge, const Suspects &suspects,
+                                      Core::Clock::Monotonic now) const
 {
     if (charge.requests < MinRequests)
         return Proof::None;
@@ -401,10 +400,10 @@
     return isOutstanding ? Proof::UnlessRarer : Proof::None;
 }
 
-bool PoisonPartTable::hasRarerSuspect(const Charge &charge, const Suspects &suspects,
-                                      Core::Clock::Monotonic now) const
+bool PoisonTable::hasRarerSuspect(const Charge &charge, const Suspects &suspects,
+                                  Core::Clock::Monotonic now) const
 {
-    const auto isCounted = [&](const EngineCrash &crash) {
+    const auto isCounted = [&](const UpstreamCrash &crash) {
         return crash.time >= charge.firstCrash && now - crash.time >= SettlingTime
                && crash.parts.contains(charge.part);
     };
@@ -427,8 +426,8 @@
     });
 }
 
-CrashOdds PoisonPartTable::odds(const Charge &charge, const Suspects &suspects,
-                                Core::Clock::Monotonic now) const
+CrashOdds PoisonTable::odds(const Charge &charge, const Suspects &suspects,
+                            Core::Clock::Monotonic now) const
 {
     CrashEvidence::Crashes crashes;
     for (const auto &crash : m_evidence.crashes()) {
@@ -444,8 +443,8 @@
     return crashOdds(charge.part, crashes, suspects.size(), answers, m_answered.share(charge.part));
 }
 
-std::vector<std::uint64_t> PoisonPartTable::explanations(const Charge &charge,
-                                                         const Suspects &suspects) const
+std::vector<std::uint64_t> PoisonTable::explanations(const Charge &charge,
+                                                     const Suspects &suspects) const
 {
     std::vector<std::uint64_t> result;
     for (const auto &[other, conviction] : m_poison) {
@@ -464,7 +463,7 @@
     return result;
 }
 
-void PoisonPartTable::convict(const Charge &charge, Core::Clock::Monotonic now)
+void PoisonTable::convict(const Charge &charge, Core::Clock::Monotonic now)
 {
     makeRoom();
     m_poison[charge.part] = {now, charge.lastCrash, charge.lastCrash + ConvictionTime, {}, 1};
@@ -472,20 +471,20 @@
         onPoison(charge.part, charge.crashes, charge.requests);
 }
 
-bool PoisonPartTable::isExplained(std::uint64_t part, const Suspects &suspects) const
+bool PoisonTable::isExplained(std::uint64_t part, const Suspects &suspects) const
 {
     const auto it = suspects.find(part);
     if (it == suspects.end())
         return false;
     const auto total = charge(part, it->second, anyCrash);
     const auto others = explanations(total, suspects);
-    const auto open = charge(part, it->second, [&others](const EngineCrash &crash) {
+    const auto open = charge(part, it->second, [&others](const UpstreamCrash &crash) {
         return !containsAny(crash, others);
     });
     return open.crashes < total.crashes && open.moments < MinMoments;
 }
 
-void PoisonPartTable::withdrawExplained(const Suspects &suspects, Core::Clock::Monotonic now)
+void PoisonTable::withdrawExplained(const Suspects &suspects, Core::Clock::Monotonic now)
 {
     std::vector<std::uint64_t> withdrawn;
     for (const auto &[part, conviction] : m_poison) {
@@ -496,7 +495,7 @@
         acquit(part);
 }
 
-void PoisonPartTable::removeExpired(Core::Clock::Monotonic now)
+void PoisonTable::removeExpired(Core::Clock::Monotonic now)
 {
     std::vector<std::uint64_t> expired;
     for (const auto &[part, conviction] : m_poison) {
@@ -507,7 +506,7 @@
         acquit(part);
 }
 
-void PoisonPartTable::makeRoom()
+void PoisonTable::makeRoom()
 {
     if (m_poison.size() < MaxPoisonParts)
         return;
--- a/Libraries/LibGateway/PoisonPartTable.h
+++ b/Libraries/LibGateway/PoisonTable.h
@@ -19,7 +19,7 @@
 
 /// A prompt that was lost because its engine crashed before the engine had shown that it can answer
 /// it.
-struct PromptCasualty
+struct Casualty
 {
     /// Identifies the crash: a hash of the engine's id and start time.
     std::uint64_t crash = 0;
@@ -33,17 +33,17 @@
 };
 
 /// A part of a prompt that an engine answered.
-struct AnsweredPart
+struct AnsweredSuspect
 {
-    std::uint64_t part = 0;
+    std::uint64_t suspect = 0;
     /// The time since the answer.
     std::chrono::milliseconds age {0};
 };
 
 /// A part that crashes engines.
-struct PoisonPart
+struct PoisonCause
 {
-    std::uint64_t part = 0;
+    std::uint64_t cause = 0;
     /// How long prompts with the part are still refused; negative after that, until it is
     /// forgotten.
     std::chrono::milliseconds remaining {0};
@@ -56,17 +56,17 @@
 ///
 /// All instances exchange casualties, answered parts and poison parts, so they come to the same
 /// result. Parts are named by hashes of their ids.
-class PoisonPartTable
+class PoisonTable
 {
 public:
     /// Records a casualty of this instance or of a sibling. Repeats are ignored.
-    void noteCasualty(const PromptCasualty &casualty, Core::Clock::Monotonic now);
+    void noteCasualty(const Casualty &casualty, Core::Clock::Monotonic now);
     /// Records that an engine answered a prompt of this instance with these parts.
     void noteAnswered(std::span<const std::uint64_t> parts, Core::Clock::Monotonic now);
     /// Records that a sibling reported an answered part.
-    void noteAnsweredBySibling(const AnsweredPart &answered, Core::Clock::Monotonic now);
+    void noteAnsweredBySibling(const AnsweredSuspect &answered, Core::Clock::Monotonic now);
     /// Records that a sibling or the journal reported a poison part.
-    void notePoison(const PoisonPart &poison, Core::Clock::Monotonic now);
+    void notePoison(const PoisonCause &poison, Core::Clock::Monotonic now);
 
     /// Returns the poison part among the parts of a prompt, of several the one that is refused
     /// longest; empty if there is none.
@@ -78,9 +78,9 @@
 
     /// Returns the parts of recent casualties that are known here to have been answered, and that
     /// were not returned before.
-    std::vector<AnsweredPart> takeAnsweredSuspects(Core::Clock::Monotonic now);
+    std::vector<AnsweredSuspect> takeAnsweredSuspects(Core::Clock::Monotonic now);
     /// Returns the poison parts.
-    std::vector<PoisonPart> poisonParts(Core::Clock::Monotonic now) const;
+    std::vector<PoisonCause> causes(Core::Clock::Monotonic now) const;
 
     /// Called when a part is found to be poison, with the number of its crashes and of the
     /// different requests in them.
@@ -122,7 +122,7 @@
         bool isSeveralTimes() const;
     };
     using Suspects = CrashEvidence::Suspects;
-    using Counts = std::function<bool(const EngineCrash &)>;
+    using Counts = std::function<bool(const UpstreamCrash &)>;
 
     void judgeIfDue(Core::Clock::Monotonic now);
     /// Convicts the parts that the evidence proves to be poison, and withdraws convictions that
@@ -147,7 +147,7 @@
     /// Returns whether poison parts with more crashes explain the evidence against the part.
     bool isExplained(std::uint64_t part, const Suspects &suspects) const;
     void withdrawExplained(const Suspects &suspects, Core::Clock::Monotonic now);
-    void renew(const PromptCasualty &casualty, Core::Clock::Monotonic now);
+    void renew(const Casualty &casualty, Core::Clock::Monotonic now);
     void noteAnswer(std::uint64_t part, Core::Clock::Monotonic time);
     /// Returns whether siblings may need to know of the answer to judge these crashes.
     bool isNews(std::uint64_t part, Core::Clock::Monotonic answer,
--- a/Libraries/LibGateway/RequestLog.cpp
+++ b/Libraries/LibGateway/RequestLog.cpp
@@ -137,7 +137,7 @@
 }
 
 void logCasualty(const AcceptedRequest &request, const Core::UpstreamId &engine,
-                 std::chrono::milliseconds startTime, const PromptCasualty &casualty)
+                 std::chrono::milliseconds startTime, const Casualty &casualty)
 {
     std::string parts;
     const auto logged = std::min(casualty.parts.size(), MaxLoggedParts);
--- a/Libraries/LibGateway/RequestLog.h
+++ b/Libraries/LibGateway/RequestLog.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibGateway/AcceptedRequest.h>
-#include <LibGateway/PoisonPartTable.h>
+#include <LibGateway/PoisonTable.h>
 #include <LibGateway/RequestPlan.h>
 
 #include <algorithm>
@@ -51,7 +51,7 @@
 
 /// Logs that the prompt was lost because its engine, of the given start time, crashed.
 void logCasualty(const AcceptedRequest &request, const Core::UpstreamId &engine,
-                 std::chrono::milliseconds startTime, const PromptCasualty &casualty);
+                 std::chrono::milliseconds startTime, const Casualty &casualty);
 
 /// Returns a hash of a request, part or crash as log and refusals show it.
 std::string formatHash(std::uint64_t hash);
--- a/Tests/LibGateway/PoisonSimulation.cpp
+++ b/Tests/LibGateway/PoisonSimulation.cpp
@@ -28,7 +28,7 @@
     m_clock.advance(1h);
     m_begin = m_clock.now();
     for (auto &instance : m_instances)
-        instance.table = std::make_unique<Gateway::PoisonPartTable>();
+        instance.table = std::make_unique<Gateway::PoisonTable>();
 }
 
 bool PoisonSimulation::happens(double perSecond)
@@ -144,7 +144,7 @@
         if (++m_deadlyCrashes == 5)
             m_fifthCrash = now;
         if (m_deadlyCrashes == 3 && m_shape.restartsInstance)
-            m_instances.front() = {std::make_unique<Gateway::PoisonPartTable>(), {}};
+            m_instances.front() = {std::make_unique<Gateway::PoisonTable>(), {}};
         crash(number);
         return;
     }
@@ -171,7 +171,7 @@
     for (std::size_t n = 0; n < lost.size(); ++n) {
         auto &prompt = lost[n];
         auto &instance = m_instances[prompt.instance];
-        const Gateway::PromptCasualty casualty {id, prompt.request, prompt.parts, n >= waiting};
+        const Gateway::Casualty casualty {id, prompt.request, prompt.parts, n >= waiting};
         instance.table->noteCasualty(casualty, now);
         if (instance.casualties.empty())
             instance.casualties.emplace_back();
@@ -197,13 +197,13 @@
 }
 
 void PoisonSimulation::report(unsigned from, unsigned to,
-                              const std::vector<Gateway::AnsweredPart> &answered)
+                              const std::vector<Gateway::AnsweredSuspect> &answered)
 {
     const auto &sender = m_instances[from];
     const bool isSlow = uniform() < 0.2;
     const auto delay = std::chrono::milliseconds(5 + m_random() % (isSlow ? 495 : 30));
     const auto receive = [this, to, answered, casualties = sender.casualties,
-                          poison = sender.table->poisonParts(m_clock.now())] {
+                          poison = sender.table->causes(m_clock.now())] {
         auto &table = *m_instances[to].table;
         const auto now = m_clock.now();
         for (const auto &group : casualties) {
--- a/Tests/LibGateway/PoisonSimulation.h
+++ b/Tests/LibGateway/PoisonSimulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/ManualClock.h>
-#include <LibGateway/PoisonPartTable.h>
+#include <LibGateway/PoisonTable.h>
 
 #include <deque>
 #include <functional>
@@ -73,8 +73,8 @@
     };
     struct Instance
     {
-        std::unique_ptr<Gateway::PoisonPartTable> table;
-        std::deque<std::vector<Gateway::PromptCasualty>> casualties;
+        std::unique_ptr<Gateway::PoisonTable> table;
+        std::deque<std::vector<Gateway::Casualty>> casualties;
     };
 
     double uniform() { return std::uniform_real_distribution<>(0, 1)(m_random); }
@@ -87,7 +87,7 @@
     void runEngine(unsigned engine);
     void crash(unsigned engine);
     void exchange();
-    void report(unsigned from, unsigned to, const std::vector<Gateway::AnsweredPart> &answered);
+    void report(unsigned from, unsigned to, const std::vector<Gateway::AnsweredSuspect> &answered);
 
     PoisonShape m_shape;
     Core::ManualClock m_clock;
--- a/Tests/LibGateway/TestEngineSpeeds.cpp
+++ b/Tests/LibGateway/TestEngineSpeeds.cpp
@@ -68,7 +68,7 @@
     Gateway::UpstreamFleet fleet;
     Gateway::KvCacheStores stores;
     Gateway::WeightsTargets weights;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::PoisonNews poisonNews {poisonParts, clock};
     Gateway::FleetMembers members;
     std::optional<double> rate;
--- a/Tests/LibGateway/TestJournal.cpp
+++ b/Tests/LibGateway/TestJournal.cpp
@@ -33,7 +33,7 @@
     clock.advance(1h);
     HangingLog log;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::GatewaySettings settings;
     settings.instance = Core::InstanceId("a");
     Gateway::FleetMembers members({settings.instance, "a", {}}, clock);
@@ -68,7 +68,7 @@
     clock.advance(1h);
     HangingLog log;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::GatewaySettings first;
     Gateway::GatewaySettings second;
     first.instance = Core::InstanceId("a");
@@ -107,7 +107,7 @@
     const Core::SuspensionAwareClock clock;
     HangingLog log;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::GatewaySettings settings;
     settings.journalRetention = 100ms;
     Gateway::FleetMembers members({Core::InstanceId("a"), "north", {}}, clock);
@@ -127,7 +127,7 @@
     HangingLog log;
     Gateway::GatewaySettings settings;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     const Http::Endpoint endpoint(asio::ip::make_address("10.0.0.1"), 700);
     Gateway::FleetMembers members({Core::InstanceId("a"), "north", endpoint}, clock);
     Gateway::FleetJournal journal(log, clock, settings, poison, poisonParts, members);
@@ -136,7 +136,7 @@
     poison.noteUpstreamFailure(43, clock.now());
 
     Gateway::PoisonRequestTable otherPoison;
-    Gateway::PoisonPartTable otherPoisonParts;
+    Gateway::PoisonTable otherPoisonParts;
     Gateway::FleetMembers otherMembers({Core::InstanceId("b"), "south", endpoint}, clock);
     Gateway::FleetJournal otherJournal(log, clock, settings, otherPoison, otherPoisonParts,
                                        otherMembers);
@@ -160,7 +160,7 @@
     HangingLog log;
     log.recordsPerPage = 1;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::GatewaySettings settings;
     settings.instance = Core::InstanceId("a");
     Gateway::FleetMembers members({settings.instance, "north", {}}, clock);
@@ -296,7 +296,7 @@
     clock.advance(1h);
     HangingLog log;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::GatewaySettings settings;
     settings.instance = Core::InstanceId("a0");
     settings.journalRetention = 20s;
--- a/Tests/LibGateway/TestOddMessages.cpp
+++ b/Tests/LibGateway/TestOddMessages.cpp
@@ -45,7 +45,7 @@
     Gateway::KvCacheStores stores;
     Gateway::WeightsTargets weights;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::FleetMembers members {{Core::InstanceId("self"), "a", endpointOf(9'000)}, clock};
     Gateway::PoisonNews news {poisonParts, clock};
     GatewayTests::HangingLog log;
--- a/Tests/LibGateway/TestPoisonNews.cpp
+++ b/Tests/LibGateway/TestPoisonNews.cpp
@@ -38,7 +38,7 @@
         table.noteAnswered(std::span(&part, 1), clock.now());
         const auto suspects = table.takeAnsweredSuspects(clock.now());
         return std::any_of(suspects.begin(), suspects.end(),
-                           [part](const auto &it) { return it.part == part; });
+                           [part](const auto &it) { return it.suspect == part; });
     }
     bool refuses(std::uint64_t part) const
     {
@@ -50,7 +50,7 @@
     Gateway::UpstreamFleet fleet;
     Gateway::KvCacheStores stores;
     Gateway::WeightsTargets weights;
-    Gateway::PoisonPartTable table;
+    Gateway::PoisonTable table;
     Gateway::FleetMembers members;
     PoisonNews news;
     Gateway::SiblingExchange exchange;
@@ -93,7 +93,7 @@
     NoLog log;
     Gateway::GatewaySettings settings;
     Gateway::PoisonRequestTable requests;
-    Gateway::PoisonPartTable table;
+    Gateway::PoisonTable table;
     Gateway::FleetMembers members;
     Gateway::FleetJournal journal;
     const Core::ManualClock &clock;
@@ -173,7 +173,7 @@
     CHECK(other.refuses(Part));
     clock.advance(1s);
     // The sibling knows the casualty, this instance knows the later answer.
-    const Gateway::PromptCasualty casualty {1, 2, {Part}};
+    const Gateway::Casualty casualty {1, 2, {Part}};
     one.table.noteCasualty(casualty, clock.now());
     other.table.noteCasualty(casualty, clock.now());
     clock.advance(3s);
@@ -245,8 +245,8 @@
     clock.advance(20s);
     Journal later(clock, "later");
     later.journal.apply({1, {}, record});
-    REQUIRE(later.table.poisonParts(clock.now()).size() == 1);
-    CHECK(later.table.poisonParts(clock.now()).front().remaining <= 10s);
+    REQUIRE(later.table.causes(clock.now()).size() == 1);
+    CHECK(later.table.causes(clock.now()).front().remaining <= 10s);
     // Announcements would have repeated what is still valid.
     clock.advance(41s);
     Journal last(clock, "last");
--- a/Tests/LibGateway/TestPoisonParts.cpp
+++ b/Tests/LibGateway/TestPoisonTable.cpp
@@ -1,7 +1,7 @@
 #include "PoisonSimulation.h"
 
 #include <LibCore/ManualClock.h>
-#include <LibGateway/PoisonPartTable.h>
+#include <LibGateway/PoisonTable.h>
 
 #include <catch2/catch.hpp>
 
@@ -23,7 +23,7 @@
 /// A table that has seen answers for some time.
 struct Instance
 {
-    Gateway::PoisonPartTable table;
+    Gateway::PoisonTable table;
     Core::ManualClock clock;
     std::uint64_t crashes = 0;
     std::uint64_t requests = 0;
@@ -131,7 +131,7 @@
         it.clock.advance(20ms);
     }
     it.pass(5s);
-    CHECK(it.table.poisonParts(it.clock.now()).empty());
+    CHECK(it.table.causes(it.clock.now()).empty());
 }
 
 TEST_CASE("a first part that all prompts share is refused after all engines stop in turn")
@@ -177,7 +177,7 @@
     // Nothing was ever answered.
     Core::ManualClock clock;
     clock.advance(1h);
-    Gateway::PoisonPartTable table;
+    Gateway::PoisonTable table;
     for (std::uint64_t crash = 1; crash <= 5; ++crash, clock.advance(500ms))
         table.noteCasualty({crash, crash, {First, Deadly}}, clock.now());
     clock.advance(500ms);
@@ -189,7 +189,7 @@
 {
     Core::ManualClock clock;
     clock.advance(1h);
-    Gateway::PoisonPartTable table;
+    Gateway::PoisonTable table;
     for (std::uint64_t crash = 1; crash <= 20; ++crash) {
         table.noteCasualty({crash, 2 * crash, {First, Deadly}}, clock.now());
         table.noteCasualty({crash, 2 * crash + 1, {First, 100 + crash}}, clock.now());
@@ -223,7 +223,7 @@
 
 TEST_CASE("the order of evidence changes the result")
 {
-    std::vector<Gateway::PromptCasualty> casualties;
+    std::vector<Gateway::Casualty> casualties;
     for (std::uint64_t crash = 1; crash <= 5; ++crash) {
         casualties.push_back({crash, 10 * crash, {First, Deadly}});
         casualties.push_back({crash, 10 * crash + 1, {First, Other}});
@@ -233,7 +233,7 @@
     for (unsigned seed = 1; seed <= 30; ++seed) {
         std::mt19937 random(seed);
         // Each report is late by up to 500 ms.
-        std::multimap<std::chrono::milliseconds, Gateway::PromptCasualty> reports;
+        std::multimap<std::chrono::milliseconds, Gateway::Casualty> reports;
         for (const auto &casualty : casualties)
             reports.emplace(casualty.crash * 600ms + random() % 6 * 100ms, casualty);
         Instance it;
@@ -246,7 +246,7 @@
         it.pass(1s);
         CAPTURE(seed);
         CHECK(it.isPoison(Deadly));
-        CHECK(it.table.poisonParts(it.clock.now()).size() == 1);
+        CHECK(it.table.causes(it.clock.now()).size() == 1);
     }
 }
 
@@ -317,10 +317,10 @@
 {
     Core::ManualClock clock;
     clock.advance(1h);
-    Gateway::PoisonPartTable tables[2];
+    Gateway::PoisonTable tables[2];
     tables[0].notePoison({Deadly, 60s, 1}, clock.now());
     for (int n = 0; n < 6'200; ++n) {
-        const auto sent = tables[n % 2].poisonParts(clock.now());
+        const auto sent = tables[n % 2].causes(clock.now());
         clock.advance(100ms);
         for (const auto &poison : sent)
             tables[1 - n % 2].notePoison(poison, clock.now());
@@ -329,8 +329,8 @@
             CHECK_FALSE(tables[1].mayTry(Deadly, clock.now()));
         }
     }
-    CHECK(tables[0].poisonParts(clock.now()).empty());
-    CHECK(tables[1].poisonParts(clock.now()).empty());
+    CHECK(tables[0].causes(clock.now()).empty());
+    CHECK(tables[1].causes(clock.now()).empty());
 }
 
 TEST_CASE("many crashes and parts exhaust the memory")
@@ -342,7 +342,7 @@
         it.table.noteAnswered(std::vector {n + 100}, it.clock.now());
         it.clock.advance(1ms);
     }
-    CHECK(it.table.poisonParts(it.clock.now()).size() <= 64);
+    CHECK(it.table.causes(it.clock.now()).size() <= 64);
     CHECK(it.table.takeAnsweredSuspects(it.clock.now()).size() <= 64);
 }
 
--- a/Tests/LibGateway/TestRetrySlack.cpp
+++ b/Tests/LibGateway/TestRetrySlack.cpp
@@ -111,7 +111,7 @@
 
     Gateway::GatewaySettings settings;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::FleetMembers members;
     ReachedJournal log;
     std::unique_ptr<Gateway::FleetJournal> journal;
--- a/Tests/LibGateway/TestSiblings.cpp
+++ b/Tests/LibGateway/TestSiblings.cpp
@@ -45,7 +45,7 @@
     Gateway::KvCacheStores stores;
     Gateway::WeightsTargets weights;
     Admission::TeamRoom teamRoom;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::PoisonNews poisonNews {poisonParts, clock};
     std::unique_ptr<Gateway::FleetMembers> members;
     std::unique_ptr<Gateway::SiblingExchange> exchange;
--- a/Tests/LibGateway/TestWeightsRollout.cpp
+++ b/Tests/LibGateway/TestWeightsRollout.cpp
@@ -119,7 +119,7 @@
     Core::ManualClock clock;
     GatewayTests::HangingLog log;
     Gateway::PoisonRequestTable poison;
-    Gateway::PoisonPartTable poisonParts;
+    Gateway::PoisonTable poisonParts;
     Gateway::GatewaySettings settings = settingsOf("a");
     Gateway::FleetMembers members {{settings.instance, "a", {}}, clock};
     Gateway::FleetJournal journal {log, clock, settings, poison, poisonParts, members};
