--- a/Libraries/LibGateway/AcceptedRequest.cpp
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Hash.h>
 #include <LibGateway/AcceptedRequest.h>
 #include <LibGateway/Gateway.h>
+#include <LibGateway/RequestDigest.h>
 #include <LibGateway/RequestLog.h>
 
 #include <algorithm>
@@ -81,27 +82,25 @@
 
 std::optional<Refusal> AcceptedRequest::refusePoison(Gateway &gateway)
 {
-    if (gateway.poison().isPoison(digest, gateway.dependencies().clock.now()))
-        return Refusal {Core::ErrorKind::PoisonRequest,
-                        "several upstreams failed while they executed this request",
-                        {}};
-    const auto part = poisonPart(gateway);
-    if (!part)
+    const auto cause = poisonCause(gateway);
+    if (!cause)
         return std::nullopt;
-    if (gateway.mayTryPart(*part)) {
-        triedPart = part;
+    if (gateway.mayTryCause(*cause)) {
+        triedCause = cause;
         return std::nullopt;
     }
-    return Refusal {Core::ErrorKind::PoisonRequest,
-                    "part " + formatHash(*part) + " of the prompt crashes engines",
-                    {}};
+    const auto reason = *cause == digest
+                            ? "several upstreams failed while they executed this request"
+                            : "part " + formatHash(*cause) + " of the prompt crashes engines";
+    return Refusal {Core::ErrorKind::PoisonRequest, reason, {}};
 }
 
-std::optional<std::uint64_t> AcceptedRequest::poisonPart(Gateway &gateway) const
+std::optional<std::uint64_t> AcceptedRequest::poisonCause(Gateway &gateway) const
 {
-    const auto part =
-        gateway.poisonParts().findPoison(partHashes, gateway.dependencies().clock.now());
-    return part == triedPart ? std::nullopt : part;
+    auto suspects = partHashes;
+    suspects.push_back(digest);
+    const auto cause = gateway.poison().findPoison(suspects, gateway.dependencies().clock.now());
+    return cause == triedCause ? std::nullopt : cause;
 }
 
 milliseconds AcceptedRequest::remainingTime(Core::Clock::Monotonic now) const
--- a/Libraries/LibGateway/AcceptedRequest.h
+++ b/Libraries/LibGateway/AcceptedRequest.h
@@ -57,12 +57,12 @@
     bool isReturning = false;
     /// How long a caller that has returned had waited when the request arrived.
     std::chrono::milliseconds timeSpentBefore {0};
-    /// Identifies the request in the poison request table; equal for all attempts of one request.
+    /// Identifies the request in the poison table; equal for all attempts of one request.
     std::uint64_t digest = 0;
     /// Hashes of the ids of the prompt's parts, without the last one, which is specific to it.
     std::vector<std::uint64_t> partHashes;
-    /// The poison part that this request may try.
-    std::optional<std::uint64_t> triedPart;
+    /// What crashed upstreams and this request may try again: itself, or a part of its prompt.
+    std::optional<std::uint64_t> triedCause;
     mutable TeamCounts teamCounts;
 
     /// Decodes the request. Returns a refusal if it is malformed.
@@ -71,8 +71,8 @@
     /// not allowed, or if the configuration may be too old to decide.
     std::optional<Refusal> authorize(Gateway &gateway, const Http::Request &request);
 
-    /// Returns the part of the prompt that crashes engines, if it has one that it may not try.
-    std::optional<std::uint64_t> poisonPart(Gateway &gateway) const;
+    /// Returns what crashes upstreams, the request or a part of its prompt, unless it may try that.
+    std::optional<std::uint64_t> poisonCause(Gateway &gateway) const;
 
     std::chrono::milliseconds remainingTime(Core::Clock::Monotonic now) const;
     /// Returns the name of the cache scope. Only requests of the same scope share cached prompt
--- a/Libraries/LibGateway/AnswerEvidence.cpp
+++ b/Libraries/LibGateway/AnswerEvidence.cpp
@@ -6,11 +6,12 @@
 namespace Gateway {
 
 AnswerEvidence::AnswerEvidence(Gateway &gateway, const AcceptedRequest &request,
-                               const UpstreamReport &engine)
+                               const UpstreamReport &upstream, bool isEngine)
     : m_gateway(gateway)
     , m_request(request)
-    , m_engine(engine.id)
-    , m_startTime(engine.startTime)
+    , m_upstream(upstream.id)
+    , m_startTime(upstream.startTime)
+    , m_isEngine(isEngine)
 { }
 
 Core::Clock::Monotonic AnswerEvidence::now() const
@@ -31,23 +32,29 @@
         noteAnswered();
 }
 
-void AnswerEvidence::noteAnswered()
+std::vector<std::uint64_t> AnswerEvidence::parts() const
+{
+    return m_isEngine ? m_request.partHashes : std::vector<std::uint64_t>();
+}
+
+void AnswerEvidence::noteAnswered(bool isSuccess)
 {
     m_isAnswered = true;
-    m_gateway.poisonParts().noteAnswered(m_request.partHashes, now());
+    auto suspects = isSuccess ? parts() : std::vector<std::uint64_t>();
+    suspects.push_back(m_request.digest);
+    m_gateway.poison().noteAnswered(suspects, now());
 }
 
 void AnswerEvidence::noteCrash()
 {
     if (m_isAnswered || isProven())
         return;
+    const auto &attempt = m_request.caller.attemptId;
     const Casualty casualty {
-        Core::hash64(m_engine.value(), static_cast<std::uint64_t>(m_startTime.count())),
-        m_request.digest, m_request.partHashes, m_hasBegun};
-    logCasualty(m_request, m_engine, m_startTime, casualty);
-    if (casualty.parts.empty())
-        return;
-    m_gateway.poisonParts().noteCasualty(casualty, now());
+        Core::hash64(m_upstream.value(), static_cast<std::uint64_t>(m_startTime.count())),
+        m_request.digest, parts(), m_hasBegun, attempt.empty() ? 0 : Core::hash64(attempt)};
+    logCasualty(m_request, m_upstream, m_startTime, casualty);
+    m_gateway.poison().noteCasualty(casualty, now());
     if (m_gateway.onCasualty)
         m_gateway.onCasualty(casualty);
 }
--- a/Libraries/LibGateway/CrashEvidence.cpp
+++ b/Libraries/LibGateway/CrashEvidence.cpp
@@ -1,7 +1,7 @@
 #include <LibGateway/CrashEvidence.h>
-#include <LibGateway/PoisonTable.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway {
 
@@ -18,25 +18,25 @@
 {
     while (!m_crashes.empty() && now - m_crashes.front().time >= RetentionTime)
         removeOldest();
-    auto *found = find(casualty.crash);
+    auto *found = findCrash(casualty.crash);
     auto &crash = found ? *found : add(casualty.crash, now);
-    if (crash.hasBegun && !casualty.hasBegun)
+    if (m_scope == Scope::Begun && crash.hasBegun && !casualty.hasBegun)
         return false;
-    if (casualty.hasBegun && !crash.hasBegun) {
-        crash.hasBegun = true;
+    if (casualty.hasBegun && !std::exchange(crash.hasBegun, true) && m_scope == Scope::Begun) {
         crash.requests.clear();
-        clearParts(crash);
+        clearSuspects(crash);
     }
     if (crash.requests.size() >= MaxRequestsPerCrash
-        || !crash.requests.insert(casualty.request).second)
+        || !crash.requests.insert(casualty.identity()).second)
         return false;
     const auto count = std::min(casualty.parts.size(), MaxPartsPerPrompt);
     for (std::size_t n = 0; n < count; ++n)
-        addPart(crash, casualty, n);
+        addSuspect(crash, casualty, casualty.parts[n], n);
+    addSuspect(crash, casualty, casualty.request, count);
     return true;
 }
 
-UpstreamCrash *CrashEvidence::find(std::uint64_t crash)
+UpstreamCrash *CrashEvidence::findCrash(std::uint64_t crash)
 {
     const auto it = std::find_if(m_crashes.rbegin(), m_crashes.rend(),
                                  [crash](const UpstreamCrash &item) { return item.id == crash; });
@@ -57,38 +57,44 @@
     return added;
 }
 
-void CrashEvidence::addPart(UpstreamCrash &crash, const Casualty &casualty, std::size_t position)
+void CrashEvidence::addSuspect(UpstreamCrash &crash, const Casualty &casualty,
+                               std::uint64_t suspect, std::size_t position)
 {
-    const auto id = casualty.parts[position];
-    const auto [it, isFirst] = crash.parts.try_emplace(id);
-    auto &part = it->second;
-    if (part.requests.empty() || part.requests.back() != casualty.request)
-        part.requests.push_back(casualty.request);
-    part.depth = std::max(part.depth, position);
+    const auto [it, isFirst] = crash.suspects.try_emplace(suspect);
+    auto &item = it->second;
+    if (item.requests.empty() || item.requests.back().identity != casualty.identity())
+        item.requests.push_back({casualty.identity(), casualty.request});
+    item.depth = std::max(item.depth, position);
     if (!isFirst)
         return;
-    auto &crashes = m_suspects[id];
+    item.isRequest = suspect == casualty.request;
+    crash.wholeRequests += item.isRequest;
+    auto &crashes = m_suspects[suspect];
+    m_wholeRequests += item.isRequest && crashes.empty();
     const auto next = std::upper_bound(
         crashes.begin(), crashes.end(), crash.time,
-        [](const auto &time, const UpstreamCrash *item) { return time < item->time; });
+        [](const auto &time, const UpstreamCrash *other) { return time < other->time; });
     crashes.insert(next, &crash);
 }
 
 void CrashEvidence::removeOldest()
 {
-    clearParts(m_crashes.front());
+    clearSuspects(m_crashes.front());
     m_crashes.pop_front();
 }
 
-void CrashEvidence::clearParts(UpstreamCrash &crash)
+void CrashEvidence::clearSuspects(UpstreamCrash &crash)
 {
-    for (const auto &[part, item] : crash.parts) {
-        const auto it = m_suspects.find(part);
+    for (const auto &[suspect, item] : crash.suspects) {
+        const auto it = m_suspects.find(suspect);
         std::erase(it->second, &crash);
-        if (it->second.empty())
-            m_suspects.erase(it);
+        if (!it->second.empty())
+            continue;
+        m_wholeRequests -= item.isRequest;
+        m_suspects.erase(it);
     }
-    crash.parts.clear();
+    crash.suspects.clear();
+    crash.wholeRequests = 0;
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/CrashOdds.h
+++ b/Libraries/LibGateway/CrashOdds.h
@@ -2,27 +2,37 @@
 
 #include <LibGateway/CrashEvidence.h>
 
+#include <cstddef>
+#include <cstdint>
+
 namespace Gateway {
 
-/// Tells how likely a sound part is to be in as many crashes as a given one.
+/// Tells how likely a sound suspect is to be in as many crashes as a given one.
 struct CrashOdds
 {
-    /// Parts in fewer of the crashes are not suspected.
-    static constexpr double MinCrashShare = 0.4;
-
-    /// The share of the crashes that the part is in.
+    /// The share of the crashes that the suspect is in.
     double crashShare = 0;
-    /// The share of the prompts that contain the part, as seen in what else was lost.
-    double promptShare = 0;
-    /// The expected number of sound parts with this share of the prompts that are in so many of the
-    /// crashes and in no answer.
+    /// The share of the requests that contain the suspect, as seen in what else was lost.
+    double requestShare = 0;
+    /// The expected number of sound suspects with this share of the requests that are in so many of
+    /// the crashes and in no answer.
     double chance = 1;
 };
 
-/// Returns the odds of a part over these crashes, the first of which has the part, and over this
-/// many answers to prompts without it. The part was in this share of earlier answers. At most
-/// `maxParts` parts are known to be in any crash.
-CrashOdds crashOdds(std::uint64_t part, const CrashEvidence::Crashes &crashes, std::size_t maxParts,
-                    double answers, double answeredShare);
+/// What is known of a suspect apart from the crashes.
+struct SuspectStanding
+{
+    std::uint64_t suspect = 0;
+    bool isRequest = false;
+    /// How many suspects of its kind, parts or whole requests, are known to be in any crash.
+    std::size_t maxSuspects = 0;
+    /// How many requests without it were answered since its first crash.
+    double answers = 0;
+    /// The share of earlier answers that it was in.
+    double answeredShare = 0;
+};
+
+/// Returns the odds of a suspect over these crashes, the first of which has it.
+CrashOdds crashOdds(const SuspectStanding &standing, const CrashEvidence::Crashes &crashes);
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -5,7 +5,6 @@
 #include <LibGateway/PoisonNews.h>
 
 #include <algorithm>
-#include <span>
 
 namespace Gateway {
 
@@ -28,8 +27,8 @@
 constexpr double HubIntervalFactor = 0.65;
 constexpr double HubGraceFactor = 1.1;
 constexpr std::chrono::milliseconds AnnouncePollInterval = 500ms;
-// Failures that occur together, for example when an upstream crashes, are written in one record.
-constexpr auto FailureBatchInterval = 100ms;
+// Causes that are found together are written in one record.
+constexpr auto PoisonBatchInterval = 100ms;
 
 std::string toBytes(flatbuffers::FlatBufferBuilder &builder)
 {
@@ -44,13 +43,6 @@
     return toBytes(builder);
 }
 
-/// Returns the elements of a vector; empty for a null pointer.
-template <typename T>
-std::span<const T> asSpan(const flatbuffers::Vector<T> *list)
-{
-    return list ? std::span<const T>(list->data(), list->size()) : std::span<const T>();
-}
-
 std::string text(const flatbuffers::String *value)
 {
     return value ? value->str() : std::string();
@@ -58,24 +50,21 @@
 
 flatbuffers::Offset<Wire::Member> wireMember(flatbuffers::FlatBufferBuilder &builder,
                                              const FleetMember &member,
-                                             const std::vector<std::uint64_t> &poison,
                                              flatbuffers::Offset<Wire::PoisonParts> poisonParts)
 {
     return Wire::CreateMemberDirect(
         builder, member.instance.value().c_str(), member.dataCentre.c_str(),
-        Http::formatEndpoint(member.endpoint).c_str(), &poison, member.linkMegabits, poisonParts);
+        Http::formatEndpoint(member.endpoint).c_str(), nullptr, member.linkMegabits, poisonParts);
 }
 
 } // namespace
 
 FleetJournal::FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
-                           PoisonRequestTable &poison, PoisonTable &poisonParts,
-                           FleetMembers &members)
+                           PoisonTable &poison, FleetMembers &members)
     : m_log(log)
     , m_clock(clock)
     , m_settings(settings)
     , m_poison(poison)
-    , m_poisonParts(poisonParts)
     , m_members(members)
     , m_lease(settings.instance)
 { }
@@ -147,22 +136,14 @@
     if (const auto *lease = entry->entry_as_Lease())
         m_lease.noteRecord(record.offset, Core::InstanceId(text(lease->holder())), m_clock.now());
     if (const auto *parts = entry->entry_as_PoisonParts())
-        applyPoisonParts(*parts);
-    const auto *failures = entry->entry_as_Breaks();
-    if (!failures || !failures->digests()
-        || text(failures->instance()) == m_settings.instance.value())
-        return;
-    for (const auto digest : *failures->digests())
-        m_poison.noteUpstreamFailure(digest, m_clock.now());
+        applyPoison(*parts);
 }
 
 void FleetJournal::applyMember(const Wire::Member &member, std::uint64_t offset)
 {
     const Core::InstanceId instance(text(member.instance()));
-    for (const auto digest : asSpan(member.poison()))
-        m_poison.notePoison(digest, m_clock.now());
     if (member.poison_parts())
-        applyPoisonParts(*member.poison_parts());
+        applyPoison(*member.poison_parts());
     if (instance == m_settings.instance) {
         m_members.noteSelfAnnounced();
         // The first records may be old, and those of an earlier process.
@@ -199,12 +180,12 @@
 flatbuffers::Offset<Wire::PoisonParts>
 FleetJournal::wirePoisonRecord(flatbuffers::FlatBufferBuilder &builder) const
 {
-    const auto parts = wirePoisonParts(m_poisonParts, m_clock.now());
+    const auto parts = wirePoisonParts(m_poison, m_clock.now());
     return parts.empty() ? flatbuffers::Offset<Wire::PoisonParts>()
                          : Wire::CreatePoisonPartsDirect(builder, &parts, calendarMs());
 }
 
-void FleetJournal::applyPoisonParts(const Wire::PoisonParts &record)
+void FleetJournal::applyPoison(const Wire::PoisonParts &record)
 {
     if (!record.parts())
         return;
@@ -222,7 +203,7 @@
     for (const auto *entry : *record.parts()) {
         auto poison = readPoisonCause(*entry);
         poison.remaining -= age;
-        m_poisonParts.notePoison(poison, m_clock.now());
+        m_poison.notePoison(poison, m_clock.now());
     }
 }
 
@@ -252,8 +233,7 @@
 std::string FleetJournal::announcement() const
 {
     flatbuffers::FlatBufferBuilder builder;
-    const auto member = wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()),
-                                   wirePoisonRecord(builder));
+    const auto member = wireMember(builder, m_members.self(), wirePoisonRecord(builder));
     return journalRecord(builder, Wire::Entry::Member, member);
 }
 
@@ -261,12 +241,11 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<flatbuffers::Offset<Wire::Member>> members {
-        wireMember(builder, m_members.self(), m_poison.poisonDigests(m_clock.now()),
-                   wirePoisonRecord(builder))};
+        wireMember(builder, m_members.self(), wirePoisonRecord(builder))};
     for (const auto &[instance, sibling] : m_members.siblings()) {
         if (sibling.member.dataCentre == m_members.self().dataCentre
             && m_members.isReachable(sibling))
-            members.push_back(wireMember(builder, sibling.member, {}, {}));
+            members.push_back(wireMember(builder, sibling.member, {}));
     }
     return journalRecord(builder, Wire::Entry::Members,
                          Wire::CreateMembersDirect(builder, &members));
@@ -309,45 +288,26 @@
     co_return true;
 }
 
-asio::awaitable<void> FleetJournal::writeUpstreamFailures()
-{
-    for (;;) {
-        co_await sleepFor(FailureBatchInterval);
-        if (m_upstreamFailures.empty())
-            continue;
-        const auto failures = std::exchange(m_upstreamFailures, {});
-        flatbuffers::FlatBufferBuilder builder;
-        const auto entry =
-            Wire::CreateBreaksDirect(builder, m_settings.instance.value().c_str(), &failures);
-        auto record = journalRecord(builder, Wire::Entry::Breaks, entry);
-        const auto offset = co_await append(std::move(record));
-        if (offset)
-            continue;
-        m_upstreamFailures.insert(m_upstreamFailures.begin(), failures.begin(), failures.end());
-        co_await sleepFor(RetryPause);
-    }
-}
-
-std::string FleetJournal::poisonPartsRecord() const
+std::string FleetJournal::poisonRecord() const
 {
     flatbuffers::FlatBufferBuilder builder;
     return journalRecord(builder, Wire::Entry::PoisonParts, wirePoisonRecord(builder));
 }
 
-asio::awaitable<void> FleetJournal::writePoisonParts()
+asio::awaitable<void> FleetJournal::writePoison()
 {
     for (;;) {
-        co_await sleepFor(FailureBatchInterval);
-        if (!m_hasNewPoisonPart)
+        co_await sleepFor(PoisonBatchInterval);
+        if (!m_hasNewPoison)
             continue;
-        m_hasNewPoisonPart = false;
+        m_hasNewPoison = false;
         // The conviction may have been withdrawn since.
-        if (m_poisonParts.causes(m_clock.now()).empty())
+        if (m_poison.causes(m_clock.now()).empty())
             continue;
-        const auto offset = co_await append(poisonPartsRecord());
+        const auto offset = co_await append(poisonRecord());
         if (offset)
             continue;
-        m_hasNewPoisonPart = true;
+        m_hasNewPoison = true;
         co_await sleepFor(RetryPause);
     }
 }
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -5,7 +5,6 @@
 #include <LibGateway/FleetMembers.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/OrderLease.h>
-#include <LibGateway/PoisonRequestTable.h>
 #include <LibGateway/PoisonTable.h>
 
 #include <flatbuffers/flatbuffers.h>
@@ -23,15 +22,15 @@
 } // namespace Wire
 
 /// The journal that instances share through the store's log: members, the lease for giving orders,
-/// requests that caused upstream failures, and prompt parts that crash engines. The log retains
-/// records for a limited time, so members and what is poison are announced repeatedly: in a large
+/// and what crashes upstreams: requests and parts of prompts. The log retains records for a
+/// limited time, so members and causes of crashes are announced repeatedly: in a large
 /// fleet by the hub of each data centre for all its members, so that the calls to the store do not
 /// grow with the fleet, and by a member itself at its start or when its hub does not.
 class FleetJournal
 {
 public:
     FleetJournal(FleetLog &log, const Core::Clock &clock, const GatewaySettings &settings,
-                 PoisonRequestTable &poison, PoisonTable &poisonParts, FleetMembers &members);
+                 PoisonTable &poison, FleetMembers &members);
 
     /// Reads the journal until the process ends.
     boost::asio::awaitable<void> watch();
@@ -42,20 +41,16 @@
     boost::asio::awaitable<void> announce();
     /// Appends one announcement. Returns whether it was appended. Public for tests.
     boost::asio::awaitable<bool> announceOnce();
-    /// Writes the recorded upstream failures until the process ends.
-    boost::asio::awaitable<void> writeUpstreamFailures();
-    /// Writes the poison parts after each notePoisonPart() until the process ends.
-    boost::asio::awaitable<void> writePoisonParts();
+    /// Writes the causes of crashes after each notePoison() until the process ends.
+    boost::asio::awaitable<void> writePoison();
 
     /// Acquires or renews the lease for giving orders. Returns whether this instance holds the
     /// lease afterwards.
     boost::asio::awaitable<bool> takeLease();
     const OrderLease &lease() const { return m_lease; }
 
-    /// Records that an upstream failed during a request of this instance.
-    void noteUpstreamFailure(std::uint64_t digest) { m_upstreamFailures.push_back(digest); }
-    /// Requests a record of the poison parts, because there is a new one.
-    void notePoisonPart() { m_hasNewPoisonPart = true; }
+    /// Requests a record of the causes of crashes, because there is a new one.
+    void notePoison() { m_hasNewPoison = true; }
     /// Returns whether all retained records were read, so that the members are known.
     bool hasRead() const { return m_hasRead; }
 
@@ -74,8 +69,8 @@
     /// Returns the record with which a hub announces itself and the members that it hears. Public
     /// for tests.
     std::string announcementForAll() const;
-    /// Returns the record of the poison parts. Public for tests.
-    std::string poisonPartsRecord() const;
+    /// Returns the record of the causes of crashes. Public for tests.
+    std::string poisonRecord() const;
     /// Returns whether this instance has to announce itself, because no record that was read
     /// recently names it. Public for tests.
     bool isAnnouncementDue() const;
@@ -87,11 +82,11 @@
     /// Returns the offset of the appended record; nothing when the append failed.
     boost::asio::awaitable<std::optional<std::uint64_t>> append(std::string record);
     std::chrono::milliseconds announceInterval() const;
-    /// Returns the poison parts for a record; a null offset if there are none.
+    /// Returns the causes of crashes for a record; a null offset if there are none.
     flatbuffers::Offset<Wire::PoisonParts>
     wirePoisonRecord(flatbuffers::FlatBufferBuilder &builder) const;
     std::uint64_t calendarMs() const;
-    void applyPoisonParts(const Wire::PoisonParts &record);
+    void applyPoison(const Wire::PoisonParts &record);
     /// Records that a page reached the end of the journal at the given time.
     void noteComplete(Core::Clock::Monotonic asOf);
     void noteAnnounced(Core::Clock::Monotonic writtenAfter);
@@ -100,18 +95,16 @@
     FleetLog &m_log;
     const Core::Clock &m_clock;
     const GatewaySettings &m_settings;
-    PoisonRequestTable &m_poison;
-    PoisonTable &m_poisonParts;
+    PoisonTable &m_poison;
     FleetMembers &m_members;
     OrderLease m_lease;
-    std::vector<std::uint64_t> m_upstreamFailures;
     std::uint64_t m_nextOffset = 0;
     /// When a record was last found to announce this process.
     Core::Clock::Monotonic m_lastAnnounced = Core::Clock::Monotonic::min();
     /// All records that were written until this time have been read; empty before the first time.
     std::optional<Core::Clock::Monotonic> m_readAsOf;
     bool m_hasRead = false;
-    bool m_hasNewPoisonPart = false;
+    bool m_hasNewPoison = false;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/FleetMessages_generated.h
+++ b/Libraries/LibGateway/FleetMessages_generated.h
@@ -1334,7 +1334,8 @@
     VT_REQUEST = 6,
     VT_PARTS = 8,
     VT_AGE_MS = 10,
-    VT_HAS_BEGUN = 12
+    VT_HAS_BEGUN = 12,
+    VT_ATTEMPT = 14
   };
   uint64_t crash() const {
     return GetField<uint64_t>(VT_CRASH, 0);
@@ -1351,6 +1352,9 @@
   bool has_begun() const {
     return GetField<uint8_t>(VT_HAS_BEGUN, 0) != 0;
   }
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CRASH, 8) &&
@@ -1359,6 +1363,7 @@
            verifier.VerifyVector(parts()) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_HAS_BEGUN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            verifier.EndTable();
   }
 };
@@ -1382,6 +1387,9 @@
   void add_has_begun(bool has_begun) {
     fbb_.AddElement<uint8_t>(Casualty::VT_HAS_BEGUN, static_cast<uint8_t>(has_begun), 0);
   }
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(Casualty::VT_ATTEMPT, attempt, 0);
+  }
   explicit CasualtyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1399,8 +1407,10 @@
     uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
     uint32_t age_ms = 0,
-    bool has_begun = false) {
+    bool has_begun = false,
+    uint64_t attempt = 0) {
   CasualtyBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_request(request);
   builder_.add_crash(crash);
   builder_.add_age_ms(age_ms);
@@ -1415,7 +1425,8 @@
     uint64_t request = 0,
     const std::vector<uint64_t> *parts = nullptr,
     uint32_t age_ms = 0,
-    bool has_begun = false) {
+    bool has_begun = false,
+    uint64_t attempt = 0) {
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return Gateway::Wire::CreateCasualty(
       _fbb,
@@ -1423,7 +1434,8 @@
       request,
       parts__,
       age_ms,
-      has_begun);
+      has_begun,
+      attempt);
 }
 
 struct PoisonNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibGateway/Forward.h
+++ b/Libraries/LibGateway/Forward.h
@@ -8,7 +8,6 @@
 class FleetWatcher;
 class Gateway;
 class KvCacheStore;
-class PoisonRequestTable;
 class PrefixCacheEstimate;
 class RequestDialect;
 class RetryBudgetShare;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -40,10 +40,10 @@
            < m_dependencies.settings.revocationBound - RevocationMargin;
 }
 
-bool Gateway::mayTryPart(std::uint64_t part)
+bool Gateway::mayTryCause(std::uint64_t cause)
 {
-    return (!isTryingPart || isTryingPart(part))
-           && m_poisonParts.mayTry(part, m_dependencies.clock.now());
+    return (!isTryingCause || isTryingCause(cause))
+           && m_poison.mayTry(cause, m_dependencies.clock.now());
 }
 
 bool Gateway::tryRepeat(const std::string &service)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -11,7 +11,6 @@
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/KvCacheStores.h>
 #include <LibGateway/PlannedStop.h>
-#include <LibGateway/PoisonRequestTable.h>
 #include <LibGateway/PoisonTable.h>
 #include <LibGateway/PromptAdmission.h>
 #include <LibGateway/QuotaExchange.h>
@@ -51,7 +50,7 @@
 };
 
 /// Handles callers' requests, and owns the state that their decisions share: prefill rates of
-/// engines, retry budgets, the poison request table and the poison part table.
+/// engines, retry budgets and the poison table.
 class Gateway
 {
 public:
@@ -92,11 +91,10 @@
     const GatewayDependencies &dependencies() const { return m_dependencies; }
     GatewayMetrics &metrics() { return m_metrics; }
     KvCacheStores &stores() { return m_stores; }
-    PoisonRequestTable &poison() { return m_poison; }
-    PoisonTable &poisonParts() { return m_poisonParts; }
-    /// Returns whether this instance may send one prompt with the poison part, to find out whether
-    /// it still crashes engines.
-    bool mayTryPart(std::uint64_t part);
+    PoisonTable &poison() { return m_poison; }
+    /// Returns whether this instance may send one request with the cause of crashes, to find out
+    /// whether it still crashes upstreams.
+    bool mayTryCause(std::uint64_t cause);
     EngineModel &engineModel(const std::string &service) { return m_models[service]; }
     /// Returns what is learned of the memory of the service's engines.
     Capacity::EngineMemory &engineMemory(const std::string &service) { return m_memory[service]; }
@@ -122,13 +120,11 @@
     const std::shared_ptr<Http::UnreadAnswers> &unreadAnswers() const { return m_unreadAnswers; }
     std::minstd_rand &random() { return m_random; }
 
-    /// Called with the digest of a request during which an upstream failed.
-    std::function<void(std::uint64_t)> onUpstreamFailure;
-    /// Called when a prompt of this instance was lost because its engine crashed.
+    /// Called when a request of this instance was lost because its upstream crashed.
     std::function<void(const Casualty &)> onCasualty;
-    /// Returns whether this instance is the one that tries a poison part. If it is empty, there are
-    /// no others.
-    std::function<bool(std::uint64_t part)> isTryingPart;
+    /// Returns whether this instance is the one that tries a cause of crashes again. If it is
+    /// empty, there are no others.
+    std::function<bool(std::uint64_t cause)> isTryingCause;
     /// Called when an engine has prefilled the parts of a prompt.
     std::function<void(const Upstream &, std::span<const PromptPart>)> onPartsRead;
     /// Called when an engine has saved prompt parts to a store. The parts are as
@@ -149,8 +145,7 @@
     GatewayDependencies m_dependencies;
     GatewayMetrics m_metrics;
     KvCacheStores m_stores;
-    PoisonRequestTable m_poison;
-    PoisonTable m_poisonParts;
+    PoisonTable m_poison;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, Capacity::EngineMemory> m_memory;
     std::map<std::string, RetryBudgetShare> m_retries;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -33,7 +33,7 @@
 constexpr auto InitialCountInterval = 20ms;
 constexpr auto SettingsPollInterval = 1'000ms;
 // One may be cut off from the store.
-constexpr std::size_t PoisonPartWriters = 2;
+constexpr std::size_t PoisonWriters = 2;
 
 /// Returns the memory for what the instance holds for others: requests, answers and what callers
 /// have not read.
@@ -46,10 +46,10 @@
     return std::max(settings.bodyMemoryBytes, (settings.memoryBytes - ProgramBytes) / 2);
 }
 
-/// Returns the key of the duties of a poison part: to record it and to try it again.
-std::string dutyOf(std::uint64_t part)
+/// Returns the key of the duties of a cause of crashes: to record it and to try it again.
+std::string dutyOf(std::uint64_t cause)
 {
-    return "poison part " + formatHash(part);
+    return "poison part " + formatHash(cause);
 }
 
 } // namespace
@@ -69,9 +69,8 @@
     , m_watcher({m_log, m_interfaces.decoder, m_interfaces.clock, m_configuration, m_weights,
                  m_fleet, m_settings},
                 [this] { applyConfiguration(); })
-    , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_gateway.poisonParts(),
-                m_members)
-    , m_poisonNews(m_gateway.poisonParts(), m_interfaces.clock)
+    , m_journal(m_log, m_interfaces.clock, m_settings, m_gateway.poison(), m_members)
+    , m_poisonNews(m_gateway.poison(), m_interfaces.clock)
     , m_speeds({m_interfaces.clock, m_fleet,
                 [this](const std::string &service, std::optional<double> rate) {
                     m_gateway.engineModel(service).setMedianRate(rate);
@@ -112,7 +111,7 @@
                         m_interfaces.clock, m_gateway.metrics(), m_settings})
 {
     connectCallbacks();
-    connectPoisonParts();
+    connectPoison();
     connectRetrySlack();
     addGauges();
     addSpeedGauges();
@@ -186,8 +185,7 @@
     spawn("list of upstreams", [this] { return m_watcher.watchUpstreams(); });
     spawn("journal", [this] { return m_journal.watch(); });
     spawn("announcements", [this] { return m_journal.announce(); });
-    spawn("upstream failures", [this] { return m_journal.writeUpstreamFailures(); });
-    spawn("poison parts", [this] { return m_journal.writePoisonParts(); });
+    spawn("causes of crashes", [this] { return m_journal.writePoison(); });
     spawn("reports to siblings", [this] { return m_siblings.send(); });
     spawn("urgent reports to siblings", [this] { return m_siblings.sendUrgent(); });
     spawn("datagrams of siblings", [this] { return m_siblings.receive(); });
@@ -203,9 +201,6 @@
 
 void GatewayDaemon::connectCallbacks()
 {
-    m_gateway.onUpstreamFailure = [this](std::uint64_t digest) {
-        m_journal.noteUpstreamFailure(digest);
-    };
     m_gateway.onPartsRead = [this](const Upstream &engine, std::span<const PromptPart> parts) {
         m_siblings.publishParts(engine, parts);
     };
@@ -253,20 +248,24 @@
         };
 }
 
-void GatewayDaemon::connectPoisonParts()
+void GatewayDaemon::connectPoison()
 {
-    auto &table = m_gateway.poisonParts();
+    auto &table = m_gateway.poison();
     m_gateway.onCasualty = [this](const Casualty &casualty) { m_poisonNews.publish(casualty); };
-    m_gateway.isTryingPart = [this](std::uint64_t part) { return m_members.isFirst(dutyOf(part)); };
-    table.onPoison = [this](std::uint64_t part, unsigned crashes, unsigned requests) {
-        Core::logEvent(Core::EventId::PoisonPartFound, {{"part", formatHash(part)},
-                                                        {"crashes", std::to_string(crashes)},
-                                                        {"requests", std::to_string(requests)}});
-        if (m_members.reachableBefore(dutyOf(part)) < PoisonPartWriters)
-            m_journal.notePoisonPart();
+    m_gateway.isTryingCause = [this](std::uint64_t cause) {
+        return m_members.isFirst(dutyOf(cause));
+    };
+    table.onPoison = [this](const PoisonEvidence::Charge &charge) {
+        const auto event =
+            charge.isRequest ? Core::EventId::PoisonRequestFound : Core::EventId::PoisonPartFound;
+        Core::logEvent(event, {{charge.isRequest ? "digest" : "part", formatHash(charge.suspect)},
+                               {"crashes", std::to_string(charge.crashes)},
+                               {"requests", std::to_string(charge.requests)}});
+        if (m_members.reachableBefore(dutyOf(charge.suspect)) < PoisonWriters)
+            m_journal.notePoison();
     };
-    table.onAcquitted = [](std::uint64_t part) {
-        Core::logEvent(Core::EventId::PoisonPartAcquitted, {{"part", formatHash(part)}});
+    table.onAcquitted = [](std::uint64_t cause) {
+        Core::logEvent(Core::EventId::PoisonAcquitted, {{"cause", formatHash(cause)}});
     };
 }
 
@@ -368,10 +367,10 @@
                          return samples;
                      });
     metrics.addGauge("jujube_gateway_poison_parts",
-                     "Parts of prompts that are known to crash engines.", "", [this] {
-                         const auto parts =
-                             m_gateway.poisonParts().causes(m_interfaces.clock.now());
-                         return Samples {{"", static_cast<double>(parts.size())}};
+                     "Requests and parts of prompts that are known to crash upstreams.", "",
+                     [this] {
+                         const auto causes = m_gateway.poison().causes(m_interfaces.clock.now());
+                         return Samples {{"", static_cast<double>(causes.size())}};
                      });
     metrics.addGauge("jujube_gateway_team_tokens",
                      "Prompt tokens a second by service and team: asked, admitted, and the share.",
--- a/Libraries/LibGateway/GatewayDaemon.h
+++ b/Libraries/LibGateway/GatewayDaemon.h
@@ -67,8 +67,8 @@
     /// Applies the usage caps of the configuration, and the number of instances that share them.
     void applyQuotas();
     void connectCallbacks();
-    /// Connects the poison part table to siblings, journal and log.
-    void connectPoisonParts();
+    /// Connects the poison table to siblings, journal and log.
+    void connectPoison();
     /// Keeps this instance's part of the slack of the retry budgets up to date.
     void connectRetrySlack();
     /// Adds the prefill to the speed of the engine, unless it waited for a free slot.
--- a/Libraries/LibGateway/PoisonNews.cpp
+++ b/Libraries/LibGateway/PoisonNews.cpp
@@ -113,7 +113,7 @@
     for (const auto &entry : takeCasualties(queue))
         casualties.push_back(Wire::CreateCasualtyDirect(
             builder, entry.casualty.crash, entry.casualty.request, &entry.casualty.parts,
-            ageMs(entry.time, now), entry.casualty.hasBegun));
+            ageMs(entry.time, now), entry.casualty.hasBegun, entry.casualty.attempt));
     std::vector<Wire::AnsweredPart> answers;
     for (const auto &entry : takeAnswers(queue))
         answers.emplace_back(entry.part, ageMs(entry.time, now));
@@ -206,13 +206,12 @@
 void PoisonNews::applyCasualty(const Wire::Casualty &entry, Queue *forward)
 {
     const milliseconds age(entry.age_ms());
-    if (age >= MaxAge || sizeOf(entry.parts()) == 0)
+    if (age >= MaxAge)
         return;
-    QueuedCasualty queued {{entry.crash(),
-                            entry.request(),
-                            {entry.parts()->begin(), entry.parts()->end()},
-                            entry.has_begun()},
+    QueuedCasualty queued {{entry.crash(), entry.request(), {}, entry.has_begun(), entry.attempt()},
                            m_clock.now() - age};
+    if (entry.parts())
+        queued.casualty.parts.assign(entry.parts()->begin(), entry.parts()->end());
     if (!isNew(queued.casualty))
         return;
     // Crashes at the same moment arrive at different times, so the time of the crash counts.
@@ -223,7 +222,7 @@
 
 bool PoisonNews::isNew(const Casualty &casualty)
 {
-    const std::pair key(casualty.crash, casualty.request);
+    const std::pair key(casualty.crash, casualty.identity());
     if (!m_seenCasualties.insert(key).second)
         return false;
     m_seenOrder.push_back(key);
--- a/Libraries/LibGateway/PoisonNews.h
+++ b/Libraries/LibGateway/PoisonNews.h
@@ -91,7 +91,7 @@
     /// At a hub: what its data centre, and all others, have reported.
     Queue m_dataCentre;
     Queue m_remote;
-    /// The casualties that were seen, by crash and request, and their order.
+    /// The casualties that were seen, by crash and identity, and their order.
     std::set<std::pair<std::uint64_t, std::uint64_t>> m_seenCasualties;
     std::deque<std::pair<std::uint64_t, std::uint64_t>> m_seenOrder;
     /// The times of the answers that were seen.
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -27,6 +27,9 @@
 constexpr auto ConnectTimeout = 500ms;
 // If sent data is not acknowledged for this long, the upstream is considered unreachable.
 constexpr auto UnacknowledgedTimeout = 1'500ms;
+// A request that so many upstreams failed under is not sent to another one, whatever its route
+// allows; it may be what makes them fail.
+constexpr unsigned MaxUpstreamFailures = 3;
 // The maximum number of attempts for a request that no upstream has executed.
 constexpr unsigned MaxSends = 6;
 // How often a prompt that waits at its engine looks for weights that were named meanwhile.
@@ -438,7 +441,7 @@
         || m_plan->upstream->pausedUntil() > dependencies.clock.now() || isTooLateToBegin()
         || needsPermit(m_gateway, *m_plan->upstream, m_permit))
         return false;
-    if (m_request.poisonPart(m_gateway))
+    if (m_request.poisonCause(m_gateway))
         return false;
     const auto &current = dependencies.configuration.current();
     if (current == m_request.configuration)
@@ -481,7 +484,6 @@
 {
     if (m_cancelReason != CancelReason::None || remainingTime() <= 0ms)
         return false;
-    const auto &dependencies = m_gateway.dependencies();
     switch (end) {
     case AttemptOutcome::NotSent:
     case AttemptOutcome::NotExecuted:
@@ -489,8 +491,7 @@
     case AttemptOutcome::Interrupted:
     case AttemptOutcome::Withdrawn:
     case AttemptOutcome::ServerError:
-        return mayExecute()
-               && !m_gateway.poison().isPoison(m_request.digest, dependencies.clock.now());
+        return mayExecute() && m_failures < MaxUpstreamFailures;
     case AttemptOutcome::StreamInterrupted:
         return mayExecute() && !m_events.lastId().empty();
     case AttemptOutcome::Answered:
@@ -505,9 +506,9 @@
     ++m_progress.sends;
     m_excluded.insert(m_plan->upstream->report().id);
     const auto uncached = m_plan->uncachedTokens(m_request);
-    m_evidence.reset();
+    m_evidence.emplace(m_gateway, m_request, m_plan->upstream->report(),
+                       m_plan->engine.has_value());
     if (m_plan->engine) {
-        m_evidence.emplace(m_gateway, m_request, m_plan->upstream->report());
         const auto total = totalTokens(m_request.parts);
         auto &metrics = m_gateway.metrics();
         metrics.promptTokens.add(total, m_request.labels());
@@ -664,13 +665,9 @@
     if (m_hasTimedOut)
         noteUnreachable();
     if (error.kind() == Core::ErrorKind::UpstreamFailed) {
-        m_gateway.poison().noteUpstreamFailure(m_request.digest,
-                                               m_gateway.dependencies().clock.now());
-        if (m_gateway.onUpstreamFailure)
-            m_gateway.onUpstreamFailure(m_request.digest);
-        if (m_evidence)
-            m_evidence->noteCrash();
-        m_request.triedPart.reset();
+        ++m_failures;
+        m_evidence->noteCrash();
+        m_request.triedCause.reset();
     }
     return m_exchange.hasStarted() ? AttemptOutcome::StreamInterrupted
                                    : AttemptOutcome::Interrupted;
@@ -709,8 +706,7 @@
             if (m_gateway.onWeightsSeen)
                 m_gateway.onWeightsSeen(*m_plan->upstream, m_request.caller.model, *head.weights);
         }
-        if (m_evidence)
-            m_evidence->noteBegin();
+        m_evidence->noteBegin();
         auto headers = Http::withoutConnectionFields(answer.headers());
         const bool isSuccess = answer.status() < 300;
         if (!head.isSealed)
@@ -824,6 +820,7 @@
         response.body += *chunk;
     }
     noteAnswerOfPlain(m_gateway, *m_plan, response.status, load);
+    m_evidence->noteAnswered(response.status < 300);
     if (response.status >= 500) {
         noteAttempt("failed", std::to_string(response.status));
         m_errorResponse = std::move(response);
@@ -836,8 +833,6 @@
         co_return AttemptOutcome::Cancelled;
     m_gateway.metrics().firstByte.observe(m_gateway.dependencies().clock.now() - m_request.arrival,
                                           m_request.labels());
-    if (m_evidence && response.status < 300)
-        m_evidence->noteAnswered();
     co_await m_output.respond(std::move(response), m_request.route->mayRunAgain());
     co_return AttemptOutcome::Answered;
 }
@@ -875,8 +870,7 @@
                                                   "the answer body exceeds the size limit"));
         co_await m_output.write(std::move(*chunk));
     }
-    if (m_evidence && begin.status < 300)
-        m_evidence->noteAnswered();
+    m_evidence->noteAnswered(begin.status < 300);
     co_await m_output.finishStream();
     co_return AttemptOutcome::Answered;
 }
@@ -901,8 +895,7 @@
         if (events.empty())
             continue;
         m_progress.noteEvents(m_gateway.dependencies().clock.now());
-        if (m_evidence)
-            m_evidence->noteEvents();
+        m_evidence->noteEvents();
         if (load.noteFirstToken())
             noteFirstToken(load);
         if (!m_exchange.hasStarted()) {
@@ -915,8 +908,7 @@
     if (m_events.hasPartialEvent())
         co_return noteInterrupted(Core::Error(Core::ErrorKind::UpstreamFailed,
                                               "the stream ended in the middle of an event"));
-    if (m_evidence)
-        m_evidence->noteAnswered();
+    m_evidence->noteAnswered();
     if (!m_exchange.hasStarted())
         co_await startStream(answer.status(), headers);
     if (m_plan->engine)
--- a/Libraries/LibGateway/RequestRelay.h
+++ b/Libraries/LibGateway/RequestRelay.h
@@ -171,8 +171,11 @@
     std::shared_ptr<UpstreamNotices> m_notices;
     /// Number of attempts that an upstream may have executed.
     unsigned m_executions = 0;
+    /// How many upstreams failed during the request.
+    unsigned m_failures = 0;
     RequestProgress m_progress;
     /// Set while the prompt is at an engine, and after that.
+    /// Set from the first attempt on.
     std::optional<AnswerEvidence> m_evidence;
     /// The part of the team's usage cap that was spent.
     std::string m_quotaTeam;
--- a/Tests/LibGateway/PoisonSimulation.cpp
+++ b/Tests/LibGateway/PoisonSimulation.cpp
@@ -16,6 +16,10 @@
 constexpr std::uint64_t DeadlyPart = 1;
 constexpr std::uint64_t DeadlyTeam = 1'000;
 constexpr double LossShare = 0.1;
+// Requests with a fixed digest; those of others are numbered from 1.
+constexpr std::uint64_t FirstRepeated = 1'000'000'000'000;
+constexpr std::uint64_t RepeatedCount = 3;
+constexpr std::uint64_t PoisonRequest = 2'000'000'000'000;
 
 } // namespace
 
@@ -56,6 +60,8 @@
     }
     if (m_soundAsked)
         m_outcome.soundShare = double(m_soundTaken) / m_soundAsked;
+    if (m_repeatedAsked)
+        m_outcome.repeatedShare = double(m_repeatedTaken) / m_repeatedAsked;
     return m_outcome;
 }
 
@@ -66,9 +72,13 @@
         m_underWay.erase(m_underWay.begin());
     }
     if (happens(m_shape.soundPerSecond))
-        send(newPrompt(false));
+        send(m_shape.repeatedShare > 0 && uniform() < m_shape.repeatedShare
+                 ? repeatedPrompt(FirstRepeated + m_random() % RepeatedCount, Kind::Sound)
+                 : newPrompt(Kind::Sound));
     if ((isStarted() || m_shape.wasSound) && happens(m_shape.deadlyPerSecond))
-        send(newPrompt(true));
+        send(newPrompt(Kind::Deadly));
+    if (m_shape.poisonPerSecond > 0 && isStarted() && happens(m_shape.poisonPerSecond))
+        send(repeatedPrompt(PoisonRequest, Kind::Poison));
     if (isStarted() && happens(m_shape.failuresPerSecond)) {
         for (unsigned n = 0; n < m_shape.enginesPerFailure; ++n)
             crash(static_cast<unsigned>(m_random() % m_engines.size()));
@@ -77,37 +87,68 @@
         runEngine(n);
 }
 
-PoisonSimulation::Prompt PoisonSimulation::newPrompt(bool mayBeDeadly)
+PoisonSimulation::Prompt PoisonSimulation::repeatedPrompt(std::uint64_t request, Kind kind)
 {
     Prompt prompt;
+    prompt.request = request;
+    prompt.attempt = ++m_requests;
+    prompt.parts = {DeadlyTeam, DeadlyTeam * 1'000 + request % RepeatedCount};
+    prompt.kind = kind;
+    prompt.isRepeated = true;
+    prompt.instance = static_cast<unsigned>(m_random() % m_instances.size());
+    return prompt;
+}
+
+PoisonSimulation::Prompt PoisonSimulation::newPrompt(Kind kind)
+{
+    const bool isDeadly = kind == Kind::Deadly;
+    Prompt prompt;
+    prompt.kind = kind;
     prompt.request = ++m_requests;
+    prompt.attempt = prompt.request;
     prompt.instance = static_cast<unsigned>(m_random() % m_instances.size());
-    const auto team = mayBeDeadly ? DeadlyTeam : DeadlyTeam + m_random() % Teams;
+    const auto team = isDeadly ? DeadlyTeam : DeadlyTeam + m_random() % Teams;
     prompt.parts = {team, team * 1'000 + zipf(300)};
     // A session of some seconds, from few or many callers.
     const auto seconds =
         std::chrono::duration_cast<std::chrono::seconds>(m_clock.now() - m_begin).count();
     if (uniform() < 0.7)
         prompt.parts.push_back((team * 1'000 + std::uint64_t(seconds) / 8) * 1'000 + zipf(200));
-    if (mayBeDeadly) {
+    if (isDeadly)
         prompt.parts.insert(prompt.parts.begin() + 1 + long(m_random() % 2), DeadlyPart);
-        prompt.isDeadly = true;
-    }
     return prompt;
 }
 
+std::vector<std::uint64_t> PoisonSimulation::suspectsOf(const Prompt &prompt)
+{
+    auto suspects = prompt.parts;
+    suspects.push_back(prompt.request);
+    return suspects;
+}
+
+void PoisonSimulation::countSound(const Prompt &prompt, bool isRefused)
+{
+    m_outcome.soundRefused += isRefused;
+    if (prompt.parts.front() != DeadlyTeam || !m_fifthCrash || m_clock.now() < *m_fifthCrash + 6s)
+        return;
+    ++m_soundAsked;
+    m_soundTaken += !isRefused;
+    m_repeatedAsked += prompt.isRepeated;
+    m_repeatedTaken += prompt.isRepeated && !isRefused;
+}
+
+bool PoisonSimulation::crashesEngine(const Prompt &prompt) const
+{
+    return prompt.kind == Kind::Poison || (prompt.kind == Kind::Deadly && isStarted());
+}
+
 void PoisonSimulation::send(Prompt prompt)
 {
     const auto now = m_clock.now();
     const bool isRefused =
-        m_instances[prompt.instance].table->findPoison(prompt.parts, now).has_value();
-    if (!prompt.isDeadly)
-        m_outcome.soundRefused += isRefused;
-    if (!prompt.isDeadly && prompt.parts.front() == DeadlyTeam && m_fifthCrash
-        && now >= *m_fifthCrash + 6s) {
-        ++m_soundAsked;
-        m_soundTaken += !isRefused;
-    }
+        m_instances[prompt.instance].table->findPoison(suspectsOf(prompt), now).has_value();
+    if (prompt.kind == Kind::Sound)
+        countSound(prompt, isRefused);
     if (isRefused)
         return;
     Engine *best = nullptr;
@@ -117,8 +158,11 @@
     }
     if (!best)
         return;
-    if (prompt.isDeadly && m_fifthCrash && now > *m_fifthCrash + 3s)
+    if (prompt.kind == Kind::Deadly && m_fifthCrash && now > *m_fifthCrash + 3s)
         ++m_outcome.deadlySentLate;
+    if (prompt.kind == Kind::Poison && m_thirdPoisonCrash && prompt.attempts == 0
+        && now > *m_thirdPoisonCrash + 3s)
+        ++m_outcome.poisonSentLate;
     ++prompt.attempts;
     best->waiting.push_back(std::move(prompt));
 }
@@ -129,7 +173,8 @@
     const auto now = m_clock.now();
     while (!engine.begun.empty() && engine.begun.front().firstToken + 500ms <= now) {
         const auto &prompt = engine.begun.front();
-        m_instances[prompt.instance].table->noteAnswered(prompt.parts, now);
+        auto &table = *m_instances[prompt.instance].table;
+        table.noteAnswered(suspectsOf(prompt), now);
         engine.begun.pop_front();
     }
     if (engine.waiting.empty() || now < engine.up) {
@@ -138,10 +183,13 @@
     }
     if (now < engine.prefilled)
         return;
-    if (engine.waiting.front().isDeadly && isStarted()) {
+    if (crashesEngine(engine.waiting.front())) {
+        const bool isPoison = engine.waiting.front().kind == Kind::Poison;
         engine.begun.push_back(std::move(engine.waiting.front()));
         engine.waiting.pop_front();
-        if (++m_deadlyCrashes == 5)
+        if (isPoison && ++m_poisonCrashes == 3)
+            m_thirdPoisonCrash = now;
+        if (!isPoison && ++m_deadlyCrashes == 5)
             m_fifthCrash = now;
         if (m_deadlyCrashes == 3 && m_shape.restartsInstance)
             m_instances.front() = {std::make_unique<Gateway::PoisonTable>(), {}};
@@ -171,7 +219,10 @@
     for (std::size_t n = 0; n < lost.size(); ++n) {
         auto &prompt = lost[n];
         auto &instance = m_instances[prompt.instance];
-        const Gateway::Casualty casualty {id, prompt.request, prompt.parts, n >= waiting};
+        const bool hasBegun =
+            n >= waiting && !(m_shape.crashesBeforeHead && prompt.kind == Kind::Poison);
+        const Gateway::Casualty casualty {id, prompt.request, prompt.parts, hasBegun,
+                                          prompt.attempt};
         instance.table->noteCasualty(casualty, now);
         if (instance.casualties.empty())
             instance.casualties.emplace_back();
--- a/Tests/LibGateway/PoisonSimulation.h
+++ b/Tests/LibGateway/PoisonSimulation.h
@@ -27,6 +27,14 @@
     bool wasSound = false;
     /// Whether an instance loses its state after the third crash.
     bool restartsInstance = false;
+    /// The share of sound prompts that repeat one of a few requests, with the deadly prompts' first
+    /// part.
+    double repeatedShare = 0;
+    /// How often a second one request is sent that crashes the engines that run it, whatever its
+    /// parts are.
+    double poisonPerSecond = 0;
+    /// Whether that request crashes an engine before the head of its answer has left.
+    bool crashesBeforeHead = false;
 };
 
 /// What callers and engines received.
@@ -40,6 +48,10 @@
     /// The share of sound prompts with the deadly prompts' first part that were not refused, later
     /// than 6 s after the fifth crash.
     double soundShare = 1;
+    /// The same share of those that repeat a request.
+    double repeatedShare = 1;
+    /// How often the request that crashes engines was sent later than 3 s after its third crash.
+    unsigned poisonSentLate = 0;
 };
 
 /// Plays prompts over instances that exchange evidence with loss and delay, and engines that crash
@@ -53,11 +65,20 @@
 
 private:
     using Time = Core::Clock::Monotonic;
+    enum class Kind {
+        Sound,
+        /// Crashes engines with a part.
+        Deadly,
+        /// Crashes engines, whatever its parts are.
+        Poison,
+    };
     struct Prompt
     {
         std::uint64_t request = 0;
+        std::uint64_t attempt = 0;
         std::vector<std::uint64_t> parts;
-        bool isDeadly = false;
+        Kind kind = Kind::Sound;
+        bool isRepeated = false;
         unsigned instance = 0;
         unsigned attempts = 0;
         Time firstToken;
@@ -82,8 +103,12 @@
     std::uint64_t zipf(std::uint64_t count);
     bool isStarted() const;
     void step();
-    Prompt newPrompt(bool mayBeDeadly);
+    Prompt newPrompt(Kind kind);
+    Prompt repeatedPrompt(std::uint64_t request, Kind kind);
     void send(Prompt prompt);
+    static std::vector<std::uint64_t> suspectsOf(const Prompt &prompt);
+    void countSound(const Prompt &prompt, bool isRefused);
+    bool crashesEngine(const Prompt &prompt) const;
     void runEngine(unsigned engine);
     void crash(unsigned engine);
     void exchange();
@@ -101,6 +126,10 @@
     unsigned m_deadlyCrashes = 0;
     unsigned m_soundAsked = 0;
     unsigned m_soundTaken = 0;
+    unsigned m_repeatedAsked = 0;
+    unsigned m_repeatedTaken = 0;
+    std::optional<Time> m_thirdPoisonCrash;
+    unsigned m_poisonCrashes = 0;
     PoisonOutcome m_outcome;
 };
 
--- a/Tests/LibGateway/TestOddMessages.cpp
+++ b/Tests/LibGateway/TestOddMessages.cpp
@@ -44,12 +44,11 @@
     Gateway::UpstreamFleet fleet;
     Gateway::KvCacheStores stores;
     Gateway::WeightsTargets weights;
-    Gateway::PoisonRequestTable poison;
-    Gateway::PoisonTable poisonParts;
+    Gateway::PoisonTable poison;
     Gateway::FleetMembers members {{Core::InstanceId("self"), "a", endpointOf(9'000)}, clock};
-    Gateway::PoisonNews news {poisonParts, clock};
+    Gateway::PoisonNews news {poison, clock};
     GatewayTests::HangingLog log;
-    Gateway::FleetJournal journal {log, clock, settings, poison, poisonParts, members};
+    Gateway::FleetJournal journal {log, clock, settings, poison, members};
     Gateway::SiblingExchange exchange {context, {clock, members, fleet, stores, weights, news}};
     Gateway::EngineQueueExchange queues {context,
                                          {clock, members, fleet, [](const auto &) { return 50.0; },
--- a/Tests/LibGateway/TestPoisonNews.cpp
+++ b/Tests/LibGateway/TestPoisonNews.cpp
@@ -80,7 +80,7 @@
 {
     Journal(const Core::ManualClock &clock, const std::string &name)
         : members({Core::InstanceId(name), "n", endpointOf(name), 0}, clock)
-        , journal(log, clock, settings, requests, table, members)
+        , journal(log, clock, settings, table, members)
         , clock(clock)
     {
         settings.instance = Core::InstanceId(name);
@@ -92,7 +92,6 @@
 
     NoLog log;
     Gateway::GatewaySettings settings;
-    Gateway::PoisonRequestTable requests;
     Gateway::PoisonTable table;
     Gateway::FleetMembers members;
     Gateway::FleetJournal journal;
@@ -230,7 +229,7 @@
     clock.advance(1h);
     Journal one(clock, "one");
     one.table.notePoison({Part, 30s, 1}, clock.now());
-    const auto record = one.journal.poisonPartsRecord();
+    const auto record = one.journal.poisonRecord();
     for (const auto &bytes :
          {record, one.journal.announcement(), one.journal.announcementForAll()}) {
         Journal other(clock, "other");
--- a/Tests/LibGateway/TestPoisonTable.cpp
+++ b/Tests/LibGateway/TestPoisonTable.cpp
@@ -15,10 +15,11 @@
 
 namespace {
 
-constexpr std::uint64_t First = 1;
-constexpr std::uint64_t Deadly = 2;
-constexpr std::uint64_t Session = 3;
-constexpr std::uint64_t Other = 4;
+// Larger than the digests of requests, which are numbered from 0.
+constexpr std::uint64_t First = 1'000'001;
+constexpr std::uint64_t Deadly = 1'000'002;
+constexpr std::uint64_t Session = 1'000'003;
+constexpr std::uint64_t Other = 1'000'004;
 
 /// A table that has seen answers for some time.
 struct Instance
--- a/Tests/LibGateway/TestRetrySlack.cpp
+++ b/Tests/LibGateway/TestRetrySlack.cpp
@@ -97,8 +97,7 @@
     {
         settings.instance = Core::InstanceId(name);
         settings.retries = Limits;
-        journal = std::make_unique<Gateway::FleetJournal>(log, clock, settings, poison, poisonParts,
-                                                          members);
+        journal = std::make_unique<Gateway::FleetJournal>(log, clock, settings, poison, members);
         journal->onAnnounced = [this, &clock](Clock::Monotonic writtenAfter) {
             slack.noteAnnounced(writtenAfter, Limits.window, clock.now());
         };
@@ -110,8 +109,7 @@
     }
 
     Gateway::GatewaySettings settings;
-    Gateway::PoisonRequestTable poison;
-    Gateway::PoisonTable poisonParts;
+    Gateway::PoisonTable poison;
     Gateway::FleetMembers members;
     ReachedJournal log;
     std::unique_ptr<Gateway::FleetJournal> journal;
--- a/Tests/LibGateway/TestWeightsRollout.cpp
+++ b/Tests/LibGateway/TestWeightsRollout.cpp
@@ -118,11 +118,10 @@
 {
     Core::ManualClock clock;
     GatewayTests::HangingLog log;
-    Gateway::PoisonRequestTable poison;
-    Gateway::PoisonTable poisonParts;
+    Gateway::PoisonTable poison;
     Gateway::GatewaySettings settings = settingsOf("a");
     Gateway::FleetMembers members {{settings.instance, "a", {}}, clock};
-    Gateway::FleetJournal journal {log, clock, settings, poison, poisonParts, members};
+    Gateway::FleetJournal journal {log, clock, settings, poison, members};
     Gateway::UpstreamFleet fleet;
     Gateway::WeightsTargets targets;
     Gateway::GatewayMetrics metrics;
--- a/Tests/Platform/TestPoisonParts.cpp
+++ b/Tests/Platform/TestPoisonParts.cpp
@@ -8,6 +8,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
+#include <memory>
 #include <regex>
 #include <thread>
 #include <utility>
@@ -67,6 +69,25 @@
     throw boost::system::system_error(asio::error::connection_reset);
 }
 
+/// Returns the behaviour of an engine that the deadly part crashes while it works on other prompts,
+/// which are lost with it.
+WorkerStandIn::Behaviour crashWithOthers()
+{
+    return [crashes = std::make_shared<std::atomic<int>>(0)](
+               Http::ServerExchange &exchange) -> asio::awaitable<bool> {
+        if (isDeadly(exchange.request())) {
+            ++*crashes;
+            co_return co_await crashAfterFirstEvent(exchange);
+        }
+        const int before = *crashes;
+        asio::steady_timer timer(co_await asio::this_coro::executor, 150ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        if (*crashes != before)
+            throw boost::system::system_error(asio::error::connection_reset);
+        co_return false;
+    };
+}
+
 /// A request that has no id, body or last part in common with another one.
 Http::Request promptWith(const std::string &parts, int number, const std::string &target)
 {
@@ -120,6 +141,21 @@
         return fixture.send(gateway, promptWith("aa:300,bb:200", ++number, "/streams/a")).status;
     }
 
+    /// Sends a prompt that is the same each time, with the first part of the deadly ones. Returns
+    /// the answer's status; 0 if the answer was interrupted.
+    unsigned sendRepeated(const Http::Endpoint &gateway)
+    {
+        auto request = promptWith("aa:300,cc:200", 0, "/streams/repeated");
+        request.body = "asked again and again";
+        request.headers.remove("X-Jujubesaddle-Attempt-Id");
+        request.headers.add("X-Jujubesaddle-Attempt-Id", "again-" + std::to_string(++repeats));
+        try {
+            return fixture.send(gateway, std::move(request)).status;
+        } catch (const Core::Error &) {
+            return 0;
+        }
+    }
+
     /// Returns the number of deadly prompts that engines received.
     std::size_t received() const
     {
@@ -171,6 +207,33 @@
     std::string lastReason;
     std::string lastRetryAfter;
     int number = 0;
+    std::atomic<int> repeats {0};
+};
+
+/// Callers that send the repeated prompt one after the other until they are destroyed.
+class RepeatingCallers
+{
+public:
+    explicit RepeatingCallers(Fleet &fleet)
+    {
+        for (int n = 0; n < 8; ++n)
+            m_threads.emplace_back([this, &fleet, n] {
+                while (!m_hasEnded)
+                    fleet.sendRepeated(n % 2 == 0 ? fleet.first : fleet.second);
+            });
+    }
+    ~RepeatingCallers()
+    {
+        m_hasEnded = true;
+        for (auto &thread : m_threads)
+            thread.join();
+    }
+    RepeatingCallers(const RepeatingCallers &) = delete;
+    RepeatingCallers &operator=(const RepeatingCallers &) = delete;
+
+private:
+    std::atomic<bool> m_hasEnded {false};
+    std::vector<std::thread> m_threads;
 };
 
 void checkRefusedEverywhere(Fleet &fleet)
@@ -197,6 +260,22 @@
     CHECK(fleet.received() <= 10);
 }
 
+// Guards against the count of all requests that were at an upstream when it crashed: a question
+// that callers repeat was lost in three crashes that the part caused, and refused from then on.
+TEST_CASE("a prompt that callers repeat is refused beside a part that crashes engines")
+{
+    Fleet fleet(nullptr);
+    for (auto *worker : fleet.workers)
+        worker->setBehaviour(crashWithOthers());
+    const RepeatingCallers callers(fleet);
+    REQUIRE(fleet.becomesRefused());
+    std::this_thread::sleep_for(RestartTime);
+    for (int n = 0; n < 4; ++n) {
+        CHECK(fleet.sendRepeated(fleet.first) == 200);
+        CHECK(fleet.sendRepeated(fleet.second) == 200);
+    }
+}
+
 TEST_CASE("the log leads from a refused request to the part and to the requests that were lost")
 {
     // Of two, one may learn of the part from the other, and log less.
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -316,8 +316,9 @@
 {
     GatewayFixture fixture;
     auto &app = fixture.addWorker("w-1", "app");
-    fixture.addWorker("w-2", "app").setBehaviour(crash);
+    auto &other = fixture.addWorker("w-2", "app");
     app.setBehaviour(crash);
+    other.setBehaviour(crash);
     fixture.configure(1);
     fixture.startGateway();
     auto poison = [](const std::string &id) {
@@ -325,14 +326,23 @@
         request.body = "the same";
         return request;
     };
-    for (int n = 0; n < 3; ++n)
+    for (int n = 0; n < 3; ++n) {
         CHECK(fixture.send(poison("id-" + std::to_string(n))).status == 502);
+        // A worker that crashed comes back as another incarnation, so that its next crash is
+        // counted.
+        fixture.restartWorker(app);
+        fixture.restartWorker(other);
+        std::this_thread::sleep_for(500ms);
+    }
+    // An answer that arrives late would acquit the request.
+    std::this_thread::sleep_for(1s);
     const auto refused = fixture.send(poison("id-3"));
     CHECK(refused.status == 503);
     CHECK(refused.body.find("poison_request") != std::string::npos);
     fixture.startGateway({"edge-2", 5'000, 8});
     CHECK(GatewayFixture::eventually(
         [&] { return fixture.send(poison("id-4")).body.find("poison") != std::string::npos; }));
+    CHECK(app.requests().size() + other.requests().size() == 3);
     app.setBehaviour(nullptr);
 }
 
