LibGateway: Tell crashes of upstreams with short ids apart

A request that crashed three workers with ids such as "w-1" and "w-2" was sent to further ones in 4 of 6 runs of Tests/Platform "a request that made three workers fail": two of its crashes had one identity and counted as one.

Cause: the identity was the hash of the upstream's id with its start time as the seed. XXH3 mixes a text of a few bytes with a seed by little more than an addition and an exclusive or, so that "w-2" started at 2 equals "w-1" started at 3.

The time is hashed as a text now, seeded with the hash of the id. During an update, instances of both versions count a crash that both report twice.

--- a/Libraries/LibGateway/AnswerEvidence.cpp
+++ b/Libraries/LibGateway/AnswerEvidence.cpp
@@ -50,9 +50,8 @@
     if (m_isAnswered || isProven())
         return;
     const auto &attempt = m_request.caller.attemptId;
-    const Casualty casualty {
-        Core::hash64(m_upstream.value(), static_cast<std::uint64_t>(m_startTime.count())),
-        m_request.digest, parts(), m_hasBegun, attempt.empty() ? 0 : Core::hash64(attempt)};
+    const Casualty casualty {crashIdentity(m_upstream, m_startTime), m_request.digest, parts(),
+                             m_hasBegun, attempt.empty() ? 0 : Core::hash64(attempt)};
     logCasualty(m_request, m_upstream, m_startTime, casualty);
     m_gateway.poison().noteCasualty(casualty, now());
     if (m_gateway.onCasualty)
--- a/Libraries/LibGateway/Casualty.h
+++ b/Libraries/LibGateway/Casualty.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <LibCore/Identifier.h>
+
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -9,7 +12,7 @@
 /// answer it.
 struct Casualty
 {
-    /// Identifies the crash: a hash of the upstream's id and start time.
+    /// Identifies the crash, see crashIdentity().
     std::uint64_t crash = 0;
     /// The digest of the request, equal for all its attempts.
     std::uint64_t request = 0;
@@ -25,4 +28,8 @@
     std::uint64_t identity() const { return attempt ? attempt : request; }
 };
 
+/// Returns what identifies the crash of an upstream that started at the given time, equal at all
+/// instances.
+std::uint64_t crashIdentity(const Core::UpstreamId &upstream, std::chrono::milliseconds startTime);
+
 } // namespace Gateway
--- a/Tests/LibGateway/TestPoisonRequests.cpp
+++ b/Tests/LibGateway/TestPoisonRequests.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <initializer_list>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace std::chrono_literals;
@@ -90,6 +92,24 @@
     CHECK(digest != Gateway::requestDigest("/a", "liit", "other"));
 }
 
+// Guards against upstreams with short ids whose start times hash to the same crash, so that a
+// request that crashed three of them counted as one that crashed two.
+TEST_CASE("crashes of different upstreams or incarnations have the same identity")
+{
+    std::set<std::uint64_t> identities;
+    std::size_t count = 0;
+    for (const std::string prefix : {"w", "w-", "w-1", "worker-", "i-7f3a91c"}) {
+        for (int upstream = 0; upstream < 10; ++upstream) {
+            for (const auto start : {0ms, 1ms, 2ms, 3ms, 4ms, 1'700'000'000'000ms}) {
+                const Core::UpstreamId id(prefix + std::to_string(upstream));
+                identities.insert(Gateway::crashIdentity(id, start));
+                ++count;
+            }
+        }
+    }
+    CHECK(identities.size() == count);
+}
+
 TEST_CASE("a request that crashes three upstreams is sent to more, or others with it are refused")
 {
     const bool hasAnswers = GENERATE(false, true);
