LibGateway: Ask for keys whenever the configuration has a list of tenants

A list whose only entry could not be read did the same.

Cause: authorize() and mayStillSend() asked for a key if the version in force had a tenant, so that "no tenant is left" and "there are no tenants" were the same. Entries that cannot be read were left out, which emptied the list as well, and let the requests of an unreadable route fall to the route with the next shorter prefix.

The presence of the list decides now.

--- a/Libraries/LibGateway/AcceptedRequest.cpp
+++ b/Libraries/LibGateway/AcceptedRequest.cpp
@@ -47,14 +47,19 @@
     const Refusal outOfDate {Core::ErrorKind::NotReady, "the configuration may be out of date",
                              ShortRetryAfter};
     const auto &target = request.target;
-    route = configuration->findRoute(caller.host, target.substr(0, target.find('?')));
+    const auto path = target.substr(0, target.find('?'));
+    route = configuration->findRoute(caller.host, path);
+    if (configuration->isUnreadable(caller.host, path, route))
+        return Refusal {Core::ErrorKind::NotReady,
+                        "the route of the request cannot be read from the configuration",
+                        {}};
     if (!route)
         return isUpToDate ? Refusal {Core::ErrorKind::UnknownRoute,
                                      "no route matches the host and path",
                                      {}}
                           : outOfDate;
     tenant = configuration->findTenant(caller.key);
-    if (!route->isPublic && !configuration->tenants.empty()) {
+    if (!route->isPublic && configuration->requiresKeys) {
         if (!gateway.hasUpToDateKeys())
             return outOfDate;
         if (!tenant)
--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -69,6 +69,20 @@
     return nullptr;
 }
 
+bool GatewayConfiguration::isUnreadable(std::string_view host, std::string_view path,
+                                        const Route *found) const
+{
+    return std::any_of(
+        unreadableRoutes.begin(), unreadableRoutes.end(), [&](const UnreadableRoute &route) {
+            if (route.host && hostName(*route.host) != hostName(host))
+                return false;
+            if (!route.pathPrefix)
+                return true;
+            return path.starts_with(*route.pathPrefix)
+                   && (!found || route.pathPrefix->size() >= found->pathPrefix.size());
+        });
+}
+
 const Tenant *GatewayConfiguration::findTenant(std::string_view key) const
 {
     const auto it = m_tenantByKey.find(std::string(key));
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -100,6 +100,14 @@
     unsigned plainTokens = 1;
 };
 
+/// A route that the configuration has and that could not be read. What is not known of the requests
+/// that it is for is empty.
+struct UnreadableRoute
+{
+    std::optional<std::string> host;
+    std::optional<std::string> pathPrefix;
+};
+
 /// Limits on the size and timing of callers' requests.
 struct CallerLimits
 {
@@ -114,8 +122,12 @@
 {
     std::uint64_t version = 0;
     std::vector<Route> routes;
+    std::vector<UnreadableRoute> unreadableRoutes;
     std::map<std::string, Service> services;
     std::vector<Tenant> tenants;
+    /// Whether requests need a key on routes that are not public. The list of tenants may be empty
+    /// nevertheless, and then no key is known.
+    bool requiresKeys = false;
     CallerLimits limits;
 
     /// Builds the indexes for the lookups below. Must be called once, after the fields are set.
@@ -123,6 +135,9 @@
     /// Returns the route of the host (ignoring the port) whose path prefix is the longest match;
     /// null if none matches.
     const Route *findRoute(std::string_view host, std::string_view path) const;
+    /// Returns whether an unreadable route may be that of the request rather than the one that
+    /// findRoute() returned.
+    bool isUnreadable(std::string_view host, std::string_view path, const Route *found) const;
     const Tenant *findTenant(std::string_view key) const;
     const Service *findService(const std::string &name) const;
     /// Returns the name of the cache scope of a tenant's requests, or of those without a tenant if
--- a/Libraries/LibGateway/RequestRelay.cpp
+++ b/Libraries/LibGateway/RequestRelay.cpp
@@ -445,7 +445,7 @@
         return false;
     const auto &current = dependencies.configuration.current();
     if (current == m_request.configuration)
-        return m_request.route->isPublic || current->tenants.empty() || m_gateway.hasUpToDateKeys();
+        return m_request.route->isPublic || !current->requiresKeys || m_gateway.hasUpToDateKeys();
     // The configuration changed after the upstream was chosen, so the choice is repeated.
     return false;
 }
--- a/Tests/PlatformParts/TestRecords.cpp
+++ b/Tests/PlatformParts/TestRecords.cpp
@@ -260,6 +260,74 @@
     CHECK(read->services.size() == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "an empty or unreadable list of tenants opens the routes to all")
+{
+    auto value = boost::json::parse(SoundConfiguration).as_object();
+    for (const auto &tenants :
+         {R"([])", R"([7])", R"([{"Name":"liit","ApiKeys":"k"}])", R"([{"ApiKeys":["k"]}])",
+          R"([{"Name":"liit","ApiKeys":["k",7]}])", R"([{"Name":"liit"}])",
+          R"([{"Name":"liit","ApiKeys":["k"],"Isolated":"yes"}])", R"(null)", R"({})", R"("k")"}) {
+        CAPTURE(tenants);
+        value["Tenants"] = boost::json::parse(tenants);
+        const auto read = configuration(boost::json::serialize(value));
+        REQUIRE(read.has_value());
+        CHECK(read->requiresKeys);
+        CHECK(read->findTenant("k") == nullptr);
+    }
+    value["Tenants"] = boost::json::parse(R"([{"Name":"kool","ApiKeys":["k2"]},7])");
+    CHECK(configuration(boost::json::serialize(value))->findTenant("k2"));
+    value.erase("Tenants");
+    CHECK_FALSE(configuration(boost::json::serialize(value))->requiresKeys);
+}
+
+TEST_CASE_METHOD(Fixture, "requests of an unreadable route are sent to the service of another one")
+{
+    auto value = boost::json::parse(SoundConfiguration).as_object();
+    const auto route = value["Routes"].as_array().front().as_object();
+    const auto readWith = [&](const boost::json::value &entry) {
+        value["Routes"] = boost::json::array {route, entry};
+        const auto read = configuration(boost::json::serialize(value));
+        REQUIRE(read.has_value());
+        REQUIRE(read->routes.size() == 1);
+        return *read;
+    };
+    const auto isRefused = [](const auto &read, const char *host, const char *path) {
+        return read.isUnreadable(host, path, read.findRoute(host, path));
+    };
+    auto entry = route;
+    entry["PathPrefix"] = "/a/b/";
+    for (const char *field : {"Kind", "TimeoutMs", "Public", "Backends"}) {
+        CAPTURE(field);
+        auto odd = entry;
+        odd[field] = 7.5;
+        const auto read = readWith(odd);
+        CHECK(isRefused(read, "a.example", "/a/b/1"));
+        CHECK(isRefused(read, "A.example:80", "/a/b/1"));
+        CHECK_FALSE(isRefused(read, "a.example", "/a/1"));
+        CHECK_FALSE(isRefused(read, "b.example", "/a/b/1"));
+    }
+    entry["PathPrefix"] = 7;
+    CHECK(isRefused(readWith(entry), "a.example", "/a/1"));
+    CHECK_FALSE(isRefused(readWith(entry), "b.example", "/a/1"));
+    CHECK(isRefused(readWith(7), "b.example", "/c"));
+    value["Routes"] = "none";
+    const auto read = configuration(boost::json::serialize(value));
+    REQUIRE(read.has_value());
+    CHECK(isRefused(*read, "a.example", "/a/1"));
+}
+
+TEST_CASE_METHOD(Fixture, "an unreadable service takes requests of its routes")
+{
+    auto value = boost::json::parse(SoundConfiguration).as_object();
+    for (const auto &services : {R"([7])", R"([{"Name":"llm","Engine":7}])", R"({})", R"([])"}) {
+        CAPTURE(services);
+        value["Services"] = boost::json::parse(services);
+        const auto read = configuration(boost::json::serialize(value));
+        REQUIRE(read.has_value());
+        CHECK(read->findService("llm") == nullptr);
+    }
+}
+
 TEST_CASE_METHOD(Fixture, "named weights with an odd version or model are refused")
 {
     const std::string odd = GENERATE(
