LibHttp: Refuse answers whose status is above 599

A worker's answer with status 600 or 999 reached the caller with the worker's seal. RFC 9110, section 15, has status codes from 100 to 599 and asks for others to be processed as a server error; the parser takes any three digits.

Such an answer is malformed now: the request is repeated where its route allows, or answered 502 without the seal.

Tests/Platform "a status that is none is passed on" fails before for 600 and 999 (000, 099, 1000 and 2 were refused) and passes. The other cases of TestEarlyAnswers passed before as well: early answers without a length that are reset while their upload of 3.5 MB is written are never delivered as a success, and no request that reached a worker got 503.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -30,6 +30,8 @@
 // More interim responses (status 1xx) than that are no valid answer.
 constexpr int MaxInterimResponses = 8;
 constexpr unsigned SwitchingProtocols = 101;
+// Higher numbers are no status codes (RFC 9110, section 15).
+constexpr unsigned MaxStatus = 599;
 
 // An idle connection is not reused within this time before the server may close it.
 constexpr std::chrono::milliseconds IdleMargin {1'000};
@@ -132,6 +134,8 @@
         }
         for (const auto &field : m_parser->get())
             m_headers.add(field.name_string(), field.value());
+        if (status() > MaxStatus)
+            co_return make_error_code(http::error::bad_status);
         if (responseFramingFault(m_headers, m_parser->get().version()))
             ec = make_error_code(http::error::bad_transfer_encoding);
         co_return ec;
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -79,13 +79,14 @@
 }
 
 void GatewayFixture::configure(unsigned version, const std::string &routes,
-                               const std::string &tenants)
+                               const std::string &tenants, std::size_t maxBodyBytes)
 {
     store.put(
         "keyed.op", "config",
         R"({"Version":)" + std::to_string(version) + R"(,"Routes":)" + routes
-            + R"(,"Services":[{"Name":"app","MaxConns":96},{"Name":"llm","MaxConns":230,"Engine":{"Slots":8,"KvCapacity":200000,"TokenKvBytes":327680,"LinkMbps":1500000.0,"Models":[{"Name":"model"}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":)"
-            + tenants + "}");
+            + R"(,"Services":[{"Name":"app","MaxConns":96},{"Name":"llm","MaxConns":230,"Engine":{"Slots":8,"KvCapacity":200000,"TokenKvBytes":327680,"LinkMbps":1500000.0,"Models":[{"Name":"model"}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":)"
+            + std::to_string(maxBodyBytes)
+            + R"(,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":)" + tenants + "}");
 }
 
 std::string GatewayFixture::writeSettings(const GatewayOptions &options,
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -44,7 +44,8 @@
     void restartWorker(StandIns::WorkerStandIn &worker);
     /// Writes a configuration with the given version and the JSON of routes and tenants.
     void configure(unsigned version, const std::string &routes = defaultRoutes(),
-                   const std::string &tenants = defaultTenants());
+                   const std::string &tenants = defaultTenants(),
+                   std::size_t maxBodyBytes = 100'000);
     /// Starts a gateway, and optionally waits until it is ready.
     Processes::Process &startGateway(const GatewayOptions &options = {},
                                      bool waitsUntilReady = true);
--- a/Tests/Platform/RawWorkersFixture.cpp
+++ b/Tests/Platform/RawWorkersFixture.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <algorithm>
+
 namespace PlatformTests {
 
 namespace asio = boost::asio;
@@ -30,10 +32,11 @@
 }
 
 RawWorkersFixture::RawWorkersFixture(const std::string &service, RawServer::Script script,
-                                     const GatewayOptions &options, const std::string &routes)
+                                     const GatewayOptions &options, const std::string &routes,
+                                     RawServer::Reading reading)
 {
     for (const std::string id : {"w-1", "w-2"}) {
-        m_workers.push_back(std::make_unique<RawServer>(script));
+        m_workers.push_back(std::make_unique<RawServer>(script, reading));
         store.put("keyed.servers", id, rawWorkerEntry(service, *m_workers.back()));
     }
     configure(1, routes);
@@ -53,6 +56,16 @@
     return m_workers[0]->requests().size() + m_workers[1]->requests().size();
 }
 
+bool RawWorkersFixture::hasReceived(const std::string &id) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&id](const auto &worker) {
+        const auto requests = worker->requests();
+        return std::any_of(requests.begin(), requests.end(), [&id](const auto &request) {
+            return request.headers.find("X-Jujubesaddle-Attempt-Id") == id;
+        });
+    });
+}
+
 bool RawWorkersFixture::wasResumedElsewhere() const
 {
     const auto first = m_workers[0]->requests();
--- a/Tests/Platform/RawWorkersFixture.h
+++ b/Tests/Platform/RawWorkersFixture.h
@@ -26,7 +26,8 @@
 public:
     RawWorkersFixture(const std::string &service, StandIns::RawServer::Script script,
                       const GatewayOptions &options = {},
-                      const std::string &routes = defaultRoutes());
+                      const std::string &routes = defaultRoutes(),
+                      StandIns::RawServer::Reading reading = StandIns::RawServer::Reading::Whole);
 
     Processes::Process &gateway() { return *m_gateway; }
 
@@ -35,6 +36,8 @@
 
     /// Returns the number of requests that the workers received.
     std::size_t received() const;
+    /// Returns whether a worker received the request.
+    bool hasReceived(const std::string &id) const;
     /// Whether each worker received one request, and the second one that to resume the stream.
     bool wasResumedElsewhere() const;
     std::size_t bytesAfterEnd() const;
--- a/Tests/StandIns/RawServer.cpp
+++ b/Tests/StandIns/RawServer.cpp
@@ -37,7 +37,7 @@
 }
 
 /// Reads a request; empty when the client closes the connection first.
-std::optional<Http::Request> readRequest(asio::ip::tcp::socket &socket)
+std::optional<Http::Request> readRequest(asio::ip::tcp::socket &socket, bool readsBody)
 {
     std::string bytes;
     boost::system::error_code ec;
@@ -46,7 +46,7 @@
         return std::nullopt;
     auto request = parseHead(bytes.substr(0, size));
     request.body = bytes.substr(size);
-    if (const auto length = request.headers.find("Content-Length")) {
+    if (const auto length = request.headers.find("Content-Length"); length && readsBody) {
         const auto missing = std::stoul(std::string(*length)) - request.body.size();
         asio::read(socket, asio::dynamic_buffer(request.body), asio::transfer_exactly(missing), ec);
     }
@@ -88,8 +88,9 @@
     m_socket.close();
 }
 
-RawServer::RawServer(Script script)
+RawServer::RawServer(Script script, Reading reading)
     : m_script(std::move(script))
+    , m_reading(reading)
     , m_acceptor(m_context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     , m_endpoint(m_acceptor.local_endpoint())
     , m_thread([this] { accept(); })
@@ -137,7 +138,7 @@
     RawConnection connection(socket);
     bool isKept = true;
     while (isKept) {
-        const auto request = readRequest(socket);
+        const auto request = readRequest(socket, m_reading == Reading::Whole);
         if (!request)
             break;
         {
--- a/Tests/StandIns/RawServer.h
+++ b/Tests/StandIns/RawServer.h
@@ -59,7 +59,14 @@
     /// afterwards, unless the script keeps it.
     using Script = std::function<void(RawConnection &, const Http::Request &)>;
 
-    explicit RawServer(Script script);
+    /// What the server reads of a request before it calls the script.
+    enum class Reading {
+        Whole,
+        /// The script answers while the client may still write the body.
+        Head,
+    };
+
+    explicit RawServer(Script script, Reading reading = Reading::Whole);
     ~RawServer();
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
@@ -79,6 +86,7 @@
     void awaitClose(Socket &socket);
 
     Script m_script;
+    Reading m_reading;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     Http::Endpoint m_endpoint;
