--- a/Tests/LibGateway/TestConfiguration.cpp
+++ b/Tests/LibGateway/TestConfiguration.cpp
@@ -4,6 +4,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -78,6 +83,45 @@
     CHECK(scope(after, "k4") == known);
 }
 
+// Instances may have different versions, and a tenant may become isolated several times.
+TEST_CASE("two tenants share a cache scope although one is isolated in a version of either request")
+{
+    const std::vector<std::string> names {"liit", "kool", "muuseum", "liit.weights-1", "a", "b"};
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<Gateway::GatewayConfiguration> versions(30);
+        for (auto &version : versions) {
+            for (const auto &name : names) {
+                // Some are left out.
+                if (random() % 5 > 0)
+                    version.tenants.push_back({name, {name}, {}, random() % 3 == 0});
+            }
+            std::shuffle(version.tenants.begin(), version.tenants.end(), random);
+            version.buildIndexes();
+        }
+        const auto isIsolated = [](const auto &version, const std::string &name) {
+            const auto *tenant = version.findTenant(name);
+            return tenant && tenant->isIsolated;
+        };
+        for (const auto &made : versions) {
+            for (const auto &used : versions) {
+                for (const auto &maker : made.tenants) {
+                    for (const auto &user : used.tenants) {
+                        if (maker.name == user.name
+                            || made.cacheScope(&maker) != used.cacheScope(&user))
+                            continue;
+                        CAPTURE(seed, maker.name, user.name);
+                        for (const auto &name : {maker.name, user.name}) {
+                            REQUIRE_FALSE(isIsolated(made, name));
+                            REQUIRE_FALSE(isIsolated(used, name));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("only requests of repeatable or resumable routes may run again")
 {
     Gateway::Route route;
