LibGateway: Keep answers apart that say nothing about the other kind of request

Each answer was noted in the evidence for prompts and in that for requests without prompts, which doubled the memory of both. An answer is noted in the other evidence only if its suspect was in a crash there.

--- a/Libraries/LibGateway/PoisonTable.cpp
+++ b/Libraries/LibGateway/PoisonTable.cpp
@@ -100,8 +100,10 @@
     const bool hasParts = suspects.size() > 1;
     evidenceOf(hasParts).noteAnswered(suspects, now);
     for (const auto suspect : suspects) {
-        // An answer without a success names no parts, though the request has them.
-        evidenceOf(!hasParts).noteAnswer(suspect, begin);
+        // An answer without a success names no parts, though the request may have them.
+        auto &other = evidenceOf(!hasParts);
+        if (other.suspects().contains(suspect))
+            other.noteAnswer(suspect, begin);
         acquitAnswered(suspect, begin);
     }
     judgeIfDue(now);
