--- a/Libraries/LibGateway/CrashEvidence.h
+++ b/Libraries/LibGateway/CrashEvidence.h
@@ -61,6 +61,7 @@
     CrashEvidence(const CrashEvidence &) = delete;
     CrashEvidence &operator=(const CrashEvidence &) = delete;
 
+    Scope scope() const { return m_scope; }
     /// Records a casualty, and forgets the crashes that are older than the retention time. Returns
     /// whether the casualty is new.
     bool note(const Casualty &casualty, Core::Clock::Monotonic now);
--- a/Libraries/LibGateway/PoisonEvidence.cpp
+++ b/Libraries/LibGateway/PoisonEvidence.cpp
@@ -18,7 +18,7 @@
 // Popular suspects were answered within this time after a start.
 constexpr auto LearningTime = 5s;
 constexpr unsigned MinMoments = 3;
-constexpr unsigned MinMomentsOfAll = 5;
+constexpr unsigned MinMomentsUnbegun = 5;
 constexpr unsigned MinRequests = 2;
 constexpr double MaxShareOfOneRequest = 0.8;
 constexpr double MaxChance = 0.1;
@@ -230,9 +230,9 @@
     // The request that crashed an upstream before the head of its answer had left is one of all
     // that waited there, and those that are sent again are lost in crashes shortly after each
     // other.
-    if (&evidence == &m_all) {
+    if (evidence.scope() == CrashEvidence::Scope::All) {
         const bool isOften = charge.isRequest ? charge.crashes >= MinCrashesQuick
-                                              : charge.moments >= MinMomentsOfAll;
+                                              : charge.moments >= MinMomentsUnbegun;
         return isOften && odds.chance <= MaxChanceStrict ? Proof::Certain : Proof::None;
     }
     // Whether an instance that has just started would know popular parts. Requests that are as
--- a/Libraries/LibGateway/PoisonTable.h
+++ b/Libraries/LibGateway/PoisonTable.h
@@ -81,6 +81,7 @@
         unsigned convictions = 1;
     };
 
+    /// Returns the evidence of requests with or without parts in common with others.
     PoisonEvidence &evidenceOf(bool hasParts) { return hasParts ? m_prompts : m_plain; }
     void judgeIfDue(Core::Clock::Monotonic now);
     /// Convicts the suspects that the evidence proves to be poison, and withdraws convictions that
@@ -92,8 +93,8 @@
     void withdrawExplained(Core::Clock::Monotonic now);
     /// Prolongs the convictions of the suspects in a crash.
     void renew(const Casualty &casualty, Core::Clock::Monotonic now);
-    /// Returns the causes that are refused, or also those that may be tried again.
     PoisonEvidence::Causes knownCauses() const;
+    /// Returns the causes that may not be tried again yet.
     PoisonEvidence::Causes activeCauses(Core::Clock::Monotonic now) const;
     void acquitAnswered(std::uint64_t suspect, Core::Clock::Monotonic time);
     /// Returns whether siblings may need to know of the answer to judge these crashes.
