Tests: Wait until the worker that refuses was chosen

The test sent six calls and required that at least one of them had reached the worker that refuses. One of two idle workers is chosen at random (chooseLeastLoaded shuffles the candidates), so all six go to the other one in 1 of 64 runs.

The new form sends calls until one has reached the worker, and requires the same answers of these and of six more. It also fails when no call ever reaches the worker.

--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -208,10 +208,15 @@
     fixture.configure(1);
     fixture.startGateway();
     first.setBehaviour(refuse);
+    // One of two idle workers is chosen at random.
+    CHECK(GatewayFixture::eventually([&, n = 0]() mutable {
+        const auto id = "first-" + std::to_string(++n);
+        CHECK(fixture.send(GatewayFixture::request("/calls/a", id)).body == "w-2");
+        return !first.requests().empty();
+    }));
     for (int n = 0; n < 6; ++n)
         CHECK(fixture.send(GatewayFixture::request("/calls/a", "id-" + std::to_string(n))).body
               == "w-2");
-    CHECK(!first.requests().empty());
     first.setBehaviour(crash);
     second.setBehaviour(crash);
     const auto before = first.requests().size() + second.requests().size();
