LibGateway: Count places in the store's logs by its era

In a drill the store may come back from a copy some seconds old. Offsets go back and are given out again, and the header Store-Era rises by one. Nothing read the header, and readers compared bare offsets:

- A configuration was never in force when the log had grown past the offset that the instance had read before: it asked for records beyond the end, and missed those in between.
- A report of an upstream that leaves had a lower offset than a known one and was taken for an old one, so the upstream still got requests.

A LogPosition is an era and an offset, and is used wherever an offset was compared, stored or sent to siblings; its number has 53 bits and is the offset in a store that names no era. A read from a position of an earlier era says that the history is truncated, so each reader starts again, and an append that expects an end of an earlier era does not count. The instance announces itself again. Events 706 and 707 and a gauge show it.

The stand-in store can be restored from a copy (StoreStandIn::restoreLogs).

An older instance that passes log pages on reads the number of a position as an offset, so instances should not run mixed with older ones while the store names an era above 0.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -79,6 +79,8 @@
     EventRow {EventId::LogSourceChanged, EventLevel::Info, "log_source_changed", "The source of a log changed from the store to siblings, or back to the store."},
     EventRow {EventId::StoreCalled, EventLevel::Debug, "store_called", "The store was called, for the given log and purpose."},
     EventRow {EventId::StoreReadLate, EventLevel::Info, "store_read_late", "The answer to a read of the store is late."},
+    EventRow {EventId::StoreEraChanged, EventLevel::Warning, "store_era_changed", "The store is in a new era: it was restored from an older copy."},
+    EventRow {EventId::StoreEraInvalid, EventLevel::Warning, "store_era_invalid", "An answer of the store names an earlier era than a previous one, or none that can be read."},
     EventRow {EventId::UsageAppended, EventLevel::Debug, "usage_appended", "Usage records were appended."},
     EventRow {EventId::UsageLost, EventLevel::Warning, "usage_lost", "Usage records could not be appended before the process ended."},
 };
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -85,6 +85,8 @@
     LogSourceChanged = 703,
     StoreCalled = 704,
     StoreReadLate = 705,
+    StoreEraChanged = 706,
+    StoreEraInvalid = 707,
     UsageAppended = 800,
     UsageLost = 801,
 };
--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -94,19 +94,28 @@
 
 asio::awaitable<void> FleetJournal::readOnce(std::chrono::milliseconds wait)
 {
-    const auto page = co_await m_log.read(FleetTopic::Journal, m_nextOffset, wait);
+    const auto page = co_await m_log.read(FleetTopic::Journal, m_next, wait);
     for (const auto &record : page.records) {
         // Two reads may run concurrently and return the same record.
-        if (record.offset >= m_nextOffset)
+        if (record.position >= m_next)
             apply(record);
     }
-    m_nextOffset = std::max(m_nextOffset, page.next);
+    if (page.next.era() > m_next.era())
+        noteNewEra();
+    m_next = std::max(m_next, page.next);
     if (page.isHistoryTruncated)
         m_hasRead = false;
-    else if (page.isComplete)
+    else if (page.isComplete && page.next.era() == m_next.era())
         noteComplete(page.asOf);
 }
 
+void FleetJournal::noteNewEra()
+{
+    // In a large fleet the hubs announce the others.
+    if (!m_members.isLarge() || m_members.isHub())
+        m_lastAnnounced = Core::Clock::Monotonic::min();
+}
+
 void FleetJournal::noteComplete(Core::Clock::Monotonic asOf)
 {
     m_hasRead = true;
@@ -123,23 +132,23 @@
     flatbuffers::Verifier verifier(bytes, record.value->size());
     if (!verifier.VerifyBuffer<Wire::JournalRecord>(nullptr)) {
         Core::logEvent(Core::EventId::LogRecordInvalid,
-                       {{"log", "journal"}, {"offset", std::to_string(record.offset)}});
+                       {{"log", "journal"}, {"offset", std::to_string(record.position.number())}});
         return;
     }
     const auto *entry = flatbuffers::GetRoot<Wire::JournalRecord>(bytes);
     if (const auto *member = entry->entry_as_Member())
-        applyMember(*member, record.offset);
+        applyMember(*member, record.position);
     if (const auto *all = entry->entry_as_Members(); all && all->members()) {
         for (const auto *member : *all->members())
-            applyMember(*member, record.offset);
+            applyMember(*member, record.position);
     }
     if (const auto *lease = entry->entry_as_Lease())
-        m_lease.noteRecord(record.offset, Core::InstanceId(text(lease->holder())), m_clock.now());
+        m_lease.noteRecord(record.position, Core::InstanceId(text(lease->holder())), m_clock.now());
     if (const auto *parts = entry->entry_as_PoisonParts())
         applyPoison(*parts);
 }
 
-void FleetJournal::applyMember(const Wire::Member &member, std::uint64_t offset)
+void FleetJournal::applyMember(const Wire::Member &member, LogPosition position)
 {
     const Core::InstanceId instance(text(member.instance()));
     if (member.poison_parts())
@@ -158,9 +167,10 @@
         m_members.noteAnnounced(
             {instance, text(member.data_centre()), endpoint.value(), member.link_megabits()});
     else
-        Core::logEvent(Core::EventId::LogRecordInvalid, {{"log", "journal"},
-                                                         {"offset", std::to_string(offset)},
-                                                         {"reason", endpoint.error().detail()}});
+        Core::logEvent(Core::EventId::LogRecordInvalid,
+                       {{"log", "journal"},
+                        {"offset", std::to_string(position.number())},
+                        {"reason", endpoint.error().detail()}});
 }
 
 void FleetJournal::noteAnnounced(Core::Clock::Monotonic writtenAfter)
@@ -207,19 +217,19 @@
     }
 }
 
-asio::awaitable<std::optional<std::uint64_t>> FleetJournal::append(std::string record)
+asio::awaitable<std::optional<LogPosition>> FleetJournal::append(std::string record)
 {
-    std::optional<std::uint64_t> offset;
+    std::optional<LogPosition> position;
     try {
         const auto outcome =
             co_await m_log.append(FleetTopic::Journal, std::move(record), std::nullopt);
         if (outcome.isAppended)
-            offset = outcome.offset;
+            position = outcome.position;
     } catch (const Core::Error &error) {
         Core::logEvent(Core::EventId::PlatformUnavailable,
                        {{"log", "journal"}, {"reason", error.what()}});
     }
-    co_return offset;
+    co_return position;
 }
 
 std::chrono::milliseconds FleetJournal::announceInterval() const
@@ -279,11 +289,11 @@
     const bool isForAll = m_members.isLarge() && m_members.isHub();
     auto record = isForAll ? announcementForAll() : announcement();
     const auto requestTime = m_clock.now();
-    const auto offset = co_await append(std::move(record));
-    if (!offset)
+    const auto position = co_await append(std::move(record));
+    if (!position)
         co_return false;
     noteAnnounced(requestTime);
-    if (*offset == 0 && onFirstRecord)
+    if (*position == LogPosition() && onFirstRecord)
         onFirstRecord();
     co_return true;
 }
@@ -304,8 +314,8 @@
         // The conviction may have been withdrawn since.
         if (m_poison.causes(m_clock.now()).empty())
             continue;
-        const auto offset = co_await append(poisonRecord());
-        if (offset)
+        const auto position = co_await append(poisonRecord());
+        if (position)
             continue;
         m_hasNewPoison = true;
         co_await sleepFor(RetryPause);
@@ -323,7 +333,7 @@
     auto record = journalRecord(builder, Wire::Entry::Lease, lease);
     AppendOutcome outcome;
     try {
-        outcome = co_await m_log.append(FleetTopic::Journal, std::move(record), m_nextOffset);
+        outcome = co_await m_log.append(FleetTopic::Journal, std::move(record), m_next);
         // The pending long poll may not have returned the records in between, for example when the
         // store does not answer it.
         if (!outcome.isAppended)
@@ -335,11 +345,12 @@
     }
     if (!outcome.isAppended)
         co_return false;
-    m_lease.noteTaken(outcome.offset, requestTime);
+    m_lease.noteTaken(outcome.position, requestTime);
     // The conditional append succeeded, so all earlier records have been read.
-    m_nextOffset = std::max(m_nextOffset, outcome.offset + 1);
+    m_next = std::max(m_next, outcome.position + 1);
     if (!isRenewal)
-        Core::logEvent(Core::EventId::LeaseTaken, {{"token", std::to_string(outcome.offset + 1)}});
+        Core::logEvent(Core::EventId::LeaseTaken,
+                       {{"token", std::to_string(OrderLease::tokenOf(outcome.position))}});
     co_return m_lease.token(m_clock.now(), 0ms).has_value();
 }
 
--- a/Libraries/LibGateway/FleetJournal.h
+++ b/Libraries/LibGateway/FleetJournal.h
@@ -79,18 +79,20 @@
 
 private:
     boost::asio::awaitable<void> follow();
-    /// Returns the offset of the appended record; nothing when the append failed.
-    boost::asio::awaitable<std::optional<std::uint64_t>> append(std::string record);
+    /// Returns the position of the appended record; nothing when the append failed.
+    boost::asio::awaitable<std::optional<LogPosition>> append(std::string record);
     std::chrono::milliseconds announceInterval() const;
     /// Returns the causes of crashes for a record; a null offset if there are none.
     flatbuffers::Offset<Wire::PoisonParts>
     wirePoisonRecord(flatbuffers::FlatBufferBuilder &builder) const;
     std::uint64_t calendarMs() const;
     void applyPoison(const Wire::PoisonParts &record);
+    /// Records that the log was seen in a new era, which may have lost what this instance wrote.
+    void noteNewEra();
     /// Records that a page reached the end of the journal at the given time.
     void noteComplete(Core::Clock::Monotonic asOf);
     void noteAnnounced(Core::Clock::Monotonic writtenAfter);
-    void applyMember(const Wire::Member &member, std::uint64_t offset);
+    void applyMember(const Wire::Member &member, LogPosition position);
 
     FleetLog &m_log;
     const Core::Clock &m_clock;
@@ -98,7 +100,7 @@
     PoisonTable &m_poison;
     FleetMembers &m_members;
     OrderLease m_lease;
-    std::uint64_t m_nextOffset = 0;
+    LogPosition m_next;
     /// When a record was last found to announce this process.
     Core::Clock::Monotonic m_lastAnnounced = Core::Clock::Monotonic::min();
     /// All records that were written until this time have been read; empty before the first time.
--- a/Libraries/LibGateway/FleetLog.h
+++ b/Libraries/LibGateway/FleetLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibGateway/LogPosition.h>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -30,7 +31,7 @@
 struct FleetRecord
 {
     /// In a list of the newest records, 0 if it is not known.
-    std::uint64_t offset = 0;
+    LogPosition position;
     std::string key;
     std::optional<std::string> value;
 };
@@ -39,9 +40,9 @@
 struct FleetPage
 {
     /// The offset of the next read.
-    std::uint64_t next = 0;
-    /// Whether records at the requested offset were already removed from the log, so that the
-    /// reader has missed some and has to start again.
+    LogPosition next;
+    /// Whether records at the requested position were already removed from the log, or the position
+    /// is of an earlier era, so that the reader may have missed some and has to start again.
     bool isHistoryTruncated = false;
     /// Whether the page reaches the end of the log.
     bool isComplete = true;
@@ -63,8 +64,9 @@
 struct AppendOutcome
 {
     bool isAppended = false;
-    /// The offset of the record, or the end of the log when it differs from the expected end.
-    std::uint64_t offset = 0;
+    /// The position of the record, or the end of the log when it differs from the expected end. In
+    /// a later era than that of the expected end, the record may stand in the log all the same.
+    LogPosition position;
 };
 
 /// The logs of the store. All calls throw Error(PlatformUnavailable) when there is no answer; an
@@ -79,11 +81,11 @@
     virtual boost::asio::awaitable<FleetPage> newest(FleetTopic topic) = 0;
     /// Returns the records from an offset on. If there are none, waits for a new one for at most
     /// the given time.
-    virtual boost::asio::awaitable<FleetPage> read(FleetTopic topic, std::uint64_t from,
+    virtual boost::asio::awaitable<FleetPage> read(FleetTopic topic, LogPosition from,
                                                    std::chrono::milliseconds wait) = 0;
     /// Appends a record. With an expected end, appends only if the log ends at that offset.
     virtual boost::asio::awaitable<AppendOutcome>
-    append(FleetTopic topic, std::string value, std::optional<std::uint64_t> expectedEnd) = 0;
+    append(FleetTopic topic, std::string value, std::optional<LogPosition> expectedEnd) = 0;
     /// Closes the connections that no call uses, so that the next calls are made on new ones. For a
     /// log that is not reached over connections, this has no effect.
     virtual void dropIdleConnections() { }
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -92,8 +92,8 @@
 {
     for (;;) {
         FleetPage page;
-        if (m_nextOperatorOffset)
-            page = co_await m_dependencies.log.read(FleetTopic::Operator, *m_nextOperatorOffset,
+        if (m_nextOperator)
+            page = co_await m_dependencies.log.read(FleetTopic::Operator, *m_nextOperator,
                                                     OperatorLongPollTime);
         else
             page = co_await m_dependencies.log.newest(FleetTopic::Operator);
@@ -106,12 +106,12 @@
 {
     noteStoreStatus(FleetTopic::Operator, true, {});
     if (page.isHistoryTruncated) {
-        m_nextOperatorOffset.reset();
+        m_nextOperator.reset();
         return;
     }
     for (const auto &record : page.records)
         applyOperator(record, page.isFromSibling ? "sibling" : "store");
-    m_nextOperatorOffset = page.next;
+    m_nextOperator = page.next;
     if (page.isComplete)
         m_dependencies.configuration.confirm(page.asOf);
 }
@@ -189,8 +189,8 @@
     const auto executor = co_await asio::this_coro::executor;
     for (;;) {
         FleetPage page;
-        if (m_nextUpstreamsOffset)
-            page = co_await m_dependencies.log.read(FleetTopic::Upstreams, *m_nextUpstreamsOffset,
+        if (m_nextUpstreams)
+            page = co_await m_dependencies.log.read(FleetTopic::Upstreams, *m_nextUpstreams,
                                                     UpstreamsLongPollTime);
         else
             page = co_await m_dependencies.log.newest(FleetTopic::Upstreams);
@@ -235,14 +235,14 @@
     m_outages.noteAnswer(std::max(page.asOf, page.answeredAt),
                          m_dependencies.settings.reportInterval);
     if (page.isHistoryTruncated) {
-        m_nextUpstreamsOffset.reset();
+        m_nextUpstreams.reset();
         return;
     }
-    if (!m_nextUpstreamsOffset)
+    if (!m_nextUpstreams)
         dropUnlisted(page);
     for (const auto &record : page.records)
         applyUpstream(record);
-    m_nextUpstreamsOffset = page.next;
+    m_nextUpstreams = page.next;
     if (page.isComplete)
         m_dependencies.fleet.confirm(page.asOf);
     applyPendingRemovals();
@@ -260,7 +260,7 @@
                        {{"key", record.key}, {"reason", report.error().detail()}});
         return;
     }
-    report.value().offset = record.offset;
+    report.value().position = record.position;
     if (m_dependencies.fleet.apply(std::move(report.value())))
         m_pendingRemovals.erase(record.key);
 }
--- a/Libraries/LibGateway/FleetWatcher.h
+++ b/Libraries/LibGateway/FleetWatcher.h
@@ -56,7 +56,7 @@
     void noteStoreStatus(FleetTopic topic, bool isAnswering, const std::string &reason);
 
 private:
-    /// Reads until a read fails, then throws Error. The next call continues at the same offset.
+    /// Reads until a read fails, then throws Error. The next call continues at the same position.
     boost::asio::awaitable<void> followOperator();
     boost::asio::awaitable<void> followUpstreams();
     void applyOperatorPage(const FleetPage &page);
@@ -74,9 +74,9 @@
     Dependencies m_dependencies;
     std::function<void()> m_onConfigurationChanged;
     std::map<FleetTopic, bool> m_isDown;
-    /// The offset of the next read; empty before the first read and after a gap in the records.
-    std::optional<std::uint64_t> m_nextOperatorOffset;
-    std::optional<std::uint64_t> m_nextUpstreamsOffset;
+    /// The position of the next read; empty before the first read and after a gap in the records.
+    std::optional<LogPosition> m_nextOperator;
+    std::optional<LogPosition> m_nextUpstreams;
     ExpiryOutages m_outages;
     /// Upstreams whose entries disappeared around an outage of the store.
     std::set<std::string> m_pendingRemovals;
--- a/Libraries/LibGateway/GatewayDaemon.cpp
+++ b/Libraries/LibGateway/GatewayDaemon.cpp
@@ -310,6 +310,11 @@
                          }
                          return samples;
                      });
+    metrics.addGauge("jujube_gateway_store_era",
+                     "Era of the store, which rises when it is restored from an older copy.", "",
+                     [this] {
+                         return Samples {{"", static_cast<double>(m_log.era())}};
+                     });
     metrics.addGauge("jujube_gateway_configuration_version",
                      "Version of the configuration in force.", "", [this] {
                          const auto &current = m_configuration.current();
--- a/Libraries/LibGateway/LogRelay.cpp
+++ b/Libraries/LibGateway/LogRelay.cpp
@@ -23,8 +23,8 @@
 constexpr auto LogPath = "/log";
 // The newest records of all upstreams of a large fleet, or LogTail::MaxBytes of records.
 constexpr std::size_t AnswerLimitBytes = std::size_t {8} * 1024 * 1024;
-// Queries with this offset are for the newest record of each key.
-constexpr std::uint64_t NewestOffset = std::numeric_limits<std::uint64_t>::max();
+// Queries from this position are for the newest record of each key.
+constexpr auto NewestPosition = LogPosition::fromNumber(std::numeric_limits<std::uint64_t>::max());
 // Cache snapshots are not followed.
 constexpr auto LastTopic = FleetTopic::Journal;
 
@@ -65,10 +65,10 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    const auto from = logQuery->from();
+    const auto from = LogPosition::fromNumber(logQuery->from());
     const milliseconds wait(logQuery->wait_ms());
     auto &log = tail(static_cast<FleetTopic>(logQuery->topic()));
-    const bool isForNewest = from == NewestOffset;
+    const bool isForNewest = from == NewestPosition;
     if (!isForNewest && log.covers(from))
         co_await log.awaitRecord(from, std::min(wait, MaxWait));
     if (isForNewest ? !log.hasNewest() : !log.covers(from)) {
@@ -83,10 +83,10 @@
 }
 
 asio::awaitable<FleetPage> LogRelay::query(Http::Endpoint sibling, FleetTopic topic,
-                                           std::uint64_t from, milliseconds wait)
+                                           LogPosition from, milliseconds wait)
 {
     flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(Wire::CreateLogQuery(builder, static_cast<std::uint8_t>(topic), from,
+    builder.Finish(Wire::CreateLogQuery(builder, static_cast<std::uint8_t>(topic), from.number(),
                                         static_cast<std::uint32_t>(wait.count())));
     Http::ClientTimeouts timeouts;
     timeouts.connect = ConnectTimeout;
@@ -104,10 +104,10 @@
 
 asio::awaitable<FleetPage> LogRelay::queryNewest(Http::Endpoint sibling, FleetTopic topic)
 {
-    auto page = co_await query(std::move(sibling), topic, NewestOffset, 0ms);
+    auto page = co_await query(std::move(sibling), topic, NewestPosition, 0ms);
     // The offsets of the records themselves are not transferred.
     for (auto &record : page.records)
-        record.offset = 0;
+        record.position = 0;
     co_return page;
 }
 
@@ -130,13 +130,13 @@
                                 ? -1
                                 : duration_cast<milliseconds>(now - page.lastStoreFailure).count();
     const auto list = builder.CreateVector(records);
-    builder.Finish(Wire::CreateLogPage(builder, page.next, static_cast<std::uint64_t>(age.count()),
-                                       static_cast<std::uint64_t>(heldFor.count()), failureAge,
-                                       list));
+    builder.Finish(
+        Wire::CreateLogPage(builder, page.next.number(), static_cast<std::uint64_t>(age.count()),
+                            static_cast<std::uint64_t>(heldFor.count()), failureAge, list));
     return toBytes(builder);
 }
 
-Core::Result<FleetPage> LogRelay::decode(std::string_view bytes, std::uint64_t from,
+Core::Result<FleetPage> LogRelay::decode(std::string_view bytes, LogPosition from,
                                          Core::Clock::Monotonic requestTime)
 {
     const auto *answer = readTable<Wire::LogPage>(bytes);
@@ -144,7 +144,8 @@
         return Core::Error(Core::ErrorKind::PlatformUnavailable,
                            "the sibling's answer is not a valid log page");
     FleetPage page;
-    page.next = from == NewestOffset ? answer->next() : std::max(from, answer->next());
+    const auto next = LogPosition::fromNumber(answer->next());
+    page.next = from == NewestPosition ? next : std::max(from, next);
     // The sibling wrote its answer after it had held the call for this time, so the computed time
     // is never later than the query of the store.
     const auto answerTime = requestTime + bounded(answer->waited_ms(), MaxWait);
@@ -156,7 +157,7 @@
         return page;
     for (const auto *entry : *answer->records()) {
         FleetRecord record;
-        record.offset = from + page.records.size();
+        record.position = from + page.records.size();
         record.key = entry->key() ? entry->key()->str() : "";
         if (entry->value())
             record.value.emplace(reinterpret_cast<const char *>(entry->value()->data()),
--- a/Libraries/LibGateway/LogRelay.h
+++ b/Libraries/LibGateway/LogRelay.h
@@ -21,10 +21,10 @@
     LogTail &tail(FleetTopic topic) { return m_tails[topic]; }
     /// Answers a query of a sibling; a handler of Http::Server.
     boost::asio::awaitable<void> answer(Http::ServerExchange &exchange);
-    /// Queries a sibling for records from an offset on. Throws Error when there is no answer, or
+    /// Queries a sibling for records from a position on. Throws Error when there is no answer, or
     /// when the sibling does not have these records.
     boost::asio::awaitable<FleetPage> query(Http::Endpoint sibling, FleetTopic topic,
-                                            std::uint64_t from, std::chrono::milliseconds wait);
+                                            LogPosition from, std::chrono::milliseconds wait);
     /// Queries a sibling for the newest record of each key. Throws Error likewise.
     boost::asio::awaitable<FleetPage> queryNewest(Http::Endpoint sibling, FleetTopic topic);
 
@@ -33,7 +33,7 @@
     static std::string encode(const FleetPage &page, Core::Clock::Monotonic now,
                               std::chrono::milliseconds heldFor);
     /// Decodes an answer of encode() to a query that was sent at the given time.
-    static Core::Result<FleetPage> decode(std::string_view bytes, std::uint64_t from,
+    static Core::Result<FleetPage> decode(std::string_view bytes, LogPosition from,
                                           Core::Clock::Monotonic requestTime);
 
 private:
--- a/Libraries/LibGateway/LogTail.cpp
+++ b/Libraries/LibGateway/LogTail.cpp
@@ -51,7 +51,7 @@
     return page;
 }
 
-void LogTail::restart(std::uint64_t next)
+void LogTail::restart(LogPosition next)
 {
     m_records.clear();
     m_newest.clear();
@@ -61,14 +61,14 @@
     m_isStarted = true;
 }
 
-void LogTail::extend(std::uint64_t from, const FleetPage &page)
+void LogTail::extend(LogPosition from, const FleetPage &page)
 {
     // The records in between were not read by this instance, or the page is out of order.
     if (!m_isStarted || from > next())
         restart(from);
     const auto previousNext = next();
     for (const auto &record : page.records) {
-        if (record.offset != next())
+        if (record.position != next())
             continue;
         m_bytes += sizeOf(record);
         m_records.push_back(record);
@@ -93,21 +93,21 @@
     }
 }
 
-FleetPage LogTail::page(std::uint64_t from) const
+FleetPage LogTail::page(LogPosition from) const
 {
     FleetPage page;
     page.asOf = m_asOf;
     page.lastStoreFailure = m_lastStoreFailure;
     page.next = std::max(from, next());
-    for (auto offset = std::max(from, m_first); offset < next(); ++offset)
-        page.records.push_back(m_records[offset - m_first]);
+    for (auto it = std::max(from, m_first); it < next(); ++it)
+        page.records.push_back(m_records[it.offset() - m_first.offset()]);
     return page;
 }
 
-asio::awaitable<void> LogTail::awaitRecord(std::uint64_t offset, std::chrono::milliseconds time)
+asio::awaitable<void> LogTail::awaitRecord(LogPosition position, std::chrono::milliseconds time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    if (offset < next())
+    if (position < next())
         co_return;
     m_waiters.insert(&timer);
     boost::system::error_code ec;
--- a/Libraries/LibGateway/OrderLease.cpp
+++ b/Libraries/LibGateway/OrderLease.cpp
@@ -15,16 +15,16 @@
     : m_self(std::move(self))
 { }
 
-void OrderLease::noteRecord(std::uint64_t offset, const Core::InstanceId &holder,
+void OrderLease::noteRecord(LogPosition position, const Core::InstanceId &holder,
                             Core::Clock::Monotonic now)
 {
-    if (m_lastSeen != Core::Clock::Monotonic::min() && offset <= m_lastOffset)
+    if (m_lastSeen != Core::Clock::Monotonic::min() && position <= m_lastPosition)
         return;
-    m_lastOffset = offset;
+    m_lastPosition = position;
     m_lastHolder = holder;
     m_lastSeen = now;
     if (holder != m_self)
-        m_ownOffset.reset();
+        m_ownPosition.reset();
 }
 
 bool OrderLease::mayTake(Core::Clock::Monotonic now, std::chrono::milliseconds minHandoverGap) const
@@ -34,22 +34,27 @@
     return now - m_lastSeen >= Duration + minHandoverGap + HandoverMargin;
 }
 
-void OrderLease::noteTaken(std::uint64_t offset, Core::Clock::Monotonic requestTime)
+void OrderLease::noteTaken(LogPosition position, Core::Clock::Monotonic requestTime)
 {
-    noteRecord(offset, m_self, requestTime);
+    noteRecord(position, m_self, requestTime);
     if (m_lastHolder != m_self)
         return;
-    m_ownOffset = offset;
+    m_ownPosition = position;
     m_ownExpiry = requestTime + Duration;
 }
 
 std::optional<std::uint64_t> OrderLease::token(Core::Clock::Monotonic now,
                                                std::chrono::milliseconds margin) const
 {
-    if (!m_ownOffset || now + margin >= m_ownExpiry)
+    if (!m_ownPosition || now + margin >= m_ownExpiry)
         return std::nullopt;
+    return tokenOf(*m_ownPosition);
+}
+
+std::uint64_t OrderLease::tokenOf(LogPosition position)
+{
     // Fencing tokens start at 1, since some upstreams treat 0 as no token.
-    return *m_ownOffset + 1;
+    return position.number() + 1;
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/ReportHistory.cpp
+++ b/Libraries/LibGateway/ReportHistory.cpp
@@ -15,10 +15,10 @@
 
 ReportHistory::Verdict ReportHistory::note(const UpstreamReport &report)
 {
-    if (report.offset != 0 && report.offset < m_offset)
+    if (report.position != 0 && report.position < m_position)
         return Verdict::Old;
-    const bool isLater = report.offset > m_offset;
-    m_offset = std::max(m_offset, report.offset);
+    const bool isLater = report.position > m_position;
+    m_position = std::max(m_position, report.position);
     if (std::exchange(m_isEmpty, false)) {
         m_current.startTime = report.startTime;
         return update(report);
--- a/Libraries/LibGateway/ReportHistory.h
+++ b/Libraries/LibGateway/ReportHistory.h
@@ -56,8 +56,8 @@
 
     Incarnation m_current;
     bool m_isEmpty = true;
-    /// The offset of the last report in the log.
-    std::uint64_t m_offset = 0;
+    /// The position of the last report in the log.
+    LogPosition m_position;
     /// Earlier incarnations, the last one last.
     std::vector<Incarnation> m_former;
     /// A report with lower numbers that may be the first one of another writer or incarnation.
--- a/Libraries/LibGateway/SharedLog.cpp
+++ b/Libraries/LibGateway/SharedLog.cpp
@@ -271,6 +271,7 @@
             auto page = co_await m_dependencies.relay.queryNewest(sibling.endpoint, topic);
             page.asOf = std::min(page.asOf, m_dependencies.clock.now());
             if (isUseful(topic, page)) {
+                noteEra(page.next);
                 m_dependencies.relay.tail(topic).restart(page);
                 noteSource(topic, sibling.instance, "the log is read through a sibling");
                 co_return page;
@@ -285,7 +286,7 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<FleetPage> SharedLog::read(FleetTopic topic, std::uint64_t from, milliseconds wait)
+asio::awaitable<FleetPage> SharedLog::read(FleetTopic topic, LogPosition from, milliseconds wait)
 {
     auto &state = m_topics[topic];
     const bool mayWait = wait > 0ms;
@@ -327,7 +328,7 @@
 }
 
 asio::awaitable<std::optional<FleetPage>> SharedLog::readNewerFromSibling(FleetTopic topic,
-                                                                          std::uint64_t from)
+                                                                          LogPosition from)
 {
     const auto known = m_dependencies.relay.tail(topic).asOf();
     auto page = co_await readSiblings(topic, from, 0ms);
@@ -356,11 +357,12 @@
     while (!co_await read->awaitEnd(Unlimited)) { }
     if (read->failure)
         std::rethrow_exception(read->failure);
+    noteEra(read->page.next);
     read->page.asOf = read->requestTime;
     co_return std::move(read->page);
 }
 
-asio::awaitable<FleetPage> SharedLog::readRepeatedly(FleetTopic topic, std::uint64_t from,
+asio::awaitable<FleetPage> SharedLog::readRepeatedly(FleetTopic topic, LogPosition from,
                                                      milliseconds wait)
 {
     const auto executor = co_await asio::this_coro::executor;
@@ -385,7 +387,7 @@
     co_return co_await finishRead(std::move(read));
 }
 
-asio::awaitable<FleetPage> SharedLog::readStore(FleetTopic topic, std::uint64_t from,
+asio::awaitable<FleetPage> SharedLog::readStore(FleetTopic topic, LogPosition from,
                                                 milliseconds wait)
 {
     auto &state = m_topics[topic];
@@ -436,7 +438,7 @@
 }
 
 asio::awaitable<std::optional<FleetPage>>
-SharedLog::readSiblings(FleetTopic topic, std::uint64_t from, milliseconds wait)
+SharedLog::readSiblings(FleetTopic topic, LogPosition from, milliseconds wait)
 {
     auto &state = m_topics[topic];
     for (;;) {
@@ -453,10 +455,8 @@
     }
 }
 
-asio::awaitable<std::optional<FleetPage>> SharedLog::querySibling(FleetMember sibling,
-                                                                  FleetTopic topic,
-                                                                  std::uint64_t from,
-                                                                  milliseconds wait)
+asio::awaitable<std::optional<FleetPage>>
+SharedLog::querySibling(FleetMember sibling, FleetTopic topic, LogPosition from, milliseconds wait)
 {
     std::string reason = "the sibling's data is too old";
     try {
@@ -530,6 +530,9 @@
 
 bool SharedLog::isUseful(FleetTopic topic, const FleetPage &page) const
 {
+    // What the sibling knows may be lost.
+    if (page.next.era() < m_era)
+        return false;
     const auto it = m_topics.find(topic);
     const bool isStoreFailing = it != m_topics.end() && it->second.isStoreFailing;
     auto share = isReader() ? ReaderMaxAgeShare : MaxAgeShare;
@@ -555,10 +558,12 @@
 }
 
 asio::awaitable<AppendOutcome> SharedLog::append(FleetTopic topic, std::string value,
-                                                 std::optional<std::uint64_t> expectedEnd)
+                                                 std::optional<LogPosition> expectedEnd)
 {
     noteStoreCall(topic, "append");
-    co_return co_await m_dependencies.store.append(topic, std::move(value), expectedEnd);
+    const auto outcome = co_await m_dependencies.store.append(topic, std::move(value), expectedEnd);
+    noteEra(outcome.position);
+    co_return outcome;
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/SharedLog.h
+++ b/Libraries/LibGateway/SharedLog.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,11 +51,13 @@
     boost::asio::awaitable<FleetPage> newest(FleetTopic topic) override;
     /// A read without a wait always goes to the store. Other reads are spaced, so that one call
     /// returns many records.
-    boost::asio::awaitable<FleetPage> read(FleetTopic topic, std::uint64_t from,
+    boost::asio::awaitable<FleetPage> read(FleetTopic topic, LogPosition from,
                                            std::chrono::milliseconds wait) override;
     boost::asio::awaitable<AppendOutcome> append(FleetTopic topic, std::string value,
-                                                 std::optional<std::uint64_t> expectedEnd) override;
+                                                 std::optional<LogPosition> expectedEnd) override;
 
+    /// Returns the highest era of the store that an answer or a sibling's page named.
+    std::uint64_t era() const { return m_era; }
     /// Returns whether this instance is one of its data centre's readers.
     bool isReader() const;
     /// Returns whether it reads the store, rather than the readers of another data centre.
@@ -96,7 +100,7 @@
                                             std::chrono::milliseconds requested) const;
     /// Returns the maximum age of the data of a log.
     std::chrono::milliseconds maxAgeOf(FleetTopic topic) const;
-    boost::asio::awaitable<FleetPage> readStore(FleetTopic topic, std::uint64_t from,
+    boost::asio::awaitable<FleetPage> readStore(FleetTopic topic, LogPosition from,
                                                 std::chrono::milliseconds wait);
     /// Logs that the answer to a read of this time is late, with the age of what is known instead.
     void logLateRead(FleetTopic topic, Core::Clock::Monotonic requestTime);
@@ -117,29 +121,31 @@
     boost::asio::awaitable<FleetPage> finishRead(std::shared_ptr<PendingRead> read);
     /// Reads the store, or a sibling that has newer records while the store's answer is late. A
     /// late read is repeated once.
-    boost::asio::awaitable<FleetPage> readRepeatedly(FleetTopic topic, std::uint64_t from,
+    boost::asio::awaitable<FleetPage> readRepeatedly(FleetTopic topic, LogPosition from,
                                                      std::chrono::milliseconds wait);
     /// Returns nothing when no sibling has newer records than this instance.
     boost::asio::awaitable<std::optional<FleetPage>> readNewerFromSibling(FleetTopic topic,
-                                                                          std::uint64_t from);
+                                                                          LogPosition from);
     /// Returns nothing when no sibling has recent enough data.
     boost::asio::awaitable<std::optional<FleetPage>>
-    readSiblings(FleetTopic topic, std::uint64_t from, std::chrono::milliseconds wait);
+    readSiblings(FleetTopic topic, LogPosition from, std::chrono::milliseconds wait);
     /// Returns nothing, and skips the sibling for a while, when it has no useful data.
     boost::asio::awaitable<std::optional<FleetPage>> querySibling(FleetMember sibling,
                                                                   FleetTopic topic,
-                                                                  std::uint64_t from,
+                                                                  LogPosition from,
                                                                   std::chrono::milliseconds wait);
     std::optional<FleetMember> chooseSibling(const TopicState &state) const;
     bool isSkipped(const FleetMember &member) const;
     void noteStoreCall(FleetTopic topic, std::string_view call) const;
     bool isUseful(FleetTopic topic, const FleetPage &page) const;
+    void noteEra(LogPosition position) { m_era = std::max(m_era, position.era()); }
     void noteSource(FleetTopic topic, const Core::InstanceId &source, const std::string &reason);
 
     Dependencies m_dependencies;
     std::map<FleetTopic, TopicState> m_topics;
     /// The sibling to query while the store does not answer; advances when its data is not newer.
     std::size_t m_siblingIndex = 0;
+    std::uint64_t m_era = 0;
     /// Siblings that did not answer or had old data, with the time until which they are skipped.
     std::map<Core::InstanceId, Core::Clock::Monotonic> m_skippedUntil;
 };
--- a/Libraries/LibGateway/UpstreamReport.h
+++ b/Libraries/LibGateway/UpstreamReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifier.h>
+#include <LibGateway/LogPosition.h>
 #include <LibHttp/Endpoint.h>
 
 #include <chrono>
@@ -25,8 +26,8 @@
     std::chrono::milliseconds startTime {0};
     /// Versions of the weights in force, by model.
     std::map<std::string, std::uint64_t> weights;
-    /// The offset of the report in the log; 0 if it is not known.
-    std::uint64_t offset = 0;
+    /// The position of the report in the log; 0 if it is not known.
+    LogPosition position;
 };
 
 } // namespace Gateway
--- a/Tests/LibGateway/HangingLog.h
+++ b/Tests/LibGateway/HangingLog.h
@@ -22,7 +22,7 @@
     {
         co_return Gateway::FleetPage();
     }
-    boost::asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, std::uint64_t from,
+    boost::asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, Gateway::LogPosition from,
                                                     std::chrono::milliseconds wait) override
     {
         if (wait > std::chrono::milliseconds::zero()) {
@@ -31,18 +31,19 @@
             co_await timer.async_wait(boost::asio::use_awaitable);
         }
         Gateway::FleetPage page;
-        page.next = std::min(records.size(), from + recordsPerPage);
-        page.isComplete = page.next >= records.size();
-        for (auto n = from; n < page.next; ++n)
+        const auto end = std::min(records.size(), from.offset() + recordsPerPage);
+        page.next = end;
+        page.isComplete = end >= records.size();
+        for (auto n = from.offset(); n < end; ++n)
             page.records.push_back({n, {}, records[n]});
         co_return page;
     }
     boost::asio::awaitable<Gateway::AppendOutcome>
     append(Gateway::FleetTopic, std::string value,
-           std::optional<std::uint64_t> expectedEnd) override
+           std::optional<Gateway::LogPosition> expectedEnd) override
     {
         Gateway::AppendOutcome outcome;
-        outcome.offset = records.size();
+        outcome.position = records.size();
         outcome.isAppended = !expectedEnd || *expectedEnd == records.size();
         if (outcome.isAppended)
             records.push_back(std::move(value));
--- a/Tests/LibGateway/TestDaemonLoops.cpp
+++ b/Tests/LibGateway/TestDaemonLoops.cpp
@@ -30,7 +30,7 @@
         note(topic);
         co_return Gateway::FleetPage();
     }
-    asio::awaitable<Gateway::FleetPage> read(FleetTopic topic, std::uint64_t from,
+    asio::awaitable<Gateway::FleetPage> read(FleetTopic topic, Gateway::LogPosition from,
                                              std::chrono::milliseconds wait) override
     {
         note(topic);
@@ -41,7 +41,7 @@
         co_return page;
     }
     asio::awaitable<Gateway::AppendOutcome> append(FleetTopic topic, std::string,
-                                                   std::optional<std::uint64_t>) override
+                                                   std::optional<Gateway::LogPosition>) override
     {
         note(topic);
         co_return Gateway::AppendOutcome {true, 0};
--- a/Tests/LibGateway/TestFleetWatcher.cpp
+++ b/Tests/LibGateway/TestFleetWatcher.cpp
@@ -54,13 +54,13 @@
     {
         co_return Gateway::FleetPage();
     }
-    boost::asio::awaitable<Gateway::FleetPage> read(FleetTopic, std::uint64_t,
+    boost::asio::awaitable<Gateway::FleetPage> read(FleetTopic, Gateway::LogPosition,
                                                     std::chrono::milliseconds) override
     {
         co_return Gateway::FleetPage();
     }
-    boost::asio::awaitable<Gateway::AppendOutcome> append(FleetTopic, std::string,
-                                                          std::optional<std::uint64_t>) override
+    boost::asio::awaitable<Gateway::AppendOutcome>
+    append(FleetTopic, std::string, std::optional<Gateway::LogPosition>) override
     {
         co_return Gateway::AppendOutcome();
     }
--- a/Tests/LibGateway/TestLogRelay.cpp
+++ b/Tests/LibGateway/TestLogRelay.cpp
@@ -26,7 +26,7 @@
     CHECK(decoded.next == 9);
     REQUIRE(decoded.records.size() == 2);
     CHECK(decoded.records[0].value == "value");
-    CHECK(decoded.records[1].offset == 8);
+    CHECK(decoded.records[1].position == 8);
     CHECK_FALSE(decoded.records[1].value);
     CHECK_FALSE(Gateway::LogRelay::decode("", 7, requestTime));
     CHECK_FALSE(Gateway::LogRelay::decode(bytes.substr(0, bytes.size() / 2), 7, requestTime));
--- a/Tests/LibGateway/TestPoisonNews.cpp
+++ b/Tests/LibGateway/TestPoisonNews.cpp
@@ -64,13 +64,13 @@
     {
         co_return Gateway::FleetPage();
     }
-    asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, std::uint64_t,
+    asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, Gateway::LogPosition,
                                              std::chrono::milliseconds) override
     {
         co_return Gateway::FleetPage();
     }
     asio::awaitable<Gateway::AppendOutcome> append(Gateway::FleetTopic, std::string,
-                                                   std::optional<std::uint64_t>) override
+                                                   std::optional<Gateway::LogPosition>) override
     {
         co_return Gateway::AppendOutcome();
     }
--- a/Tests/LibGateway/TestRetrySlack.cpp
+++ b/Tests/LibGateway/TestRetrySlack.cpp
@@ -46,7 +46,7 @@
         co_return Gateway::FleetPage();
     }
 
-    asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, std::uint64_t from,
+    asio::awaitable<Gateway::FleetPage> read(Gateway::FleetTopic, Gateway::LogPosition from,
                                              std::chrono::milliseconds) override
     {
         if (isCut)
@@ -54,18 +54,19 @@
         constexpr std::size_t RecordsPerPage = 50;
         Gateway::FleetPage page;
         page.asOf = m_clock.now() - delay;
-        page.next = from;
-        while (page.next < m_records.size() && m_records[page.next].time <= page.asOf
+        auto next = from.offset();
+        while (next < m_records.size() && m_records[next].time <= page.asOf
                && page.records.size() < RecordsPerPage) {
-            page.records.push_back({page.next, {}, m_records[page.next].value});
-            ++page.next;
+            page.records.push_back({next, {}, m_records[next].value});
+            ++next;
         }
-        page.isComplete = page.next == m_records.size() || m_records[page.next].time > page.asOf;
+        page.next = next;
+        page.isComplete = next == m_records.size() || m_records[next].time > page.asOf;
         co_return page;
     }
 
     asio::awaitable<Gateway::AppendOutcome> append(Gateway::FleetTopic, std::string value,
-                                                   std::optional<std::uint64_t>) override
+                                                   std::optional<Gateway::LogPosition>) override
     {
         if (isCut)
             throw Core::Error(Core::ErrorKind::PlatformUnavailable, "cut off");
--- a/Tests/LibGateway/TestSharedLog.cpp
+++ b/Tests/LibGateway/TestSharedLog.cpp
@@ -41,7 +41,7 @@
             page.records.push_back({m_records.size() - 1, "key", m_records.back()});
         co_return page;
     }
-    asio::awaitable<FleetPage> read(FleetTopic, std::uint64_t from,
+    asio::awaitable<FleetPage> read(FleetTopic, Gateway::LogPosition from,
                                     std::chrono::milliseconds wait) override
     {
         countCall();
@@ -49,12 +49,12 @@
         co_await hangIfAsked();
         FleetPage page;
         page.next = m_records.size();
-        for (auto n = from; n < m_records.size(); ++n)
+        for (auto n = from.offset(); n < m_records.size(); ++n)
             page.records.push_back({n, "key", m_records[n]});
         co_return page;
     }
     asio::awaitable<Gateway::AppendOutcome> append(FleetTopic, std::string value,
-                                                   std::optional<std::uint64_t>) override
+                                                   std::optional<Gateway::LogPosition>) override
     {
         countCall();
         m_records.push_back(std::move(value));
@@ -293,7 +293,7 @@
     }
     REQUIRE(page.records.size() == 1);
     CHECK(page.records.front().value == "second");
-    CHECK(page.records.front().offset == 1);
+    CHECK(page.records.front().position == 1);
     CHECK(page.asOf <= requestTime);
     // The failure is this instance's; the sibling that read the store had none.
     CHECK(page.lastStoreFailure == Core::Clock::Monotonic::min());
@@ -521,7 +521,7 @@
         fleet.read(other, known, 0ms, FleetTopic::Upstreams);
         const auto page = fleet.readUpstreams(one, known);
         CHECK(page.next == fleet.records.size());
-        known = page.next;
+        known = page.next.offset();
     }
     CHECK(one.store.mostHangingCalls == 1);
     // 10 seconds have passed.
--- a/Tests/PlatformParts/TestListPages.cpp
+++ b/Tests/PlatformParts/TestListPages.cpp
@@ -133,7 +133,7 @@
     const auto list = fixture.read();
     REQUIRE(list.records.size() == 1);
     CHECK(list.records[0].value == "a");
-    CHECK(list.records[0].offset == 0);
+    CHECK(list.records[0].position == 0);
 }
 
 TEST_CASE("the records of a list have the offsets that the store gives up to the list's end")
@@ -142,8 +142,8 @@
     ListFixture fixture({page(item("a", "1") + "," + late, false)});
     const auto list = fixture.read();
     REQUIRE(list.records.size() == 2);
-    CHECK(list.records[0].offset == 1);
-    CHECK(list.records[1].offset == 0);
+    CHECK(list.records[0].position == 1);
+    CHECK(list.records[1].position == 0);
 }
 
 TEST_CASE("keys with bytes that are not UTF-8 do not hide the other items of a list")
--- a/Tests/PlatformParts/TestLogPages.cpp
+++ b/Tests/PlatformParts/TestLogPages.cpp
@@ -58,14 +58,14 @@
     // Readers rely on consecutive offsets.
     REQUIRE(page.records.size() == 3);
     CHECK(page.records[0].key == "w-1");
-    CHECK(page.records[0].offset == 5);
+    CHECK(page.records[0].position == 5);
     CHECK(page.records[1].key.empty());
-    CHECK(page.records[1].offset == 6);
+    CHECK(page.records[1].position == 6);
     // It deletes nothing either.
     CHECK(page.records[1].value == "");
     CHECK(page.records[2].key == "w-3");
     CHECK(page.records[2].value == "third");
-    CHECK(page.records[2].offset == 7);
+    CHECK(page.records[2].position == 7);
 }
 
 TEST_CASE("a body that was truncated in transit is refused as a whole")
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -151,6 +151,29 @@
     }
 }
 
+void StoreStandIn::copyLogs()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_copy = m_topics;
+}
+
+void StoreStandIn::restoreLogs()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_topics = m_copy;
+    ++m_era;
+}
+
+asio::awaitable<void> StoreStandIn::respond(Http::ServerExchange &exchange, Http::Response response)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_era > 0)
+            response.headers.add("Store-Era", std::to_string(m_era));
+    }
+    co_await exchange.respond(std::move(response));
+}
+
 std::size_t StoreStandIn::calls() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -202,7 +225,7 @@
         co_return goesOn;
     }
     Http::Response response(trouble.refusal, {}, "");
-    co_await exchange.respond(std::move(response));
+    co_await respond(exchange, std::move(response));
     co_return false;
 }
 
@@ -210,7 +233,7 @@
 {
     if (failure == CallFailure::Unavailable || failure == CallFailure::BeyondRate) {
         Http::Response response(failure == CallFailure::Unavailable ? 503 : 429, {}, "");
-        co_await exchange.respond(std::move(response));
+        co_await respond(exchange, std::move(response));
         co_return false;
     }
     if (failure == CallFailure::Reset)
@@ -240,7 +263,7 @@
     const auto trouble = troubleOf(caller);
     if (trouble.losesAnswers || trouble.isReset || trouble.isSilent)
         throw boost::system::system_error(asio::error::connection_reset);
-    co_await exchange.respond(std::move(response));
+    co_await respond(exchange, std::move(response));
 }
 
 asio::awaitable<void> StoreStandIn::serve(Http::ServerExchange &exchange, std::string caller)
@@ -254,7 +277,7 @@
     }
     if (refusal != 0) {
         Http::Response response(refusal, {}, "");
-        co_await exchange.respond(std::move(response));
+        co_await respond(exchange, std::move(response));
         co_return;
     }
     auto query = parseQuery(request.target);
@@ -279,13 +302,17 @@
     asio::steady_timer timer(co_await asio::this_coro::executor);
     const auto end =
         std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoul(query["WaitMs"]));
+    std::optional<std::uint64_t> era;
     for (;;) {
         Http::Response response;
         bool isReady = std::chrono::steady_clock::now() >= end;
         {
             const std::scoped_lock lock(m_mutex);
+            if (era.value_or(m_era) != m_era)
+                throw boost::system::system_error(asio::error::connection_reset);
+            era = m_era;
             const auto &topic = m_topics[name];
-            if (from < topic.first) {
+            if (from < topic.first || (m_era > 0 && from > topic.end())) {
                 response.status = 410;
                 response.body =
                     boost::json::serialize(boost::json::object {{"First", topic.first}});
--- a/Tests/StandIns/StoreStandIn.h
+++ b/Tests/StandIns/StoreStandIn.h
@@ -65,6 +65,11 @@
     void setRefusal(unsigned status);
     /// Removes all records but the latest of each key, as log compaction does.
     void dropHistory(const std::string &topic);
+    /// Copies all logs; the copy replaces an earlier one.
+    void copyLogs();
+    /// Replaces all logs with the copy and begins a new era, as a store that is restored. Calls
+    /// that wait lose their connections.
+    void restoreLogs();
     std::size_t calls() const;
 
 private:
@@ -85,6 +90,8 @@
 
     boost::asio::awaitable<void> handle(Http::ServerExchange &exchange);
     boost::asio::awaitable<void> handleOf(std::string caller, Http::ServerExchange &exchange);
+    /// Sends an answer, which names the store's era except in the first one.
+    boost::asio::awaitable<void> respond(Http::ServerExchange &exchange, Http::Response response);
     /// Ends calls that a trouble concerns. Returns whether the call goes on.
     boost::asio::awaitable<bool> passTrouble(std::string caller, Http::ServerExchange &exchange);
     boost::asio::awaitable<void> serve(Http::ServerExchange &exchange, std::string caller);
@@ -104,6 +111,8 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, Topic> m_topics;
+    std::map<std::string, Topic> m_copy;
+    std::uint64_t m_era = 0;
     unsigned m_refusal = 0;
     std::size_t m_calls = 0;
     std::map<std::string, StoreTrouble> m_troubles;
