LibGateway: Take no lease in a new era before lost ones have expired

After the store is restored from an older copy, the record of the last lease may be gone from the log.

An instance that sees a new era waits as long as it would after a lease of another instance, counted from then. Only the holder of a lease that is still valid renews it at once, since nobody else can have taken one meanwhile.

--- a/Libraries/LibGateway/FleetJournal.cpp
+++ b/Libraries/LibGateway/FleetJournal.cpp
@@ -111,6 +111,7 @@
 
 void FleetJournal::noteNewEra()
 {
+    m_lease.noteNewEra(m_clock.now());
     // In a large fleet the hubs announce the others.
     if (!m_members.isLarge() || m_members.isHub())
         m_lastAnnounced = Core::Clock::Monotonic::min();
--- a/Libraries/LibGateway/OrderLease.cpp
+++ b/Libraries/LibGateway/OrderLease.cpp
@@ -29,9 +29,13 @@
 
 bool OrderLease::mayTake(Core::Clock::Monotonic now, std::chrono::milliseconds minHandoverGap) const
 {
+    const auto handoverTime = Duration + minHandoverGap + HandoverMargin;
+    // While the own lease is valid, no other instance can have taken one that was lost.
+    if (m_eraSeen && now - *m_eraSeen < handoverTime && !token(now, std::chrono::milliseconds(0)))
+        return false;
     if (m_lastSeen == Core::Clock::Monotonic::min() || m_lastHolder == m_self)
         return true;
-    return now - m_lastSeen >= Duration + minHandoverGap + HandoverMargin;
+    return now - m_lastSeen >= handoverTime;
 }
 
 void OrderLease::noteTaken(LogPosition position, Core::Clock::Monotonic requestTime)
--- a/Libraries/LibGateway/OrderLease.h
+++ b/Libraries/LibGateway/OrderLease.h
@@ -14,7 +14,8 @@
 /// the position of a record determines its fencing token, so tokens are unique and increase with
 /// every holder. The holder counts the duration from before its request to the log; other instances
 /// count from when they see the record, and wait until it has expired and the minimum gap between
-/// two holders, which the upstreams require, has passed.
+/// two holders, which the upstreams require, has passed. In a new era of the log they count from
+/// when they see the era, since the record of the last lease may be lost.
 class OrderLease
 {
 public:
@@ -27,6 +28,8 @@
     /// ignored.
     void noteRecord(LogPosition position, const Core::InstanceId &holder,
                     Core::Clock::Monotonic now);
+    /// Records that the log was seen in a new era.
+    void noteNewEra(Core::Clock::Monotonic now) { m_eraSeen = now; }
     /// Returns whether this instance may try to acquire or renew the lease, given the minimum gap
     /// between two holders that applies now.
     bool mayTake(Core::Clock::Monotonic now, std::chrono::milliseconds minHandoverGap) const;
@@ -46,6 +49,7 @@
     Core::InstanceId m_lastHolder;
     LogPosition m_lastPosition;
     Core::Clock::Monotonic m_lastSeen = Core::Clock::Monotonic::min();
+    std::optional<Core::Clock::Monotonic> m_eraSeen;
     std::optional<LogPosition> m_ownPosition;
     Core::Clock::Monotonic m_ownExpiry = Core::Clock::Monotonic::min();
 };
