--- a/Libraries/LibGateway/ExpiryOutages.cpp
+++ b/Libraries/LibGateway/ExpiryOutages.cpp
@@ -35,4 +35,9 @@
         m_registrationEnd = time + RegistrationTime;
 }
 
+void ExpiryOutages::noteLostEntries(Core::Clock::Monotonic time)
+{
+    m_registrationEnd = std::max(m_registrationEnd, time + RegistrationTime);
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/ExpiryOutages.h
+++ b/Libraries/LibGateway/ExpiryOutages.h
@@ -21,6 +21,8 @@
     /// Records that the store answered this instance or one that it reads through, given the
     /// interval between two reports of an upstream.
     void noteAnswer(Core::Clock::Monotonic time, std::chrono::milliseconds reportInterval);
+    /// Records that the store has lost recent entries, which their upstreams write again.
+    void noteLostEntries(Core::Clock::Monotonic time);
     /// Returns whether an upstream that is missing in the list may be about to register again.
     bool mayRegisterAgain(Core::Clock::Monotonic now) const { return now < m_registrationEnd; }
     /// Returns until when that is so; the minimum time before the first outage.
--- a/Libraries/LibGateway/FleetWatcher.cpp
+++ b/Libraries/LibGateway/FleetWatcher.cpp
@@ -234,6 +234,8 @@
     m_outages.noteFailure(page.lastStoreFailure);
     m_outages.noteAnswer(std::max(page.asOf, page.answeredAt),
                          m_dependencies.settings.reportInterval);
+    if (m_nextUpstreams && page.next.era() > m_nextUpstreams->era())
+        m_outages.noteLostEntries(m_dependencies.clock.now());
     if (page.isHistoryTruncated) {
         m_nextUpstreams.reset();
         return;
--- a/Tests/Platform/TestRestoredStore.cpp
+++ b/Tests/Platform/TestRestoredStore.cpp
@@ -117,3 +117,21 @@
     const auto answer = fixture.send(std::move(request));
     CHECK(answer.status == 401);
 }
+
+// Guards against refusals while upstreams write their lost entries again.
+TEST_CASE("an upstream whose entry was lost stays in use until it is written again")
+{
+    GatewayFixture fixture;
+    fixture.configure(1);
+    fixture.store.copyLogs();
+    auto &added = fixture.addWorker("w-1", "app");
+    fixture.startGateway();
+    restore(fixture);
+    for (int n = 0; n < 10; ++n) {
+        CHECK(statusOf(fixture, "/calls/a") == 200);
+        std::this_thread::sleep_for(100ms);
+    }
+    fixture.store.put(UpstreamsTopic, "w-1", added.entry("ready", 2));
+    std::this_thread::sleep_for(3s);
+    CHECK(statusOf(fixture, "/calls/a") == 200);
+}
